--- /dev/null
+++ b/src/main/java/org/verbenatray/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Limits, fair shares, deadlines and retry budgets. */
+package org.verbenatray.admission;
--- /dev/null
+++ b/src/main/java/org/verbenatray/authority/package-info.java
@@ -0,0 +1,2 @@
+/** Leases over the engines of a failure domain and their fencing numbers. */
+package org.verbenatray.authority;
--- /dev/null
+++ b/src/main/java/org/verbenatray/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments that play shifts of the request mix through the decision code. */
+package org.verbenatray.bench;
--- /dev/null
+++ b/src/main/java/org/verbenatray/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the binary. */
+package org.verbenatray.cli;
--- /dev/null
+++ b/src/main/java/org/verbenatray/once/package-info.java
@@ -0,0 +1,2 @@
+/** Calls that may run at most once: reservation, execution and outcome. */
+package org.verbenatray.once;
--- /dev/null
+++ b/src/main/java/org/verbenatray/orders/package-info.java
@@ -0,0 +1,2 @@
+/** Orders to engines: journal, dispatch and settlement. */
+package org.verbenatray.orders;
--- /dev/null
+++ b/src/main/java/org/verbenatray/platform/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP clients for the platform's log service and instance list. */
+package org.verbenatray.platform;
--- /dev/null
+++ b/src/main/java/org/verbenatray/roles/package-info.java
@@ -0,0 +1,2 @@
+/** The planner that decides when an engine changes its role. */
+package org.verbenatray.roles;
--- /dev/null
+++ b/src/main/java/org/verbenatray/servers/package-info.java
@@ -0,0 +1,2 @@
+/** Clients for model engines and plain services. */
+package org.verbenatray.servers;
--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP pipeline from a caller to a backend server and back. */
+package org.verbenatray.serving;
--- /dev/null
+++ b/src/main/java/org/verbenatray/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a process from flags and environment variables. */
+package org.verbenatray.settings;
--- /dev/null
+++ b/src/main/java/org/verbenatray/suspects/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that may crash the backend server that runs them. */
+package org.verbenatray.suspects;
--- /dev/null
+++ b/src/main/java/org/verbenatray/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Event lines, metrics and state dumps. */
+package org.verbenatray.telemetry;
--- /dev/null
+++ b/src/main/java/org/verbenatray/time/package-info.java
@@ -0,0 +1,2 @@
+/** Monotonic time and deadlines. */
+package org.verbenatray.time;
