--- a/src/main/java/org/verbenatray/log/RecordBody.java
+++ b/src/main/java/org/verbenatray/log/RecordBody.java
@@ -14,6 +14,7 @@
     @JsonSubTypes.Type(value = RecordBody.LeaseClaim.class, name = "lease-claim"),
     @JsonSubTypes.Type(value = RecordBody.LeaseRenewal.class, name = "lease-renewal"),
     @JsonSubTypes.Type(value = RecordBody.LeaseRelease.class, name = "lease-release"),
+    @JsonSubTypes.Type(value = RecordBody.LeaseHolderGone.class, name = "lease-holder-gone"),
     @JsonSubTypes.Type(value = RecordBody.OrderIntent.class, name = "order-intent"),
     @JsonSubTypes.Type(value = RecordBody.OrderOutcome.class, name = "order-outcome"),
     @JsonSubTypes.Type(value = RecordBody.CallReservation.class, name = "call-reservation"),
@@ -66,6 +67,15 @@
      */
     record LeaseRelease(String lease, String holder, long fencing) implements RecordBody {}
 
+    /**
+     * The observation that a former holder, which did not release its lease, is gone from the platform's instance list.
+     *
+     * @param lease the lease's name
+     * @param holder the former holder
+     * @param fencing the fencing number that the former holder had
+     */
+    record LeaseHolderGone(String lease, String holder, long fencing) implements RecordBody {}
+
     /**
      * The intent to send an order to an engine, journalled before the order is sent.
      *
--- /dev/null
+++ b/src/test/java/org/verbenatray/orders/FakeFolds.java
@@ -0,0 +1,35 @@
+package org.verbenatray.orders;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.verbenatray.authority.LeaseFold;
+import org.verbenatray.log.RecordBody;
+import org.verbenatray.log.RecordBody.OrderIntent;
+import org.verbenatray.log.RecordBody.OrderOutcome;
+import org.verbenatray.log.StoredRecord;
+import org.verbenatray.log.Verdict;
+
+/** The folds of one reader of the log, with an independent check that engines have one outstanding order. */
+final class FakeFolds {
+    final LeaseFold leases = LeaseFold.create();
+    final OrderFold orders = OrderFold.create(leases);
+    private final Set<String> seen = new HashSet<>();
+    private final Set<String> busyEngines = new HashSet<>();
+
+    /** Applies a record; empty for a duplicate. */
+    Optional<Verdict> apply(StoredRecord stored) {
+        if (!seen.add(stored.record().id())) {
+            return Optional.empty();
+        }
+        RecordBody body = stored.record().body();
+        Verdict verdict = leases.judges(body) ? leases.apply(stored) : orders.apply(stored);
+        if (verdict.isAccepted() && body instanceof OrderIntent intent && !busyEngines.add(intent.engine())) {
+            throw new AssertionError("two outstanding orders of " + intent.engine());
+        }
+        if (verdict.isAccepted() && body instanceof OrderOutcome outcome) {
+            busyEngines.remove(outcome.engine());
+        }
+        return Optional.of(verdict);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/verbenatray/orders/OrderWorld.java
@@ -0,0 +1,185 @@
+package org.verbenatray.orders;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.verbenatray.authority.LeaseState;
+import org.verbenatray.configuration.EngineRole;
+import org.verbenatray.log.LogRecord;
+import org.verbenatray.log.StoredRecord;
+
+/**
+ * Three claimants, a checking and a non-checking engine and the log, in one thread: a seed chooses the interleaving of
+ * steps, delays and failures.
+ */
+final class OrderWorld {
+    /** The lease. */
+    static final String LEASE = "domain";
+
+    /** The times of orders, short so that many cases fit into one run. */
+    static final OrderTiming TIMING = new OrderTiming(250, 3_000, 20_000, 1_500, 3);
+
+    /** The checking engine and the non-checking one. */
+    final Map<String, FakeEngine> engines =
+            Map.of("checking", new FakeEngine(this, "checking", true), "plain", new FakeEngine(this, "plain", false));
+
+    /** The chooser of the interleaving. */
+    final Random random;
+
+    /** The true time in milliseconds. */
+    long nowMillis = 1_000;
+
+    /** The fold of the whole log, read without delay. */
+    final FakeFolds truth = new FakeFolds();
+
+    /** The log. */
+    final List<StoredRecord> log = new ArrayList<>();
+
+    /** Records on their way to the log. */
+    final List<LogRecord> appends = new ArrayList<>();
+
+    /** Messages on their way to or from engines. */
+    final List<FakeMessage> messages = new ArrayList<>();
+
+    /** The claimants. */
+    final List<FakeInstance> instances = new ArrayList<>();
+
+    /** Counts of what happened, to show that the interesting cases were reached. */
+    final Map<String, Integer> counts;
+
+    OrderWorld(long seed, Map<String, Integer> counts) {
+        this.random = new Random(seed);
+        this.counts = counts;
+        count("world");
+        for (String name : List.of("a", "b", "c")) {
+            instances.add(new FakeInstance(this, name, 0.96 + 0.04 * instances.size()));
+        }
+    }
+
+    /** Runs random steps with all failures. */
+    void runFaulty(int steps) {
+        for (int step = 0; step < steps; step++) {
+            choose(faultySteps()).run();
+        }
+    }
+
+    /** Ends all failures and reports whether each engine takes one more order within bounded time. */
+    Map<String, Boolean> runHealed(int steps) {
+        instances.forEach(FakeInstance::heal);
+        Map<String, Boolean> settled = new HashMap<>();
+        for (int step = 0; step < steps && settled.size() < engines.size(); step++) {
+            choose(healthySteps()).run();
+            for (String engine : engines.keySet()) {
+                if (step % 50 == 0 && !settled.containsKey(engine)) {
+                    instances.forEach(instance ->
+                            instance.order(engine, EngineRole.DECODE).thenAccept(result -> settled.put(engine, true)));
+                }
+            }
+        }
+        return settled;
+    }
+
+    void count(String event) {
+        counts.merge(event, 1, Integer::sum);
+    }
+
+    boolean holdsInTruth(String instance) {
+        return truth.leases.lease(LEASE).flatMap(LeaseState::holder).equals(java.util.Optional.of(instance));
+    }
+
+    private List<Runnable> healthySteps() {
+        List<Runnable> steps = new ArrayList<>();
+        steps.add(() -> nowMillis += 1 + random.nextInt(150));
+        for (LogRecord append : List.copyOf(appends)) {
+            steps.add(() -> arrive(append));
+        }
+        instances.stream().filter(FakeInstance::runs).forEach(instance -> {
+            steps.addAll(instance.dueTimers());
+            steps.addAll(instance.readableRecords());
+        });
+        messages.removeIf(FakeMessage::expired);
+        messages.stream().filter(FakeMessage::departs).forEach(message -> steps.add(message::deliver));
+        engines.values().stream().filter(FakeEngine::changing).forEach(engine -> steps.add(engine::finishChange));
+        return steps;
+    }
+
+    private List<Runnable> faultySteps() {
+        List<Runnable> steps = healthySteps();
+        int kind = random.nextInt(1_200);
+        FakeInstance instance = choose(instances);
+        FakeEngine engine = engines.get(random.nextBoolean() ? "checking" : "plain");
+        if (kind < 60) {
+            EngineRole role = choose(List.of(EngineRole.values()));
+            return List.of(() -> instance.order(engine.name, role));
+        }
+        if (kind < 75) {
+            return List.of(() -> instance.pause(random.nextInt(15_000)));
+        }
+        if (kind < 90) {
+            return List.of(() -> instance.cutOff(random.nextInt(15_000)));
+        }
+        if (kind < 92) {
+            return List.of(instance::kill);
+        }
+        if (kind < 94) {
+            return List.of(instance::leave);
+        }
+        if (kind < 124) {
+            return List.of(engine::crash);
+        }
+        if (kind < 164 && !messages.isEmpty()) {
+            return List.of(choose(messages)::loseAnswer);
+        }
+        if (kind < 174) {
+            return List.of(() -> nowMillis += 1_500);
+        }
+        if (kind < 194 && !appends.isEmpty()) {
+            return List.of(() -> log(choose(appends)));
+        }
+        return steps;
+    }
+
+    private void arrive(LogRecord append) {
+        if (instances.stream().anyMatch(instance -> instance.name.equals(append.author()) && instance.isCutOff())) {
+            return;
+        }
+        appends.remove(append);
+        log(append);
+    }
+
+    private void log(LogRecord append) {
+        StoredRecord stored = new StoredRecord(log.size() + 10L, append);
+        log.add(stored);
+        truth.apply(stored)
+                .ifPresent(verdict ->
+                        count(append.body().getClass().getSimpleName() + (verdict.isAccepted() ? "" : " rejected")));
+    }
+
+    private <T> T choose(List<T> options) {
+        return options.get(random.nextInt(options.size()));
+    }
+
+    CompletableFuture<EngineOrderState> readState(FakeInstance reader, FakeEngine engine) {
+        CompletableFuture<EngineOrderState> future = new CompletableFuture<>();
+        messages.add(FakeMessage.stateRead(this, reader, engine, future));
+        return future;
+    }
+
+    CompletableFuture<OrderReply> send(FakeInstance sender, FakeEngine engine, Order order, long fencing, String id) {
+        if (!holdsInTruth(sender.name)) {
+            throw new AssertionError(sender.name + " sends after its authority was lost");
+        }
+        CompletableFuture<OrderReply> future = new CompletableFuture<>();
+        FakeMessage message = FakeMessage.order(this, sender, future, () -> engine.receive(order, fencing, id));
+        messages.add(message);
+        if (random.nextInt(3) == 0) {
+            int millis = random.nextInt(25_000);
+            message.holdBack(millis);
+            sender.pause(random.nextInt(millis + 1));
+        }
+        return future;
+    }
+}
