Serving pipeline, HTTP transport and platform clients

Cause: the whole path needs its pipeline towards callers, engines and the platform. Change: relay of streams with resume by token offset, HTTP exchanges on Undertow's client, refusals with typed kinds.

--- /dev/null
+++ b/src/main/java/org/verbenatray/platform/HttpInstanceList.java
@@ -0,0 +1,59 @@
+package org.verbenatray.platform;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.verbenatray.log.RecordCodec;
+import org.verbenatray.servers.HttpCall;
+import org.verbenatray.servers.HttpTransport;
+import org.verbenatray.time.Deadline;
+
+/** The platform's instance list over HTTP and JSON. */
+public final class HttpInstanceList implements InstanceList {
+    /** The time one exchange may take in milliseconds. */
+    private static final long EXCHANGE_MILLIS = 3_000;
+
+    /** The largest list in bytes. */
+    private static final int MAX_LIST_BYTES = 8 * 1024 * 1024;
+
+    /** The transport. */
+    private final HttpTransport transport;
+
+    /** The base URI of the platform. */
+    private final String address;
+
+    /** Creates a client. */
+    private HttpInstanceList(HttpTransport transport, String address) {
+        this.transport = transport;
+        this.address = address;
+    }
+
+    /** Returns a client of the platform at the given base URI. */
+    public static HttpInstanceList create(HttpTransport transport, String address) {
+        return new HttpInstanceList(transport, address);
+    }
+
+    @Override
+    public CompletableFuture<List<InstanceEntry>> list() {
+        Deadline deadline = Deadline.afterMillis(transport.ticker().nanos(), EXCHANGE_MILLIS);
+        return transport
+                .call(HttpCall.bare("GET", address, "/instances"), transport.anyThread(), deadline, MAX_LIST_BYTES)
+                .thenApply(
+                        reply -> RecordCodec.decode(reply.text(), Listing.class).instances());
+    }
+
+    /** Tells the platform that this instance lives or is leaving; the platform forgets it after a while. */
+    public CompletableFuture<Void> announce(InstanceEntry entry) {
+        Deadline deadline = Deadline.afterMillis(transport.ticker().nanos(), EXCHANGE_MILLIS);
+        HttpCall call = HttpCall.json("PUT", address, "/instances/" + entry.name(), RecordCodec.encode(entry));
+        return transport
+                .call(call, transport.anyThread(), deadline, MAX_LIST_BYTES)
+                .thenAccept(reply -> {});
+    }
+
+    /**
+     * The body of the list.
+     *
+     * @param instances the instances
+     */
+    public record Listing(List<InstanceEntry> instances) {}
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/CompletionBody.java
@@ -0,0 +1,95 @@
+package org.verbenatray.serving;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.verbenatray.log.RecordCodec;
+
+/**
+ * The JSON body of a completion request; keys that this system does not use are ignored.
+ *
+ * @param model the model
+ * @param prompt the prompt of a plain completion
+ * @param messages the messages of a chat completion
+ * @param maxTokens the tokens to generate at most
+ * @param stream whether to stream the answer
+ * @param seed the seed of the sampling
+ */
+record CompletionBody(
+        String model,
+        Optional<String> prompt,
+        Optional<List<Message>> messages,
+        @JsonProperty("max_tokens") Optional<Integer> maxTokens,
+        Optional<Boolean> stream,
+        Optional<Long> seed) {
+    /** The tokens generated at most where the request states none. */
+    private static final int DEFAULT_MAX_TOKENS = 256;
+
+    /** The largest number of tokens that may be asked for. */
+    private static final int LARGEST_MAX_TOKENS = 131_072;
+
+    /** Parses a body; fails with a {@link RefusalException} that names what is wrong. */
+    static CompletionBody parse(byte[] body, boolean chat) {
+        CompletionBody parsed = read(body);
+        if (parsed == null || parsed.model() == null || parsed.model().isBlank()) {
+            throw bad("the key \"model\" is missing; name one of the models listed by /v1/models");
+        }
+        if (chat && parsed.messages().orElse(List.of()).isEmpty()) {
+            throw bad("the key \"messages\" is missing or empty; give at least one message with role and content");
+        }
+        if (!chat && parsed.prompt().orElse("").isEmpty()) {
+            throw bad("the key \"prompt\" is missing or empty; give the prompt as a string");
+        }
+        int tokens = parsed.maxTokensOrDefault();
+        if (tokens < 1 || tokens > LARGEST_MAX_TOKENS) {
+            throw bad("max_tokens is " + tokens + "; give 1 to " + LARGEST_MAX_TOKENS);
+        }
+        return parsed;
+    }
+
+    /** Returns the tokens to generate at most. */
+    int maxTokensOrDefault() {
+        return maxTokens.orElse(DEFAULT_MAX_TOKENS);
+    }
+
+    /** Returns the prompt, for a chat its messages one after the other. */
+    String promptText(boolean chat) {
+        if (!chat) {
+            return prompt.orElse("");
+        }
+        return messages.orElse(List.of()).stream()
+                .map(message -> message.role() + ": " + message.content())
+                .collect(Collectors.joining("\n"));
+    }
+
+    /** Reads the JSON. */
+    private static CompletionBody read(byte[] body) {
+        try {
+            return RecordCodec.mapper().readValue(body, CompletionBody.class);
+        } catch (JsonMappingException e) {
+            throw bad("the body has a wrong type at " + e.getPathReference().replaceAll("^.*\\[\"", "[\"")
+                    + "; see the completion API for the types");
+        } catch (JsonProcessingException e) {
+            throw bad("the body is not JSON (" + e.getOriginalMessage() + "); send one JSON object");
+        } catch (IOException e) {
+            throw bad("the body cannot be read; send one JSON object");
+        }
+    }
+
+    /** Returns the refusal of a malformed body. */
+    private static RefusalException bad(String message) {
+        return new RefusalException(Refusal.notRun(RefusalKind.BAD_REQUEST, message));
+    }
+
+    /**
+     * A message of a chat.
+     *
+     * @param role the role
+     * @param content the text
+     */
+    record Message(String role, String content) {}
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/IdentifyFilter.java
@@ -0,0 +1,81 @@
+package org.verbenatray.serving;
+
+import com.google.common.hash.Hashing;
+import io.undertow.util.Headers;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.verbenatray.configuration.ActiveConfiguration;
+import org.verbenatray.configuration.FleetConfiguration.CustomerSpec;
+
+/** Finds the customer of a request by its API key. */
+final class IdentifyFilter implements Filter<CallerRequest, CallerRequest> {
+    /** The scheme of the Authorization header. */
+    private static final String SCHEME = "Bearer ";
+
+    /** The configuration in force. */
+    private final Supplier<ActiveConfiguration> configuration;
+
+    /** The customers of the configuration that was used last. */
+    private volatile CustomersByKey customers = new CustomersByKey(null, Map.of());
+
+    /** Creates the step. */
+    IdentifyFilter(Supplier<ActiveConfiguration> configuration) {
+        this.configuration = configuration;
+    }
+
+    @Override
+    public CallerRequest apply(CallerRequest request) {
+        ActiveConfiguration active = configuration.get();
+        if (active.offset() < 0) {
+            throw new RefusalException(Refusal.retryLater(
+                    RefusalKind.NOT_READY, "no configuration has been read yet; send the request again", 1_000));
+        }
+        String header = request.headers().getFirst(Headers.AUTHORIZATION);
+        if (header == null || !header.startsWith(SCHEME)) {
+            throw unauthenticated("the API key is missing; send the header Authorization: Bearer KEY");
+        }
+        String keyHash = Hashing.sha256()
+                .hashString(header.substring(SCHEME.length()).strip(), StandardCharsets.UTF_8)
+                .toString();
+        String name = customersOf(active).names().get(keyHash);
+        if (name == null) {
+            throw unauthenticated("the API key is unknown; ask the operators for a key of this deployment");
+        }
+        CustomerSpec spec = active.fleet().customers().get(name);
+        return request.identified(name, spec);
+    }
+
+    /** Returns the customers of a configuration. */
+    private CustomersByKey customersOf(ActiveConfiguration active) {
+        CustomersByKey present = customers;
+        if (present.source() == active) {
+            return present;
+        }
+        CustomersByKey fresh = CustomersByKey.of(active);
+        customers = fresh;
+        return fresh;
+    }
+
+    /** Returns the refusal of a request without a customer. */
+    private static RefusalException unauthenticated(String message) {
+        return new RefusalException(Refusal.notRun(RefusalKind.UNAUTHENTICATED, message));
+    }
+
+    /**
+     * The names of customers by the hash of their key.
+     *
+     * @param source the configuration they come from
+     * @param names the names
+     */
+    private record CustomersByKey(ActiveConfiguration source, Map<String, String> names) {
+        /** Returns the customers of a configuration. */
+        static CustomersByKey of(ActiveConfiguration active) {
+            Map<String, String> names = new java.util.HashMap<>();
+            active.fleet()
+                    .customers()
+                    .forEach((name, spec) -> names.put(spec.keySha256().toLowerCase(java.util.Locale.ROOT), name));
+            return new CustomersByKey(active, Map.copyOf(names));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/ServingParts.java
@@ -0,0 +1,24 @@
+package org.verbenatray.serving;
+
+import java.util.function.Supplier;
+import org.verbenatray.configuration.ActiveConfiguration;
+
+/**
+ * What the handlers of an instance share.
+ *
+ * @param instance the name of the instance
+ * @param failureDomain its failure domain
+ * @param configuration the configuration in force
+ * @param open the open requests
+ * @param admitter admits requests
+ * @param relay what relays work with
+ * @param defaultTimeoutMillis the time a request may take where the caller states none, in milliseconds
+ */
+record ServingParts(
+        String instance,
+        String failureDomain,
+        Supplier<ActiveConfiguration> configuration,
+        OpenRequests open,
+        Admitter admitter,
+        RelayParts relay,
+        long defaultTimeoutMillis) {}
--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/StreamRelay.java
@@ -0,0 +1,379 @@
+package org.verbenatray.serving;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+import org.verbenatray.servers.Cancellation;
+import org.verbenatray.servers.EngineChunk;
+import org.verbenatray.servers.EngineClient;
+import org.verbenatray.servers.GenerateRequest;
+import org.verbenatray.servers.ServerFailure;
+import org.verbenatray.servers.StreamListener;
+import org.verbenatray.telemetry.Metrics;
+import org.verbenatray.time.Deadline;
+import org.verbenatray.time.Ticker;
+import org.xnio.XnioIoThread;
+
+/**
+ * Relays the tokens of one request from engines to its caller: each token once and in order, then the end or a failure.
+ *
+ * <p>All calls come from the thread of the request.
+ */
+final class StreamRelay {
+    /** The time after which a caller may come back when no engine can take its request, in milliseconds. */
+    private static final long NO_ENGINE_RETRY_MILLIS = 2_000;
+
+    /** The request. */
+    private final CompletionRequest request;
+
+    /** Chooses engines. */
+    private final EngineChooser chooser;
+
+    /** Talks to engines. */
+    private final EngineClient engines;
+
+    /** Receives the answer. */
+    private final AnswerSink sink;
+
+    /** The bounds. */
+    private final RelaySettings settings;
+
+    /** Runs actions later. */
+    private final RelayTimers timers;
+
+    /** The clock. */
+    private final Ticker ticker;
+
+    /** The thread of the request. */
+    private final XnioIoThread thread;
+
+    /** Returns whether another run may be paid for. */
+    private final BooleanSupplier retryAllowed;
+
+    /** Counts what happens. */
+    private final Metrics metrics;
+
+    /** The engines that must not be tried again. */
+    private final Set<String> barred = new HashSet<>();
+
+    /** The text relayed so far, which another engine continues. */
+    private final StringBuilder emittedText = new StringBuilder();
+
+    /** The tokens relayed so far. */
+    private int emittedTokens;
+
+    /** The engine of the current dispatch. */
+    private EngineSlot slot;
+
+    /** The id of the current dispatch. */
+    private String dispatch = "";
+
+    /** Ends the current exchange. */
+    private Cancellation exchange = () -> {};
+
+    /** Ends the timer that watches the progress. */
+    private Cancellation watch = () -> {};
+
+    /** Ends the timer of the deadline. */
+    private Cancellation expiry = () -> {};
+
+    /** Counts the connections of this relay, so that late calls of old ones are told apart. */
+    private int connection;
+
+    /** The dispatches so far. */
+    private int runs;
+
+    /** Whether an engine may have begun to run the request. */
+    private boolean begun;
+
+    /** When the last token came, or the dispatch was sent. */
+    private long lastProgressNanos;
+
+    /** Whether the final answer was given. */
+    private boolean over;
+
+    /** Creates a relay from its parts. */
+    StreamRelay(CompletionRequest request, RelayParts parts, AnswerSink sink, XnioIoThread thread) {
+        this.request = request;
+        this.chooser = parts.chooser();
+        this.engines = parts.engines();
+        this.settings = parts.settings();
+        this.timers = parts.timers();
+        this.ticker = parts.ticker();
+        this.retryAllowed = parts.retryAllowed();
+        this.metrics = parts.metrics();
+        this.sink = sink;
+        this.thread = thread;
+    }
+
+    /** Starts the first dispatch. */
+    void start() {
+        expiry = timers.at(request.deadline(), this::expired);
+        run();
+    }
+
+    /** Stops without an answer because the caller is gone. */
+    void callerGone() {
+        if (!over) {
+            close();
+            abandonDispatch();
+        }
+    }
+
+    /** Returns the engine of the current dispatch. */
+    Optional<String> engine() {
+        return Optional.ofNullable(slot).map(EngineSlot::engine);
+    }
+
+    /** Returns the number of dispatches so far. */
+    int runs() {
+        return runs;
+    }
+
+    /** Dispatches the request, or what remains of it, to an engine. */
+    private void run() {
+        Optional<EngineSlot> chosen = chooser.choose(request, emittedTokens, Set.copyOf(barred));
+        if (chosen.isEmpty()) {
+            noEngine();
+            return;
+        }
+        slot = chosen.get();
+        runs++;
+        dispatch = UUID.randomUUID().toString();
+        GenerateRequest generate = new GenerateRequest(
+                dispatch,
+                request.model(),
+                request.prompt(),
+                request.maxTokens(),
+                request.seed(),
+                request.priority(),
+                emittedTokens,
+                emittedText.toString());
+        lastProgressNanos = ticker.nanos();
+        exchange = engines.generate(slot.address(), generate, thread, new Listener(++connection));
+        watchProgress();
+    }
+
+    /** Takes a line of the engine. */
+    private void onChunk(EngineChunk chunk) {
+        if (!chunk.dispatch().equals(dispatch)) {
+            metrics.droppedReply("dispatch");
+            return;
+        }
+        begun = true;
+        lastProgressNanos = ticker.nanos();
+        if (chunk.offset() > emittedTokens) {
+            metrics.droppedReply("gap");
+            exchange.cancel();
+            onInterrupted(ServerFailure.create(ServerFailure.Kind.WRONG_REPLY, "tokens are missing in the stream"));
+            return;
+        }
+        relay(chunk);
+        if (chunk.done() && chunk.offset() + chunk.tokens().size() == emittedTokens) {
+            finish(chunk.finish());
+        } else if (chunk.done()) {
+            metrics.droppedReply("short");
+            onInterrupted(
+                    ServerFailure.create(ServerFailure.Kind.WRONG_REPLY, "the answer ends before its last token"));
+        }
+    }
+
+    /** Relays the tokens of a line that were not relayed before. */
+    private void relay(EngineChunk chunk) {
+        int known = emittedTokens - chunk.offset();
+        if (known >= chunk.tokens().size()) {
+            return;
+        }
+        List<String> fresh = chunk.tokens().subList(known, chunk.tokens().size());
+        if (emittedTokens == 0) {
+            slot.firstToken();
+            metrics.firstToken(ticker.nanos() - request.receivedNanos());
+        }
+        emittedTokens += fresh.size();
+        fresh.forEach(emittedText::append);
+        sink.tokens(fresh);
+    }
+
+    /** Gives the end of the whole answer. */
+    private void finish(String finish) {
+        close();
+        slot.ended();
+        sink.end(finish, emittedTokens);
+    }
+
+    /** Handles a connection that ended or broke before the last token. */
+    private void onInterrupted(ServerFailure failure) {
+        switch (failure.kind()) {
+            case LEAVING, FULL, NOT_CONNECTED, REFUSED -> runElsewhere(failure);
+            default -> probe(failure);
+        }
+    }
+
+    /** Asks the engine over a new connection whether it still runs the dispatch. */
+    private void probe(ServerFailure failure) {
+        begun = true;
+        int asked = ++connection;
+        Deadline deadline = Deadline.afterMillis(ticker.nanos(), settings.probeMillis());
+        engines.status(slot.address(), dispatch, thread, deadline)
+                .whenComplete((status, problem) -> thread.execute(() -> {
+                    if (over || connection != asked) {
+                        return;
+                    }
+                    if (problem == null && status.known()) {
+                        resume();
+                    } else {
+                        runElsewhere(failure);
+                    }
+                }));
+    }
+
+    /** Continues the stream of the engine over a new connection. */
+    private void resume() {
+        metrics.recovered("resumed");
+        lastProgressNanos = ticker.nanos();
+        exchange.cancel();
+        exchange = engines.resume(slot.address(), dispatch, emittedTokens, thread, new Listener(++connection));
+        watchProgress();
+    }
+
+    /** Gives the engine up and runs what remains on another one. */
+    private void runElsewhere(ServerFailure failure) {
+        barred.add(slot.engine());
+        exchange.cancel();
+        slot.failed(failure);
+        boolean neverRan = failure.kind() == ServerFailure.Kind.LEAVING || failure.kind() == ServerFailure.Kind.FULL;
+        if (runs >= settings.maxRuns() || !(neverRan || retryAllowed.getAsBoolean())) {
+            giveUp(failed("the backend servers failed (" + failure.getMessage() + "); send the request again"));
+            return;
+        }
+        metrics.recovered("run_again");
+        run();
+    }
+
+    /** Watches the progress of the current connection. */
+    private void watchProgress() {
+        watch.cancel();
+        Deadline next = Deadline.afterMillis(lastProgressNanos, settings.silenceMillis());
+        watch = timers.at(next, this::checkProgress);
+    }
+
+    /** Asks the engine when no token came for long. */
+    private void checkProgress() {
+        if (over) {
+            return;
+        }
+        if (!Deadline.afterMillis(lastProgressNanos, settings.silenceMillis()).passed(ticker.nanos())) {
+            watchProgress();
+            return;
+        }
+        int asked = connection;
+        Deadline deadline = Deadline.afterMillis(ticker.nanos(), settings.probeMillis());
+        engines.status(slot.address(), dispatch, thread, deadline)
+                .whenComplete((status, problem) -> thread.execute(() -> {
+                    if (over || connection != asked) {
+                        return;
+                    }
+                    if (problem != null || !status.known()) {
+                        runElsewhere(ServerFailure.create(ServerFailure.Kind.SILENT, "the engine is silent"));
+                    } else if (status.generated() > emittedTokens) {
+                        resume();
+                    } else {
+                        lastProgressNanos = ticker.nanos();
+                        watchProgress();
+                    }
+                }));
+    }
+
+    /** Gives the final answer when no engine may take the request. */
+    private void noEngine() {
+        String message = "no engine can take model " + request.model() + " now; send the request again later";
+        if (begun) {
+            giveUp(Refusal.mayHaveRun(RefusalKind.NO_SERVER, message, Optional.of(NO_ENGINE_RETRY_MILLIS)));
+        } else {
+            giveUp(Refusal.retryLater(RefusalKind.NO_SERVER, message, NO_ENGINE_RETRY_MILLIS));
+        }
+    }
+
+    /** Returns the failure of the backend servers. */
+    private Refusal failed(String message) {
+        Optional<Long> retry = Optional.of(NO_ENGINE_RETRY_MILLIS);
+        return begun
+                ? Refusal.mayHaveRun(RefusalKind.SERVER_FAILED, message, retry)
+                : Refusal.retryLater(RefusalKind.SERVER_FAILED, message, NO_ENGINE_RETRY_MILLIS);
+    }
+
+    /** Gives the final answer at the deadline. */
+    private void expired() {
+        if (over) {
+            return;
+        }
+        abandonDispatch();
+        giveUp(Refusal.mayHaveRun(
+                RefusalKind.DEADLINE,
+                "the deadline passed after " + emittedTokens + " tokens; allow more time or ask for fewer tokens",
+                Optional.empty()));
+    }
+
+    /** Gives a final answer in place of a whole one. */
+    private void giveUp(Refusal refusal) {
+        close();
+        sink.fail(refusal);
+    }
+
+    /** Stops the engine's work on the current dispatch. */
+    private void abandonDispatch() {
+        exchange.cancel();
+        if (slot != null) {
+            engines.cancel(slot.address(), dispatch, thread);
+            slot.ended();
+        }
+    }
+
+    /** Stops all timers and ignores what comes later. */
+    private void close() {
+        over = true;
+        connection++;
+        watch.cancel();
+        expiry.cancel();
+    }
+
+    /** Receives the lines of one connection and ignores them once another took its place. */
+    private final class Listener implements StreamListener {
+        /** The number of the connection. */
+        private final int number;
+
+        /** Creates a listener. */
+        Listener(int number) {
+            this.number = number;
+        }
+
+        @Override
+        public void onChunk(EngineChunk chunk) {
+            if (current()) {
+                StreamRelay.this.onChunk(chunk);
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            if (current()) {
+                onInterrupted(ServerFailure.create(ServerFailure.Kind.BROKEN, "the reply ended before its last token"));
+            }
+        }
+
+        @Override
+        public void onFailure(ServerFailure failure) {
+            if (current()) {
+                onInterrupted(failure);
+            }
+        }
+
+        /** Returns whether this is still the relay's connection. */
+        private boolean current() {
+            return !over && number == connection;
+        }
+    }
+}
