Merge and check the configuration folder

Cause: entry instances and the check command need a typed configuration. Ruled out: binding YAML to classes by Jackson (no line numbers of values after a merge, stops at the first fault); aliases (a document can grow without bound). Change: files are parsed to nodes that keep file and line, merged by name order, then read with range checks.

--- /dev/null
+++ b/src/main/java/org/verbenatray/configuration/SourceMerge.java
@@ -0,0 +1,34 @@
+package org.verbenatray.configuration;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.verbenatray.configuration.SourceNode.Mapping;
+import org.verbenatray.configuration.SourceNode.Removal;
+
+/** The merge rule: mappings are merged key by key, lists and scalars replaced, a null removes an entry. */
+final class SourceMerge {
+    /** Prevents instances. */
+    private SourceMerge() {}
+
+    /** Returns the merge of two mappings, of which the later one wins and the earlier one gives the place. */
+    static Mapping merge(Mapping earlier, Mapping later) {
+        Map<String, SourceNode> entries = new LinkedHashMap<>(earlier.entries());
+        later.entries().forEach((name, value) -> mergeEntry(entries, name, value));
+        return new Mapping(earlier.place(), entries);
+    }
+
+    /** Merges one entry of the later mapping. */
+    private static void mergeEntry(Map<String, SourceNode> entries, String name, SourceNode later) {
+        if (later instanceof Removal) {
+            entries.remove(name);
+            return;
+        }
+        if (!(later instanceof Mapping laterMapping)) {
+            entries.put(name, later);
+            return;
+        }
+        Mapping earlier =
+                entries.get(name) instanceof Mapping mapping ? mapping : new Mapping(laterMapping.place(), Map.of());
+        entries.put(name, merge(earlier, laterMapping));
+    }
+}
