--- /dev/null
+++ b/src/main/java/org/verbenatray/fleet/DomainOffers.java
@@ -0,0 +1,35 @@
+package org.verbenatray.fleet;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Chooses the engines that a failure domain offers to the others. */
+final class DomainOffers {
+    /** Has no instances. */
+    private DomainOffers() {}
+
+    /** Returns the least loaded engines, at most the given number for each set of models and role. */
+    static List<EngineView> choose(List<EngineView> ready, int perGroup) {
+        List<EngineView> sorted = ready.stream()
+                .sorted(Comparator.comparingDouble(DomainOffers::load).thenComparing(EngineView::name))
+                .toList();
+        Map<Object, Integer> counts = new HashMap<>();
+        Map<String, EngineView> chosen = new LinkedHashMap<>();
+        for (EngineView view : sorted) {
+            List<Object> group = List.of(view.spec().models(), view.role());
+            if (counts.merge(group, 1, Integer::sum) <= perGroup) {
+                chosen.put(view.name(), view);
+            }
+        }
+        return List.copyOf(chosen.values());
+    }
+
+    /** Returns the load as a fraction of the batch plus the seconds of queued prefill. */
+    private static double load(EngineView view) {
+        double batch = (double) view.runningStreams() / Math.max(1, view.spec().maxStreams());
+        return batch + view.queuedPrefillTokens() / Math.max(1, view.spec().prefillTokensPerSecond());
+    }
+}
