Stand-in engine, platform and service over HTTP

Cause: the whole path needs outside systems to talk to. Change: small Undertow servers around the engine model and the log in memory, with faults set over HTTP.

--- /dev/null
+++ b/src/main/java/org/verbenatray/standin/EngineFaults.java
@@ -0,0 +1,66 @@
+package org.verbenatray.standin;
+
+import java.util.Optional;
+
+/**
+ * The faults that a stand-in engine shows.
+ *
+ * @param silent whether open replies stop without being closed, while new connections work
+ * @param dropEvery every how many lines one line of a reply is lost, zero for never
+ * @param repeatEvery every how many lines one line of a reply is sent twice, zero for never
+ * @param wrongDispatchEvery every how many lines one carries the id of another dispatch, zero for never
+ * @param cutEvery every how many lines the connection of a reply is closed, zero for never
+ * @param crashOn the text in a prompt that crashes the engine
+ * @param restartMillis the time that a crashed engine stays away in milliseconds
+ * @param ignoresFencing whether orders with an old fencing number are taken
+ * @param loadLagMillis the age of the load that is reported in milliseconds
+ */
+public record EngineFaults(
+        boolean silent,
+        int dropEvery,
+        int repeatEvery,
+        int wrongDispatchEvery,
+        int cutEvery,
+        Optional<String> crashOn,
+        long restartMillis,
+        boolean ignoresFencing,
+        long loadLagMillis) {
+    /** Returns no faults. */
+    public static EngineFaults none() {
+        return new EngineFaults(false, 0, 0, 0, 0, Optional.empty(), 2_000, false, 0);
+    }
+
+    /** Returns these faults with silent connections. */
+    public EngineFaults withSilence(boolean newSilent) {
+        return new EngineFaults(
+                newSilent,
+                dropEvery,
+                repeatEvery,
+                wrongDispatchEvery,
+                cutEvery,
+                crashOn,
+                restartMillis,
+                ignoresFencing,
+                loadLagMillis);
+    }
+
+    /** Returns these faults with a text that crashes the engine. */
+    public EngineFaults withCrashOn(String text) {
+        return new EngineFaults(
+                silent,
+                dropEvery,
+                repeatEvery,
+                wrongDispatchEvery,
+                cutEvery,
+                Optional.of(text),
+                restartMillis,
+                ignoresFencing,
+                loadLagMillis);
+    }
+
+    /** Returns these faults with damaged lines. */
+    public EngineFaults withDamagedLines(int drop, int repeat, int wrongDispatch, int cut) {
+        return new EngineFaults(
+                silent, drop, repeat, wrongDispatch, cut, crashOn, restartMillis, ignoresFencing, loadLagMillis);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/standin/EngineServer.java
@@ -0,0 +1,241 @@
+package org.verbenatray.standin;
+
+import io.undertow.Handlers;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.SameThreadExecutor;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.verbenatray.log.RecordCodec;
+import org.verbenatray.servers.EngineClient.StreamStatus;
+import org.verbenatray.servers.GenerateRequest;
+import org.verbenatray.standin.engine.EngineModel;
+import org.verbenatray.standin.engine.EngineModelSpec;
+import org.verbenatray.standin.engine.EngineRefusal;
+import org.verbenatray.standin.engine.EngineRequest;
+import org.verbenatray.time.Ticker;
+import org.verbenatray.web.Bodies;
+import org.verbenatray.web.Replies;
+import org.xnio.IoUtils;
+
+/** A stand-in model engine that speaks the engine protocol over HTTP. */
+public final class EngineServer implements AutoCloseable {
+    /** The customary number of characters in a token. */
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
+    /** The name of the engine. */
+    private final String name;
+
+    /** The engine. */
+    private final EngineLoop loop;
+
+    /** The HTTP server. */
+    private final Undertow server;
+
+    /** The faults it shows. */
+    private volatile EngineFaults faults = EngineFaults.none();
+
+    /** Whether it takes nothing new because it is leaving. */
+    private volatile boolean leaving;
+
+    /** Whether it is down after a crash. */
+    private volatile boolean down;
+
+    /** Creates and starts an engine. */
+    private EngineServer(String name, InetSocketAddress address, EngineModelSpec spec, Map<String, String> models) {
+        this.name = name;
+        Ticker ticker = Ticker.system();
+        this.loop = new EngineLoop(name, EngineModel.create(spec, models, ticker.nanos()), ticker, event -> {});
+        RoutingHandler routes = Handlers.routing()
+                .post("/generate", exchange -> body(exchange, this::generate))
+                .get("/streams/{id}", this::resume)
+                .get("/streams/{id}/status", this::status)
+                .delete("/streams/{id}", this::cancel)
+                .get("/load", this::load)
+                .put("/faults", exchange -> body(exchange, this::setFaults))
+                .put("/leaving", this::takeLeave);
+        this.server = Undertow.builder()
+                .addHttpListener(address.getPort(), address.getHostString())
+                .setIoThreads(1)
+                .setWorkerThreads(1)
+                .setHandler(exchange -> admitConnection(exchange, routes))
+                .build();
+        server.start();
+    }
+
+    /** Returns a started engine that serves the given versions by model; port zero takes one from the system. */
+    public static EngineServer start(
+            String name, InetSocketAddress address, EngineModelSpec spec, Map<String, String> models) {
+        return new EngineServer(name, address, spec, models);
+    }
+
+    /** Returns the base URI. */
+    public String address() {
+        InetSocketAddress bound =
+                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return "http://" + bound.getHostString() + ":" + bound.getPort();
+    }
+
+    /** Returns the name. */
+    public String name() {
+        return name;
+    }
+
+    /** Sets the faults it shows from now on. */
+    public void faults(EngineFaults newFaults) {
+        faults = newFaults;
+    }
+
+    /** Takes nothing new from now on. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Crashes now and starts again after the configured time. */
+    public void crash() {
+        down = true;
+        long restartMillis = faults.restartMillis();
+        loop.crash(restartMillis);
+        server.getWorker()
+                .getIoThread()
+                .executeAfter(() -> down = false, restartMillis, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        loop.stop();
+        server.stop();
+    }
+
+    /** Closes connections while the engine is down. */
+    private void admitConnection(HttpServerExchange exchange, RoutingHandler routes) throws Exception {
+        if (down) {
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        exchange.getResponseHeaders().put(new io.undertow.util.HttpString("X-Incarnation"), loop.incarnation());
+        routes.handleRequest(exchange);
+    }
+
+    /** Reads a body and passes it on. */
+    private static void body(
+            HttpServerExchange exchange, java.util.function.BiConsumer<HttpServerExchange, byte[]> receiver) {
+        Bodies.read(exchange, receiver, broken -> Replies.text(broken, 400, "text/plain", "the body is broken"));
+    }
+
+    /** Starts a dispatch. */
+    private void generate(HttpServerExchange exchange, byte[] body) {
+        GenerateRequest request =
+                RecordCodec.decode(new String(body, java.nio.charset.StandardCharsets.UTF_8), GenerateRequest.class);
+        if (faults.crashOn().filter(request.prompt()::contains).isPresent()) {
+            crash();
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        if (leaving) {
+            Replies.text(exchange, 410, "text/plain", "the engine is leaving; choose another one");
+            return;
+        }
+        EngineRequest work = work(request);
+        loop.ask(() -> {
+                    Optional<EngineRefusal> refusal = loop.submit(work);
+                    if (refusal.isEmpty()) {
+                        loop.record(work.id())
+                                .ifPresent(stream ->
+                                        stream.follow(new StreamReply(exchange, () -> faults), work.startOffset()));
+                    }
+                    return refusal;
+                })
+                .thenAccept(refusal -> refusal.ifPresent(kind -> refuse(exchange, kind)));
+    }
+
+    /** Returns the engine's form of a request. */
+    private static EngineRequest work(GenerateRequest request) {
+        int promptTokens = Math.max(1, request.prompt().length() / CHARACTERS_PER_TOKEN);
+        return new EngineRequest(
+                request.dispatch(),
+                request.model(),
+                request.priority(),
+                promptTokens,
+                request.maxTokens(),
+                request.fromOffset(),
+                request.seed(),
+                List.of(),
+                false);
+    }
+
+    /** Sends a refusal. */
+    private static void refuse(HttpServerExchange exchange, EngineRefusal kind) {
+        int status = kind == EngineRefusal.CHANGING || kind == EngineRefusal.WRONG_ROLE ? 410 : 409;
+        Replies.text(exchange, status, "text/plain", kind.name());
+    }
+
+    /** Continues a stream on a new connection. */
+    private void resume(HttpServerExchange exchange) {
+        String dispatch = parameter(exchange, "id");
+        int from = Integer.parseInt(parameter(exchange, "from"));
+        later(
+                exchange,
+                () -> loop.ask(() -> {
+                            Optional<StreamRecord> stream = loop.record(dispatch);
+                            stream.ifPresent(found -> found.follow(new StreamReply(exchange, () -> faults), from));
+                            return stream.isPresent();
+                        })
+                        .thenAccept(found -> {
+                            if (!found) {
+                                Replies.text(exchange, 404, "text/plain", "the dispatch is unknown; run it anew");
+                            }
+                        }));
+    }
+
+    /** Tells whether a dispatch is known. */
+    private void status(HttpServerExchange exchange) {
+        String dispatch = parameter(exchange, "id");
+        reply(exchange, () -> {
+            Optional<StreamRecord> stream = loop.record(dispatch);
+            return new StreamStatus(
+                    stream.isPresent(), stream.map(StreamRecord::generated).orElse(0), Optional.of(loop.incarnation()));
+        });
+    }
+
+    /** Cancels a dispatch. */
+    private void cancel(HttpServerExchange exchange) {
+        String dispatch = parameter(exchange, "id");
+        reply(exchange, () -> loop.cancel(dispatch));
+    }
+
+    /** Reports the load. */
+    private void load(HttpServerExchange exchange) {
+        reply(exchange, () -> loop.model().load());
+    }
+
+    /** Sets the faults. */
+    private void setFaults(HttpServerExchange exchange, byte[] body) {
+        faults = RecordCodec.decode(new String(body, java.nio.charset.StandardCharsets.UTF_8), EngineFaults.class);
+        Replies.json(exchange, 200, faults);
+    }
+
+    /** Takes nothing new from now on. */
+    private void takeLeave(HttpServerExchange exchange) {
+        leave();
+        Replies.text(exchange, 200, "text/plain", "leaving");
+    }
+
+    /** Replies with what the engine's thread gives. */
+    private void reply(HttpServerExchange exchange, java.util.function.Supplier<?> query) {
+        later(exchange, () -> loop.ask(query).thenAccept(answer -> Replies.json(exchange, 200, answer)));
+    }
+
+    /** Runs an action outside of the handler's call. */
+    private static void later(HttpServerExchange exchange, Runnable action) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, action);
+    }
+
+    /** Returns a parameter of the path or query. */
+    private static String parameter(HttpServerExchange exchange, String key) {
+        return exchange.getQueryParameters().get(key).getFirst();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/standin/PlatformServer.java
@@ -0,0 +1,141 @@
+package org.verbenatray.standin;
+
+import io.undertow.Handlers;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.SameThreadExecutor;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.verbenatray.log.LogService;
+import org.verbenatray.log.RecordCodec;
+import org.verbenatray.platform.HttpInstanceList.Listing;
+import org.verbenatray.platform.HttpLogService.AppendReply;
+import org.verbenatray.platform.HttpLogService.AppendRequest;
+import org.verbenatray.platform.InstanceEntry;
+import org.verbenatray.time.Deadline;
+import org.verbenatray.time.Ticker;
+import org.verbenatray.web.Bodies;
+import org.verbenatray.web.Replies;
+
+/** A stand-in platform over HTTP: the log service and the instance list. */
+public final class PlatformServer implements AutoCloseable {
+    /** The time after which an instance that was not announced again is forgotten, in milliseconds. */
+    private static final long FORGET_MILLIS = 6_000;
+
+    /** The largest number of records of one page. */
+    private static final int MAX_PAGE = 10_000;
+
+    /** The log. */
+    private final InMemoryLog records;
+
+    /** The announced instances by name. */
+    private final Map<String, Announced> instances = new ConcurrentHashMap<>();
+
+    /** The clock. */
+    private final Ticker ticker = Ticker.system();
+
+    /** The HTTP server. */
+    private final Undertow server;
+
+    /** Creates and starts a platform. */
+    private PlatformServer(InetSocketAddress address, InMemoryLog records) {
+        this.records = records;
+        RoutingHandler routes = Handlers.routing()
+                .post("/log", exchange -> Bodies.read(exchange, this::append, PlatformServer::broken))
+                .get("/log", this::read)
+                .get("/instances", exchange -> Replies.json(exchange, 200, listing()))
+                .put("/instances/{name}", exchange -> Bodies.read(exchange, this::announce, PlatformServer::broken));
+        this.server = Undertow.builder()
+                .addHttpListener(address.getPort(), address.getHostString())
+                .setIoThreads(2)
+                .setWorkerThreads(1)
+                .setHandler(routes)
+                .build();
+        server.start();
+    }
+
+    /** Returns a started platform; port zero takes one from the system. */
+    public static PlatformServer start(InetSocketAddress address, InMemoryLog records) {
+        return new PlatformServer(address, records);
+    }
+
+    /** Returns the base URI. */
+    public String address() {
+        InetSocketAddress bound =
+                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return "http://" + bound.getHostString() + ":" + bound.getPort();
+    }
+
+    /** Returns the log, whose faults tests set. */
+    public InMemoryLog records() {
+        return records;
+    }
+
+    /** Returns the announced instances. */
+    public Listing listing() {
+        long now = ticker.nanos();
+        instances.values().removeIf(announced -> announced.forgetAt().passed(now));
+        List<InstanceEntry> entries =
+                instances.values().stream().map(Announced::entry).toList();
+        return new Listing(entries);
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    /** Appends records. */
+    private void append(HttpServerExchange exchange, byte[] body) {
+        AppendRequest request = RecordCodec.decode(new String(body, StandardCharsets.UTF_8), AppendRequest.class);
+        records.append(request.records()).whenComplete((offset, failure) -> {
+            if (failure != null) {
+                Replies.text(exchange, 503, "text/plain", String.valueOf(failure.getMessage()));
+            } else {
+                Replies.json(exchange, 200, new AppendReply(offset));
+            }
+        });
+    }
+
+    /** Reads records. */
+    private void read(HttpServerExchange exchange) {
+        long from = Long.parseLong(exchange.getQueryParameters().get("from").getFirst());
+        int limit = Integer.parseInt(exchange.getQueryParameters().get("limit").getFirst());
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> page(exchange, records, from, limit));
+    }
+
+    /** Sends a page. */
+    private static void page(HttpServerExchange exchange, LogService source, long from, int limit) {
+        source.read(from, Math.min(limit, MAX_PAGE)).whenComplete((page, failure) -> {
+            if (failure != null) {
+                Replies.text(exchange, 503, "text/plain", String.valueOf(failure.getMessage()));
+            } else {
+                Replies.json(exchange, 200, page);
+            }
+        });
+    }
+
+    /** Notes that an instance lives. */
+    private void announce(HttpServerExchange exchange, byte[] body) {
+        InstanceEntry entry = RecordCodec.decode(new String(body, StandardCharsets.UTF_8), InstanceEntry.class);
+        instances.put(entry.name(), new Announced(entry, Deadline.afterMillis(ticker.nanos(), FORGET_MILLIS)));
+        Replies.text(exchange, 200, "text/plain", "noted");
+    }
+
+    /** Replies to a broken body. */
+    private static void broken(HttpServerExchange exchange) {
+        Replies.text(exchange, 400, "text/plain", "the body is broken; send JSON");
+    }
+
+    /**
+     * An announced instance.
+     *
+     * @param entry what it announced
+     * @param forgetAt when it is forgotten
+     */
+    private record Announced(InstanceEntry entry, Deadline forgetAt) {}
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/standin/StreamReply.java
@@ -0,0 +1,74 @@
+package org.verbenatray.standin;
+
+import io.undertow.server.HttpServerExchange;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Supplier;
+import org.verbenatray.log.RecordCodec;
+import org.verbenatray.servers.EngineChunk;
+import org.verbenatray.web.StreamedReply;
+import org.xnio.IoUtils;
+
+/** One reply of a stand-in engine with the lines of one dispatch. */
+final class StreamReply {
+    /** The largest number of bytes that may wait for a slow reader. */
+    private static final int MAX_PENDING_BYTES = 16 * 1024 * 1024;
+
+    /** The exchange. */
+    private final HttpServerExchange exchange;
+
+    /** The reply. */
+    private final StreamedReply reply;
+
+    /** The faults to show. */
+    private final Supplier<EngineFaults> faults;
+
+    /** Damages the lines. */
+    private final LineFaults lineFaults = new LineFaults();
+
+    /** Whether the connection has gone silent for good. */
+    private boolean silent;
+
+    /** Creates a reply and sends its head. */
+    StreamReply(HttpServerExchange exchange, Supplier<EngineFaults> faults) {
+        this.exchange = exchange;
+        this.faults = faults;
+        this.reply = StreamedReply.create(exchange, MAX_PENDING_BYTES, () -> {});
+        exchange.getIoThread().execute(() -> reply.begin("application/x-ndjson"));
+    }
+
+    /** Sends a token. */
+    void token(String dispatch, int offset, String text) {
+        send(new EngineChunk(dispatch, offset, List.of(text), false, ""));
+    }
+
+    /** Sends the last line. */
+    void done(String dispatch, int total) {
+        send(new EngineChunk(dispatch, total, List.of(), true, "length"));
+        if (!silent) {
+            exchange.getIoThread().execute(reply::end);
+        }
+    }
+
+    /** Closes the connection without the last line. */
+    void lost() {
+        exchange.getIoThread().execute(() -> IoUtils.safeClose(exchange.getConnection()));
+    }
+
+    /** Sends a line as the faults demand. */
+    private void send(EngineChunk chunk) {
+        EngineFaults present = faults.get();
+        silent = silent || present.silent();
+        if (silent) {
+            return;
+        }
+        List<EngineChunk> lines = lineFaults.apply(chunk, present);
+        boolean cut = lineFaults.cut(present);
+        exchange.getIoThread().execute(() -> {
+            lines.forEach(line -> reply.write((RecordCodec.encode(line) + "\n").getBytes(StandardCharsets.UTF_8)));
+            if (cut) {
+                reply.abort();
+            }
+        });
+    }
+}
