Command line, checked settings and stand-in commands

Cause: processes need a command line; settings must be reported all at once. Not run yet as a whole.

--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -1,12 +1,32 @@
 package org.verbenatray.cli;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import java.util.logging.Level;
+import org.verbenatray.telemetry.KeyValueFormatter;
+
 /** The entry point of the binary. */
 public final class Main {
     /** Prevents instances. */
     private Main() {}
 
-    /** Runs the command that the arguments name. */
+    /** Runs the command that the arguments name and exits with its code. */
     public static void main(String[] arguments) {
-        System.out.println("verbenatray");
+        KeyValueFormatter.install(Level.INFO);
+        int code = CommandLine.create(commands(), System.getenv()).run(arguments, CommandOutput.ofProcess());
+        System.out.flush();
+        System.exit(code);
+    }
+
+    /** Returns the commands by name. */
+    static Map<String, Supplier<Command>> commands() {
+        Map<String, Supplier<Command>> commands = new LinkedHashMap<>();
+        commands.put("entry", EntryCommand::new);
+        commands.put("check", CheckCommand::new);
+        commands.put("standin platform", StandinPlatformCommand::new);
+        commands.put("standin engine", StandinEngineCommand::new);
+        commands.put("standin service", StandinServiceCommand::new);
+        return commands;
     }
 }
--- /dev/null
+++ b/src/main/java/org/verbenatray/settings/SettingsCheck.java
@@ -0,0 +1,126 @@
+package org.verbenatray.settings;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/** Checks the settings of a command one by one and reports everything that is wrong at once. */
+public final class SettingsCheck {
+    /** The form of a name. */
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+
+    /** The form of an IP number with a port. */
+    private static final Pattern ADDRESS = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:]+])[:]([0-9]{1,5})");
+
+    /** The largest port. */
+    private static final int MAX_PORT = 65_535;
+
+    /** What is wrong so far. */
+    private final List<SettingProblem> problems = new ArrayList<>();
+
+    /** Creates a check. */
+    private SettingsCheck() {}
+
+    /** Returns a check that found nothing yet. */
+    public static SettingsCheck create() {
+        return new SettingsCheck();
+    }
+
+    /** Returns a name. */
+    public String name(String flag, String value) {
+        if (isMissing(flag, value, "give a name of letters, digits, dots, underscores and hyphens")) {
+            return "";
+        }
+        if (!NAME.matcher(value).matches()) {
+            report(flag, value, "give 1 to 63 letters, digits, dots, underscores and hyphens");
+        }
+        return value;
+    }
+
+    /** Returns an address of an IP number and a port; port 0 lets the system choose. */
+    public InetSocketAddress address(String flag, String value) {
+        String remedy = "give an IP number and a port, such as 127.0.0.1:8080";
+        if (isMissing(flag, value, remedy)) {
+            return InetSocketAddress.createUnresolved("0.0.0.0", 0);
+        }
+        var matcher = ADDRESS.matcher(value);
+        if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > MAX_PORT) {
+            report(flag, value, remedy);
+            return InetSocketAddress.createUnresolved("0.0.0.0", 0);
+        }
+        return new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2)));
+    }
+
+    /** Returns a base URI. */
+    public String uri(String flag, String value) {
+        String remedy = "give a base URI, such as http://10.0.0.7:8080";
+        if (isMissing(flag, value, remedy)) {
+            return "";
+        }
+        try {
+            URI uri = URI.create(value);
+            boolean plain = "http".equals(uri.getScheme()) && uri.getHost() != null && uri.getPort() > 0;
+            if (plain && uri.getPath().isEmpty()) {
+                return value;
+            }
+        } catch (IllegalArgumentException e) {
+            // Reported below like every other malformed URI.
+        }
+        report(flag, value, remedy);
+        return "";
+    }
+
+    /** Returns a whole number in a range. */
+    public long number(String flag, String value, long smallest, long largest) {
+        String remedy = "give a whole number from " + smallest + " to " + largest;
+        if (isMissing(flag, value, remedy)) {
+            return smallest;
+        }
+        try {
+            long number = Long.parseLong(value);
+            if (number >= smallest && number <= largest) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Reported below like a number out of range.
+        }
+        report(flag, value, remedy);
+        return smallest;
+    }
+
+    /** Returns one of several words. */
+    public <E extends Enum<E>> E choice(String flag, String value, Class<E> type) {
+        E[] allowed = type.getEnumConstants();
+        for (E candidate : allowed) {
+            if (candidate.name().equalsIgnoreCase(Optional.ofNullable(value).orElse("").replace('-', '_'))) {
+                return candidate;
+            }
+        }
+        report(flag, Optional.ofNullable(value).orElse("missing"), "give one of " + List.of(allowed));
+        return allowed[0];
+    }
+
+    /** Notes a problem. */
+    public void report(String flag, String found, String remedy) {
+        problems.add(new SettingProblem(flag, found, remedy));
+    }
+
+    /** Fails with a {@link SettingsException} when anything was wrong. */
+    public void finish() {
+        if (!problems.isEmpty()) {
+            throw new SettingsException(problems);
+        }
+    }
+
+    /** Reports a missing value and returns whether it is missing. */
+    private boolean isMissing(String flag, String value, String remedy) {
+        if (value == null || value.isBlank()) {
+            report(flag, "missing", remedy);
+            return true;
+        }
+        return false;
+    }
+}
