--- a/src/main/java/org/verbenatray/cli/CheckCommand.java
+++ b/src/main/java/org/verbenatray/cli/CheckCommand.java
@@ -32,7 +32,8 @@
     static SortedMap<String, String> read(Path folder) throws java.io.IOException {
         SortedMap<String, String> files = new TreeMap<>();
         try (Stream<Path> listing = Files.list(folder)) {
-            for (Path file : listing.filter(path -> path.toString().endsWith(".yaml")).toList()) {
+            for (Path file :
+                    listing.filter(path -> path.toString().endsWith(".yaml")).toList()) {
                 files.put(file.getFileName().toString(), Files.readString(file));
             }
         }
--- a/src/main/java/org/verbenatray/platform/InstanceEntry.java
+++ b/src/main/java/org/verbenatray/platform/InstanceEntry.java
@@ -7,11 +7,11 @@
  * @param kind what it is
  * @param failureDomain the failure domain it runs in
  * @param address the address for its kind: the peer address of an entry instance, the base URI of a backend server
- * @param incarnation changes whenever the instance is started anew
+ * @param incarnation a number that grows with each start of the instance
  * @param leaving whether it is about to stop
  */
 public record InstanceEntry(
-        String name, Kind kind, String failureDomain, String address, String incarnation, boolean leaving) {
+        String name, Kind kind, String failureDomain, String address, long incarnation, boolean leaving) {
     /** The kinds of instances. */
     public enum Kind {
         /** An entry instance of this system. */
--- a/src/main/java/org/verbenatray/servers/EngineClient.java
+++ b/src/main/java/org/verbenatray/servers/EngineClient.java
@@ -10,6 +10,12 @@
     /** Starts generation; the listener is called on the given thread. */
     Cancellation generate(String address, GenerateRequest request, XnioIoThread thread, StreamListener listener);
 
+    /** Processes a prompt only; the last line carries its KV cache for {@link #importKv}. */
+    Cancellation prefill(String address, GenerateRequest request, XnioIoThread thread, StreamListener listener);
+
+    /** Starts generation after a prompt that another engine processed. */
+    Cancellation importKv(String address, String kv, XnioIoThread thread, StreamListener listener);
+
     /** Continues a stream that the engine still runs from a token offset, over a new connection. */
     Cancellation resume(String address, String dispatch, int fromOffset, XnioIoThread thread, StreamListener listener);
 
@@ -26,5 +32,5 @@
      * @param generated the tokens generated so far
      * @param incarnation the engine's incarnation, where it tells
      */
-    record StreamStatus(boolean known, int generated, Optional<String> incarnation) {}
+    record StreamStatus(boolean known, int generated, Optional<Long> incarnation) {}
 }
--- a/src/main/java/org/verbenatray/servers/HttpEngineClient.java
+++ b/src/main/java/org/verbenatray/servers/HttpEngineClient.java
@@ -35,6 +35,18 @@
         return transport.exchange(call, thread, new ChunkReader(listener));
     }
 
+    @Override
+    public Cancellation prefill(String address, GenerateRequest request, XnioIoThread thread, StreamListener listener) {
+        HttpCall call = HttpCall.json("POST", address, "/prefill", RecordCodec.encode(request));
+        return transport.exchange(call, thread, new ChunkReader(listener));
+    }
+
+    @Override
+    public Cancellation importKv(String address, String kv, XnioIoThread thread, StreamListener listener) {
+        HttpCall call = HttpCall.json("POST", address, "/import", kv);
+        return transport.exchange(call, thread, new ChunkReader(listener));
+    }
+
     @Override
     public Cancellation resume(
             String address, String dispatch, int fromOffset, XnioIoThread thread, StreamListener listener) {
--- a/src/main/java/org/verbenatray/serving/EngineSlot.java
+++ b/src/main/java/org/verbenatray/serving/EngineSlot.java
@@ -1,5 +1,6 @@
 package org.verbenatray.serving;
 
+import java.util.Optional;
 import org.verbenatray.servers.ServerFailure;
 
 /** One engine chosen for one dispatch, and what becomes known of it. */
@@ -10,6 +11,12 @@
     /** Returns the engine's base URI. */
     String address();
 
+    /** Returns the name of another engine that processes the prompt first. */
+    Optional<String> prefillEngine();
+
+    /** Returns the base URI of the engine that processes the prompt. */
+    String prefillAddress();
+
     /** Tells that the first token came. */
     void firstToken();
 
--- a/src/main/java/org/verbenatray/serving/StreamRelay.java
+++ b/src/main/java/org/verbenatray/serving/StreamRelay.java
@@ -68,12 +68,21 @@
     /** The engine of the current dispatch. */
     private EngineSlot slot;
 
+    /** The engine that the current exchange is with. */
+    private String engine = "";
+
+    /** The base URI of that engine. */
+    private String address = "";
+
     /** The id of the current dispatch. */
     private String dispatch = "";
 
     /** Ends the current exchange. */
     private Cancellation exchange = () -> {};
 
+    /** Frees the KV cache that another engine keeps for this dispatch. */
+    private Runnable prefillRelease = () -> {};
+
     /** Ends the timer that watches the progress. */
     private Cancellation watch = () -> {};
 
@@ -153,10 +162,41 @@
                 emittedTokens,
                 emittedText.toString());
         lastProgressNanos = ticker.nanos();
-        exchange = engines.generate(slot.address(), generate, thread, new Listener(++connection));
+        send(generate);
         watchProgress();
     }
 
+    /** Sends a dispatch to the engine that processes the prompt. */
+    private void send(GenerateRequest generate) {
+        Listener listener = new Listener(++connection);
+        Optional<String> prefillEngine = slot.prefillEngine();
+        engine = prefillEngine.orElse(slot.engine());
+        if (prefillEngine.isPresent()) {
+            address = slot.prefillAddress();
+            exchange = engines.prefill(address, generate, thread, listener);
+        } else {
+            address = slot.address();
+            exchange = engines.generate(address, generate, thread, listener);
+        }
+    }
+
+    /** Moves the processed prompt to the engine that generates the tokens. */
+    private void moveKv(String kv) {
+        String prefillAddress = address;
+        engine = slot.engine();
+        address = slot.address();
+        lastProgressNanos = ticker.nanos();
+        prefillRelease = () -> engines.cancel(prefillAddress, dispatch, thread);
+        exchange = engines.importKv(address, kv, thread, new Listener(++connection));
+        watchProgress();
+    }
+
+    /** Frees the KV cache that the engine of the prompt keeps. */
+    private void releasePrefill() {
+        prefillRelease.run();
+        prefillRelease = () -> {};
+    }
+
     /** Takes a line of the engine. */
     private void onChunk(EngineChunk chunk) {
         if (!chunk.dispatch().equals(dispatch)) {
@@ -172,7 +212,9 @@
             return;
         }
         relay(chunk);
-        if (chunk.done() && chunk.offset() + chunk.tokens().size() == emittedTokens) {
+        if (chunk.kv().isPresent()) {
+            moveKv(chunk.kv().get());
+        } else if (chunk.done() && chunk.offset() + chunk.tokens().size() == emittedTokens) {
             finish(chunk.finish());
         } else if (chunk.done()) {
             metrics.droppedReply("short");
@@ -187,6 +229,7 @@
         if (known >= chunk.tokens().size()) {
             return;
         }
+        releasePrefill();
         List<String> fresh = chunk.tokens().subList(known, chunk.tokens().size());
         if (emittedTokens == 0) {
             slot.firstToken();
@@ -217,7 +260,7 @@
         begun = true;
         int asked = ++connection;
         Deadline deadline = Deadline.afterMillis(ticker.nanos(), settings.probeMillis());
-        engines.status(slot.address(), dispatch, thread, deadline)
+        engines.status(address, dispatch, thread, deadline)
                 .whenComplete((status, problem) -> thread.execute(() -> {
                     if (over || connection != asked) {
                         return;
@@ -235,14 +278,15 @@
         metrics.recovered("resumed");
         lastProgressNanos = ticker.nanos();
         exchange.cancel();
-        exchange = engines.resume(slot.address(), dispatch, emittedTokens, thread, new Listener(++connection));
+        exchange = engines.resume(address, dispatch, emittedTokens, thread, new Listener(++connection));
         watchProgress();
     }
 
     /** Gives the engine up and runs what remains on another one. */
     private void runElsewhere(ServerFailure failure) {
-        barred.add(slot.engine());
+        barred.add(engine);
         exchange.cancel();
+        releasePrefill();
         slot.failed(failure);
         boolean neverRan = failure.kind() == ServerFailure.Kind.LEAVING || failure.kind() == ServerFailure.Kind.FULL;
         if (runs >= settings.maxRuns() || !(neverRan || retryAllowed.getAsBoolean())) {
@@ -271,7 +315,7 @@
         }
         int asked = connection;
         Deadline deadline = Deadline.afterMillis(ticker.nanos(), settings.probeMillis());
-        engines.status(slot.address(), dispatch, thread, deadline)
+        engines.status(address, dispatch, thread, deadline)
                 .whenComplete((status, problem) -> thread.execute(() -> {
                     if (over || connection != asked) {
                         return;
@@ -327,7 +371,8 @@
     private void abandonDispatch() {
         exchange.cancel();
         if (slot != null) {
-            engines.cancel(slot.address(), dispatch, thread);
+            engines.cancel(address, dispatch, thread);
+            releasePrefill();
             slot.ended();
         }
     }
--- a/src/main/java/org/verbenatray/settings/SettingsCheck.java
+++ b/src/main/java/org/verbenatray/settings/SettingsCheck.java
@@ -95,7 +95,9 @@
     public <E extends Enum<E>> E choice(String flag, String value, Class<E> type) {
         E[] allowed = type.getEnumConstants();
         for (E candidate : allowed) {
-            if (candidate.name().equalsIgnoreCase(Optional.ofNullable(value).orElse("").replace('-', '_'))) {
+            if (candidate
+                    .name()
+                    .equalsIgnoreCase(Optional.ofNullable(value).orElse("").replace('-', '_'))) {
                 return candidate;
             }
         }
--- a/src/main/java/org/verbenatray/standin/EngineLoop.java
+++ b/src/main/java/org/verbenatray/standin/EngineLoop.java
@@ -5,17 +5,21 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.verbenatray.fleet.EngineCondition;
+import org.verbenatray.fleet.LoadReport;
+import org.verbenatray.log.RecordCodec;
 import org.verbenatray.standin.engine.EngineEvent;
+import org.verbenatray.standin.engine.EngineLoad;
 import org.verbenatray.standin.engine.EngineModel;
 import org.verbenatray.standin.engine.EngineRefusal;
 import org.verbenatray.standin.engine.EngineRequest;
+import org.verbenatray.standin.engine.KvExport;
 import org.verbenatray.time.Ticker;
 
 /** Runs an {@link EngineModel} on the real clock on one thread of its own. */
@@ -38,11 +42,21 @@
     /** Receives the events that are not about streams. */
     private final java.util.function.Consumer<EngineEvent> observer;
 
-    /** Changes with every start and crash. */
-    private volatile String incarnation = UUID.randomUUID().toString();
+    /** The name of the engine. */
+    private final String name;
+
+    /** Grows with every start and crash. */
+    private volatile long incarnation = System.currentTimeMillis();
+
+    /** Grows with every load report. */
+    private long reports;
+
+    /** Whether the engine is leaving. */
+    private volatile boolean leaving;
 
     /** Creates a loop. */
     EngineLoop(String name, EngineModel model, Ticker ticker, java.util.function.Consumer<EngineEvent> observer) {
+        this.name = name;
         this.model = model;
         this.ticker = ticker;
         this.observer = observer;
@@ -54,7 +68,7 @@
     }
 
     /** Returns the incarnation. */
-    String incarnation() {
+    long incarnation() {
         return incarnation;
     }
 
@@ -70,9 +84,30 @@
                 executor);
     }
 
-    /** Returns the engine, for use inside of {@link #ask}. */
-    EngineModel model() {
-        return model;
+    /** Marks the engine as leaving. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** Returns whether the engine is leaving. */
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    /** Returns the present load, for use inside of {@link #ask}. */
+    LoadReport loadReport() {
+        EngineLoad load = model.load();
+        return new LoadReport(
+                name,
+                incarnation,
+                ++reports,
+                load.role(),
+                leaving,
+                load.condition() == EngineCondition.CHANGING,
+                load.runningStreams(),
+                load.queuedPrefillTokens(),
+                load.usedKvTokens(),
+                0);
     }
 
     /** Takes a request, for use inside of {@link #ask}. */
@@ -85,6 +120,17 @@
         return refusal;
     }
 
+    /** Takes the KV cache of a prompt that another engine processed, for use inside of {@link #ask}. */
+    Optional<EngineRefusal> importKv(KvExport export) {
+        Optional<EngineRefusal> refusal = model.importKv(export, ticker.nanos());
+        if (refusal.isEmpty()) {
+            EngineRequest request = export.request();
+            records.put(request.id(), new StreamRecord(request.id(), request.seed(), export.nextOffset()));
+            forgetOldest();
+        }
+        return refusal;
+    }
+
     /** Returns what is kept of a dispatch, for use inside of {@link #ask}. */
     Optional<StreamRecord> record(String dispatch) {
         return Optional.ofNullable(records.get(dispatch));
@@ -104,7 +150,7 @@
             pump();
             new HashMap<>(records).values().forEach(StreamRecord::lose);
             records.clear();
-            incarnation = UUID.randomUUID().toString();
+            incarnation++;
             executor.schedule(() -> model.restart(ticker.nanos()), restartMillis, TimeUnit.MILLISECONDS);
         });
     }
@@ -149,6 +195,9 @@
             record(token.id()).ifPresent(stream -> stream.token(token.offset()));
         } else if (event instanceof EngineEvent.Finished finished) {
             record(finished.id()).ifPresent(StreamRecord::finish);
+        } else if (event instanceof EngineEvent.PrefillFinished prefilled) {
+            KvExport export = prefilled.export();
+            record(export.request().id()).ifPresent(stream -> stream.export(RecordCodec.encode(export)));
         } else if (event instanceof EngineEvent.Returned returned) {
             record(returned.id()).ifPresent(StreamRecord::lose);
             records.remove(returned.id());
--- a/src/main/java/org/verbenatray/standin/EngineServer.java
+++ b/src/main/java/org/verbenatray/standin/EngineServer.java
@@ -4,11 +4,15 @@
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RoutingHandler;
+import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.net.InetSocketAddress;
-import java.util.List;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.verbenatray.fleet.PromptPieces;
 import org.verbenatray.log.RecordCodec;
 import org.verbenatray.servers.EngineClient.StreamStatus;
 import org.verbenatray.servers.GenerateRequest;
@@ -16,6 +20,7 @@
 import org.verbenatray.standin.engine.EngineModelSpec;
 import org.verbenatray.standin.engine.EngineRefusal;
 import org.verbenatray.standin.engine.EngineRequest;
+import org.verbenatray.standin.engine.KvExport;
 import org.verbenatray.time.Ticker;
 import org.verbenatray.web.Bodies;
 import org.verbenatray.web.Replies;
@@ -23,8 +28,8 @@
 
 /** A stand-in model engine that speaks the engine protocol over HTTP. */
 public final class EngineServer implements AutoCloseable {
-    /** The customary number of characters in a token. */
-    private static final int CHARACTERS_PER_TOKEN = 4;
+    /** The header that carries the engine's incarnation. */
+    private static final HttpString INCARNATION_HEADER = new HttpString("X-Incarnation");
 
     /** The name of the engine. */
     private final String name;
@@ -38,9 +43,6 @@
     /** The faults it shows. */
     private volatile EngineFaults faults = EngineFaults.none();
 
-    /** Whether it takes nothing new because it is leaving. */
-    private volatile boolean leaving;
-
     /** Whether it is down after a crash. */
     private volatile boolean down;
 
@@ -50,7 +52,9 @@
         Ticker ticker = Ticker.system();
         this.loop = new EngineLoop(name, EngineModel.create(spec, models, ticker.nanos()), ticker, event -> {});
         RoutingHandler routes = Handlers.routing()
-                .post("/generate", exchange -> body(exchange, this::generate))
+                .post("/generate", exchange -> body(exchange, (same, body) -> generate(same, body, false)))
+                .post("/prefill", exchange -> body(exchange, (same, body) -> generate(same, body, true)))
+                .post("/import", exchange -> body(exchange, this::importKv))
                 .get("/streams/{id}", this::resume)
                 .get("/streams/{id}/status", this::status)
                 .delete("/streams/{id}", this::cancel)
@@ -91,7 +95,7 @@
 
     /** Takes nothing new from now on. */
     public void leave() {
-        leaving = true;
+        loop.leave();
     }
 
     /** Crashes now and starts again after the configured time. */
@@ -116,36 +120,45 @@
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
-        exchange.getResponseHeaders().put(new io.undertow.util.HttpString("X-Incarnation"), loop.incarnation());
+        exchange.getResponseHeaders().put(INCARNATION_HEADER, loop.incarnation());
         routes.handleRequest(exchange);
     }
 
     /** Reads a body and passes it on. */
-    private static void body(
-            HttpServerExchange exchange, java.util.function.BiConsumer<HttpServerExchange, byte[]> receiver) {
+    private static void body(HttpServerExchange exchange, BiConsumer<HttpServerExchange, byte[]> receiver) {
         Bodies.read(exchange, receiver, broken -> Replies.text(broken, 400, "text/plain", "the body is broken"));
     }
 
     /** Starts a dispatch. */
-    private void generate(HttpServerExchange exchange, byte[] body) {
-        GenerateRequest request =
-                RecordCodec.decode(new String(body, java.nio.charset.StandardCharsets.UTF_8), GenerateRequest.class);
+    private void generate(HttpServerExchange exchange, byte[] body, boolean prefillOnly) {
+        GenerateRequest request = RecordCodec.decode(new String(body, StandardCharsets.UTF_8), GenerateRequest.class);
         if (faults.crashOn().filter(request.prompt()::contains).isPresent()) {
             crash();
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
-        if (leaving) {
+        if (loop.isLeaving()) {
             Replies.text(exchange, 410, "text/plain", "the engine is leaving; choose another one");
             return;
         }
-        EngineRequest work = work(request);
+        EngineRequest work = work(request, prefillOnly);
+        take(exchange, work.id(), work.startOffset(), () -> loop.submit(work));
+    }
+
+    /** Continues a dispatch whose prompt another engine processed. */
+    private void importKv(HttpServerExchange exchange, byte[] body) {
+        KvExport export = RecordCodec.decode(new String(body, StandardCharsets.UTF_8), KvExport.class);
+        take(exchange, export.request().id(), export.nextOffset(), () -> loop.importKv(export));
+    }
+
+    /** Takes work on the engine's thread and follows its stream, or sends why it is refused. */
+    private void take(
+            HttpServerExchange exchange, String dispatch, int from, Supplier<Optional<EngineRefusal>> taking) {
         loop.ask(() -> {
-                    Optional<EngineRefusal> refusal = loop.submit(work);
+                    Optional<EngineRefusal> refusal = taking.get();
                     if (refusal.isEmpty()) {
-                        loop.record(work.id())
-                                .ifPresent(stream ->
-                                        stream.follow(new StreamReply(exchange, () -> faults), work.startOffset()));
+                        loop.record(dispatch)
+                                .ifPresent(stream -> stream.follow(new StreamReply(exchange, () -> faults), from));
                     }
                     return refusal;
                 })
@@ -153,8 +166,8 @@
     }
 
     /** Returns the engine's form of a request. */
-    private static EngineRequest work(GenerateRequest request) {
-        int promptTokens = Math.max(1, request.prompt().length() / CHARACTERS_PER_TOKEN);
+    private static EngineRequest work(GenerateRequest request, boolean prefillOnly) {
+        int promptTokens = Math.max(1, PromptPieces.tokens(request.prompt()));
         return new EngineRequest(
                 request.dispatch(),
                 request.model(),
@@ -163,8 +176,8 @@
                 request.maxTokens(),
                 request.fromOffset(),
                 request.seed(),
-                List.of(),
-                false);
+                PromptPieces.hashes(request.model(), request.prompt()),
+                prefillOnly);
     }
 
     /** Sends a refusal. */
@@ -209,12 +222,12 @@
 
     /** Reports the load. */
     private void load(HttpServerExchange exchange) {
-        reply(exchange, () -> loop.model().load());
+        reply(exchange, loop::loadReport);
     }
 
     /** Sets the faults. */
     private void setFaults(HttpServerExchange exchange, byte[] body) {
-        faults = RecordCodec.decode(new String(body, java.nio.charset.StandardCharsets.UTF_8), EngineFaults.class);
+        faults = RecordCodec.decode(new String(body, StandardCharsets.UTF_8), EngineFaults.class);
         Replies.json(exchange, 200, faults);
     }
 
@@ -225,7 +238,7 @@
     }
 
     /** Replies with what the engine's thread gives. */
-    private void reply(HttpServerExchange exchange, java.util.function.Supplier<?> query) {
+    private void reply(HttpServerExchange exchange, Supplier<?> query) {
         later(exchange, () -> loop.ask(query).thenAccept(answer -> Replies.json(exchange, 200, answer)));
     }
 
--- a/src/main/java/org/verbenatray/standin/LineFaults.java
+++ b/src/main/java/org/verbenatray/standin/LineFaults.java
@@ -18,7 +18,7 @@
             return List.of();
         }
         if (due(faults.wrongDispatchEvery())) {
-            return List.of(new EngineChunk("another-" + lines, chunk.offset(), List.of(" wrong"), false, ""), chunk);
+            return List.of(EngineChunk.tokens("another-" + lines, chunk.offset(), List.of(" wrong")), chunk);
         }
         return due(faults.repeatEvery()) ? List.of(chunk, chunk) : List.of(chunk);
     }
--- a/src/main/java/org/verbenatray/standin/StreamRecord.java
+++ b/src/main/java/org/verbenatray/standin/StreamRecord.java
@@ -72,6 +72,12 @@
         replies.clear();
     }
 
+    /** Records that the prompt was processed and its KV cache waits for another engine. */
+    void export(String kv) {
+        replies.forEach(reply -> reply.exported(dispatch, generated, kv));
+        replies.clear();
+    }
+
     /** Records that the dispatch is lost. */
     void lose() {
         lost = true;
--- a/src/main/java/org/verbenatray/standin/StreamReply.java
+++ b/src/main/java/org/verbenatray/standin/StreamReply.java
@@ -39,15 +39,19 @@
 
     /** Sends a token. */
     void token(String dispatch, int offset, String text) {
-        send(new EngineChunk(dispatch, offset, List.of(text), false, ""));
+        send(EngineChunk.tokens(dispatch, offset, List.of(text)));
     }
 
     /** Sends the last line. */
     void done(String dispatch, int total) {
-        send(new EngineChunk(dispatch, total, List.of(), true, "length"));
-        if (!silent) {
-            exchange.getIoThread().execute(reply::end);
-        }
+        send(EngineChunk.end(dispatch, total, "length"));
+        endUnlessSilent();
+    }
+
+    /** Sends the exported KV cache as the last line. */
+    void exported(String dispatch, int next, String kv) {
+        send(EngineChunk.exported(dispatch, next, kv));
+        endUnlessSilent();
     }
 
     /** Closes the connection without the last line. */
@@ -55,6 +59,13 @@
         exchange.getIoThread().execute(() -> IoUtils.safeClose(exchange.getConnection()));
     }
 
+    /** Ends the reply unless its connection went silent. */
+    private void endUnlessSilent() {
+        if (!silent) {
+            exchange.getIoThread().execute(reply::end);
+        }
+    }
+
     /** Sends a line as the faults demand. */
     private void send(EngineChunk chunk) {
         EngineFaults present = faults.get();
