--- /dev/null
+++ b/src/main/java/org/verbenatray/state/SnapshotFold.java
@@ -0,0 +1,66 @@
+package org.verbenatray.state;
+
+import java.util.Optional;
+import org.verbenatray.log.RecordBody;
+import org.verbenatray.log.RecordBody.Snapshot;
+import org.verbenatray.log.RecordCodec;
+import org.verbenatray.log.RecordFold;
+import org.verbenatray.log.StoredRecord;
+import org.verbenatray.log.Verdict;
+import org.verbenatray.log.Verdict.Kind;
+import org.verbenatray.log.Verdict.Rejection;
+
+/** Keeps track of the newest snapshot in the log. */
+final class SnapshotFold implements RecordFold {
+    /** The newest accepted snapshot. */
+    private Optional<NewestSnapshot> newest = Optional.empty();
+
+    @Override
+    public String name() {
+        return "snapshots";
+    }
+
+    @Override
+    public boolean judges(RecordBody body) {
+        return body instanceof Snapshot;
+    }
+
+    @Override
+    public Verdict apply(StoredRecord stored) {
+        long offset = stored.offset();
+        Snapshot snapshot = (Snapshot) stored.record().body();
+        if (snapshot.upTo() > offset || !SnapshotHash.of(snapshot.parts()).equals(snapshot.hash())) {
+            String detail = "the snapshot's hash or range is wrong; append a snapshot of a sound instance";
+            return Verdict.rejected(offset, Rejection.create(Kind.INVALID, detail));
+        }
+        if (newest.isPresent() && snapshot.upTo() <= newest.get().upTo()) {
+            String detail = "a newer snapshot stands in the log; nothing is to be done";
+            return Verdict.rejected(offset, Rejection.create(Kind.STALE, detail));
+        }
+        newest = Optional.of(
+                new NewestSnapshot(offset, snapshot.upTo(), stored.record().atMillis()));
+        return Verdict.accepted(offset);
+    }
+
+    @Override
+    public String exportState() {
+        return RecordCodec.encode(new State(newest));
+    }
+
+    @Override
+    public void importState(String exported) {
+        newest = RecordCodec.decode(exported, State.class).newest();
+    }
+
+    /** Returns the newest accepted snapshot. */
+    Optional<NewestSnapshot> newest() {
+        return newest;
+    }
+
+    /**
+     * The exported form.
+     *
+     * @param newest the newest accepted snapshot
+     */
+    private record State(Optional<NewestSnapshot> newest) {}
+}
--- /dev/null
+++ b/src/test/java/org/verbenatray/time/ManualTime.java
@@ -0,0 +1,83 @@
+package org.verbenatray.time;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Time that moves only when a test says so; one thread only. */
+public final class ManualTime implements Ticker, Scheduler {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(Comparator.comparingLong(Task::atNanos).thenComparingLong(Task::number));
+    private long now;
+    private long number;
+
+    @Override
+    public long nanos() {
+        return now;
+    }
+
+    @Override
+    public void runAt(Deadline when, Runnable task) {
+        tasks.add(new Task(Math.max(now, when.atNanos()), number, task));
+        number++;
+    }
+
+    /** Returns the three sources of time. */
+    public Timing timing() {
+        return new Timing(this, new ManualClock(0), this);
+    }
+
+    /** Returns the three sources of time with a wall clock that is off by the given milliseconds. */
+    public Timing timingWithSkew(long skewMillis) {
+        return new Timing(this, new ManualClock(skewMillis), this);
+    }
+
+    /** Runs everything that is due within the given time, in order. */
+    public void advanceMillis(long millis) {
+        long end = now + millis * NANOS_PER_MILLI;
+        while (!tasks.isEmpty() && tasks.peek().atNanos() <= end) {
+            Task task = tasks.poll();
+            now = Math.max(now, task.atNanos());
+            task.action().run();
+        }
+        now = end;
+    }
+
+    /** Moves time without running anything, as a pause of the process does. */
+    public void pauseMillis(long millis) {
+        now += millis * NANOS_PER_MILLI;
+    }
+
+    /** A planned task. */
+    private record Task(long atNanos, long number, Runnable action) {}
+
+    /** A wall clock that follows the manual time. */
+    private final class ManualClock extends Clock {
+        private final long skewMillis;
+
+        private ManualClock(long skewMillis) {
+            this.skewMillis = skewMillis;
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public Instant instant() {
+            return START.plusMillis(skewMillis).plusNanos(now);
+        }
+    }
+}
