--- a/src/main/java/org/verbenatray/cli/CheckCommand.java
+++ b/src/main/java/org/verbenatray/cli/CheckCommand.java
@@ -2,11 +2,8 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.SortedMap;
-import java.util.TreeMap;
-import java.util.stream.Stream;
+import org.verbenatray.configuration.ConfigurationFolder;
 import org.verbenatray.configuration.ConfigurationMerger;
 import org.verbenatray.configuration.MergeResult;
 
@@ -19,7 +16,7 @@
 
     @Override
     public int run(CommandOutput output) throws Exception {
-        MergeResult result = ConfigurationMerger.merge(read(Path.of(folder)));
+        MergeResult result = ConfigurationMerger.merge(ConfigurationFolder.read(Path.of(folder)));
         result.problems().forEach(problem -> output.err().println(problem));
         if (!result.isValid()) {
             return ExitCode.FAILED;
@@ -27,16 +24,4 @@
         output.out().println("ok");
         return ExitCode.DONE;
     }
-
-    /** Returns the files of a folder by name. */
-    static SortedMap<String, String> read(Path folder) throws java.io.IOException {
-        SortedMap<String, String> files = new TreeMap<>();
-        try (Stream<Path> listing = Files.list(folder)) {
-            for (Path file :
-                    listing.filter(path -> path.toString().endsWith(".yaml")).toList()) {
-                files.put(file.getFileName().toString(), Files.readString(file));
-            }
-        }
-        return files;
-    }
 }
--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -24,6 +24,9 @@
         Map<String, Supplier<Command>> commands = new LinkedHashMap<>();
         commands.put("entry", EntryCommand::new);
         commands.put("check", CheckCommand::new);
+        commands.put("publish", PublishCommand::new);
+        commands.put("history", HistoryCommand::new);
+        commands.put("dump", DumpCommand::new);
         commands.put("standin platform", StandinPlatformCommand::new);
         commands.put("standin engine", StandinEngineCommand::new);
         commands.put("standin service", StandinServiceCommand::new);
--- /dev/null
+++ b/src/main/java/org/verbenatray/instance/Membership.java
@@ -0,0 +1,93 @@
+package org.verbenatray.instance;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.verbenatray.platform.HttpInstanceList;
+import org.verbenatray.platform.InstanceEntry;
+import org.verbenatray.telemetry.Event;
+import org.verbenatray.time.Timing;
+
+/** Announces this instance to the platform and follows the platform's instance list. */
+final class Membership {
+    /** The logger. */
+    private static final Logger log = System.getLogger(Membership.class.getName());
+
+    /** The pause between two reads of the list in milliseconds. */
+    private static final long PAUSE_MILLIS = 1_000;
+
+    /** The platform's list. */
+    private final HttpInstanceList list;
+
+    /** What this instance announces. */
+    private final Supplier<InstanceEntry> self;
+
+    /** The sources of time. */
+    private final Timing timing;
+
+    /** Receives each list. */
+    private final List<Consumer<List<InstanceEntry>>> listeners = new CopyOnWriteArrayList<>();
+
+    /** The last list, empty before the first. */
+    private volatile Optional<List<InstanceEntry>> last = Optional.empty();
+
+    /** Whether the last read failed. */
+    private volatile boolean failing;
+
+    /** Creates a membership. */
+    Membership(HttpInstanceList list, Supplier<InstanceEntry> self, Timing timing) {
+        this.list = list;
+        this.self = self;
+        this.timing = timing;
+    }
+
+    /** Adds a receiver of each list. */
+    void onList(Consumer<List<InstanceEntry>> listener) {
+        listeners.add(listener);
+    }
+
+    /** Announces and reads now and again after each pause. */
+    void start() {
+        list.announce(self.get()).exceptionally(failure -> null);
+        list.list().whenComplete(this::received);
+        timing.scheduler().runAt(timing.inMillis(PAUSE_MILLIS), this::start);
+    }
+
+    /** Announces a change of this instance at once. */
+    void announceNow() {
+        list.announce(self.get()).exceptionally(failure -> null);
+    }
+
+    /** Returns the last list. */
+    List<InstanceEntry> entries() {
+        return last.orElse(List.of());
+    }
+
+    /** Returns the number of live entry instances, at least one. */
+    int liveInstances() {
+        long live = entries().stream()
+                .filter(entry -> entry.kind() == InstanceEntry.Kind.ENTRY && !entry.leaving())
+                .count();
+        return (int) Math.max(1, live);
+    }
+
+    /** Takes a list, or notes that it cannot be read. */
+    private void received(List<InstanceEntry> entries, Throwable failure) {
+        if (failure != null) {
+            if (!failing) {
+                Event.named("instance_list_unavailable")
+                        .with("cause", failure.getMessage())
+                        .log(log, Level.WARNING);
+            }
+            failing = true;
+            return;
+        }
+        failing = false;
+        last = Optional.of(entries);
+        listeners.forEach(listener -> listener.accept(entries));
+    }
+}
--- a/src/main/java/org/verbenatray/serving/EngineChooser.java
+++ b/src/main/java/org/verbenatray/serving/EngineChooser.java
@@ -5,7 +5,7 @@
 
 /** Chooses an engine for a request and counts the dispatch against it. */
 @FunctionalInterface
-interface EngineChooser {
+public interface EngineChooser {
     /** Returns a slot, or empty when no engine may take the request now. */
     Optional<EngineSlot> choose(CompletionRequest request, int emittedTokens, Set<String> barred);
 }
--- a/src/main/java/org/verbenatray/serving/EngineSlot.java
+++ b/src/main/java/org/verbenatray/serving/EngineSlot.java
@@ -4,7 +4,7 @@
 import org.verbenatray.servers.ServerFailure;
 
 /** One engine chosen for one dispatch, and what becomes known of it. */
-interface EngineSlot {
+public interface EngineSlot {
     /** Returns the engine's name. */
     String engine();
 
@@ -23,6 +23,6 @@
     /** Tells that the dispatch ended whole or was given up. */
     void ended();
 
-    /** Tells that the dispatch failed. */
-    void failed(ServerFailure failure);
+    /** Tells that the dispatch failed at the given one of its engines. */
+    void failed(String engine, ServerFailure failure);
 }
--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/ModelsHandler.java
@@ -0,0 +1,46 @@
+package org.verbenatray.serving;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import java.util.List;
+import java.util.function.Supplier;
+import org.verbenatray.configuration.ActiveConfiguration;
+import org.verbenatray.web.Replies;
+
+/** Lists the configured models. */
+final class ModelsHandler implements HttpHandler {
+    /** The configuration in force. */
+    private final Supplier<ActiveConfiguration> configuration;
+
+    /** Creates a handler. */
+    ModelsHandler(Supplier<ActiveConfiguration> configuration) {
+        this.configuration = configuration;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        List<Model> models = configuration.get().fleet().models().keySet().stream()
+                .sorted()
+                .map(name -> new Model(name, "model", "verbenatray"))
+                .toList();
+        Replies.json(exchange, 200, new Listing("list", models));
+    }
+
+    /**
+     * The list.
+     *
+     * @param object the type of the document
+     * @param data the models
+     */
+    private record Listing(String object, List<Model> data) {}
+
+    /**
+     * One model.
+     *
+     * @param id the name
+     * @param object the type of the document
+     * @param ownedBy the system that serves it
+     */
+    private record Model(String id, String object, @JsonProperty("owned_by") String ownedBy) {}
+}
--- a/src/main/java/org/verbenatray/serving/RelayParts.java
+++ b/src/main/java/org/verbenatray/serving/RelayParts.java
@@ -16,7 +16,7 @@
  * @param retryAllowed whether another run may be paid for
  * @param metrics counts what happens
  */
-record RelayParts(
+public record RelayParts(
         EngineChooser chooser,
         EngineClient engines,
         RelaySettings settings,
--- a/src/main/java/org/verbenatray/serving/RelayTimers.java
+++ b/src/main/java/org/verbenatray/serving/RelayTimers.java
@@ -1,11 +1,23 @@
 package org.verbenatray.serving;
 
+import java.util.concurrent.TimeUnit;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.time.Deadline;
+import org.verbenatray.time.Ticker;
+import org.xnio.XnioIoThread;
 
-/** Runs actions at deadlines on the thread of one request. */
+/** Runs actions at deadlines on the thread of a request. */
 @FunctionalInterface
-interface RelayTimers {
+public interface RelayTimers {
     /** Runs the action at the deadline unless it is cancelled before. */
-    Cancellation at(Deadline deadline, Runnable action);
+    Cancellation at(XnioIoThread thread, Deadline deadline, Runnable action);
+
+    /** Returns timers that run on the threads themselves. */
+    static RelayTimers onThreads(Ticker ticker) {
+        return (thread, deadline, action) -> {
+            long delayNanos = Math.max(0, deadline.atNanos() - ticker.nanos());
+            XnioIoThread.Key key = thread.executeAfter(action, delayNanos, TimeUnit.NANOSECONDS);
+            return key::remove;
+        };
+    }
 }
--- a/src/main/java/org/verbenatray/serving/RoutedChooser.java
+++ b/src/main/java/org/verbenatray/serving/RoutedChooser.java
@@ -149,9 +149,9 @@
         }
 
         @Override
-        public void failed(ServerFailure failure) {
+        public void failed(String engine, ServerFailure failure) {
             if (failure.kind() == ServerFailure.Kind.LEAVING) {
-                fleet.onLeaving(route.engine());
+                fleet.onLeaving(engine);
                 dispatch.onEnd(ticker.nanos());
             } else if (failure.kind() == ServerFailure.Kind.FULL || failure.kind() == ServerFailure.Kind.REFUSED) {
                 dispatch.onEnd(ticker.nanos());
--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/ServiceHandler.java
@@ -0,0 +1,186 @@
+package org.verbenatray.serving;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import org.verbenatray.configuration.FleetConfiguration.ServerSpec;
+import org.verbenatray.servers.HttpReply;
+import org.verbenatray.servers.ServerFailure;
+import org.verbenatray.telemetry.Event;
+import org.verbenatray.web.Bodies;
+import org.verbenatray.web.Replies;
+
+/** Serves calls of plain services. */
+final class ServiceHandler implements HttpHandler {
+    /** The logger. */
+    private static final Logger log = System.getLogger(ServiceHandler.class.getName());
+
+    /** The header that tells which backend server answered. */
+    private static final HttpString SERVER_HEADER = new HttpString("X-Backend-Server");
+
+    /** The largest number of servers that one repeatable call is sent to. */
+    private static final int MAX_RUNS = 3;
+
+    /** The time after which a caller may come back when no server can take its call, in milliseconds. */
+    private static final long RETRY_MILLIS = 2_000;
+
+    /** What the handlers share. */
+    private final ServingParts parts;
+
+    /** Reads requests. */
+    private final RequestReader reader;
+
+    /** Finds customers. */
+    private final IdentifyFilter identify;
+
+    /** Finds services and calls. */
+    private final ServiceFilter service;
+
+    /** Creates a handler. */
+    ServiceHandler(ServingParts parts) {
+        this.parts = parts;
+        this.reader = new RequestReader(parts.defaultTimeoutMillis(), parts.relay().ticker());
+        this.identify = new IdentifyFilter(parts.configuration());
+        this.service = new ServiceFilter(parts.configuration());
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        Bodies.read(exchange, this::serve, broken -> RefusalReply.send(
+                broken,
+                Refusal.notRun(RefusalKind.TOO_LARGE, "the body is larger than the bound or broken; shorten it")));
+    }
+
+    /** Serves one call. */
+    private void serve(HttpServerExchange exchange, byte[] body) {
+        try {
+            CallerRequest request = identify.apply(reader.read(exchange, body));
+            ServiceCall call = service.apply(exchange, request);
+            parts.open().enter();
+            new Call(exchange, call).send();
+        } catch (RefusalException e) {
+            parts.relay().metrics().answered("service", e.refusal().kind().name());
+            RefusalReply.send(exchange, e.refusal());
+        }
+    }
+
+    /** One call from its checks to its final answer. */
+    private final class Call {
+        /** The exchange. */
+        private final HttpServerExchange exchange;
+
+        /** The call. */
+        private final ServiceCall call;
+
+        /** The servers that must not be tried again. */
+        private final Set<String> barred = new HashSet<>();
+
+        /** Whether anything may have been sent. */
+        private boolean sent;
+
+        /** Creates a call. */
+        Call(HttpServerExchange exchange, ServiceCall call) {
+            this.exchange = exchange;
+            this.call = call;
+        }
+
+        /** Sends the call to the best server. */
+        void send() {
+            Optional<ServerSpec> chosen = parts.servers().choose(call.spec(), barred);
+            if (chosen.isEmpty()) {
+                refuse(noServer());
+                return;
+            }
+            ServerSpec server = chosen.get();
+            boolean fresh = !call.call().repeatable();
+            parts.services()
+                    .send(server.address(), call.request(), fresh, exchange.getIoThread())
+                    .whenComplete((reply, failure) ->
+                            exchange.getIoThread().execute(() -> answered(server, reply, failure)));
+        }
+
+        /** Handles the reply or the failure of a server. */
+        private void answered(ServerSpec server, HttpReply reply, Throwable problem) {
+            if (problem == null) {
+                finished("answered", server.name());
+                exchange.getResponseHeaders().put(SERVER_HEADER, server.name());
+                String type = reply.header("content-type").orElse("application/octet-stream");
+                Replies.bytes(exchange, reply.status(), type, reply.body());
+                return;
+            }
+            ServerFailure failure = failureOf(problem);
+            parts.servers().failed(server);
+            barred.add(server.name());
+            boolean nothingSent = failure.kind() == ServerFailure.Kind.NOT_CONNECTED;
+            sent = sent || !nothingSent;
+            boolean again = nothingSent || call.call().repeatable();
+            if (again && barred.size() < MAX_RUNS && failure.kind() != ServerFailure.Kind.SILENT) {
+                send();
+                return;
+            }
+            refuse(failed(failure));
+        }
+
+        /** Returns the failure behind an exception. */
+        private static ServerFailure failureOf(Throwable problem) {
+            Throwable cause = problem instanceof CompletionException ? problem.getCause() : problem;
+            return cause instanceof ServerFailure failure
+                    ? failure
+                    : ServerFailure.create(ServerFailure.Kind.BROKEN, String.valueOf(cause), cause);
+        }
+
+        /** Returns the refusal when no server is left. */
+        private Refusal noServer() {
+            String message = "no backend server of " + call.service() + " can take the call; send it again later";
+            return sent
+                    ? Refusal.mayHaveRun(RefusalKind.NO_SERVER, message, Optional.of(RETRY_MILLIS))
+                    : Refusal.retryLater(RefusalKind.NO_SERVER, message, RETRY_MILLIS);
+        }
+
+        /** Returns the final answer after a failure. */
+        private Refusal failed(ServerFailure failure) {
+            String message = "the backend server failed (" + failure.getMessage() + ")";
+            if (!sent) {
+                return Refusal.retryLater(
+                        RefusalKind.NO_SERVER, message + "; nothing was sent, send it again", RETRY_MILLIS);
+            }
+            return call.call().repeatable()
+                    ? Refusal.mayHaveRun(
+                            RefusalKind.SERVER_FAILED, message + "; send it again", Optional.of(RETRY_MILLIS))
+                    : Refusal.mayHaveRun(
+                            RefusalKind.SERVER_FAILED,
+                            message + "; find out from the service whether it ran before sending it again",
+                            Optional.empty());
+        }
+
+        /** Gives a refusal as the final answer. */
+        private void refuse(Refusal refusal) {
+            finished(refusal.kind().name(), "-");
+            RefusalReply.send(exchange, refusal);
+        }
+
+        /** Counts the call out and logs its end. */
+        private void finished(String result, String server) {
+            parts.open().exit();
+            parts.relay().metrics().answered("service", result);
+            Event.named("service_call_done")
+                    .with("request", call.request().requestId())
+                    .with("customer", call.request().customer())
+                    .with("service", call.service())
+                    .with("method", call.request().method())
+                    .with("path", call.call().path())
+                    .with("result", result)
+                    .with("server", server)
+                    .with("instance", parts.instance())
+                    .with("failure_domain", parts.failureDomain())
+                    .with("configuration", parts.configuration().get().offset())
+                    .log(log, Level.INFO);
+        }
+    }
+}
--- a/src/main/java/org/verbenatray/serving/ServingParts.java
+++ b/src/main/java/org/verbenatray/serving/ServingParts.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Supplier;
 import org.verbenatray.configuration.ActiveConfiguration;
+import org.verbenatray.servers.ServiceClient;
 
 /**
  * What the handlers of an instance share.
@@ -12,13 +13,17 @@
  * @param open the open requests
  * @param admitter admits requests
  * @param relay what relays work with
+ * @param services talks to backend servers of plain services
+ * @param servers chooses them
  * @param defaultTimeoutMillis the time a request may take where the caller states none, in milliseconds
  */
-record ServingParts(
+public record ServingParts(
         String instance,
         String failureDomain,
         Supplier<ActiveConfiguration> configuration,
         OpenRequests open,
         Admitter admitter,
         RelayParts relay,
+        ServiceClient services,
+        ServerChooser servers,
         long defaultTimeoutMillis) {}
--- a/src/main/java/org/verbenatray/serving/StreamRelay.java
+++ b/src/main/java/org/verbenatray/serving/StreamRelay.java
@@ -120,7 +120,7 @@
 
     /** Starts the first dispatch. */
     void start() {
-        expiry = timers.at(request.deadline(), this::expired);
+        expiry = timers.at(thread, request.deadline(), this::expired);
         run();
     }
 
@@ -287,7 +287,7 @@
         barred.add(engine);
         exchange.cancel();
         releasePrefill();
-        slot.failed(failure);
+        slot.failed(engine, failure);
         boolean neverRan = failure.kind() == ServerFailure.Kind.LEAVING || failure.kind() == ServerFailure.Kind.FULL;
         if (runs >= settings.maxRuns() || !(neverRan || retryAllowed.getAsBoolean())) {
             giveUp(failed("the backend servers failed (" + failure.getMessage() + "); send the request again"));
@@ -301,7 +301,7 @@
     private void watchProgress() {
         watch.cancel();
         Deadline next = Deadline.afterMillis(lastProgressNanos, settings.silenceMillis());
-        watch = timers.at(next, this::checkProgress);
+        watch = timers.at(thread, next, this::checkProgress);
     }
 
     /** Asks the engine when no token came for long. */
