--- a/src/main/java/org/verbenatray/admission/AdmissionController.java
+++ b/src/main/java/org/verbenatray/admission/AdmissionController.java
@@ -112,11 +112,7 @@
             return Optional.empty();
         }
         List<Ticket> passed = new ArrayList<>();
-        for (Ticket ticket : queue.queue().order(MAX_TRIES)) {
-            if (ticket.hopeless(nowNanos)) {
-                giveUpOne(ticket, queue, nowNanos);
-                continue;
-            }
+        for (Ticket ticket : nextTickets(queue, nowNanos)) {
             Optional<R> route = tryRoute.apply(ticket.request());
             if (route.isPresent()) {
                 passed.forEach(Ticket::passed);
@@ -258,6 +254,19 @@
         return new Admission.Queued(ticket, model.queue().size(), wait);
     }
 
+    /** Returns the requests to try now, all of which can still meet their deadlines. */
+    private List<Ticket> nextTickets(ModelQueue model, long nowNanos) {
+        while (true) {
+            List<Ticket> tickets = model.queue().order(MAX_TRIES);
+            List<Ticket> hopeless =
+                    tickets.stream().filter(ticket -> ticket.hopeless(nowNanos)).toList();
+            if (hopeless.isEmpty()) {
+                return tickets;
+            }
+            hopeless.forEach(ticket -> giveUpOne(ticket, model, nowNanos));
+        }
+    }
+
     /** Gives up the waiting requests whose deadlines can no longer be met. */
     private void giveUpHopeless(ModelQueue model, long nowNanos) {
         for (Ticket ticket : model.hopeless(nowNanos)) {
--- a/src/main/java/org/verbenatray/fleet/CacheEvent.java
+++ b/src/main/java/org/verbenatray/fleet/CacheEvent.java
@@ -6,7 +6,7 @@
  * A change of an engine's prefix cache.
  *
  * @param incarnation a number that grows with each start of the engine
- * @param sequence a number that grows by one with each event of one incarnation
+ * @param sequence a number that starts at zero and grows by one with each event of one incarnation
  * @param added the chained hashes of the pieces that were added
  * @param evicted the chained hashes of the pieces that were evicted
  */
--- a/src/main/java/org/verbenatray/fleet/FleetView.java
+++ b/src/main/java/org/verbenatray/fleet/FleetView.java
@@ -128,13 +128,26 @@
         }
     }
 
-    /** Counts a request that is about to be sent; empty when the engine is unknown. */
+    /** Counts a request that is about to be sent, without its output; empty when the engine is unknown. */
     public Optional<Dispatch> onDispatch(String engine, int promptTokens, int cachedTokens, long nowNanos) {
+        return onDispatch(engine, promptTokens, cachedTokens, 0, nowNanos);
+    }
+
+    /**
+     * Counts a request that is about to be sent; empty when the engine is unknown.
+     *
+     * @param promptTokens the length of the prompt
+     * @param cachedTokens the prompt tokens that the engine need not process
+     * @param outputTokens the tokens that it is expected to generate, for which it reserves KV cache
+     */
+    public Optional<Dispatch> onDispatch(
+            String engine, int promptTokens, int cachedTokens, int outputTokens, long nowNanos) {
         EngineState state = layout.state(engine);
         if (state == null) {
             return Optional.empty();
         }
-        LoadChange load = new LoadChange(1, Math.max(0, promptTokens - cachedTokens), promptTokens);
+        long prefillTokens = Math.max(0, promptTokens - cachedTokens);
+        LoadChange load = new LoadChange(1, prefillTokens, (long) promptTokens + outputTokens);
         state.onAttempt(nowNanos);
         count(state, load, nowNanos);
         return Optional.of(Dispatch.create(this, state, load));
--- a/src/main/java/org/verbenatray/fleet/PrefixIndex.java
+++ b/src/main/java/org/verbenatray/fleet/PrefixIndex.java
@@ -126,7 +126,7 @@
     /** Returns the pieces of an engine, none when the given incarnation is newer than the known one. */
     private EnginePieces current(String engine, long incarnation) {
         EnginePieces pieces = engines.get(engine);
-        if (pieces != null && pieces.incarnation < incarnation && pieces.sequence > 0) {
+        if (pieces != null && pieces.incarnation < incarnation && pieces.sequence >= 0) {
             clear(engine);
             pieces = null;
         }
@@ -183,8 +183,8 @@
         /** The incarnation of the last event. */
         private long incarnation;
 
-        /** The sequence number of the last event, zero before the first. */
-        private long sequence;
+        /** The sequence number of the last event, -1 before the first. */
+        private long sequence = -1;
 
         /** Whether events were missed. */
         private boolean doubtful;
--- a/src/main/java/org/verbenatray/routing/BaselineRoutes.java
+++ b/src/main/java/org/verbenatray/routing/BaselineRoutes.java
@@ -15,7 +15,7 @@
     static Route route(RouteRequest request, EngineView decoder, Optional<EngineView> prefiller) {
         boolean alone = decoder.role().prefills();
         EngineView first = alone ? decoder : prefiller.orElse(decoder);
-        double betweenTokensMillis = COSTS.betweenTokensMillis(decoder);
+        double betweenTokensMillis = COSTS.betweenTokensMillis(decoder, request.expectedOutputTokens());
         double firstTokenMillis = COSTS.prefillMillis(first, request.promptTokens()) + betweenTokensMillis;
         Optional<String> prefillEngine = alone ? Optional.empty() : Optional.of(first.name());
         return new Route(decoder.name(), prefillEngine, 0, firstTokenMillis, betweenTokensMillis);
--- a/src/main/java/org/verbenatray/routing/CostModel.java
+++ b/src/main/java/org/verbenatray/routing/CostModel.java
@@ -7,9 +7,9 @@
 /**
  * The expected times of a request on an engine and the score that weighs them. A pure function of its parameters.
  *
- * @param interference the part by which a full batch of decodes slows the prefill on the same engine and a second of
- *     queued prefill slows the decodes
+ * @param chunkTokens the prompt tokens that an engine in role BOTH processes together with one decode step
  * @param outputWeight the weight of the expected time to generate the output, against the time to the first token
+ * @param othersWeight the weight of the delay that the request causes to the streams that run on its engines
  * @param firstTokenTargetMillis the time to the first token above which each millisecond costs a penalty
  * @param betweenTokensTargetMillis the time between tokens above which each millisecond costs a penalty
  * @param targetPenalty the penalty for each millisecond above a target
@@ -20,8 +20,9 @@
  * @param maxStaleMillis the largest price of an old load report in milliseconds
  */
 public record CostModel(
-        double interference,
+        int chunkTokens,
         double outputWeight,
+        double othersWeight,
         double firstTokenTargetMillis,
         double betweenTokensTargetMillis,
         double targetPenalty,
@@ -38,30 +39,41 @@
 
     /** Returns the usual parameters: targets of 1.6 s and 26 ms, transfers at 10 GB a second. */
     public static CostModel defaults() {
-        return new CostModel(0.5, 1, 1_600, 26, 4, 40, 5, 10_000_000, 500, 500);
+        return new CostModel(256, 1, 0.2, 1_600, 26, 4, 40, 5, 10_000_000, 500, 500);
     }
 
     /** Returns the time until the engine has processed its queue and the uncached part of a prompt. */
     public double prefillMillis(EngineView engine, long uncachedTokens) {
-        EngineSpec spec = engine.spec();
         double tokens = (double) engine.queuedPrefillTokens() + uncachedTokens;
-        double alone = tokens / Math.max(1, spec.prefillTokensPerSecond()) * MILLIS_PER_SECOND;
-        if (engine.role() != EngineRole.BOTH) {
+        double alone = millis(engine.spec(), tokens);
+        if (engine.role() != EngineRole.BOTH || engine.runningStreams() == 0) {
             return alone;
         }
-        double batchShare = Math.min(1, (double) engine.runningStreams() / Math.max(1, spec.maxStreams()));
-        return alone * (1 + interference * batchShare);
+        return alone + tokens / chunkTokens * stepMillis(engine.spec(), engine.runningStreams());
     }
 
-    /** Returns the time between tokens once the request has joined the engine's batch. */
-    public double betweenTokensMillis(EngineView engine) {
-        EngineSpec spec = engine.spec();
-        double step = spec.decodeStepMillis() + spec.decodeStepMillisPerStream() * engine.runningStreams();
+    /** Returns the time between tokens once the request has joined the engine's batch, as a mean over its output. */
+    public double betweenTokensMillis(EngineView engine, int outputTokens) {
+        double step = stepMillis(engine.spec(), engine.runningStreams() + 1);
         if (engine.role() != EngineRole.BOTH) {
             return step;
         }
-        double queuedSeconds = engine.queuedPrefillTokens() / Math.max(1, spec.prefillTokensPerSecond());
-        return step * (1 + interference * Math.min(1, queuedSeconds));
+        double stepsWithPrefill = (double) engine.queuedPrefillTokens() / chunkTokens;
+        double share = Math.min(1, stepsWithPrefill / Math.max(1, outputTokens));
+        return step + share * millis(engine.spec(), chunkTokens);
+    }
+
+    /** Returns the delay that the uncached part of a prompt causes to all streams that run on the engine. */
+    public double prefillDelayMillis(EngineView engine, long uncachedTokens) {
+        if (engine.role() != EngineRole.BOTH) {
+            return 0;
+        }
+        return engine.runningStreams() * millis(engine.spec(), uncachedTokens);
+    }
+
+    /** Returns the delay that one more stream causes to all streams that run on the engine. */
+    public double decodeDelayMillis(EngineView engine, int outputTokens) {
+        return engine.runningStreams() * engine.spec().decodeStepMillisPerStream() * outputTokens;
     }
 
     /** Returns the time to move the KV cache of a prompt between two engines. */
@@ -80,10 +92,22 @@
     }
 
     /** Returns the score of a route in milliseconds, smaller is better, before the price of caution. */
-    public double score(double firstTokenMillis, double betweenTokensMillis, int outputTokens) {
+    public double score(
+            double firstTokenMillis, double betweenTokensMillis, int outputTokens, double othersDelayMillis) {
         double times = firstTokenMillis + outputWeight * outputTokens * betweenTokensMillis;
         double firstExcess = Math.max(0, firstTokenMillis - firstTokenTargetMillis);
         double betweenExcess = Math.max(0, betweenTokensMillis - betweenTokensTargetMillis);
-        return times + targetPenalty * (firstExcess + outputTokens * betweenExcess);
+        double penalty = targetPenalty * (firstExcess + outputTokens * betweenExcess);
+        return times + penalty + othersWeight * othersDelayMillis;
+    }
+
+    /** Returns the time of one decode step of a batch. */
+    private static double stepMillis(EngineSpec spec, int streams) {
+        return spec.decodeStepMillis() + spec.decodeStepMillisPerStream() * (streams - 1);
+    }
+
+    /** Returns the time in which an engine processes prompt tokens and does nothing else. */
+    private static double millis(EngineSpec spec, double tokens) {
+        return tokens / Math.max(1, spec.prefillTokensPerSecond()) * MILLIS_PER_SECOND;
     }
 }
--- a/src/main/java/org/verbenatray/routing/CostRouter.java
+++ b/src/main/java/org/verbenatray/routing/CostRouter.java
@@ -106,9 +106,11 @@
         List<PrefillOption> options = new ArrayList<>(engines.size());
         for (EngineView engine : engines) {
             int cached = prefixIndex.cachedTokens(engine.name(), request.prefixHashes(), request.promptTokens());
-            double millis = costs.prefillMillis(engine, request.promptTokens() - cached);
+            int uncached = request.promptTokens() - cached;
+            double millis = costs.prefillMillis(engine, uncached);
+            double othersDelay = costs.prefillDelayMillis(engine, uncached);
             double caution = costs.cautionMillis(engine, request.failureDomain());
-            options.add(new PrefillOption(engine, cached, millis, caution));
+            options.add(new PrefillOption(engine, cached, millis, othersDelay, caution));
         }
         return options;
     }
--- a/src/main/java/org/verbenatray/routing/RouteSearch.java
+++ b/src/main/java/org/verbenatray/routing/RouteSearch.java
@@ -27,15 +27,12 @@
     /** The prefill of the best route. */
     private PrefillOption bestPrefill;
 
-    /** The generating engine of the best route. */
-    private EngineView bestDecoder;
+    /** The generation of the best route. */
+    private DecodeOption bestDecode;
 
     /** The time to the first token of the best route. */
     private double bestFirstTokenMillis;
 
-    /** The time between tokens of the best route. */
-    private double bestBetweenTokensMillis;
-
     /** Creates a search from its parts. */
     private RouteSearch(CostModel costs, RouteRequest request, int kvBytesPerToken) {
         this.costs = costs;
@@ -53,42 +50,50 @@
     /** Compares all pairs of the given engines; a pair of one engine with itself does all the work alone. */
     void scan(List<PrefillOption> prefills, List<EngineView> decoders) {
         for (EngineView decoder : decoders) {
-            double betweenTokensMillis = costs.betweenTokensMillis(decoder);
-            double caution = costs.cautionMillis(decoder, request.failureDomain());
+            DecodeOption decode = new DecodeOption(
+                    decoder,
+                    costs.betweenTokensMillis(decoder, request.expectedOutputTokens()),
+                    costs.decodeDelayMillis(decoder, request.expectedOutputTokens()),
+                    costs.cautionMillis(decoder, request.failureDomain()));
             for (PrefillOption prefill : prefills) {
-                compare(prefill, decoder, betweenTokensMillis, caution);
+                compare(prefill, decode);
             }
         }
     }
 
     /** Returns the best route, or empty when no pair was compared. */
     Optional<Route> best() {
-        if (bestDecoder == null) {
+        if (bestDecode == null) {
             return Optional.empty();
         }
-        Optional<String> prefillEngine =
-                Optional.of(bestPrefill.engine().name()).filter(name -> !name.equals(bestDecoder.name()));
+        Optional<String> prefillEngine = Optional.of(bestPrefill.engine().name())
+                .filter(name -> !name.equals(bestDecode.engine().name()));
         return Optional.of(new Route(
-                bestDecoder.name(),
+                bestDecode.engine().name(),
                 prefillEngine,
                 bestPrefill.cachedTokens(),
                 bestFirstTokenMillis,
-                bestBetweenTokensMillis));
+                bestDecode.betweenTokensMillis()));
     }
 
     /** Keeps the pair when its score is smaller than the best so far. */
-    private void compare(PrefillOption prefill, EngineView decoder, double betweenTokensMillis, double caution) {
-        boolean alone = prefill.engine().name().equals(decoder.name());
-        double transfer = alone ? 0 : transferBetween(prefill.engine(), decoder);
-        double firstTokenMillis = prefill.millis() + transfer + betweenTokensMillis;
-        double score = costs.score(firstTokenMillis, betweenTokensMillis, request.expectedOutputTokens());
-        score += alone ? caution : caution + prefill.cautionMillis();
+    private void compare(PrefillOption prefill, DecodeOption decode) {
+        boolean alone = prefill.engine().name().equals(decode.engine().name());
+        double firstTokenMillis = prefill.millis();
+        double caution = decode.cautionMillis();
+        if (!alone) {
+            firstTokenMillis += transferBetween(prefill.engine(), decode.engine()) + decode.betweenTokensMillis();
+            caution += prefill.cautionMillis();
+        }
+        double othersDelay = prefill.othersDelayMillis() + decode.othersDelayMillis();
+        double score = caution
+                + costs.score(
+                        firstTokenMillis, decode.betweenTokensMillis(), request.expectedOutputTokens(), othersDelay);
         if (score < bestScore) {
             bestScore = score;
             bestPrefill = prefill;
-            bestDecoder = decoder;
+            bestDecode = decode;
             bestFirstTokenMillis = firstTokenMillis;
-            bestBetweenTokensMillis = betweenTokensMillis;
         }
     }
 
