--- a/src/main/java/org/verbenatray/serving/CompletionHandler.java
+++ b/src/main/java/org/verbenatray/serving/CompletionHandler.java
@@ -5,10 +5,11 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
+import java.util.function.IntConsumer;
+import org.verbenatray.servers.Cancellation;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.web.Bodies;
 import org.verbenatray.web.StreamedReply;
-import org.xnio.XnioIoThread;
 
 /** Serves completion requests: receive, identify, parse, admit, choose, dispatch, relay. */
 final class CompletionHandler implements HttpHandler {
@@ -75,8 +76,11 @@
         /** When the first token came. */
         private long firstTokenNanos;
 
-        /** Returns the admission. */
-        private Runnable release = () -> {};
+        /** Returns the admission with the number of generated tokens. */
+        private IntConsumer release = outputTokens -> {};
+
+        /** Withdraws the request from the queue of admission. */
+        private Cancellation waiting = () -> {};
 
         /** Whether the final answer was given. */
         private boolean over;
@@ -85,8 +89,7 @@
         Call(HttpServerExchange exchange, CompletionRequest request) {
             this.exchange = exchange;
             this.request = request;
-            XnioIoThread thread = exchange.getIoThread();
-            this.relay = new StreamRelay(request, parts.relay(), this, thread);
+            this.relay = new StreamRelay(request, parts.relay(), this, exchange.getIoThread());
             StreamedReply reply = StreamedReply.create(exchange, MAX_PENDING_BYTES, this::callerGone);
             this.answer =
                     request.streamed() ? new SseAnswer(request, exchange, reply) : new WholeAnswer(request, exchange);
@@ -94,23 +97,26 @@
 
         /** Waits for the admission. */
         void admit() {
-            XnioIoThread thread = exchange.getIoThread();
-            parts.admitter()
+            CallerWatch.of(exchange.getConnection()).whenClosed(() -> later(this::callerGone));
+            waiting = parts.admitter()
                     .admit(
                             request,
-                            released -> thread.execute(() -> admitted(released)),
-                            refusal -> thread.execute(() -> fail(refusal)));
+                            released -> later(() -> admitted(released)),
+                            refusal -> later(() -> fail(refusal)));
+        }
+
+        /** Runs an action on the thread of the request. */
+        private void later(Runnable action) {
+            exchange.getIoThread().execute(action);
         }
 
         /** Starts the relay. */
-        private void admitted(Runnable released) {
+        private void admitted(IntConsumer released) {
             if (over) {
-                released.run();
+                released.accept(0);
                 return;
             }
             release = released;
-            exchange.getConnection()
-                    .addCloseListener(closed -> exchange.getIoThread().execute(this::callerGone));
             relay.start();
         }
 
@@ -144,6 +150,7 @@
         /** Stops the relay because the caller is gone. */
         private void callerGone() {
             if (!over) {
+                waiting.cancel();
                 relay.callerGone();
                 finished("caller_gone", 0);
                 exchange.endExchange();
@@ -154,7 +161,8 @@
         private void finished(String result, int outputTokens) {
             over = true;
             parts.open().exit();
-            release.run();
+            release.accept(outputTokens);
+            CallerWatch.of(exchange.getConnection()).whenClosed(() -> {});
             parts.relay().metrics().answered("completion", result);
             Event.named("completion_done")
                     .with("request", request.requestId())
--- /dev/null
+++ b/src/test/java/org/verbenatray/processes/HttpCaller.java
@@ -0,0 +1,58 @@
+package org.verbenatray.processes;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/** A caller of entry instances over HTTP. */
+public final class HttpCaller {
+    /** The API key that test configurations hold. */
+    public static final String KEY = "test-key";
+
+    /** The SHA-256 of that key. */
+    public static final String KEY_SHA256 = "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef";
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(60);
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    /** Sends a request and returns the whole answer. */
+    public HttpResponse<String> send(String method, String uri, String body, String... headers) {
+        return sendLater(method, uri, body, headers).join();
+    }
+
+    /** Sends a request without waiting for the answer. */
+    public CompletableFuture<HttpResponse<String>> sendLater(
+            String method, String uri, String body, String... headers) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(uri))
+                .timeout(TIMEOUT)
+                .header("Authorization", "Bearer " + KEY)
+                .method(method, HttpRequest.BodyPublishers.ofString(body));
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return client.sendAsync(request.build(), BodyHandlers.ofString());
+    }
+
+    /** Returns the body of a completion. */
+    public static String completion(String prompt, int maxTokens, long seed, boolean stream) {
+        return "{\"model\":\"gate-check\",\"prompt\":\"" + prompt + "\",\"max_tokens\":" + maxTokens + ",\"seed\":"
+                + seed + ",\"stream\":" + stream + "}";
+    }
+
+    /** Returns the text of a streamed completion, or of a whole one. */
+    public static String textOf(String body) {
+        StringBuilder text = new StringBuilder();
+        java.util.regex.Matcher matcher =
+                java.util.regex.Pattern.compile("\"text\":\"([^\"]*)\"").matcher(body);
+        while (matcher.find()) {
+            text.append(matcher.group(1));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/verbenatray/processes/WholePathTest.java
@@ -0,0 +1,114 @@
+package org.verbenatray.processes;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+import org.verbenatray.standin.engine.TokenText;
+
+/** The whole path as separate processes on loopback. */
+public final class WholePathTest {
+    private final List<BinaryProcess> processes = new ArrayList<>();
+
+    private final List<BinaryProcess> entries = new ArrayList<>();
+
+    private final HttpCaller caller = new HttpCaller();
+
+    @BeforeClass
+    public void startProcesses() throws Exception {
+        String platform = start("standin", "platform", "--listen", "127.0.0.1:0", "--appends-per-second", "300")
+                .value("platform");
+        String first = start("standin", "engine", "--name", "engine-1", "--listen", "127.0.0.1:0")
+                .value("engine");
+        String second = start("standin", "engine", "--name", "engine-2", "--listen", "127.0.0.1:0")
+                .value("engine");
+        String service = start("standin", "service", "--listen", "127.0.0.1:0").value("service");
+        for (String name : List.of("entry-1", "entry-2")) {
+            entries.add(start(
+                    "entry",
+                    "--name",
+                    name,
+                    "--failure-domain",
+                    "north",
+                    "--platform",
+                    platform,
+                    "--listen",
+                    "127.0.0.1:0",
+                    "--operators",
+                    "127.0.0.1:0",
+                    "--peers",
+                    "127.0.0.1:0"));
+        }
+        Path folder = Files.createTempDirectory("verbenatray");
+        Files.writeString(folder.resolve("fleet.yaml"), TestFleet.yaml(List.of(first, second), service));
+        assertEquals(
+                BinaryProcess.run("publish", folder.toString(), "--platform", platform, "--author", "operator"), 0);
+        for (BinaryProcess entry : entries) {
+            awaitReady(entry);
+        }
+    }
+
+    @AfterClass
+    public void stopProcesses() {
+        BinaryProcess.closeAll(processes);
+    }
+
+    @Test
+    public void aCompletionIsStreamedWholeThroughAnyInstance() {
+        for (BinaryProcess entry : entries) {
+            HttpResponse<String> answer = caller.send(
+                    "POST", entry.value("callers") + "/v1/completions", HttpCaller.completion("check", 40, 7, true));
+            assertEquals(answer.statusCode(), 200, answer.body());
+            assertEquals(HttpCaller.textOf(answer.body()), TokenText.between(7, 0, 40));
+            assertTrue(answer.body().endsWith("data: [DONE]\n\n"), answer.body());
+        }
+    }
+
+    @Test
+    public void aCallThatMustNotBeRepeatedRunsOnce() {
+        HttpResponse<String> answer = caller.send(
+                "POST", entries.get(0).value("callers") + "/services/registry/certificates", "{\"mason\":1}");
+        assertEquals(answer.statusCode(), 200, answer.body());
+        assertTrue(answer.body().contains("\"runs\":1"), answer.body());
+    }
+
+    @Test(dependsOnMethods = {"aCompletionIsStreamedWholeThroughAnyInstance", "aCallThatMustNotBeRepeatedRunsOnce"})
+    public void aStoppingInstanceFinishesItsStream() throws Exception {
+        BinaryProcess leaving = entries.get(1);
+        CompletableFuture<HttpResponse<String>> answer = caller.sendLater(
+                "POST", leaving.value("callers") + "/v1/completions", HttpCaller.completion("long", 200, 9, true));
+        awaitOpenRequest(leaving);
+        leaving.terminate();
+        assertEquals(HttpCaller.textOf(answer.join().body()), TokenText.between(9, 0, 200));
+        assertTrue(leaving.ended());
+    }
+
+    private BinaryProcess start(String... arguments) throws IOException {
+        BinaryProcess process = BinaryProcess.start(arguments);
+        processes.add(process);
+        return process;
+    }
+
+    private void awaitReady(BinaryProcess entry) {
+        Await.until(() -> {
+            String uri = entry.value("operators") + "/readyz";
+            return caller.send("GET", uri, "").statusCode() == 200;
+        });
+    }
+
+    private void awaitOpenRequest(BinaryProcess entry) {
+        Await.until(() -> {
+            String uri = entry.value("operators") + "/state";
+            return caller.send("GET", uri, "").body().contains("\"open_requests\":1");
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/verbenatray/processes/package-info.java
@@ -0,0 +1,2 @@
+/** Tests that run the binary as separate processes. */
+package org.verbenatray.processes;
