--- a/src/main/java/org/verbenatray/configuration/EntryReader.java
+++ b/src/main/java/org/verbenatray/configuration/EntryReader.java
@@ -14,9 +14,6 @@
 
 /** Reads the typed keys of one entry and reports what breaks a rule; a bad value reads as its default. */
 final class EntryReader {
-    /** The form of names. */
-    private static final Pattern NAME = Pattern.compile(ConfigurationLimits.NAME);
-
     /** The form of decimal numbers. */
     private static final Pattern DECIMAL = Pattern.compile("-?[0-9]+(\\.[0-9]+)?([eE][+-]?[0-9]{1,3})?");
 
@@ -73,7 +70,7 @@
 
     /** Returns a required name. */
     String requiredName(String key) {
-        return requiredText(key, NAME, "a name of letters, digits, '.', '_' and '-', at most 63 characters");
+        return requiredText(key, ConfigurationLimits.NAME, ConfigurationLimits.NAME_FORM);
     }
 
     /** Returns an integer within a range. */
@@ -142,10 +139,10 @@
     List<String> names(String key) {
         List<String> names = new ArrayList<>();
         for (SourceNode item : items(key, "a list of names")) {
-            boolean isName =
-                    item instanceof Scalar scalar && NAME.matcher(scalar.text()).matches();
+            boolean isName = item instanceof Scalar scalar
+                    && ConfigurationLimits.NAME.matcher(scalar.text()).matches();
             if (!isName) {
-                report(item.place(), key, item.described(), "a name of letters, digits, '.', '_' and '-'");
+                report(item.place(), key, item.described(), ConfigurationLimits.NAME_FORM);
             } else if (names.contains(((Scalar) item).text())) {
                 report(item.place(), key, item.described() + " a second time", "each name once");
             } else {
--- a/src/main/java/org/verbenatray/configuration/SourceParser.java
+++ b/src/main/java/org/verbenatray/configuration/SourceParser.java
@@ -114,9 +114,8 @@
         String path = key.isEmpty() ? name : key + "." + name;
         parser.nextToken();
         SourceNode value = readNode(place, path, depth + 1);
-        if (!name.matches(ConfigurationLimits.NAME)) {
-            String allowed = "a name of letters, digits, '.', '_' and '-', at most 63 characters";
-            report(place, key, "the key " + ConfigurationProblem.quoted(name), allowed);
+        if (!ConfigurationLimits.NAME.matcher(name).matches()) {
+            report(place, key, "the key " + ConfigurationProblem.quoted(name), ConfigurationLimits.NAME_FORM);
         } else if (entries.containsKey(name)) {
             int firstLine = entries.get(name).place().line();
             report(place, path, "the key a second time (first in line " + firstLine + ")", "each key once; remove one");
--- /dev/null
+++ b/src/test/java/org/verbenatray/configuration/ConfigurationFoldPropertiesTest.java
@@ -0,0 +1,162 @@
+package org.verbenatray.configuration;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.verbenatray.configuration.ConfigurationView.FileInForce;
+import org.verbenatray.configuration.NaiveConfigurationFold.NaiveChange;
+import org.verbenatray.log.RecordBody.FileChange;
+import org.verbenatray.log.RecordCodec;
+import org.verbenatray.log.StoredRecord;
+
+/** Properties of {@link ConfigurationFold}. */
+public final class ConfigurationFoldPropertiesTest {
+    /** The number of changes in one run. */
+    private static final int CHANGES = 40;
+
+    /** The files that changes name. */
+    private static final List<String> FILES = List.of("a.yaml", "b.yaml", "c.yaml");
+
+    @Property(seed = "11")
+    void theFoldJudgesLikeOneThatKeepsEverythingAndMergesAgain(@ForAll @IntRange int seed) {
+        ConfigurationFold fold = ConfigurationFold.create();
+        NaiveConfigurationFold naive = new NaiveConfigurationFold();
+        for (NaiveChange change : changes(seed, fold, new ArrayList<>())) {
+            boolean accepted = fold.apply(stored(change)).isAccepted();
+            assertEquals(accepted, naive.apply(change), change.toString());
+            assertEquals(priorities(fold), naive.merged());
+        }
+    }
+
+    @Property(seed = "12")
+    void acceptedOffsetsOnlyRiseAndReplaysAndSnapshotsAgree(@ForAll @IntRange int seed) {
+        ConfigurationFold fold = ConfigurationFold.create();
+        List<StoredRecord> records = new ArrayList<>();
+        List<String> states = new ArrayList<>();
+        for (NaiveChange change : changes(seed, fold, new ArrayList<>())) {
+            StoredRecord stored = stored(change);
+            ActiveConfiguration before = fold.active();
+            boolean accepted = fold.apply(stored).isAccepted();
+            assertEquals(fold.active().offset(), accepted ? stored.offset() : before.offset());
+            assertEquals(accepted, !fold.active().hash().equals(before.hash()));
+            records.add(stored);
+            states.add(fold.exportState());
+        }
+        int cut = new Random(seed).nextInt(records.size());
+        ConfigurationFold resumed = ConfigurationFold.create();
+        resumed.importState(states.get(cut));
+        assertTrue(resumed.exportState().equals(states.get(cut)), "imported state differs");
+        records.stream().map(ConfigurationFoldPropertiesTest::throughJson).forEach(resumed::apply);
+        assertTrue(resumed.exportState().equals(fold.exportState()), "resumed state differs");
+        assertEquals(resumed.active(), fold.active());
+    }
+
+    @Property(seed = "13")
+    void ofTwoRacingOperatorsOneWinsAConflictAndBothWinOtherwise(
+            @ForAll @IntRange(max = 2) int firstFile,
+            @ForAll @IntRange(max = 2) int secondFile,
+            @ForAll @IntRange(max = 2) int firstCustomer,
+            @ForAll @IntRange(max = 2) int secondCustomer) {
+        ConfigurationFold fold = ConfigurationFold.create();
+        fold.apply(Changes.stored(3, "root", -1, newFile(0), newFile(1), newFile(2)));
+        boolean first = fold.apply(racing(5, "amir", firstFile, firstCustomer)).isAccepted();
+        boolean second =
+                fold.apply(racing(6, "bina", secondFile, secondCustomer)).isAccepted();
+        assertTrue(first);
+        assertEquals(second, firstFile != secondFile && firstCustomer != secondCustomer);
+    }
+
+    @Property(seed = "14", tries = 1_000)
+    void noTextMakesTheMergeFail(@ForAll String text, @ForAll @IntRange(max = 9) int start) {
+        String prefix = List.of("", "models:\n  ", "a: ", "- ", "? ", "%", "{", "\"", "x: &a ", "roles:\n\t")
+                .get(start);
+        SortedMap<String, String> files = new TreeMap<>(Map.of("a.yaml", prefix + text));
+        MergeResult result = ConfigurationMerger.merge(files);
+        assertEquals(result.fleet().isPresent(), result.isValid());
+    }
+
+    /** Returns a change of one customer by an operator who saw offset 3 as the last. */
+    private static StoredRecord racing(long offset, String author, int file, int customer) {
+        String content = Changes.customers(new TreeMap<>(Map.of(9, 9, customer, 20)));
+        return Changes.stored(offset, author, 3, Changes.put(FILES.get(file), 3, content));
+    }
+
+    /** Returns a new file with customer 9. */
+    private static FileChange newFile(int file) {
+        return Changes.put(FILES.get(file), -1, Changes.customer(9, 9));
+    }
+
+    /** Returns changes by authors who each know some earlier state of the fold; the fold is read as they are drawn. */
+    private static Iterable<NaiveChange> changes(int seed, ConfigurationFold fold, List<ConfigurationView> views) {
+        Random random = new Random(seed);
+        return () -> IntStream.range(0, CHANGES)
+                .mapToObj(i -> {
+                    views.add(fold.view());
+                    int known = Math.max(0, views.size() - 1 - random.nextInt(4));
+                    return change(10L + 3L * i, views.get(known), random);
+                })
+                .iterator();
+    }
+
+    /** Returns a random change by an author who knows a state. */
+    private static NaiveChange change(long offset, ConfigurationView known, Random random) {
+        Map<String, Long> seen = new TreeMap<>();
+        SortedMap<String, Optional<SortedMap<Integer, Integer>>> edits = new TreeMap<>();
+        int count = 1 + random.nextInt(2);
+        for (int i = 0; i < count; i++) {
+            String file = FILES.get(random.nextInt(FILES.size()));
+            FileInForce inForce = known.files().get(file);
+            seen.put(file, inForce == null ? -1L : inForce.offset());
+            edits.put(file, random.nextInt(6) == 0 ? Optional.empty() : Optional.of(content(random)));
+        }
+        return new NaiveChange(offset, known.offset(), seen, edits);
+    }
+
+    /** Returns random priorities by customer, some removed and a few out of range. */
+    private static SortedMap<Integer, Integer> content(Random random) {
+        SortedMap<Integer, Integer> content = new TreeMap<>();
+        for (int customer = 0; customer < 5; customer++) {
+            if (random.nextInt(3) == 0) {
+                content.put(customer, random.nextInt(12) == 0 ? 101 : random.nextInt(8) - 1);
+            }
+        }
+        return content;
+    }
+
+    /** Returns the record of a change. */
+    private static StoredRecord stored(NaiveChange change) {
+        FileChange[] files = change.edits().entrySet().stream()
+                .map(edit -> new FileChange(
+                        edit.getKey(),
+                        edit.getValue().map(Changes::customers),
+                        change.seen().get(edit.getKey())))
+                .toArray(FileChange[]::new);
+        return Changes.stored(change.offset(), "author", change.follows(), files);
+    }
+
+    /** Returns a record as another instance reads it. */
+    private static StoredRecord throughJson(StoredRecord stored) {
+        return RecordCodec.decode(RecordCodec.encode(stored), StoredRecord.class);
+    }
+
+    /** Returns the priorities in force by customer. */
+    private static SortedMap<Integer, Integer> priorities(ConfigurationFold fold) {
+        SortedMap<Integer, Integer> priorities = new TreeMap<>();
+        fold.active()
+                .fleet()
+                .customers()
+                .forEach((name, customer) -> priorities.put(Integer.parseInt(name.substring(1)), customer.priority()));
+        return priorities;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/verbenatray/configuration/ConfigurationFoldTest.java
@@ -0,0 +1,164 @@
+package org.verbenatray.configuration;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.verbenatray.configuration.Changes.customer;
+import static org.verbenatray.configuration.Changes.put;
+import static org.verbenatray.configuration.Changes.removal;
+import static org.verbenatray.configuration.Changes.stored;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.testng.annotations.Test;
+import org.verbenatray.log.LogRecord;
+import org.verbenatray.log.RecordBody.ConfigurationChange;
+import org.verbenatray.log.StoredRecord;
+import org.verbenatray.log.Verdict;
+import org.verbenatray.log.Verdict.Kind;
+
+/** Tests of {@link ConfigurationFold}. */
+public final class ConfigurationFoldTest {
+    @Test
+    public void theLoserOfARaceForAFileIsToldWhoWonAndWhere() {
+        ConfigurationFold raced = accepted(stored(1, "amir", -1, put("a.yaml", -1, customer(1, 10))));
+        assertAccepted(raced.apply(stored(4, "bina", 1, put("a.yaml", 1, customer(1, 20)))));
+        Verdict verdict =
+                raced.apply(stored(5, "amir", 1, put("a.yaml", 1, customer(1, 30)), put("b.yaml", -1, customer(2, 1))));
+        assertEquals(verdict.rejection().orElseThrow().kind(), Kind.STALE);
+        assertEquals(verdict.rejection().get().rivalAuthor(), Optional.of("bina"));
+        assertEquals(verdict.rejection().get().rivalOffset(), Optional.of(4L));
+        assertTrue(verdict.rejection().get().detail().contains("a.yaml"));
+        assertEquals(raced.view().files().keySet(), Set.of("a.yaml"));
+        assertEquals(priority(raced, "c1"), 20);
+        assertEquals(raced.active().offset(), 4);
+    }
+
+    @Test
+    public void anEntryThatAnotherFileChangedAfterTheFollowedOffsetIsAConflict() {
+        ConfigurationFold raced = accepted(stored(1, "amir", -1, put("a.yaml", -1, customer(1, 10))));
+        assertAccepted(raced.apply(stored(2, "bina", 1, put("b.yaml", -1, customer(1, 20)))));
+        Verdict stale = raced.apply(stored(3, "amir", 1, put("a.yaml", 1, customer(1, 30))));
+        assertEquals(stale.rejection().orElseThrow().kind(), Kind.STALE);
+        assertTrue(stale.rejection().get().detail().contains("b.yaml"));
+        assertAccepted(raced.apply(stored(4, "amir", 2, put("a.yaml", 1, customer(1, 30)))));
+        assertEquals(priority(raced, "c1"), 20);
+    }
+
+    @Test
+    public void aRemovedSectionConflictsWithAChangeOfItsEntries() {
+        ConfigurationFold raced = accepted(stored(1, "amir", -1, put("a.yaml", -1, customer(1, 10))));
+        assertAccepted(raced.apply(stored(2, "bina", 1, put("b.yaml", -1, "customers: null\n"))));
+        assertEquals(kind(raced.apply(stored(3, "amir", 1, put("a.yaml", 1, customer(1, 30))))), Kind.STALE);
+    }
+
+    @Test
+    public void aRemovalUnknownToTheAuthorIsNotUndone() {
+        ConfigurationFold raced = accepted(stored(1, "amir", -1, put("a.yaml", -1, customer(1, 10))));
+        assertAccepted(raced.apply(stored(2, "bina", 1, removal("a.yaml", 1))));
+        Verdict stale = raced.apply(stored(3, "amir", 1, put("a.yaml", 1, customer(1, 30))));
+        assertEquals(stale.rejection().orElseThrow().rivalAuthor(), Optional.of("bina"));
+        assertAccepted(raced.apply(stored(4, "amir", 2, put("a.yaml", -1, customer(1, 30)))));
+    }
+
+    @Test
+    public void anInvalidResultIsRejectedWhole() {
+        ConfigurationFold fold = ConfigurationFold.create();
+        Verdict verdict = fold.apply(
+                stored(1, "amir", -1, put("a.yaml", -1, customer(1, 10)), put("b.yaml", -1, customer(2, 101))));
+        assertEquals(kind(verdict), Kind.INVALID);
+        assertTrue(verdict.rejection().orElseThrow().detail().contains("b.yaml:2"));
+        assertEquals(fold.view().files().size(), 0);
+        assertEquals(fold.view().history().size(), 1);
+    }
+
+    @Test
+    public void malformedRecordsAreRejectedWithoutAFailure() {
+        ConfigurationFold judge = ConfigurationFold.create();
+        assertEquals(kind(judge.apply(stored(1, "amir", -1))), Kind.INVALID);
+        assertEquals(kind(judge.apply(stored(2, "amir", -1, put("../a.yaml", -1, "")))), Kind.INVALID);
+        assertEquals(kind(judge.apply(stored(3, null, -1, put("a.yaml", -1, "")))), Kind.INVALID);
+        assertEquals(kind(judge.apply(stored(4, "amir", -1, removal("a.yaml", -1)))), Kind.INVALID);
+        assertEquals(kind(judge.apply(stored(5, "amir", -1, put(null, -1, "")))), Kind.INVALID);
+        assertEquals(
+                kind(judge.apply(stored(6, "amir", -1, put("a.yaml", -1, ""), put("a.yaml", -1, "")))), Kind.INVALID);
+        LogRecord noFiles = new LogRecord("id", "amir", 1, 0, Optional.empty(), new ConfigurationChange(null));
+        assertEquals(kind(judge.apply(new StoredRecord(7, noFiles))), Kind.INVALID);
+        LogRecord later = new LogRecord("id", "amir", 2, 0, Optional.empty(), new ConfigurationChange(List.of()));
+        assertEquals(kind(judge.apply(new StoredRecord(8, later))), Kind.UNKNOWN_FORMAT);
+        assertEquals(judge.active(), ActiveConfiguration.none());
+    }
+
+    @Test
+    public void theHashDependsOnEveryEarlierState() {
+        ConfigurationFold some = accepted(stored(1, "amir", -1, put("a.yaml", -1, customer(1, 10))));
+        ConfigurationFold other = accepted(stored(1, "amir", -1, put("a.yaml", -1, customer(1, 11))));
+        StoredRecord same = stored(2, "amir", 1, put("a.yaml", 1, customer(1, 12)));
+        assertAccepted(some.apply(same));
+        assertAccepted(other.apply(same));
+        assertEquals(some.active().fleet(), other.active().fleet());
+        assertTrue(some.active().hash().matches("[0-9a-f]{64}"));
+        assertTrue(!some.active().hash().equals(other.active().hash()));
+    }
+
+    @Test
+    public void anInstanceOnlyMovesForward() {
+        ConfigurationFold forward = accepted(stored(1, "amir", -1, put("a.yaml", -1, customer(1, 10))));
+        String old = forward.exportState();
+        assertAccepted(forward.apply(stored(2, "amir", 1, put("a.yaml", 1, customer(1, 20)))));
+        assertThrows(IllegalArgumentException.class, () -> forward.importState(old));
+        assertEquals(kind(forward.apply(stored(2, "amir", 2, put("a.yaml", 2, customer(1, 5))))), Kind.DUPLICATE);
+        assertEquals(priority(forward, "c1"), 20);
+    }
+
+    @Test
+    public void anAuthorWhoseOffsetIsForgottenIsToldToCompareAgain() {
+        ConfigurationFold forgetful = accepted(stored(0, "amir", -1, put("a.yaml", -1, customer(0, 1))));
+        int changes = ConfigurationLimits.MAX_REMEMBERED_CHANGES + 1;
+        for (int i = 1; i <= changes; i++) {
+            assertAccepted(forgetful.apply(stored(i, "amir", i - 1, put("a.yaml", i - 1, customer(0, i % 100)))));
+        }
+        Verdict stale = forgetful.apply(stored(changes + 1, "bina", 0, put("b.yaml", -1, customer(1, 1))));
+        assertEquals(kind(stale), Kind.STALE);
+        assertTrue(stale.rejection().orElseThrow().detail().contains("too old"));
+        assertEquals(forgetful.view().history().size(), ConfigurationLimits.HISTORY_ACCEPTED + 1);
+    }
+
+    @Test
+    public void theHistoryNamesAuthorFilesVerdictAndReason() {
+        ConfigurationFold judged = accepted(stored(1, "amir", -1, put("a.yaml", -1, customer(1, 10))));
+        judged.apply(stored(2, "bina \"x\"\n", 1, put("a.yaml", -1, customer(1, 20))));
+        List<ConfigurationHistory.Line> lines =
+                ConfigurationHistory.lines(judged.view().history());
+        assertEquals(
+                lines.get(0).text(),
+                "offset=1 time=1970-01-01T00:00:00.001Z author=\"amir\" files=a.yaml:added verdict=accepted hash="
+                        + judged.active().hash());
+        assertEquals(lines.get(1).verdict(), "rejected-stale");
+        assertTrue(lines.get(1).text().contains("was changed by amir at offset 1"));
+        assertEquals(lines.get(1).text().lines().count(), 1);
+    }
+
+    /** Returns a fold that accepted one record. */
+    private static ConfigurationFold accepted(StoredRecord stored) {
+        ConfigurationFold fold = ConfigurationFold.create();
+        assertAccepted(fold.apply(stored));
+        return fold;
+    }
+
+    /** Fails unless a verdict is an acceptance. */
+    private static void assertAccepted(Verdict verdict) {
+        assertEquals(verdict.rejection(), Optional.empty());
+    }
+
+    /** Returns the kind of a rejection. */
+    private static Kind kind(Verdict verdict) {
+        return verdict.rejection().orElseThrow().kind();
+    }
+
+    /** Returns the priority of a customer in force. */
+    private static int priority(ConfigurationFold fold, String customer) {
+        return fold.active().fleet().customers().get(customer).priority();
+    }
+}
