The whole path, thin: separate processes serve a stream and a call

Cause: nothing served a request end to end yet. Ruled out: logging at shutdown through the default log manager; it closes its handlers before the drain is logged, so a manager that lasts takes its place.

--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import org.verbenatray.telemetry.KeyValueFormatter;
+import org.verbenatray.telemetry.LastingLogManager;
 
 /** The entry point of the binary. */
 public final class Main {
@@ -13,6 +14,7 @@
 
     /** Runs the command that the arguments name and exits with its code. */
     public static void main(String[] arguments) {
+        System.setProperty(LastingLogManager.PROPERTY, LastingLogManager.class.getName());
         KeyValueFormatter.install(Level.INFO);
         int code = CommandLine.create(commands(), System.getenv()).run(arguments, CommandOutput.ofProcess());
         System.out.flush();
--- a/src/main/java/org/verbenatray/cli/PublishCommand.java
+++ b/src/main/java/org/verbenatray/cli/PublishCommand.java
@@ -72,18 +72,20 @@
         plan.conflicts().forEach(divergence -> output.err().println("conflict: " + divergence.message()));
         if (plan.change().isEmpty()) {
             ConfigurationFolder.writePublishState(path, plan.next());
-            output.out().println("nothing to publish, in force is offset "
-                    + session.configuration().offset());
+            output.out()
+                    .println("nothing to publish, in force is offset "
+                            + session.configuration().offset());
             return plan.conflicts().isEmpty() ? ExitCode.DONE : ExitCode.FAILED;
         }
         Verdict verdict = session.append(plan.change().get(), Optional.of(plan.follows()));
         if (verdict.rejection().isPresent()) {
-            output.err().println("rejected at offset " + verdict.offset() + ": "
-                    + verdict.rejection().get().detail());
+            output.err()
+                    .println("rejected at offset " + verdict.offset() + ": "
+                            + verdict.rejection().get().detail());
             return ExitCode.FAILED;
         }
-        PublishState after = ChangeSets.plan(files, session.configuration(), plan.next())
-                .next();
+        PublishState after =
+                ChangeSets.plan(files, session.configuration(), plan.next()).next();
         ConfigurationFolder.writePublishState(path, after);
         output.out().println("accepted at offset " + verdict.offset());
         return ExitCode.DONE;
--- a/src/main/java/org/verbenatray/instance/EnginePoller.java
+++ b/src/main/java/org/verbenatray/instance/EnginePoller.java
@@ -76,7 +76,8 @@
                         deadline,
                         MAX_REPORT_BYTES)
                 .thenAccept(reply -> fleet.onReport(
-                        RecordCodec.decode(reply.text(), LoadReport.class), timing.ticker().nanos()))
+                        RecordCodec.decode(reply.text(), LoadReport.class),
+                        timing.ticker().nanos()))
                 .exceptionally(failure -> {
                     Event.named("load_report_failed")
                             .with("engine", name)
--- a/src/main/java/org/verbenatray/instance/EntryInstance.java
+++ b/src/main/java/org/verbenatray/instance/EntryInstance.java
@@ -14,8 +14,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.stream.Collectors;
+import org.verbenatray.admission.AdmissionBounds;
+import org.verbenatray.admission.AdmissionController;
+import org.verbenatray.admission.ModelCapacity;
+import org.verbenatray.admission.OutputEstimator;
+import org.verbenatray.admission.RetryBudget;
 import org.verbenatray.configuration.ActiveConfiguration;
 import org.verbenatray.configuration.FleetConfiguration;
+import org.verbenatray.fleet.EngineView;
 import org.verbenatray.fleet.FleetBounds;
 import org.verbenatray.fleet.FleetView;
 import org.verbenatray.fleet.InstanceListEntry;
@@ -30,6 +36,7 @@
 import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.serving.EntryServer;
 import org.verbenatray.serving.OpenRequests;
+import org.verbenatray.serving.QueuedAdmitter;
 import org.verbenatray.serving.RelayParts;
 import org.verbenatray.serving.RelaySettings;
 import org.verbenatray.serving.RelayTimers;
@@ -59,6 +66,9 @@
     /** The longest time that a leaving instance waits for its requests, in milliseconds. */
     private static final long DRAIN_MILLIS = 24 * 60 * 60 * 1000L;
 
+    /** The pause between two looks at the capacity of the engines in milliseconds. */
+    private static final long CAPACITY_MILLIS = 250;
+
     /** The settings. */
     private final EntrySettings settings;
 
@@ -89,6 +99,12 @@
     /** The view of the engines. */
     private final FleetView fleet;
 
+    /** Decides which requests run now, wait or are refused. */
+    private final AdmissionController admission = AdmissionController.create(AdmissionBounds.defaults());
+
+    /** Bounds the runs of requests after their first. */
+    private final RetryBudget retries = RetryBudget.defaults();
+
     /** The HTTP servers. */
     private final EntryServer server;
 
@@ -212,14 +228,20 @@
                 relaySettings,
                 RelayTimers.onThreads(timing.ticker()),
                 timing.ticker(),
-                () -> true,
+                retries::tryRetry,
                 metrics);
+        QueuedAdmitter admitter = QueuedAdmitter.create(
+                admission,
+                OutputEstimator.create(OutputEstimator.DEFAULT_PAIRS),
+                request -> chooser.expectation(request),
+                timing);
+        admitter.start();
         ServingParts parts = new ServingParts(
                 settings.name(),
                 settings.failureDomain(),
                 this::active,
                 open,
-                (request, admitted, refused) -> admitted.accept(() -> {}),
+                admitter,
                 relay,
                 HttpServiceClient.create(transport),
                 servers,
@@ -228,6 +250,7 @@
                 .section("configuration", this::active)
                 .section("log", () -> logParts.fold().position())
                 .section("open_requests", open::count)
+                .section("waiting_requests", admitter::waitingRequests)
                 .section("engines", () -> fleet.views(timing.ticker().nanos()))
                 .section("instances", membership::entries);
         return EntryServer.start(settings, worker, parts, metrics, dump, this::isReady);
@@ -238,9 +261,12 @@
         logParts.follower().onApplied(applied -> configurationChanged());
         logParts.follower().onLeap(position -> configurationChanged());
         membership.onList(entries -> fleet.onInstanceList(enginesOf(entries)));
+        membership.onList(entries -> admission.onInstances(
+                membership.liveInstances(), timing.ticker().nanos()));
         membership.onList(entries -> servers.leaving(leavingServices(entries)));
         logParts.start();
         membership.start();
+        watchCapacity();
         new EnginePoller(transport, this::fleetConfiguration, settings.failureDomain(), fleet, timing).start();
     }
 
@@ -249,6 +275,16 @@
         ActiveConfiguration present = active();
         metrics.configurationOffset(present.offset());
         fleet.onConfiguration(present.fleet());
+        admission.onConfiguration(present.fleet(), timing.ticker().nanos());
+    }
+
+    /** Takes the present capacity of the engines over into admission, now and again after each pause. */
+    private void watchCapacity() {
+        List<EngineView> engines = fleet.views(timing.ticker().nanos());
+        for (String model : fleetConfiguration().models().keySet()) {
+            admission.onCapacity(model, ModelCapacity.of(model, engines));
+        }
+        timing.scheduler().runAt(timing.inMillis(CAPACITY_MILLIS), this::watchCapacity);
     }
 
     /** Returns the merged configuration in force. */
--- a/src/main/java/org/verbenatray/serving/CompletionHandler.java
+++ b/src/main/java/org/verbenatray/serving/CompletionHandler.java
@@ -99,10 +99,7 @@
         void admit() {
             CallerWatch.of(exchange.getConnection()).whenClosed(() -> later(this::callerGone));
             waiting = parts.admitter()
-                    .admit(
-                            request,
-                            released -> later(() -> admitted(released)),
-                            refusal -> later(() -> fail(refusal)));
+                    .admit(request, released -> later(() -> admitted(released)), refusal -> later(() -> fail(refusal)));
         }
 
         /** Runs an action on the thread of the request. */
--- a/src/main/java/org/verbenatray/serving/EntryServer.java
+++ b/src/main/java/org/verbenatray/serving/EntryServer.java
@@ -37,8 +37,7 @@
     private EntryServer(EntrySettings settings, XnioWorker worker, HttpHandler serving, HttpHandler operating) {
         callers = Undertow.builder()
                 .setWorker(worker)
-                .addHttpListener(
-                        settings.listen().getPort(), settings.listen().getHostString())
+                .addHttpListener(settings.listen().getPort(), settings.listen().getHostString())
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, settings.maxBodyBytes())
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
@@ -86,7 +85,6 @@
         return addressOf(operators);
     }
 
-
     @Override
     public void close() {
         callers.stop();
--- a/src/main/java/org/verbenatray/serving/ModelsHandler.java
+++ b/src/main/java/org/verbenatray/serving/ModelsHandler.java
@@ -42,5 +42,8 @@
      * @param object the type of the document
      * @param ownedBy the system that serves it
      */
-    private record Model(String id, String object, @JsonProperty("owned_by") String ownedBy) {}
+    private record Model(
+            String id,
+            String object,
+            @JsonProperty("owned_by") String ownedBy) {}
 }
--- a/src/main/java/org/verbenatray/serving/QueuedAdmitter.java
+++ b/src/main/java/org/verbenatray/serving/QueuedAdmitter.java
@@ -126,13 +126,16 @@
             return;
         }
         long now = timing.ticker().nanos();
-        waiting.keySet().stream().map(ticket -> ticket.request().model()).distinct().forEach(model -> {
-            Optional<Release<Expectation>> next = controller.next(model, now, this::dispatchable);
-            while (next.isPresent()) {
-                admitWaiting(next.get().ticket());
-                next = controller.next(model, now, this::dispatchable);
-            }
-        });
+        waiting.keySet().stream()
+                .map(ticket -> ticket.request().model())
+                .distinct()
+                .forEach(model -> {
+                    Optional<Release<Expectation>> next = controller.next(model, now, this::dispatchable);
+                    while (next.isPresent()) {
+                        admitWaiting(next.get().ticket());
+                        next = controller.next(model, now, this::dispatchable);
+                    }
+                });
         for (RefusedTicket refused : controller.giveUp(now)) {
             Optional.ofNullable(waiting.remove(refused.ticket()))
                     .ifPresent(caller -> caller.refused().accept(Refusals.of(refused.refusal())));
--- a/src/main/java/org/verbenatray/serving/RoutedChooser.java
+++ b/src/main/java/org/verbenatray/serving/RoutedChooser.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.verbenatray.admission.AdmissionRequest;
+import org.verbenatray.admission.Expectation;
 import org.verbenatray.configuration.FleetConfiguration;
 import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
 import org.verbenatray.fleet.Dispatch;
@@ -78,6 +80,22 @@
                 .flatMap(route -> slot(route, wanted, hashes));
     }
 
+    /** Returns what the best route promises to a request, empty when no engine can take it now. */
+    public Optional<Expectation> expectation(AdmissionRequest request) {
+        RouteRequest wanted = new RouteRequest(
+                request.model(),
+                request.priority(),
+                failureDomain,
+                request.promptTokens(),
+                request.expectedOutputTokens(),
+                List.of(),
+                Set.of());
+        long now = ticker.nanos();
+        return router.choose(wanted, fleet.candidates(request.model(), now))
+                .flatMap(route -> fleet.view(route.prefillEngine().orElse(route.engine()), now)
+                        .map(prefiller -> Expectation.of(route, prefiller)));
+    }
+
     /** Counts the dispatch and returns its slot. */
     private Optional<EngineSlot> slot(Route route, RouteRequest request, List<Long> hashes) {
         EngineSpec spec = configuration.get().engines().get(route.engine());
--- a/src/main/java/org/verbenatray/serving/ServiceFilter.java
+++ b/src/main/java/org/verbenatray/serving/ServiceFilter.java
@@ -58,7 +58,8 @@
                 request.customer(),
                 method,
                 path + query,
-                Optional.ofNullable(request.headers().getFirst(Headers.CONTENT_TYPE)).orElse(""),
+                Optional.ofNullable(request.headers().getFirst(Headers.CONTENT_TYPE))
+                        .orElse(""),
                 request.body(),
                 request.deadline());
         return new ServiceCall(name, service, call, key(request), sent);
--- a/src/main/java/org/verbenatray/serving/ServiceHandler.java
+++ b/src/main/java/org/verbenatray/serving/ServiceHandler.java
@@ -45,16 +45,21 @@
     /** Creates a handler. */
     ServiceHandler(ServingParts parts) {
         this.parts = parts;
-        this.reader = new RequestReader(parts.defaultTimeoutMillis(), parts.relay().ticker());
+        this.reader =
+                new RequestReader(parts.defaultTimeoutMillis(), parts.relay().ticker());
         this.identify = new IdentifyFilter(parts.configuration());
         this.service = new ServiceFilter(parts.configuration());
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        Bodies.read(exchange, this::serve, broken -> RefusalReply.send(
-                broken,
-                Refusal.notRun(RefusalKind.TOO_LARGE, "the body is larger than the bound or broken; shorten it")));
+        Bodies.read(
+                exchange,
+                this::serve,
+                broken -> RefusalReply.send(
+                        broken,
+                        Refusal.notRun(
+                                RefusalKind.TOO_LARGE, "the body is larger than the bound or broken; shorten it")));
     }
 
     /** Serves one call. */
@@ -101,8 +106,8 @@
             boolean fresh = !call.call().repeatable();
             parts.services()
                     .send(server.address(), call.request(), fresh, exchange.getIoThread())
-                    .whenComplete((reply, failure) ->
-                            exchange.getIoThread().execute(() -> answered(server, reply, failure)));
+                    .whenComplete(
+                            (reply, failure) -> exchange.getIoThread().execute(() -> answered(server, reply, failure)));
         }
 
         /** Handles the reply or the failure of a server. */
