--- a/src/main/java/org/verbenatray/instance/EntryInstance.java
+++ b/src/main/java/org/verbenatray/instance/EntryInstance.java
@@ -178,6 +178,16 @@
         return logParts.configuration().active();
     }
 
+    /** Returns the number of requests without a final answer. */
+    public int openRequests() {
+        return open.count();
+    }
+
+    /** Returns the metrics in Prometheus' text format. */
+    public String metricsText() {
+        return metrics.text();
+    }
+
     /** Takes nothing new, waits for the open requests and stops. */
     public void drainAndClose() {
         Event.named("instance_leaving")
--- a/src/main/java/org/verbenatray/standin/EngineFaults.java
+++ b/src/main/java/org/verbenatray/standin/EngineFaults.java
@@ -5,7 +5,6 @@
 /**
  * The faults that a stand-in engine shows.
  *
- * @param silent whether open replies stop without being closed, while new connections work
  * @param dropEvery every how many lines one line of a reply is lost, zero for never
  * @param repeatEvery every how many lines one line of a reply is sent twice, zero for never
  * @param wrongDispatchEvery every how many lines one carries the id of another dispatch, zero for never
@@ -16,7 +15,6 @@
  * @param loadLagMillis the age of the load that is reported in milliseconds
  */
 public record EngineFaults(
-        boolean silent,
         int dropEvery,
         int repeatEvery,
         int wrongDispatchEvery,
@@ -27,27 +25,12 @@
         long loadLagMillis) {
     /** Returns no faults. */
     public static EngineFaults none() {
-        return new EngineFaults(false, 0, 0, 0, 0, Optional.empty(), 2_000, false, 0);
-    }
-
-    /** Returns these faults with silent connections. */
-    public EngineFaults withSilence(boolean newSilent) {
-        return new EngineFaults(
-                newSilent,
-                dropEvery,
-                repeatEvery,
-                wrongDispatchEvery,
-                cutEvery,
-                crashOn,
-                restartMillis,
-                ignoresFencing,
-                loadLagMillis);
+        return new EngineFaults(0, 0, 0, 0, Optional.empty(), 2_000, false, 0);
     }
 
     /** Returns these faults with a text that crashes the engine. */
     public EngineFaults withCrashOn(String text) {
         return new EngineFaults(
-                silent,
                 dropEvery,
                 repeatEvery,
                 wrongDispatchEvery,
@@ -58,9 +41,15 @@
                 loadLagMillis);
     }
 
+    /** Returns these faults with another time that a crashed engine stays away, in milliseconds. */
+    public EngineFaults withRestartMillis(long millis) {
+        return new EngineFaults(
+                dropEvery, repeatEvery, wrongDispatchEvery, cutEvery, crashOn, millis, ignoresFencing, loadLagMillis);
+    }
+
     /** Returns these faults with damaged lines. */
     public EngineFaults withDamagedLines(int drop, int repeat, int wrongDispatch, int cut) {
         return new EngineFaults(
-                silent, drop, repeat, wrongDispatch, cut, crashOn, restartMillis, ignoresFencing, loadLagMillis);
+                drop, repeat, wrongDispatch, cut, crashOn, restartMillis, ignoresFencing, loadLagMillis);
     }
 }
--- a/src/main/java/org/verbenatray/standin/EngineServer.java
+++ b/src/main/java/org/verbenatray/standin/EngineServer.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.verbenatray.fleet.PromptPieces;
@@ -43,6 +44,12 @@
     /** The faults it shows. */
     private volatile EngineFaults faults = EngineFaults.none();
 
+    /** The dispatches it took. */
+    private final AtomicLong dispatches = new AtomicLong();
+
+    /** How often the open replies were made silent. */
+    private final AtomicLong silences = new AtomicLong();
+
     /** Whether it is down after a crash. */
     private volatile boolean down;
 
@@ -88,11 +95,26 @@
         return name;
     }
 
+    /** Returns the incarnation, which grows with each start and crash. */
+    public long incarnation() {
+        return loop.incarnation();
+    }
+
+    /** Returns the number of dispatches it took since it was made. */
+    public long dispatches() {
+        return dispatches.get();
+    }
+
     /** Sets the faults it shows from now on. */
     public void faults(EngineFaults newFaults) {
         faults = newFaults;
     }
 
+    /** Makes the replies that are open now go silent without closing their connections. */
+    public void silenceOpenReplies() {
+        silences.incrementAndGet();
+    }
+
     /** Takes nothing new from now on. */
     public void leave() {
         loop.leave();
@@ -157,8 +179,8 @@
         loop.ask(() -> {
                     Optional<EngineRefusal> refusal = taking.get();
                     if (refusal.isEmpty()) {
-                        loop.record(dispatch)
-                                .ifPresent(stream -> stream.follow(new StreamReply(exchange, () -> faults), from));
+                        dispatches.incrementAndGet();
+                        loop.record(dispatch).ifPresent(stream -> stream.follow(reply(exchange), from));
                     }
                     return refusal;
                 })
@@ -180,6 +202,12 @@
                 prefillOnly);
     }
 
+    /** Returns a reply that goes silent with the connections of its time. */
+    private StreamReply reply(HttpServerExchange exchange) {
+        long opened = silences.get();
+        return new StreamReply(exchange, () -> faults, () -> silences.get() != opened);
+    }
+
     /** Sends a refusal. */
     private static void refuse(HttpServerExchange exchange, EngineRefusal kind) {
         int status = kind == EngineRefusal.CHANGING || kind == EngineRefusal.WRONG_ROLE ? 410 : 409;
@@ -194,7 +222,7 @@
                 exchange,
                 () -> loop.ask(() -> {
                             Optional<StreamRecord> stream = loop.record(dispatch);
-                            stream.ifPresent(found -> found.follow(new StreamReply(exchange, () -> faults), from));
+                            stream.ifPresent(found -> found.follow(reply(exchange), from));
                             return stream.isPresent();
                         })
                         .thenAccept(found -> {
@@ -207,7 +235,7 @@
     /** Tells whether a dispatch is known. */
     private void status(HttpServerExchange exchange) {
         String dispatch = parameter(exchange, "id");
-        reply(exchange, () -> {
+        answer(exchange, () -> {
             Optional<StreamRecord> stream = loop.record(dispatch);
             return new StreamStatus(
                     stream.isPresent(), stream.map(StreamRecord::generated).orElse(0), Optional.of(loop.incarnation()));
@@ -217,12 +245,12 @@
     /** Cancels a dispatch. */
     private void cancel(HttpServerExchange exchange) {
         String dispatch = parameter(exchange, "id");
-        reply(exchange, () -> loop.cancel(dispatch));
+        answer(exchange, () -> loop.cancel(dispatch));
     }
 
     /** Reports the load. */
     private void load(HttpServerExchange exchange) {
-        reply(exchange, loop::loadReport);
+        answer(exchange, loop::loadReport);
     }
 
     /** Sets the faults. */
@@ -238,7 +266,7 @@
     }
 
     /** Replies with what the engine's thread gives. */
-    private void reply(HttpServerExchange exchange, Supplier<?> query) {
+    private void answer(HttpServerExchange exchange, Supplier<?> query) {
         later(exchange, () -> loop.ask(query).thenAccept(answer -> Replies.json(exchange, 200, answer)));
     }
 
--- a/src/main/java/org/verbenatray/standin/PlatformServer.java
+++ b/src/main/java/org/verbenatray/standin/PlatformServer.java
@@ -41,6 +41,9 @@
     /** The HTTP server. */
     private final Undertow server;
 
+    /** Whether every call fails. */
+    private volatile boolean outage;
+
     /** Creates and starts a platform. */
     private PlatformServer(InetSocketAddress address, InMemoryLog records) {
         this.records = records;
@@ -53,7 +56,7 @@
                 .addHttpListener(address.getPort(), address.getHostString())
                 .setIoThreads(2)
                 .setWorkerThreads(1)
-                .setHandler(routes)
+                .setHandler(exchange -> unlessOut(exchange, routes))
                 .build();
         server.start();
     }
@@ -84,11 +87,36 @@
         return new Listing(entries);
     }
 
+    /** Shows an instance until it is removed or shown otherwise. */
+    public void show(InstanceEntry entry) {
+        instances.put(entry.name(), new Announced(entry, new Deadline(ticker.nanos() + Long.MAX_VALUE / 2)));
+    }
+
+    /** Shows an instance no longer. */
+    public void remove(String name) {
+        instances.remove(name);
+    }
+
+    /** Sets whether the instance list and the log are out of reach. */
+    public void outage(boolean newOutage) {
+        outage = newOutage;
+        records.setUnavailable(newOutage);
+    }
+
     @Override
     public void close() {
         server.stop();
     }
 
+    /** Refuses everything during an outage. */
+    private void unlessOut(HttpServerExchange exchange, RoutingHandler routes) throws Exception {
+        if (outage) {
+            Replies.text(exchange, 503, "text/plain", "the platform is out of service; try again later");
+            return;
+        }
+        routes.handleRequest(exchange);
+    }
+
     /** Appends records. */
     private void append(HttpServerExchange exchange, byte[] body) {
         AppendRequest request = RecordCodec.decode(new String(body, StandardCharsets.UTF_8), AppendRequest.class);
--- a/src/main/java/org/verbenatray/standin/StreamReply.java
+++ b/src/main/java/org/verbenatray/standin/StreamReply.java
@@ -3,6 +3,7 @@
 import io.undertow.server.HttpServerExchange;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.verbenatray.log.RecordCodec;
 import org.verbenatray.servers.EngineChunk;
@@ -23,14 +24,15 @@
     /** The faults to show. */
     private final Supplier<EngineFaults> faults;
 
+    /** Returns whether this connection has gone silent for good. */
+    private final BooleanSupplier silenced;
+
     /** Damages the lines. */
     private final LineFaults lineFaults = new LineFaults();
 
-    /** Whether the connection has gone silent for good. */
-    private boolean silent;
-
     /** Creates a reply and sends its head. */
-    StreamReply(HttpServerExchange exchange, Supplier<EngineFaults> faults) {
+    StreamReply(HttpServerExchange exchange, Supplier<EngineFaults> faults, BooleanSupplier silenced) {
+        this.silenced = silenced;
         this.exchange = exchange;
         this.faults = faults;
         this.reply = StreamedReply.create(exchange, MAX_PENDING_BYTES, () -> {});
@@ -61,7 +63,7 @@
 
     /** Ends the reply unless its connection went silent. */
     private void endUnlessSilent() {
-        if (!silent) {
+        if (!silenced.getAsBoolean()) {
             exchange.getIoThread().execute(reply::end);
         }
     }
@@ -69,8 +71,7 @@
     /** Sends a line as the faults demand. */
     private void send(EngineChunk chunk) {
         EngineFaults present = faults.get();
-        silent = silent || present.silent();
-        if (silent) {
+        if (silenced.getAsBoolean()) {
             return;
         }
         List<EngineChunk> lines = lineFaults.apply(chunk, present);
--- a/src/test/java/org/verbenatray/processes/HttpCaller.java
+++ b/src/test/java/org/verbenatray/processes/HttpCaller.java
@@ -18,9 +18,20 @@
 
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
+    private final String key;
+
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
+    private HttpCaller(String key) {
+        this.key = key;
+    }
+
+    /** Returns a caller with the given API key. */
+    public static HttpCaller withKey(String key) {
+        return new HttpCaller(key);
+    }
+
     /** Sends a request and returns the whole answer. */
     public HttpResponse<String> send(String method, String uri, String body, String... headers) {
         return sendLater(method, uri, body, headers).join();
@@ -31,7 +42,7 @@
             String method, String uri, String body, String... headers) {
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(uri))
                 .timeout(TIMEOUT)
-                .header("Authorization", "Bearer " + KEY)
+                .header("Authorization", "Bearer " + key)
                 .method(method, HttpRequest.BodyPublishers.ofString(body));
         if (headers.length > 0) {
             request.headers(headers);
--- a/src/test/java/org/verbenatray/processes/WholePathTest.java
+++ b/src/test/java/org/verbenatray/processes/WholePathTest.java
@@ -21,7 +21,7 @@
 
     private final List<BinaryProcess> entries = new ArrayList<>();
 
-    private final HttpCaller caller = new HttpCaller();
+    private final HttpCaller caller = HttpCaller.withKey(HttpCaller.KEY);
 
     @BeforeClass
     public void startProcesses() throws Exception {
--- /dev/null
+++ b/src/test/java/org/verbenatray/serving/StreamFaultsTest.java
@@ -0,0 +1,122 @@
+package org.verbenatray.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.verbenatray.demo.EmbeddedDeployment;
+import org.verbenatray.demo.EmbeddedDeployment.Shape;
+import org.verbenatray.processes.Await;
+import org.verbenatray.processes.HttpCaller;
+import org.verbenatray.standin.EngineFaults;
+import org.verbenatray.standin.EngineServer;
+import org.verbenatray.standin.engine.TokenText;
+
+/** Streams through an entry instance while engines and connections fail. */
+public final class StreamFaultsTest {
+    private static final int TOKENS = 60;
+
+    private final HttpCaller caller = HttpCaller.withKey(EmbeddedDeployment.API_KEY);
+
+    private EmbeddedDeployment deployment;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        deployment = EmbeddedDeployment.start(Shape.small());
+    }
+
+    @AfterMethod
+    public void stop() {
+        deployment.close();
+    }
+
+    @Test
+    public void aSilentConnectionIsResumedOnANewOneWithoutLossOrRepetition() {
+        List<CompletableFuture<HttpResponse<String>>> answers = sendAll(8, 300);
+        Await.until(() -> dispatches() == 8);
+        engines().forEach(EngineServer::silenceOpenReplies);
+        assertAllWhole(answers, 300);
+        assertTrue(deployment.entries().get(0).metricsText().contains("{kind=\"resumed\"} 8"));
+        assertEquals(dispatches(), 8);
+    }
+
+    @Test
+    public void lostRepeatedAndForeignLinesAndCutConnectionsDoNotReachTheCaller() {
+        engines().forEach(engine -> engine.faults(EngineFaults.none().withDamagedLines(17, 5, 7, 23)));
+        assertAllWhole(sendAll(8, TOKENS), TOKENS);
+    }
+
+    @Test
+    public void aStreamGoesOnElsewhereAfterItsEngineCrashes() {
+        List<CompletableFuture<HttpResponse<String>>> answers = sendAll(8, 200);
+        Await.until(() -> dispatches() == 8);
+        engines().get(0).crash();
+        assertAllWhole(answers, 200);
+    }
+
+    @Test
+    public void aLeavingEngineGetsNothingNewAndFinishesWhatItHas() {
+        List<CompletableFuture<HttpResponse<String>>> before = sendAll(4, 200);
+        Await.until(() -> dispatches() == 4);
+        EngineServer leaving = engines().get(0);
+        leaving.leave();
+        long taken = leaving.dispatches();
+        assertAllWhole(sendAll(6, TOKENS), TOKENS);
+        assertAllWhole(before, 200);
+        assertEquals(leaving.dispatches(), taken);
+    }
+
+    @Test
+    public void withoutAnyEngineTheCallerIsToldAtOnceThatNothingRanAndWhenToComeBack() {
+        engines().forEach(EngineServer::leave);
+        HttpResponse<String> answer = sendAll(1, TOKENS).get(0).join();
+        assertEquals(answer.statusCode(), 503, answer.body());
+        assertTrue(answer.body().contains("\"ran\":\"no\""), answer.body());
+        assertTrue(answer.headers().firstValue("Retry-After").isPresent());
+    }
+
+    @Test
+    public void anAnswerThatCannotBeWholeDoesNotLookWhole() {
+        engines().forEach(engine -> engine.faults(EngineFaults.none().withRestartMillis(60_000)));
+        CompletableFuture<HttpResponse<String>> answer = sendAll(1, 400).get(0);
+        Await.until(() -> dispatches() == 1);
+        engines().forEach(EngineServer::crash);
+        Optional<String> body = answer.handle(
+                        (whole, failure) -> failure == null ? Optional.of(whole.body()) : Optional.<String>empty())
+                .join();
+        assertFalse(body.orElse("").contains("[DONE]"), body.orElse(""));
+    }
+
+    private List<EngineServer> engines() {
+        return deployment.engines();
+    }
+
+    private long dispatches() {
+        return engines().stream().mapToLong(EngineServer::dispatches).sum();
+    }
+
+    private List<CompletableFuture<HttpResponse<String>>> sendAll(int count, int tokens) {
+        String uri = deployment.entries().get(0).callersAddress() + "/v1/completions";
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int seed = 0; seed < count; seed++) {
+            answers.add(caller.sendLater("POST", uri, HttpCaller.completion("check " + seed, tokens, seed, true)));
+        }
+        return answers;
+    }
+
+    private static void assertAllWhole(List<CompletableFuture<HttpResponse<String>>> answers, int tokens) {
+        for (int seed = 0; seed < answers.size(); seed++) {
+            String body = answers.get(seed).join().body();
+            assertEquals(HttpCaller.textOf(body), TokenText.between(seed, 0, tokens), body);
+            assertTrue(body.endsWith("data: [DONE]\n\n"), body);
+        }
+    }
+}
