--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -170,6 +170,8 @@
             }
         } catch (IOException e) {
             broken(e);
+        } catch (RuntimeException e) {
+            fail(ServerFailure.create(ServerFailure.Kind.WRONG_REPLY, "the reply cannot be used: " + e, e));
         }
     }
 
--- a/src/main/java/org/verbenatray/standin/EngineServer.java
+++ b/src/main/java/org/verbenatray/standin/EngineServer.java
@@ -47,6 +47,9 @@
     /** The dispatches it took. */
     private final AtomicLong dispatches = new AtomicLong();
 
+    /** The requests for work that it got. */
+    private final AtomicLong attempts = new AtomicLong();
+
     /** How often the open replies were made silent. */
     private final AtomicLong silences = new AtomicLong();
 
@@ -105,6 +108,11 @@
         return dispatches.get();
     }
 
+    /** Returns the number of requests for work that it got, taken or refused. */
+    public long attempts() {
+        return attempts.get();
+    }
+
     /** Sets the faults it shows from now on. */
     public void faults(EngineFaults newFaults) {
         faults = newFaults;
@@ -153,6 +161,7 @@
 
     /** Starts a dispatch. */
     private void generate(HttpServerExchange exchange, byte[] body, boolean prefillOnly) {
+        attempts.incrementAndGet();
         GenerateRequest request = RecordCodec.decode(new String(body, StandardCharsets.UTF_8), GenerateRequest.class);
         if (faults.crashOn().filter(request.prompt()::contains).isPresent()) {
             crash();
--- a/src/test/java/org/verbenatray/serving/StreamFaultsTest.java
+++ b/src/test/java/org/verbenatray/serving/StreamFaultsTest.java
@@ -74,6 +74,16 @@
         assertEquals(leaving.dispatches(), taken);
     }
 
+    @Test
+    public void anEngineThatSaidItIsLeavingIsNotAskedAgain() {
+        EngineServer leaving = engines().get(0);
+        leaving.leave();
+        for (int i = 0; i < 10; i++) {
+            assertAllWhole(sendAll(1, 2), 2);
+        }
+        assertTrue(leaving.attempts() <= 1, "attempts " + leaving.attempts());
+    }
+
     @Test
     public void withoutAnyEngineTheCallerIsToldAtOnceThatNothingRanAndWhenToComeBack() {
         engines().forEach(EngineServer::leave);
