Properties of the fold and of a fleet on a faulty log

Cause: the fold's promises (any delivery gives the same state, nothing is appended twice) need proof.

--- a/src/test/java/org/verbenatray/state/BatchingAppenderTest.java
+++ b/src/test/java/org/verbenatray/state/BatchingAppenderTest.java
@@ -23,6 +23,7 @@
     private ManualTime time;
     private InMemoryLog log;
     private int instances;
+    private LogFollower follower;
     private BatchingAppender appender;
 
     @BeforeMethod
@@ -31,7 +32,7 @@
         log = InMemoryLog.create();
         instances = 1;
         SharedFold fold = SharedFold.of(List.of(new ChainFold()));
-        LogFollower follower = LogFollower.create(fold, log, FollowerTimes.defaults(), time.timing());
+        follower = LogFollower.create(fold, log, FollowerTimes.defaults(), time.timing());
         AppenderLimits limits = new AppenderLimits(100, 4, 10, 2, 500, 100, 400);
         appender = BatchingAppender.create("a", log, follower, fold, limits, () -> instances, time.timing());
         follower.start();
@@ -89,6 +90,22 @@
         assertEquals(log.next(), 0);
     }
 
+    @Test
+    public void aCopyOfARecordThatASnapshotCoveredDoesNotCountAsItsVerdict() {
+        log.setReadsHeld(true);
+        time.advanceMillis(50);
+        CompletableFuture<Verdict> verdict = submit(Optional.empty(), 1_000);
+        time.advanceMillis(50);
+        SharedFold peer = SharedFold.of(List.of(new ChainFold()));
+        log.records().forEach(peer::apply);
+        follower.offerSnapshot(peer.snapshot());
+        log.append(List.of(log.records().get(0).record()));
+        follower.offer(log.records());
+        assertFalse(verdict.isDone());
+        time.advanceMillis(1_000);
+        assertEquals(failure(verdict), LogUnavailableException.class);
+    }
+
     @Test
     public void aFullQueueRefusesAtOnce() {
         List<CompletableFuture<Verdict>> all = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/org/verbenatray/state/FleetPropertiesTest.java
@@ -0,0 +1,192 @@
+package org.verbenatray.state;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.verbenatray.log.NotAppendedException;
+import org.verbenatray.log.RecordBody.CallRelease;
+import org.verbenatray.log.StoredRecord;
+import org.verbenatray.log.Verdict;
+import org.verbenatray.standin.InMemoryLog;
+import org.verbenatray.standin.InMemoryLog.AppendFault;
+import org.verbenatray.time.ManualTime;
+
+/** Properties of several instances that append to and follow one faulty log. */
+public final class FleetPropertiesTest {
+    private static final int INSTANCES = 3;
+
+    @Property(tries = 300, seed = "12")
+    void allInstancesAgreeWithAReplayOfTheWholeLogAndNothingIsAppendedTwice(@ForAll("events") List<Event> events) {
+        Fleet fleet = new Fleet();
+        events.forEach(fleet::run);
+        fleet.heal();
+        fleet.check();
+    }
+
+    @Provide
+    Arbitrary<List<Event>> events() {
+        return Combinators.combine(
+                        Arbitraries.of(EventKind.class),
+                        Arbitraries.integers().between(0, INSTANCES - 1),
+                        Arbitraries.integers().between(0, 600))
+                .as(Event::new)
+                .list()
+                .ofMinSize(5)
+                .ofMaxSize(60);
+    }
+
+    /** One event. */
+    record Event(EventKind kind, int instance, int amount) {}
+
+    /** The kinds of events. */
+    enum EventKind {
+        SUBMIT,
+        SUBMIT_FOLLOWING,
+        ADVANCE,
+        OUTAGE,
+        AVAILABLE,
+        FAULT,
+        HOLD_READS,
+        RELEASE_HELD,
+        WRITE_SNAPSHOT,
+        DROP_OLD,
+        RESTART,
+        RELAY,
+        GIVE_SNAPSHOT
+    }
+
+    /** A submitted record and what became of it. */
+    private record Submitted(String name, CompletableFuture<Verdict> verdict) {}
+
+    /** One instance. */
+    private static final class Instance {
+        private final SharedFold fold = SharedFold.of(List.of(new ChainFold()));
+        private final LogFollower follower;
+        private final BatchingAppender appender;
+
+        private Instance(String name, InMemoryLog log, ManualTime time) {
+            follower = LogFollower.create(fold, log, FollowerTimes.defaults(), time.timing());
+            appender = BatchingAppender.create(
+                    name, log, follower, fold, AppenderLimits.defaults(), () -> INSTANCES, time.timing());
+            follower.start();
+        }
+    }
+
+    /** The instances, the log and all that was ever in it. */
+    private static final class Fleet {
+        private final ManualTime time = new ManualTime();
+        private final InMemoryLog log = InMemoryLog.create();
+        private final Map<Long, StoredRecord> history = new TreeMap<>();
+        private final List<Submitted> submitted = new ArrayList<>();
+        private final List<Instance> instances = new ArrayList<>();
+
+        private Fleet() {
+            for (int i = 0; i < INSTANCES; i++) {
+                instances.add(new Instance("i" + i, log, time));
+            }
+        }
+
+        private void run(Event event) {
+            Instance instance = instances.get(event.instance());
+            Instance other = instances.get((event.instance() + 1) % INSTANCES);
+            switch (event.kind()) {
+                case SUBMIT -> submit(instance, Optional.empty(), event.amount());
+                case SUBMIT_FOLLOWING -> submit(instance, Optional.of(log.next() - 1), event.amount());
+                case ADVANCE -> time.advanceMillis(event.amount());
+                case OUTAGE -> log.setUnavailable(true);
+                case AVAILABLE -> log.setUnavailable(false);
+                case FAULT -> log.injectAppendFaults(AppendFault.values()[event.amount() % 5]);
+                case HOLD_READS -> log.setReadsHeld(event.amount() % 2 == 0);
+                case RELEASE_HELD -> log.releaseHeld();
+                case WRITE_SNAPSHOT ->
+                    instance.appender.submit(
+                            instance.fold.snapshot(),
+                            Optional.empty(),
+                            time.timing().inMillis(500));
+                case DROP_OLD -> dropOld(instance);
+                case RESTART -> restart(event.instance());
+                case RELAY ->
+                    other.follower.offer(log.records().subList(0, log.records().size() / 2));
+                case GIVE_SNAPSHOT -> other.follower.offerSnapshot(instance.fold.snapshot());
+            }
+            remember();
+        }
+
+        private void submit(Instance instance, Optional<Long> follows, long millis) {
+            String name = "n" + submitted.size();
+            submitted.add(new Submitted(
+                    name,
+                    instance.appender.submit(
+                            ChainFold.body(name), follows, time.timing().inMillis(millis))));
+        }
+
+        private void dropOld(Instance instance) {
+            instance.fold
+                    .newestSnapshot()
+                    .ifPresent(newest -> log.dropBefore(Math.min(newest.upTo(), newest.offset())));
+        }
+
+        private void restart(int index) {
+            instances.get(index).follower.stop();
+            instances.set(index, new Instance("r" + index, log, time));
+        }
+
+        private void remember() {
+            log.records().forEach(stored -> history.put(stored.offset(), stored));
+        }
+
+        private void heal() {
+            log.setUnavailable(false);
+            log.clearAppendFaults();
+            log.setReadsHeld(false);
+            log.releaseHeld();
+            time.advanceMillis(20_000);
+            remember();
+        }
+
+        private void check() {
+            List<StoredRecord> whole = new ArrayList<>(history.values());
+            SharedFold replayed = SharedFold.of(List.of(new ChainFold()));
+            whole.forEach(replayed::apply);
+            for (Instance instance : instances) {
+                assertEquals(instance.follower.failure(), Optional.empty());
+                assertEquals(instance.fold.hash(), replayed.hash());
+            }
+            NaiveReplay naive = new NaiveReplay(whole);
+            submitted.forEach(one -> checkSubmission(one, whole, naive));
+        }
+
+        private static void checkSubmission(Submitted one, List<StoredRecord> whole, NaiveReplay naive) {
+            List<Long> offsets = whole.stream()
+                    .filter(stored -> stored.record().body() instanceof CallRelease body
+                            && body.callKey().equals(one.name()))
+                    .map(StoredRecord::offset)
+                    .toList();
+            assertTrue(one.verdict().isDone());
+            assertTrue(offsets.size() <= 1, one.name() + " stands twice in the log");
+            if (one.verdict().isCompletedExceptionally()) {
+                Throwable failure =
+                        one.verdict().handle((verdict, error) -> error).join();
+                assertTrue(!(failure instanceof NotAppendedException) || offsets.isEmpty());
+            } else {
+                Verdict verdict = one.verdict().join();
+                assertEquals(verdict.offset(), (long) offsets.get(0));
+                boolean accepted =
+                        naive.verdicts().get(offsets.get(0).intValue()).isEmpty();
+                assertEquals(verdict.isAccepted(), accepted);
+            }
+        }
+    }
+}
