--- a/src/main/java/org/verbenatray/fleet/Dispatch.java
+++ b/src/main/java/org/verbenatray/fleet/Dispatch.java
@@ -11,6 +11,9 @@
     /** The load that the dispatch adds. */
     private final LoadChange load;
 
+    /** The restarts of the engine before the dispatch. */
+    private final int restarts;
+
     /** Whether the prompt is still to be processed. */
     private boolean prefilling = true;
 
@@ -18,15 +21,18 @@
     private boolean ended;
 
     /** Creates an instance from its parts. */
-    private Dispatch(FleetView fleet, EngineState engine, LoadChange load) {
+    private Dispatch(FleetView fleet, EngineState engine, LoadChange load, int restarts) {
         this.fleet = fleet;
         this.engine = engine;
         this.load = load;
+        this.restarts = restarts;
     }
 
-    /** Returns a dispatch whose load is counted by its creator. */
-    static Dispatch create(FleetView fleet, EngineState engine, LoadChange load) {
-        return new Dispatch(fleet, engine, load);
+    /** Counts a dispatch and returns it. */
+    static Dispatch start(FleetView fleet, EngineState engine, LoadChange load, long nowNanos) {
+        Dispatch dispatch = new Dispatch(fleet, engine, load, engine.restarts());
+        dispatch.count(load, nowNanos);
+        return dispatch;
     }
 
     /** Returns the name of the engine. */
@@ -41,7 +47,7 @@
         }
         prefilling = false;
         engine.onSuccess();
-        fleet.count(engine, new LoadChange(0, -load.prefillTokens(), 0), nowNanos);
+        count(new LoadChange(0, -load.prefillTokens(), 0), nowNanos);
     }
 
     /** Notes that the engine finished the request or that its caller withdrew it. */
@@ -68,6 +74,12 @@
     private void end(long nowNanos) {
         ended = true;
         long prefillTokens = prefilling ? load.prefillTokens() : 0;
-        fleet.count(engine, new LoadChange(load.streams(), prefillTokens, load.kvTokens()).negated(), nowNanos);
+        count(new LoadChange(load.streams(), prefillTokens, load.kvTokens()).negated(), nowNanos);
+    }
+
+    /** Counts a load change. */
+    private void count(LoadChange change, long nowNanos) {
+        engine.onLoadChange(change, nowNanos, restarts);
+        fleet.onOwnChange(engine.name(), change);
     }
 }
--- a/src/main/java/org/verbenatray/fleet/EngineState.java
+++ b/src/main/java/org/verbenatray/fleet/EngineState.java
@@ -11,6 +11,9 @@
     /** The largest factor by which the time between probes grows. */
     private static final int MAX_PROBE_FACTOR = 16;
 
+    /** The incarnation of an engine that was never seen. */
+    private static final long UNKNOWN_INCARNATION = Long.MIN_VALUE;
+
     /** The engine's name. */
     private final String name;
 
@@ -30,7 +33,10 @@
     private long measuredNanos;
 
     /** The newest incarnation that was seen. */
-    private long incarnation;
+    private long incarnation = UNKNOWN_INCARNATION;
+
+    /** The number of restarts that were seen. */
+    private int restarts;
 
     /** Whether the newest incarnation is leaving. */
     private boolean leaving;
@@ -148,6 +154,18 @@
         journal.add(change, atNanos);
     }
 
+    /** Adds a load change of a request that was sent after the given number of restarts. */
+    synchronized void onLoadChange(LoadChange change, long atNanos, int sentAfterRestarts) {
+        if (sentAfterRestarts == restarts) {
+            journal.add(change, atNanos);
+        }
+    }
+
+    /** Returns the number of restarts that were seen. */
+    synchronized int restarts() {
+        return restarts;
+    }
+
     /** Notes that a request was sent, which is the probe when the engine counts as unreachable. */
     synchronized void onAttempt(long nowNanos) {
         if (suspected()) {
@@ -215,18 +233,21 @@
                 cacheDoubtful);
     }
 
-    /** Takes over the incarnation and returns whether it is newer than a known one. */
+    /** Takes over the incarnation and returns whether the engine was started anew since it was last seen. */
     private boolean sawIncarnation(long newIncarnation) {
         if (newIncarnation <= incarnation) {
             return false;
         }
-        boolean restarted = report != null || listed;
+        boolean restarted = incarnation != UNKNOWN_INCARNATION;
         incarnation = newIncarnation;
-        leaving = false;
-        changeOrdered = false;
-        failures = 0;
-        report = null;
-        journal.clear();
+        if (restarted) {
+            leaving = false;
+            changeOrdered = false;
+            restarts++;
+            failures = 0;
+            report = null;
+            journal.clear();
+        }
         return restarted;
     }
 
--- a/src/main/java/org/verbenatray/fleet/FleetView.java
+++ b/src/main/java/org/verbenatray/fleet/FleetView.java
@@ -149,8 +149,7 @@
         long prefillTokens = Math.max(0, promptTokens - cachedTokens);
         LoadChange load = new LoadChange(1, prefillTokens, (long) promptTokens + outputTokens);
         state.onAttempt(nowNanos);
-        count(state, load, nowNanos);
-        return Optional.of(Dispatch.create(this, state, load));
+        return Optional.of(Dispatch.start(this, state, load, nowNanos));
     }
 
     /** Counts the load changes that a peer's dispatches caused the given milliseconds ago. */
@@ -235,11 +234,10 @@
         return layout.candidates(model, state -> read(state, nowNanos));
     }
 
-    /** Counts a load change of an own dispatch. */
-    void count(EngineState state, LoadChange change, long nowNanos) {
-        state.onLoadChange(change, nowNanos);
+    /** Notes a load change of an own dispatch for the peers. */
+    void onOwnChange(String engine, LoadChange change) {
         synchronized (ownChanges) {
-            ownChanges.merge(state.name(), change, LoadChange::plus);
+            ownChanges.merge(engine, change, LoadChange::plus);
         }
     }
 
--- /dev/null
+++ b/src/test/java/org/verbenatray/fleet/PrefixIndexPropertiesTest.java
@@ -0,0 +1,123 @@
+package org.verbenatray.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Compares {@link PrefixIndex} with a naive index that scans all engines. */
+public final class PrefixIndexPropertiesTest {
+    private static final int PIECES = 6;
+    private static final int ENGINES = 5;
+
+    @Property(seed = "2", tries = 300)
+    void hitsAndTheBestEnginesEqualThoseOfAFullScan(@ForAll long seed) {
+        Random random = new Random(seed);
+        PrefixIndex index = PrefixIndex.create(PIECES);
+        Map<String, Naive> naive = new TreeMap<>();
+        for (int step = 0; step < 150; step++) {
+            String engine = "e" + random.nextInt(ENGINES);
+            change(random, engine, index, naive.computeIfAbsent(engine, name -> new Naive()));
+            List<Long> prompt = prompt(random);
+            for (String name : naive.keySet()) {
+                int expected = naive.get(name).tokens(prompt);
+                assertEquals(index.cachedTokens(name, prompt, 100_000), expected);
+                assertEquals(index.doubtful(name), naive.get(name).doubtful);
+            }
+            List<Integer> expectedPieces = naive.values().stream()
+                    .map(state -> state.leading(prompt))
+                    .filter(pieces -> pieces > 0)
+                    .sorted(Comparator.reverseOrder())
+                    .limit(3)
+                    .toList();
+            List<PrefixHit> best = index.best(prompt, 3);
+            assertEquals(best.stream().map(PrefixHit::pieces).toList(), expectedPieces);
+            best.forEach(hit -> assertEquals(naive.get(hit.engine()).leading(prompt), hit.pieces()));
+        }
+        assertTrue(index.size() <= PIECES * ENGINES);
+    }
+
+    private static void change(Random random, String engine, PrefixIndex index, Naive naive) {
+        int kind = random.nextInt(10);
+        List<Long> pieces = prompt(random);
+        if (kind < 3) {
+            index.onDispatch(engine, pieces);
+            pieces.forEach(naive::hold);
+        } else if (kind < 8) {
+            long skipped = random.nextInt(8) == 0 ? 1 : 0;
+            naive.doubtful |= skipped > 0;
+            naive.sequence += 1 + skipped;
+            List<Long> evicted = random.nextBoolean() ? prompt(random) : List.of();
+            CacheEvent event = new CacheEvent(naive.incarnation, naive.sequence, pieces, evicted);
+            index.onEvent(engine, event);
+            index.onEvent(engine, event);
+            naive.held.removeAll(evicted);
+            pieces.forEach(naive::hold);
+        } else if (kind == 8) {
+            naive.held.clear();
+            naive.doubtful = false;
+            naive.sequence += 3;
+            index.onResync(engine, naive.incarnation, naive.sequence, pieces);
+            pieces.forEach(naive::hold);
+        } else {
+            boolean hadEvents = naive.sequence >= 0;
+            naive.incarnation++;
+            naive.sequence = 0;
+            if (hadEvents) {
+                naive.held.clear();
+                naive.doubtful = false;
+            }
+            index.onEvent(engine, new CacheEvent(naive.incarnation, 0, pieces, List.of()));
+            pieces.forEach(naive::hold);
+        }
+    }
+
+    /** Returns the hashes of one of three families of prompts, of a random length. */
+    private static List<Long> prompt(Random random) {
+        long family = random.nextInt(3) * 100L;
+        List<Long> hashes = new ArrayList<>();
+        int length = random.nextInt(5);
+        for (int piece = 0; piece < length; piece++) {
+            hashes.add(family + piece);
+        }
+        return hashes;
+    }
+
+    /** The pieces of one engine, least recently used first. */
+    private static final class Naive {
+        private final Set<Long> held = new LinkedHashSet<>();
+        private boolean doubtful;
+        private long incarnation;
+        private long sequence = -1;
+
+        void hold(Long hash) {
+            held.remove(hash);
+            held.add(hash);
+            if (held.size() > PIECES) {
+                held.remove(held.iterator().next());
+            }
+        }
+
+        int leading(List<Long> prompt) {
+            int count = 0;
+            while (count < prompt.size() && held.contains(prompt.get(count))) {
+                count++;
+            }
+            return count;
+        }
+
+        int tokens(List<Long> prompt) {
+            int tokens = leading(prompt) * PromptPieces.PIECE_TOKENS;
+            return doubtful ? tokens / 2 : tokens;
+        }
+    }
+}
