--- /dev/null
+++ b/src/main/java/org/verbenatray/bench/MixRun.java
@@ -0,0 +1,22 @@
+package org.verbenatray.bench;
+
+/**
+ * What one run plays.
+ *
+ * @param deployment the fleet
+ * @param shape the shape of the mix
+ * @param assignment the roles at the start
+ * @param policy the name of the policy of role changes
+ * @param seed the seed
+ */
+public record MixRun(Deployment deployment, MixShape shape, RoleAssignment assignment, String policy, long seed) {
+    /** Returns the part of the run that plays at one failure domain. */
+    public MixRun at(String failureDomain) {
+        return new MixRun(deployment.only(failureDomain), shape, assignment, policy, seed);
+    }
+
+    /** Returns the run with other roles at the start. */
+    public MixRun startingIn(RoleAssignment start) {
+        return new MixRun(deployment, shape, start, policy, seed);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/roles/CapacityModel.java
@@ -0,0 +1,159 @@
+package org.verbenatray.roles;
+
+import java.util.List;
+import org.verbenatray.configuration.EngineRole;
+import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
+import org.verbenatray.roles.Demand.PriorityDemand;
+
+/** Estimates the goodput of engines in given roles under a demand. */
+public final class CapacityModel {
+    /** The share of an engine's time that may be planned; the rest absorbs bursts. */
+    private static final double PLANNED_SHARE = 0.9;
+
+    /** The goodput that a high-priority answer loses when its tokens are generated between chunks of prompts. */
+    private static final double INTERFERENCE_LOSS = 0.5;
+
+    /** The loss of goodput per unit of utilisation, which prefers the assignment with more room. */
+    private static final double UTILISATION_LOSS = 0.02;
+
+    /** The rounds of bisection. */
+    private static final int BISECTIONS = 20;
+
+    /** Prevents instances. */
+    private CapacityModel() {}
+
+    /**
+     * Returns the answers per second that the engines are expected to give in time.
+     *
+     * @param engines the engines in service
+     * @param demand the work that arrives
+     */
+    public static double goodput(List<Assigned> engines, Demand demand) {
+        double promptTokens = 0;
+        double outputTokens = 0;
+        double served = 0;
+        for (int i = 0; i < demand.classes().size(); i++) {
+            PriorityDemand work = demand.classes().get(i);
+            double part = servedPart(engines, promptTokens, outputTokens, work);
+            promptTokens += part * work.promptTokensPerSecond();
+            outputTokens += part * work.outputTokensPerSecond();
+            double quality = 1;
+            if (i == 0 && demand.classes().size() > 1) {
+                quality -= INTERFERENCE_LOSS * interference(engines, work, demand);
+            }
+            served += part * work.answersPerSecond() * quality;
+        }
+        double utilisation = Math.min(2, utilisation(engines, demand));
+        return served - UTILISATION_LOSS * utilisation * demand.answersPerSecond();
+    }
+
+    /** Returns the share of prompts in the time that an engine in both roles would spend, from 0 to 1. */
+    public static double promptShare(EngineSpec engine, Demand demand) {
+        double prompt = demand.promptTokensPerSecond() / engine.prefillTokensPerSecond();
+        double output = demand.outputTokensPerSecond() / decodeTokensPerSecond(engine);
+        return prompt + output == 0 ? 0.5 : prompt / (prompt + output);
+    }
+
+    /** Returns the output tokens per second of an engine with a full batch and no prompts. */
+    public static double decodeTokensPerSecond(EngineSpec engine) {
+        double stepMillis = engine.decodeStepMillis() + engine.decodeStepMillisPerStream() * (engine.maxStreams() - 1);
+        return engine.maxStreams() / stepMillis * 1_000;
+    }
+
+    /** Returns which part of the work fits beside work that is served before it, from 0 to 1. */
+    private static double servedPart(
+            List<Assigned> engines, double promptTokens, double outputTokens, PriorityDemand work) {
+        double low = 0;
+        double high = 1;
+        for (int round = 0; round < BISECTIONS; round++) {
+            double middle = round == 0 ? 1 : (low + high) / 2;
+            double prompt = promptTokens + middle * work.promptTokensPerSecond();
+            double output = outputTokens + middle * work.outputTokensPerSecond();
+            if (utilisation(engines, prompt, output) <= PLANNED_SHARE) {
+                low = middle;
+            } else {
+                high = middle;
+            }
+            if (low == 1) {
+                return 1;
+            }
+        }
+        return low;
+    }
+
+    /** Returns the utilisation of the engines by a demand. */
+    private static double utilisation(List<Assigned> engines, Demand demand) {
+        return utilisation(engines, demand.promptTokensPerSecond(), demand.outputTokensPerSecond());
+    }
+
+    /**
+     * Returns the smallest utilisation at which all engines are equally busy or the specialised ones less, large when
+     * no engine takes a kind of work.
+     */
+    private static double utilisation(List<Assigned> engines, double promptTokens, double outputTokens) {
+        double low = 0;
+        double high = 64;
+        for (int round = 0; round < BISECTIONS; round++) {
+            double middle = (low + high) / 2;
+            if (fits(engines, promptTokens, outputTokens, middle)) {
+                high = middle;
+            } else {
+                low = middle;
+            }
+        }
+        return high;
+    }
+
+    /** Returns whether the work fits when each engine is busy for the given share of its time. */
+    private static boolean fits(List<Assigned> engines, double promptTokens, double outputTokens, double busy) {
+        double prompt = promptTokens;
+        double output = outputTokens;
+        for (Assigned engine : engines) {
+            if (engine.role() == EngineRole.PREFILL) {
+                prompt -= busy * engine.spec().prefillTokensPerSecond();
+            } else if (engine.role() == EngineRole.DECODE) {
+                output -= busy * decodeTokensPerSecond(engine.spec());
+            }
+        }
+        prompt = Math.max(0, prompt);
+        output = Math.max(0, output);
+        for (Assigned engine : engines) {
+            if (engine.role() == EngineRole.BOTH) {
+                double promptTime = Math.min(busy, prompt / engine.spec().prefillTokensPerSecond());
+                prompt -= promptTime * engine.spec().prefillTokensPerSecond();
+                output -= (busy - promptTime) * decodeTokensPerSecond(engine.spec());
+            }
+        }
+        return prompt <= 1e-6 && output <= 1e-6;
+    }
+
+    /** Returns the part of high-priority output that is generated between chunks of prompts, from 0 to 1. */
+    private static double interference(List<Assigned> engines, PriorityDemand work, Demand demand) {
+        double calm = 0;
+        double prefill = 0;
+        double mixed = 0;
+        for (Assigned engine : engines) {
+            if (engine.role() == EngineRole.DECODE) {
+                calm += PLANNED_SHARE * decodeTokensPerSecond(engine.spec());
+            } else if (engine.role() == EngineRole.PREFILL) {
+                prefill += PLANNED_SHARE * engine.spec().prefillTokensPerSecond();
+            } else {
+                mixed += engine.spec().prefillTokensPerSecond();
+            }
+        }
+        if (mixed == 0 || work.outputTokensPerSecond() == 0) {
+            return 0;
+        }
+        double disturbed = Math.max(0, work.outputTokensPerSecond() - calm) / work.outputTokensPerSecond();
+        double prompts = Math.max(0, demand.promptTokensPerSecond() - prefill);
+        return disturbed * Math.min(1, 2 * prompts / mixed);
+    }
+
+    /**
+     * An engine in a role.
+     *
+     * @param spec the engine's configuration
+     * @param role the role
+     */
+    public record Assigned(EngineSpec spec, EngineRole role) {}
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/roles/RolePlanner.java
@@ -0,0 +1,158 @@
+package org.verbenatray.roles;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Predicate;
+import org.verbenatray.configuration.EngineRole;
+import org.verbenatray.fleet.EngineCondition;
+import org.verbenatray.fleet.EngineView;
+import org.verbenatray.roles.CapacityModel.Assigned;
+import org.verbenatray.roles.RolePlan.Reason;
+
+/** Decides when an engine changes its role; a pure function of its input. */
+public final class RolePlanner {
+    /** The age in milliseconds from which a load report is too old to decide from. */
+    public static final long STALE_MILLIS = 3_000;
+
+    /** Milliseconds in one second. */
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /** Orders alternatives by their net gain, then by the names, so that the choice is deterministic. */
+    private static final Comparator<RoleAlternative> BEST_FIRST = Comparator.comparingDouble(
+                    (RoleAlternative alternative) -> -alternative.netAnswers())
+            .thenComparing(RoleAlternative::engine)
+            .thenComparing(RoleAlternative::to);
+
+    /** Prevents instances. */
+    private RolePlanner() {}
+
+    /** Returns the changes to order now and why. */
+    public static RolePlan plan(PlannerInput input) {
+        if (!input.mayOrder()) {
+            return RolePlan.none(input, Reason.NO_AUTHORITY);
+        }
+        List<EngineView> ready = readyOf(input);
+        if (ready.stream().anyMatch(view -> view.reportAgeMillis() > STALE_MILLIS)) {
+            return RolePlan.none(input, Reason.STALE_VIEW);
+        }
+        int underWay = changing(input);
+        if (underWay >= input.spec().maxAtOnce()) {
+            return RolePlan.none(input, Reason.CHANGES_UNDER_WAY);
+        }
+        if (input.shortDemand().answersPerSecond() == 0) {
+            return RolePlan.none(input, Reason.NO_DEMAND);
+        }
+        return choose(input, ready);
+    }
+
+    /** Returns whether the other engines keep both kinds of work while an engine changes to a role. */
+    public static boolean keepsBothRoles(List<EngineView> ready, EngineView changing, EngineRole to) {
+        boolean prefills = anyOther(ready, changing, EngineRole::prefills);
+        boolean decodes = anyOther(ready, changing, EngineRole::decodes);
+        if (prefills && decodes) {
+            return true;
+        }
+        boolean restoresPrefill = !prefills && !changing.role().prefills() && to.prefills();
+        boolean restoresDecode = !decodes && !changing.role().decodes() && to.decodes();
+        boolean complete = (prefills || to.prefills()) && (decodes || to.decodes());
+        return complete && (restoresPrefill || restoresDecode);
+    }
+
+    /** Returns whether another ready engine's role matches. */
+    private static boolean anyOther(List<EngineView> ready, EngineView changing, Predicate<EngineRole> matches) {
+        return ready.stream().anyMatch(view -> !view.name().equals(changing.name()) && matches.test(view.role()));
+    }
+
+    /** Returns the engines that serve in their present role. */
+    private static List<EngineView> readyOf(PlannerInput input) {
+        return input.engines().stream()
+                .filter(view -> view.condition() == EngineCondition.READY)
+                .filter(view -> !input.targets().containsKey(view.name()))
+                .sorted(Comparator.comparing(EngineView::name))
+                .toList();
+    }
+
+    /** Returns the number of engines that change. */
+    private static int changing(PlannerInput input) {
+        return (int) input.engines().stream()
+                .filter(view -> view.condition() == EngineCondition.CHANGING
+                        || input.targets().containsKey(view.name()))
+                .count();
+    }
+
+    /** Weighs all changes and chooses the best one if it is worth its price. */
+    private static RolePlan choose(PlannerInput input, List<EngineView> ready) {
+        List<Assigned> settled = settledOf(input, ready);
+        double present = CapacityModel.goodput(settled, input.shortDemand());
+        List<RoleAlternative> alternatives = alternativesOf(input, ready, settled, present);
+        boolean missing = !ready.isEmpty() && lacksRole(settled);
+        double price = missing ? 0 : input.spec().changePrice();
+        List<RoleAlternative> changes = alternatives.stream()
+                .filter(alternative -> alternative.netAnswers() > price)
+                .limit(1)
+                .toList();
+        Reason reason = changes.isEmpty() ? Reason.NO_GAIN : missing ? Reason.ROLE_MISSING : Reason.GAIN_EXCEEDS_PRICE;
+        return new RolePlan(changes, alternatives, present, input.shortDemand(), input.expectedShiftMillis(), reason);
+    }
+
+    /** Returns whether no engine takes one kind of work. */
+    private static boolean lacksRole(List<Assigned> engines) {
+        return engines.stream().noneMatch(engine -> engine.role().prefills())
+                || engines.stream().noneMatch(engine -> engine.role().decodes());
+    }
+
+    /** Returns the assignment after the outstanding orders. */
+    private static List<Assigned> settledOf(PlannerInput input, List<EngineView> ready) {
+        List<Assigned> assigned = new ArrayList<>();
+        for (EngineView view : ready) {
+            assigned.add(new Assigned(view.spec(), view.role()));
+        }
+        for (EngineView view : input.engines()) {
+            EngineRole target = input.targets().get(view.name());
+            if (target != null) {
+                assigned.add(new Assigned(view.spec(), target));
+            }
+        }
+        return assigned;
+    }
+
+    /** Returns the permitted changes, the best first. */
+    private static List<RoleAlternative> alternativesOf(
+            PlannerInput input, List<EngineView> ready, List<Assigned> settled, double present) {
+        List<RoleAlternative> alternatives = new ArrayList<>();
+        for (int i = 0; i < ready.size(); i++) {
+            EngineView engine = ready.get(i);
+            for (EngineRole to : EngineRole.values()) {
+                if (to != engine.role() && keepsBothRoles(ready, engine, to)) {
+                    alternatives.add(weigh(input, engine, to, settled, i, present));
+                }
+            }
+        }
+        alternatives.sort(BEST_FIRST);
+        return alternatives;
+    }
+
+    /** Weighs one change. */
+    private static RoleAlternative weigh(
+            PlannerInput input, EngineView engine, EngineRole to, List<Assigned> settled, int index, double present) {
+        List<Assigned> without = new ArrayList<>(settled);
+        without.remove(index);
+        List<Assigned> changed = new ArrayList<>(settled);
+        changed.set(index, new Assigned(engine.spec(), to));
+        double after = CapacityModel.goodput(changed, input.shortDemand());
+        double during = CapacityModel.goodput(without, input.shortDemand());
+        double outSeconds = (input.spec().changeMillis() + finishMillis(engine)) / MILLIS_PER_SECOND;
+        double shiftSeconds = input.expectedShiftMillis() / MILLIS_PER_SECOND;
+        double gain = (after - present) * Math.max(0, shiftSeconds - outSeconds);
+        double cost = (present - during) * Math.min(outSeconds, shiftSeconds);
+        return new RoleAlternative(engine.name(), engine.role(), to, after, gain, cost);
+    }
+
+    /** Returns the time in milliseconds in which an engine finishes the prompts that it has. */
+    private static double finishMillis(EngineView engine) {
+        double prompts = engine.queuedPrefillTokens() / engine.spec().prefillTokensPerSecond() * MILLIS_PER_SECOND;
+        double streams = engine.runningStreams() * engine.spec().decodeStepMillisPerStream();
+        return Math.min(2 * MILLIS_PER_SECOND, prompts) + streams;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/roles/ShiftHistory.java
@@ -0,0 +1,71 @@
+package org.verbenatray.roles;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Follows the share of prompts in the work and estimates how long the present share will last from how long earlier
+ * ones did. Not thread-safe; times must not decrease.
+ */
+public final class ShiftHistory {
+    /** The difference of shares that counts as a shift. */
+    private static final double SHIFT = 0.12;
+
+    /** The number of past shifts that are kept. */
+    private static final int KEPT = 6;
+
+    /** Nanoseconds in one millisecond. */
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** The shortest estimate in milliseconds. */
+    private final long shortestMillis;
+
+    /** The estimate in milliseconds before anything was learnt. */
+    private final long longestMillis;
+
+    /** The durations of past phases in milliseconds, the oldest first. */
+    private final Deque<Long> pastMillis = new ArrayDeque<>();
+
+    /** The mean share in the present phase. */
+    private double phaseShare = Double.NaN;
+
+    /** When the present phase began. */
+    private long phaseStartNanos;
+
+    /** Creates an empty history. */
+    private ShiftHistory(long shortestMillis, long longestMillis) {
+        this.shortestMillis = shortestMillis;
+        this.longestMillis = longestMillis;
+    }
+
+    /** Returns an empty history whose estimates lie between the given bounds. */
+    public static ShiftHistory create(long shortestMillis, long longestMillis) {
+        return new ShiftHistory(shortestMillis, longestMillis);
+    }
+
+    /** Notes the share of prompts in the engines' time, from 0 to 1. */
+    public void observe(long nowNanos, double promptShare) {
+        if (Double.isNaN(phaseShare)) {
+            phaseShare = promptShare;
+            phaseStartNanos = nowNanos;
+        } else if (Math.abs(promptShare - phaseShare) > SHIFT) {
+            pastMillis.addLast((nowNanos - phaseStartNanos) / NANOS_PER_MILLI);
+            if (pastMillis.size() > KEPT) {
+                pastMillis.removeFirst();
+            }
+            phaseShare = promptShare;
+            phaseStartNanos = nowNanos;
+        }
+    }
+
+    /** Returns how long the present share is likely to last in milliseconds. */
+    public long expectedMillis(long nowNanos) {
+        long elapsed = (nowNanos - phaseStartNanos) / NANOS_PER_MILLI;
+        if (pastMillis.size() < 2) {
+            return longestMillis;
+        }
+        double mean = pastMillis.stream().mapToLong(Long::longValue).average().orElse(longestMillis);
+        long remaining = elapsed < mean ? (long) mean - elapsed : elapsed;
+        return Math.max(shortestMillis, Math.min(longestMillis, remaining));
+    }
+}
