--- a/src/main/java/org/verbenatray/bench/Arrival.java
+++ b/src/main/java/org/verbenatray/bench/Arrival.java
@@ -18,4 +18,16 @@
         int promptTokens,
         int outputTokens,
         long deadlineNanos,
-        long seed) {}
+        long seed) {
+    /** Nanoseconds in one millisecond. */
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** The time between tokens that callers are promised in milliseconds. */
+    private static final long BETWEEN_TOKENS_MILLIS = 26;
+
+    /** Returns the time that the request can wait for its first token in milliseconds. */
+    public long patienceMillis() {
+        long millis = (deadlineNanos - atNanos) / NANOS_PER_MILLI;
+        return Math.max(0, millis - kind.expectedOutputTokens() * BETWEEN_TOKENS_MILLIS);
+    }
+}
--- a/src/main/java/org/verbenatray/bench/BaselinePolicies.java
+++ b/src/main/java/org/verbenatray/bench/BaselinePolicies.java
@@ -54,8 +54,7 @@
                 .filter(view -> RolePlanner.keepsBothRoles(ready, view, next(view.role(), towardsPrompts)))
                 .min(Comparator.comparingInt(EngineView::runningStreams)
                         .thenComparingLong(EngineView::queuedPrefillTokens))
-                .map(view -> new RoleAlternative(
-                        view.name(), view.role(), next(view.role(), towardsPrompts), 0, wanted - present, 0))
+                .map(view -> new RoleAlternative(view.name(), view.role(), next(view.role(), towardsPrompts), 0, 0, 0))
                 .stream()
                 .toList();
     }
--- a/src/main/java/org/verbenatray/bench/DomainPlanning.java
+++ b/src/main/java/org/verbenatray/bench/DomainPlanning.java
@@ -46,8 +46,12 @@
 
     /** Counts an arrival. */
     void arrived(Arrival arrival) {
-        RequestKind kind = arrival.kind();
-        windows.record(arrival.atNanos(), kind.priority(), arrival.promptTokens(), kind.expectedOutputTokens());
+        windows.record(
+                arrival.atNanos(),
+                arrival.kind().priority(),
+                arrival.promptTokens(),
+                arrival.kind().expectedOutputTokens(),
+                arrival.patienceMillis());
     }
 
     /** Returns the changes to order now, none before the short window was observed once. */
--- a/src/main/java/org/verbenatray/bench/ForesightPolicy.java
+++ b/src/main/java/org/verbenatray/bench/ForesightPolicy.java
@@ -36,7 +36,11 @@
         for (Arrival arrival : arrivals) {
             if (arrival.atNanos() >= from && arrival.atNanos() < to) {
                 ahead.record(
-                        arrival.atNanos(), arrival.kind().priority(), arrival.promptTokens(), arrival.outputTokens());
+                        arrival.atNanos(),
+                        arrival.kind().priority(),
+                        arrival.promptTokens(),
+                        arrival.outputTokens(),
+                        arrival.patienceMillis());
             }
         }
         Demand demand = ahead.demand(to, AHEAD_MILLIS);
--- a/src/main/java/org/verbenatray/roles/CapacityModel.java
+++ b/src/main/java/org/verbenatray/roles/CapacityModel.java
@@ -1,20 +1,21 @@
 package org.verbenatray.roles;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.verbenatray.configuration.EngineRole;
 import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
 import org.verbenatray.roles.Demand.PriorityDemand;
 
-/** Estimates the goodput of engines in given roles under a demand. */
+/** Estimates how engines in given roles serve a demand. */
 public final class CapacityModel {
     /** The share of an engine's time that may be planned; the rest absorbs bursts. */
     private static final double PLANNED_SHARE = 0.9;
 
     /** The goodput that a high-priority answer loses when its tokens are generated between chunks of prompts. */
-    private static final double INTERFERENCE_LOSS = 0.5;
+    private static final double INTERFERENCE_LOSS = 0.4;
 
     /** The loss of goodput per unit of utilisation, which prefers the assignment with more room. */
-    private static final double UTILISATION_LOSS = 0.02;
+    private static final double UTILISATION_LOSS = 0.01;
 
     /** The rounds of bisection. */
     private static final int BISECTIONS = 20;
@@ -23,28 +24,25 @@
     private CapacityModel() {}
 
     /**
-     * Returns the answers per second that the engines are expected to give in time.
+     * Returns how each class of the demand is served.
      *
      * @param engines the engines in service
      * @param demand the work that arrives
      */
-    public static double goodput(List<Assigned> engines, Demand demand) {
+    public static List<Service> serve(List<Assigned> engines, Demand demand) {
         double promptTokens = 0;
         double outputTokens = 0;
-        double served = 0;
-        for (int i = 0; i < demand.classes().size(); i++) {
-            PriorityDemand work = demand.classes().get(i);
+        double spared = UTILISATION_LOSS * Math.min(2, utilisation(engines, demand));
+        List<Service> services = new ArrayList<>();
+        for (PriorityDemand work : demand.classes()) {
             double part = servedPart(engines, promptTokens, outputTokens, work);
             promptTokens += part * work.promptTokensPerSecond();
             outputTokens += part * work.outputTokensPerSecond();
-            double quality = 1;
-            if (i == 0 && demand.classes().size() > 1) {
-                quality -= INTERFERENCE_LOSS * interference(engines, work, demand);
-            }
-            served += part * work.answersPerSecond() * quality;
+            boolean interactive = services.isEmpty() && demand.classes().size() > 1;
+            double disturbed = interactive ? INTERFERENCE_LOSS * interference(engines, work, demand) : 0;
+            services.add(new Service(part, Math.max(0, 1 - disturbed - spared)));
         }
-        double utilisation = Math.min(2, utilisation(engines, demand));
-        return served - UTILISATION_LOSS * utilisation * demand.answersPerSecond();
+        return services;
     }
 
     /** Returns the share of prompts in the time that an engine in both roles would spend, from 0 to 1. */
@@ -149,6 +147,14 @@
         return disturbed * Math.min(1, 2 * prompts / mixed);
     }
 
+    /**
+     * How a class of the demand is served.
+     *
+     * @param part the part that fits as it arrives, from 0 to 1
+     * @param quality the part of the served answers that is in time, from 0 to 1
+     */
+    public record Service(double part, double quality) {}
+
     /**
      * An engine in a role.
      *
--- a/src/main/java/org/verbenatray/roles/Demand.java
+++ b/src/main/java/org/verbenatray/roles/Demand.java
@@ -44,7 +44,12 @@
      * @param answersPerSecond the requests that arrived per second
      * @param promptTokensPerSecond their prompt tokens per second, without those that were expected in a cache
      * @param outputTokensPerSecond the tokens per second that they were expected to generate
+     * @param patienceSeconds the mean time that they could wait and still meet their deadlines in seconds
      */
     public record PriorityDemand(
-            int priority, double answersPerSecond, double promptTokensPerSecond, double outputTokensPerSecond) {}
+            int priority,
+            double answersPerSecond,
+            double promptTokensPerSecond,
+            double outputTokensPerSecond,
+            double patienceSeconds) {}
 }
--- a/src/main/java/org/verbenatray/roles/DemandWindows.java
+++ b/src/main/java/org/verbenatray/roles/DemandWindows.java
@@ -20,8 +20,11 @@
     /** The largest number of priorities that are told apart. */
     private static final int MAX_PRIORITIES = 8;
 
-    /** The values per bucket: answers, prompt tokens, output tokens. */
-    private static final int VALUES = 3;
+    /** The values per bucket: answers, prompt tokens, output tokens, milliseconds of patience. */
+    private static final int VALUES = 4;
+
+    /** Milliseconds in one second. */
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     /** The number of buckets. */
     private final int buckets;
@@ -46,13 +49,22 @@
         return new DemandWindows(longestWindowMillis, startNanos);
     }
 
-    /** Counts a request that arrived. */
-    public void record(long nowNanos, int priority, long promptTokens, long outputTokens) {
+    /**
+     * Counts a request that arrived.
+     *
+     * @param nowNanos the present time
+     * @param priority its priority
+     * @param promptTokens its prompt tokens that are not expected in a cache
+     * @param outputTokens the tokens that it is expected to generate
+     * @param patienceMillis the time that it can wait and still meet its deadline in milliseconds
+     */
+    public void record(long nowNanos, int priority, long promptTokens, long outputTokens, long patienceMillis) {
         moveTo(nowNanos);
         double[] bucket = rowsOf(priority)[(int) (newest % buckets)];
         bucket[0]++;
         bucket[1] += promptTokens;
         bucket[2] += outputTokens;
+        bucket[3] += patienceMillis;
     }
 
     /** Returns the demand per second over the window that ends now; a window that began later counts its length. */
@@ -68,7 +80,9 @@
             for (long bucket = oldest; bucket <= newest; bucket++) {
                 addTo(sum, entry.getValue()[(int) (bucket % buckets)]);
             }
-            classes.add(new PriorityDemand(entry.getKey(), sum[0] / seconds, sum[1] / seconds, sum[2] / seconds));
+            double patience = sum[0] == 0 ? 0 : sum[3] / sum[0] / MILLIS_PER_SECOND;
+            classes.add(
+                    new PriorityDemand(entry.getKey(), sum[0] / seconds, sum[1] / seconds, sum[2] / seconds, patience));
         }
         return new Demand(classes);
     }
--- a/src/main/java/org/verbenatray/roles/RoleAlternative.java
+++ b/src/main/java/org/verbenatray/roles/RoleAlternative.java
@@ -8,19 +8,9 @@
  * @param engine the engine
  * @param from its role
  * @param to the new role
- * @param goodputPerSecond the expected answers in time per second after the change
- * @param gainAnswers the answers that the change is expected to gain until the mix shifts again
- * @param costAnswers the answers that are lost while the engine is out of service
+ * @param outMillis the time that the engine is expected to be out of service in milliseconds
+ * @param answers the answers in time that are expected until the mix shifts again
+ * @param gainAnswers how many more these are than without a change
  */
 public record RoleAlternative(
-        String engine,
-        EngineRole from,
-        EngineRole to,
-        double goodputPerSecond,
-        double gainAnswers,
-        double costAnswers) {
-    /** Returns the expected gain less the expected cost in answers. */
-    public double netAnswers() {
-        return gainAnswers - costAnswers;
-    }
-}
+        String engine, EngineRole from, EngineRole to, long outMillis, double answers, double gainAnswers) {}
--- a/src/main/java/org/verbenatray/roles/RolePlan.java
+++ b/src/main/java/org/verbenatray/roles/RolePlan.java
@@ -7,7 +7,7 @@
  *
  * @param changes the changes to order now
  * @param alternatives all changes that were weighed, the best first
- * @param goodputPerSecond the expected answers in time per second without a change
+ * @param answers the answers in time that are expected without a change until the mix shifts again
  * @param shortDemand the demand that the decision is for
  * @param expectedShiftMillis how long the mix was expected to last in milliseconds
  * @param reason why these changes or none
@@ -15,7 +15,7 @@
 public record RolePlan(
         List<RoleAlternative> changes,
         List<RoleAlternative> alternatives,
-        double goodputPerSecond,
+        double answers,
         Demand shortDemand,
         long expectedShiftMillis,
         Reason reason) {
--- a/src/main/java/org/verbenatray/roles/RolePlanner.java
+++ b/src/main/java/org/verbenatray/roles/RolePlanner.java
@@ -18,9 +18,10 @@
     /** Milliseconds in one second. */
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    /** Orders alternatives by their net gain, then by the names, so that the choice is deterministic. */
+    /** Orders alternatives by their gain, then by the names, so that the choice is deterministic. */
     private static final Comparator<RoleAlternative> BEST_FIRST = Comparator.comparingDouble(
-                    (RoleAlternative alternative) -> -alternative.netAnswers())
+                    (RoleAlternative alternative) -> -alternative.gainAnswers())
+            .thenComparingLong(RoleAlternative::outMillis)
             .thenComparing(RoleAlternative::engine)
             .thenComparing(RoleAlternative::to);
 
@@ -84,16 +85,30 @@
     /** Weighs all changes and chooses the best one if it is worth its price. */
     private static RolePlan choose(PlannerInput input, List<EngineView> ready) {
         List<Assigned> settled = settledOf(input, ready);
-        double present = CapacityModel.goodput(settled, input.shortDemand());
-        List<RoleAlternative> alternatives = alternativesOf(input, ready, settled, present);
+        double wait = waitSeconds(ready);
+        double answers = AnswerForecast.of(input.shortDemand(), wait)
+                .then(settled, input.expectedShiftMillis() / MILLIS_PER_SECOND)
+                .answers();
+        List<RoleAlternative> alternatives = alternativesOf(input, ready, settled, answers);
         boolean missing = !ready.isEmpty() && lacksRole(settled);
         double price = missing ? 0 : input.spec().changePrice();
         List<RoleAlternative> changes = alternatives.stream()
-                .filter(alternative -> alternative.netAnswers() > price)
+                .filter(alternative -> alternative.gainAnswers() > price)
                 .limit(1)
                 .toList();
         Reason reason = changes.isEmpty() ? Reason.NO_GAIN : missing ? Reason.ROLE_MISSING : Reason.GAIN_EXCEEDS_PRICE;
-        return new RolePlan(changes, alternatives, present, input.shortDemand(), input.expectedShiftMillis(), reason);
+        return new RolePlan(changes, alternatives, answers, input.shortDemand(), input.expectedShiftMillis(), reason);
+    }
+
+    /** Returns the time in which the engines process the prompts that wait in seconds. */
+    private static double waitSeconds(List<EngineView> ready) {
+        double tokens = 0;
+        double tokensPerSecond = 0;
+        for (EngineView view : ready) {
+            tokens += view.queuedPrefillTokens();
+            tokensPerSecond += view.role().prefills() ? view.spec().prefillTokensPerSecond() : 0;
+        }
+        return tokensPerSecond == 0 ? 0 : tokens / tokensPerSecond;
     }
 
     /** Returns whether no engine takes one kind of work. */
@@ -119,13 +134,13 @@
 
     /** Returns the permitted changes, the best first. */
     private static List<RoleAlternative> alternativesOf(
-            PlannerInput input, List<EngineView> ready, List<Assigned> settled, double present) {
+            PlannerInput input, List<EngineView> ready, List<Assigned> settled, double answers) {
         List<RoleAlternative> alternatives = new ArrayList<>();
-        for (int i = 0; i < ready.size(); i++) {
-            EngineView engine = ready.get(i);
+        double wait = waitSeconds(ready);
+        for (EngineView engine : ready) {
             for (EngineRole to : EngineRole.values()) {
                 if (to != engine.role() && keepsBothRoles(ready, engine, to)) {
-                    alternatives.add(weigh(input, engine, to, settled, i, present));
+                    alternatives.add(weigh(input, engine, to, settled, wait, answers));
                 }
             }
         }
@@ -135,18 +150,20 @@
 
     /** Weighs one change. */
     private static RoleAlternative weigh(
-            PlannerInput input, EngineView engine, EngineRole to, List<Assigned> settled, int index, double present) {
+            PlannerInput input, EngineView engine, EngineRole to, List<Assigned> settled, double wait, double answers) {
+        Assigned present = new Assigned(engine.spec(), engine.role());
         List<Assigned> without = new ArrayList<>(settled);
-        without.remove(index);
-        List<Assigned> changed = new ArrayList<>(settled);
-        changed.set(index, new Assigned(engine.spec(), to));
-        double after = CapacityModel.goodput(changed, input.shortDemand());
-        double during = CapacityModel.goodput(without, input.shortDemand());
-        double outSeconds = (input.spec().changeMillis() + finishMillis(engine)) / MILLIS_PER_SECOND;
+        without.remove(present);
+        List<Assigned> changed = new ArrayList<>(without);
+        changed.add(new Assigned(engine.spec(), to));
         double shiftSeconds = input.expectedShiftMillis() / MILLIS_PER_SECOND;
-        double gain = (after - present) * Math.max(0, shiftSeconds - outSeconds);
-        double cost = (present - during) * Math.min(outSeconds, shiftSeconds);
-        return new RoleAlternative(engine.name(), engine.role(), to, after, gain, cost);
+        double outMillis = input.spec().changeMillis() + finishMillis(engine);
+        double outSeconds = Math.min(shiftSeconds, outMillis / MILLIS_PER_SECOND);
+        double after = AnswerForecast.of(input.shortDemand(), wait)
+                .then(without, outSeconds)
+                .then(changed, shiftSeconds - outSeconds)
+                .answers();
+        return new RoleAlternative(engine.name(), engine.role(), to, (long) outMillis, after, after - answers);
     }
 
     /** Returns the time in milliseconds in which an engine finishes the prompts that it has. */
