--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -76,7 +76,7 @@
     }
 
     /** Sends a call and passes its reply to the listener on the given thread. */
-    Cancellation exchange(HttpCall call, XnioIoThread thread, ReplyListener listener) {
+    public Cancellation exchange(HttpCall call, XnioIoThread thread, ReplyListener listener) {
         HttpExchange exchange = new HttpExchange(this, call, thread, listener);
         thread.execute(() -> connect(call, thread, exchange));
         return () -> thread.execute(exchange::cancel);
--- a/src/main/java/org/verbenatray/servers/LineSplitter.java
+++ b/src/main/java/org/verbenatray/servers/LineSplitter.java
@@ -6,7 +6,7 @@
 import java.util.function.Consumer;
 
 /** Splits a stream of bytes into lines of UTF-8 text of a bounded length. */
-final class LineSplitter {
+public final class LineSplitter {
     /** The longest line in bytes. */
     private static final int MAX_LINE_BYTES = 1024 * 1024;
 
@@ -17,12 +17,12 @@
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(256);
 
     /** Creates a splitter. */
-    LineSplitter(Consumer<String> receiver) {
+    public LineSplitter(Consumer<String> receiver) {
         this.receiver = receiver;
     }
 
     /** Takes the next bytes; fails with an {@link IllegalArgumentException} when a line is too long. */
-    void take(ByteBuffer piece) {
+    public void take(ByteBuffer piece) {
         while (piece.hasRemaining()) {
             byte next = piece.get();
             if (next == '\n') {
--- a/src/main/java/org/verbenatray/servers/ReplyListener.java
+++ b/src/main/java/org/verbenatray/servers/ReplyListener.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** Receives one HTTP reply piece by piece on one thread; nothing follows an end or a failure. */
-interface ReplyListener {
+public interface ReplyListener {
     /** Receives the status and the headers by lower-case name. */
     void onHead(int status, Map<String, String> headers);
 
