--- a/src/main/java/org/verbenatray/bench/DomainPlanning.java
+++ b/src/main/java/org/verbenatray/bench/DomainPlanning.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import org.verbenatray.configuration.EngineRole;
+import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
 import org.verbenatray.configuration.FleetConfiguration.RoleSpec;
 import org.verbenatray.fleet.EngineView;
 import org.verbenatray.roles.CapacityModel;
@@ -61,7 +62,11 @@
         }
         Demand shortDemand = windows.demand(nowNanos, spec.shortWindowMillis());
         Demand longDemand = windows.demand(nowNanos, spec.longWindowMillis());
-        history.observe(nowNanos, CapacityModel.promptShare(views.get(0).spec(), shortDemand));
+        EngineSpec engine = views.get(0).spec();
+        history.observe(
+                nowNanos,
+                CapacityModel.promptShare(engine, shortDemand),
+                CapacityModel.promptShare(engine, longDemand));
         long shiftMillis = history.expectedMillis(nowNanos);
         return policy.decide(
                 new PlannerInput(nowNanos, views, targets, shortDemand, longDemand, shiftMillis, spec, true));
--- a/src/main/java/org/verbenatray/bench/LeastTimeRouter.java
+++ b/src/main/java/org/verbenatray/bench/LeastTimeRouter.java
@@ -17,7 +17,7 @@
     private static final double KV_TOKENS_PER_SECOND = 200_000;
 
     /** The weight of the time that a prompt takes from the streams beside it. */
-    private static final double NEIGHBOUR_WEIGHT = 0.05;
+    private static final double NEIGHBOUR_WEIGHT = 0.2;
 
     /** Milliseconds in one second. */
     private static final double MILLIS_PER_SECOND = 1_000;
--- a/src/main/java/org/verbenatray/roles/CapacityModel.java
+++ b/src/main/java/org/verbenatray/roles/CapacityModel.java
@@ -9,14 +9,26 @@
 /** Estimates how engines in given roles serve a demand. */
 public final class CapacityModel {
     /** The share of an engine's time that may be planned; the rest absorbs bursts. */
-    private static final double PLANNED_SHARE = 0.9;
+    private static final double PLANNED_SHARE = 0.97;
 
-    /** The goodput that a high-priority answer loses when its tokens are generated between chunks of prompts. */
-    private static final double INTERFERENCE_LOSS = 0.4;
+    /** The share of prompts in the time of engines in both roles from which interactive answers are lost. */
+    private static final double HARMLESS_PROMPTS = 0.25;
+
+    /** The part of the interactive answers that is lost per share of prompts above that. */
+    private static final double INTERFERENCE_LOSS = 1.55;
+
+    /** The largest part of the interactive answers that is lost. */
+    private static final double MAX_INTERFERENCE_LOSS = 0.8;
 
     /** The loss of goodput per unit of utilisation, which prefers the assignment with more room. */
     private static final double UTILISATION_LOSS = 0.01;
 
+    /** The prompt tokens that an engine processes together with one decode step. */
+    private static final double CHUNK_TOKENS = 256;
+
+    /** Milliseconds in one second. */
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** The rounds of bisection. */
     private static final int BISECTIONS = 20;
 
@@ -39,7 +51,7 @@
             promptTokens += part * work.promptTokensPerSecond();
             outputTokens += part * work.outputTokensPerSecond();
             boolean interactive = services.isEmpty() && demand.classes().size() > 1;
-            double disturbed = interactive ? INTERFERENCE_LOSS * interference(engines, work, demand) : 0;
+            double disturbed = interactive ? interferenceLoss(engines, work, demand) : 0;
             services.add(new Service(part, Math.max(0, 1 - disturbed - spared)));
         }
         return services;
@@ -55,7 +67,7 @@
     /** Returns the output tokens per second of an engine with a full batch and no prompts. */
     public static double decodeTokensPerSecond(EngineSpec engine) {
         double stepMillis = engine.decodeStepMillis() + engine.decodeStepMillisPerStream() * (engine.maxStreams() - 1);
-        return engine.maxStreams() / stepMillis * 1_000;
+        return engine.maxStreams() / stepMillis * MILLIS_PER_SECOND;
     }
 
     /** Returns which part of the work fits beside work that is served before it, from 0 to 1. */
@@ -106,27 +118,37 @@
     private static boolean fits(List<Assigned> engines, double promptTokens, double outputTokens, double busy) {
         double prompt = promptTokens;
         double output = outputTokens;
+        int both = 0;
         for (Assigned engine : engines) {
             if (engine.role() == EngineRole.PREFILL) {
                 prompt -= busy * engine.spec().prefillTokensPerSecond();
             } else if (engine.role() == EngineRole.DECODE) {
                 output -= busy * decodeTokensPerSecond(engine.spec());
+            } else {
+                both++;
             }
         }
-        prompt = Math.max(0, prompt);
-        output = Math.max(0, output);
-        for (Assigned engine : engines) {
-            if (engine.role() == EngineRole.BOTH) {
-                double promptTime = Math.min(busy, prompt / engine.spec().prefillTokensPerSecond());
-                prompt -= promptTime * engine.spec().prefillTokensPerSecond();
-                output -= (busy - promptTime) * decodeTokensPerSecond(engine.spec());
-            }
+        if (both == 0) {
+            return prompt <= 0 && output <= 0;
         }
-        return prompt <= 1e-6 && output <= 1e-6;
+        double promptEach = Math.max(0, prompt) / both;
+        double outputEach = Math.max(0, output) / both;
+        return engines.stream()
+                .filter(engine -> engine.role() == EngineRole.BOTH)
+                .allMatch(engine -> busyInBoth(engine.spec(), promptEach, outputEach) <= busy);
+    }
+
+    /** Returns the share of time that an engine in both roles is busy; each chunk of a prompt costs a decode step. */
+    private static double busyInBoth(EngineSpec engine, double promptTokens, double outputTokens) {
+        double stepsPerSecond = Math.max(promptTokens / CHUNK_TOKENS, outputTokens / engine.maxStreams());
+        double stepMillis = engine.decodeStepMillis() - engine.decodeStepMillisPerStream();
+        double decodeMillis =
+                outputTokens == 0 ? 0 : stepsPerSecond * stepMillis + outputTokens * engine.decodeStepMillisPerStream();
+        return promptTokens / engine.prefillTokensPerSecond() + decodeMillis / MILLIS_PER_SECOND;
     }
 
-    /** Returns the part of high-priority output that is generated between chunks of prompts, from 0 to 1. */
-    private static double interference(List<Assigned> engines, PriorityDemand work, Demand demand) {
+    /** Returns the part of the interactive answers that is lost between chunks of prompts, from 0 to 1. */
+    private static double interferenceLoss(List<Assigned> engines, PriorityDemand work, Demand demand) {
         double calm = 0;
         double prefill = 0;
         double mixed = 0;
@@ -144,7 +166,8 @@
         }
         double disturbed = Math.max(0, work.outputTokensPerSecond() - calm) / work.outputTokensPerSecond();
         double prompts = Math.max(0, demand.promptTokensPerSecond() - prefill);
-        return disturbed * Math.min(1, 2 * prompts / mixed);
+        double loss = INTERFERENCE_LOSS * (prompts / mixed - HARMLESS_PROMPTS);
+        return disturbed * Math.max(0, Math.min(MAX_INTERFERENCE_LOSS, loss));
     }
 
     /**
--- a/src/main/java/org/verbenatray/roles/RolePlanner.java
+++ b/src/main/java/org/verbenatray/roles/RolePlanner.java
@@ -15,6 +15,9 @@
     /** The age in milliseconds from which a load report is too old to decide from. */
     public static final long STALE_MILLIS = 3_000;
 
+    /** The part of the forecast answers that a gain has to exceed besides the price. */
+    private static final double UNCERTAINTY = 0.02;
+
     /** Milliseconds in one second. */
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -91,7 +94,7 @@
                 .answers();
         List<RoleAlternative> alternatives = alternativesOf(input, ready, settled, answers);
         boolean missing = !ready.isEmpty() && lacksRole(settled);
-        double price = missing ? 0 : input.spec().changePrice();
+        double price = missing ? 0 : input.spec().changePrice() + UNCERTAINTY * answers;
         List<RoleAlternative> changes = alternatives.stream()
                 .filter(alternative -> alternative.gainAnswers() > price)
                 .limit(1)
--- a/src/main/java/org/verbenatray/roles/ShiftHistory.java
+++ b/src/main/java/org/verbenatray/roles/ShiftHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 /**
  * Follows the share of prompts in the work and estimates how long the present share will last from how long earlier
@@ -9,7 +10,7 @@
  */
 public final class ShiftHistory {
     /** The difference of shares that counts as a shift. */
-    private static final double SHIFT = 0.12;
+    private static final double SHIFT = 0.08;
 
     /** The number of past shifts that are kept. */
     private static final int KEPT = 6;
@@ -26,8 +27,8 @@
     /** The durations of past phases in milliseconds, the oldest first. */
     private final Deque<Long> pastMillis = new ArrayDeque<>();
 
-    /** The mean share in the present phase. */
-    private double phaseShare = Double.NaN;
+    /** Whether the present phase has more prompts than the long run, unknown before the first one. */
+    private Optional<Boolean> promptHeavy = Optional.empty();
 
     /** When the present phase began. */
     private long phaseStartNanos;
@@ -43,17 +44,26 @@
         return new ShiftHistory(shortestMillis, longestMillis);
     }
 
-    /** Notes the share of prompts in the engines' time, from 0 to 1. */
-    public void observe(long nowNanos, double promptShare) {
-        if (Double.isNaN(phaseShare)) {
-            phaseShare = promptShare;
-            phaseStartNanos = nowNanos;
-        } else if (Math.abs(promptShare - phaseShare) > SHIFT) {
-            pastMillis.addLast((nowNanos - phaseStartNanos) / NANOS_PER_MILLI);
+    /**
+     * Notes the share of prompts in the engines' time, from 0 to 1.
+     *
+     * @param nowNanos the present time
+     * @param shortShare the share over the short window
+     * @param longShare the share over the long window
+     */
+    public void observe(long nowNanos, double shortShare, double longShare) {
+        if (Math.abs(shortShare - longShare) < SHIFT) {
+            return;
+        }
+        boolean heavy = shortShare > longShare;
+        if (promptHeavy.isEmpty() || promptHeavy.get() != heavy) {
+            if (promptHeavy.isPresent()) {
+                pastMillis.addLast((nowNanos - phaseStartNanos) / NANOS_PER_MILLI);
+            }
             if (pastMillis.size() > KEPT) {
                 pastMillis.removeFirst();
             }
-            phaseShare = promptShare;
+            promptHeavy = Optional.of(heavy);
             phaseStartNanos = nowNanos;
         }
     }
@@ -61,7 +71,7 @@
     /** Returns how long the present share is likely to last in milliseconds. */
     public long expectedMillis(long nowNanos) {
         long elapsed = (nowNanos - phaseStartNanos) / NANOS_PER_MILLI;
-        if (pastMillis.size() < 2) {
+        if (pastMillis.isEmpty()) {
             return longestMillis;
         }
         double mean = pastMillis.stream().mapToLong(Long::longValue).average().orElse(longestMillis);
