--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/EngineSlot.java
@@ -0,0 +1,28 @@
+package org.verbenatray.serving;
+
+import java.util.Optional;
+import org.verbenatray.servers.ServerFailure;
+
+/** One engine chosen for one dispatch, and what becomes known of it. */
+public interface EngineSlot {
+    /** Returns the engine's name. */
+    String engine();
+
+    /** Returns the engine's base URI. */
+    String address();
+
+    /** Returns the name of another engine that processes the prompt first. */
+    Optional<String> prefillEngine();
+
+    /** Returns the base URI of the engine that processes the prompt. */
+    String prefillAddress();
+
+    /** Tells that the first token came. */
+    void firstToken();
+
+    /** Tells that the dispatch ended whole or was given up. */
+    void ended();
+
+    /** Tells that the dispatch failed at the given one of its engines. */
+    void failed(String engine, ServerFailure failure);
+}
