Orders and leases use the shared sources of time; failures carry typed kinds

A client of the engines that throws would have left an engine busy for ever. Change: one Timing instead of ticker and scheduler; LeaseTiming is now LeaseTerms, OrderTiming is OrderBounds. Failed appends become OrderExceptions. A throwing client counts as a lost answer. The lease keeper plans its next step also after a failed one.

--- a/src/main/java/org/verbenatray/authority/LeaseKeeper.java
+++ b/src/main/java/org/verbenatray/authority/LeaseKeeper.java
@@ -4,7 +4,7 @@
 import org.verbenatray.authority.LeaseSteps.Circumstances;
 import org.verbenatray.log.Appender;
 import org.verbenatray.time.Deadline;
-import org.verbenatray.time.Ticker;
+import org.verbenatray.time.Timing;
 
 /**
  * Claims, renews and releases one lease for this instance.
@@ -23,7 +23,7 @@
     private final LeaseSteps steps;
 
     /** The times of the lease. */
-    private final LeaseTiming timing;
+    private final LeaseTerms terms;
 
     /** The instance's name. */
     private final String instance;
@@ -34,11 +34,8 @@
     /** The way to append records. */
     private final Appender appender;
 
-    /** The monotonic clock. */
-    private final Ticker ticker;
-
-    /** The timer. */
-    private final Scheduler scheduler;
+    /** The sources of time. */
+    private final Timing timing;
 
     /** What is remembered between steps. */
     private LeaseMemory memory;
@@ -53,20 +50,18 @@
     private LeaseKeeper(
             String lease,
             String instance,
-            LeaseTiming timing,
+            LeaseTerms terms,
             LeaseSurroundings surroundings,
             Appender appender,
-            Ticker ticker,
-            Scheduler scheduler) {
+            Timing timing) {
         this.lease = lease;
         this.instance = instance;
-        this.timing = timing;
+        this.terms = terms;
         this.surroundings = surroundings;
         this.appender = appender;
-        this.ticker = ticker;
-        this.scheduler = scheduler;
-        this.steps = new LeaseSteps(lease, instance, timing);
-        this.memory = LeaseMemory.create(ticker.nanos());
+        this.timing = timing;
+        this.steps = new LeaseSteps(lease, instance, terms);
+        this.memory = LeaseMemory.create(timing.ticker().nanos());
     }
 
     /**
@@ -78,17 +73,16 @@
     public static LeaseKeeper create(
             String lease,
             String instance,
-            LeaseTiming timing,
+            LeaseTerms terms,
             LeaseSurroundings surroundings,
             Appender appender,
-            Ticker ticker,
-            Scheduler scheduler) {
-        return new LeaseKeeper(lease, instance, timing, surroundings, appender, ticker, scheduler);
+            Timing timing) {
+        return new LeaseKeeper(lease, instance, terms, surroundings, appender, timing);
     }
 
     /** Starts to claim the lease and to keep it. */
     public void start() {
-        scheduler.after(0, this::run);
+        timing.scheduler().runAt(timing.inMillis(0), this::run);
     }
 
     /** Ends all steps without a release, as a killed process would. */
@@ -103,7 +97,7 @@
 
     /** Returns whether the log shows that this instance neither holds the lease nor owes a release of it. */
     public synchronized boolean hasLeft() {
-        Optional<LeaseState> view = observe(ticker.nanos());
+        Optional<LeaseState> view = observe(timing.ticker().nanos());
         boolean owes = view.isPresent() && view.get().unreleased().containsKey(instance);
         return leaving && memory.tenure().isEmpty() && memory.attempt().isEmpty() && !owes;
     }
@@ -127,8 +121,11 @@
         if (isStopped()) {
             return;
         }
-        step();
-        scheduler.after(STEP_MILLIS, this::run);
+        try {
+            step();
+        } finally {
+            timing.scheduler().runAt(timing.inMillis(STEP_MILLIS), this::run);
+        }
     }
 
     /** Returns whether the keeper was stopped. */
@@ -142,21 +139,21 @@
         if (action.isEmpty()) {
             return;
         }
-        Deadline deadline = Deadline.afterMillis(ticker.nanos(), timing.retryMillis());
+        Deadline deadline = timing.inMillis(terms.retryMillis());
         // The verdict is not needed: what the fold has read settles the append, also when its answer is lost.
         appender.submit(action.get().body(), action.get().follows(), deadline);
     }
 
     /** Returns the record that is due and remembers that its sending begins now. */
     private synchronized Optional<LeaseAction> decide() {
-        long nowNanos = ticker.nanos();
+        long nowNanos = timing.ticker().nanos();
         Optional<LeaseState> view = observe(nowNanos);
         int rank = LeasePreference.rank(
                 lease, instance, surroundings.liveInstances().get());
         boolean quiet = surroundings.quiet().getAsBoolean();
         Circumstances now = new Circumstances(nowNanos, rank, leaving, quiet, surroundings.instanceGone());
         Optional<LeaseAction> action = steps.next(memory, view, now);
-        action.ifPresent(due -> memory = memory.started(due, timing, nowNanos));
+        action.ifPresent(due -> memory = memory.started(due, terms, nowNanos));
         return action;
     }
 
--- a/src/main/java/org/verbenatray/authority/LeaseMemory.java
+++ b/src/main/java/org/verbenatray/authority/LeaseMemory.java
@@ -42,8 +42,8 @@
     }
 
     /** Returns the memory after an append was started. */
-    LeaseMemory started(LeaseAction action, LeaseTiming timing, long nowNanos) {
-        Deadline retry = Deadline.afterMillis(nowNanos, timing.retryMillis());
+    LeaseMemory started(LeaseAction action, LeaseTerms terms, long nowNanos) {
+        Deadline retry = Deadline.afterMillis(nowNanos, terms.retryMillis());
         if (!action.changesHolding()) {
             return new LeaseMemory(seenOffset, seenAtNanos, attempt, tenure, retry);
         }
--- a/src/main/java/org/verbenatray/authority/LeaseSteps.java
+++ b/src/main/java/org/verbenatray/authority/LeaseSteps.java
@@ -20,13 +20,13 @@
     private final String instance;
 
     /** The times of the lease. */
-    private final LeaseTiming timing;
+    private final LeaseTerms terms;
 
     /** Creates the decisions of an instance. */
-    LeaseSteps(String lease, String instance, LeaseTiming timing) {
+    LeaseSteps(String lease, String instance, LeaseTerms terms) {
         this.lease = lease;
         this.instance = instance;
-        this.timing = timing;
+        this.terms = terms;
     }
 
     /**
@@ -64,8 +64,8 @@
         }
         Attempt attempt = memory.attempt().get();
         long startedNanos = attempt.startedNanos();
-        Deadline renewal = Deadline.afterMillis(startedNanos, timing.renewMillis());
-        Deadline end = Deadline.afterMillis(startedNanos, state.termMillis() - timing.driftMarginMillis());
+        Deadline renewal = Deadline.afterMillis(startedNanos, terms.renewMillis());
+        Deadline end = Deadline.afterMillis(startedNanos, state.termMillis() - terms.driftMarginMillis());
         return Optional.of(new Tenure(state.fencing(), renewal, end));
     }
 
@@ -83,7 +83,7 @@
         if (!due) {
             return Optional.empty();
         }
-        LeaseClaim claim = new LeaseClaim(lease, instance, timing.termMillis());
+        LeaseClaim claim = new LeaseClaim(lease, instance, terms.termMillis());
         return Optional.of(new LeaseAction(claim, memory.seenOffset(), true));
     }
 
@@ -109,7 +109,7 @@
     private Deadline claimAllowedAt(LeaseMemory memory, Optional<LeaseState> view, int rank) {
         boolean held = view.isPresent() && view.get().holder().isPresent();
         long termMillis = held ? view.get().termMillis() : 0;
-        return Deadline.afterMillis(memory.seenAtNanos(), termMillis + rank * timing.staggerMillis());
+        return Deadline.afterMillis(memory.seenAtNanos(), termMillis + rank * terms.staggerMillis());
     }
 
     /** Returns the record that settles one former holder, which may be this instance under an older number. */
--- a/src/main/java/org/verbenatray/authority/LeaseTiming.java
+++ b/src/main/java/org/verbenatray/authority/LeaseTerms.java
@@ -9,10 +9,10 @@
  * @param staggerMillis the time by which each further instance in the order of preference waits longer to claim
  * @param retryMillis the time before an append without an answer is tried again, in milliseconds
  */
-public record LeaseTiming(
+public record LeaseTerms(
         long termMillis, long driftMarginMillis, long renewMillis, long staggerMillis, long retryMillis) {
     /** Rejects times under which a holder could not renew before its authority ends. */
-    public LeaseTiming {
+    public LeaseTerms {
         if (renewMillis + driftMarginMillis >= termMillis || renewMillis <= 0 || driftMarginMillis <= 0) {
             throw new IllegalArgumentException(
                     "lease times leave no room to renew: raise the term above renewal time plus drift margin");
@@ -20,7 +20,7 @@
     }
 
     /** Returns the usual times. */
-    public static LeaseTiming defaults() {
-        return new LeaseTiming(6_000, 500, 1_500, 500, 1_000);
+    public static LeaseTerms defaults() {
+        return new LeaseTerms(6_000, 500, 1_500, 500, 1_000);
     }
 }
--- a/src/main/java/org/verbenatray/orders/OrderTiming.java
+++ b/src/main/java/org/verbenatray/orders/OrderBounds.java
@@ -10,10 +10,10 @@
  * @param journalMillis the time that an append to the journal may take in milliseconds
  * @param maxSends the bound on the sends of one order
  */
-public record OrderTiming(
+public record OrderBounds(
         long pollMillis, long copyLifetimeMillis, long executionMillis, long journalMillis, int maxSends) {
     /** Returns the usual times. */
-    public static OrderTiming defaults() {
-        return new OrderTiming(250, 30_000, 120_000, 5_000, 4);
+    public static OrderBounds defaults() {
+        return new OrderBounds(250, 30_000, 120_000, 5_000, 4);
     }
 }
--- a/src/main/java/org/verbenatray/orders/OrderExecution.java
+++ b/src/main/java/org/verbenatray/orders/OrderExecution.java
@@ -36,8 +36,7 @@
         this.target = target;
         this.leaseFencing = leaseFencing;
         this.progress = progress;
-        this.giveUp =
-                Deadline.afterMillis(ports.ticker().nanos(), ports.timing().executionMillis());
+        this.giveUp = ports.timing().inMillis(ports.bounds().executionMillis());
     }
 
     /** Returns an execution that has not begun. */
@@ -58,11 +57,10 @@
 
     /** Reads the engine's state. */
     private void readState() {
-        long startedNanos = ports.ticker().nanos();
-        ports.engines()
-                .state(target.engine())
-                .whenComplete(
-                        (state, failure) -> ports.scheduler().after(0, () -> stateRead(state, failure, startedNanos)));
+        long startedNanos = now();
+        CompletableFuture.completedFuture(target.engine())
+                .thenCompose(ports.engines()::state)
+                .whenComplete((state, failure) -> soon(() -> stateRead(state, failure, startedNanos)));
     }
 
     /** Takes the next step after the state was read. */
@@ -72,7 +70,7 @@
             return;
         }
         Step step = OrderSettlement.next(
-                progress, state, startedNanos, ports.timing().maxSends());
+                progress, state, startedNanos, ports.bounds().maxSends());
         switch (step.kind()) {
             case SEND -> sendUnderAuthority();
             case WAIT -> readAgain();
@@ -82,11 +80,11 @@
 
     /** Reads the state again later, unless the time is up. */
     private void readAgain() {
-        if (giveUp.passed(ports.ticker().nanos())) {
+        if (ports.timing().passed(giveUp)) {
             giveUp();
             return;
         }
-        ports.scheduler().after(ports.timing().pollMillis(), this::readState);
+        ports.timing().scheduler().runAt(ports.timing().inMillis(ports.bounds().pollMillis()), this::readState);
     }
 
     /** Ends the execution because its time is up. */
@@ -100,7 +98,7 @@
 
     /** Sends the order if the authority holds at this moment. */
     private void sendUnderAuthority() {
-        Optional<Authority> authority = ports.authority().apply(ports.ticker().nanos());
+        Optional<Authority> authority = ports.authority().apply(now());
         boolean allowed = authority.isPresent()
                 && authority.get().fencing() == leaseFencing
                 && authority.get().covers(target.checksFencing());
@@ -117,9 +115,10 @@
 
     /** Sends one copy. */
     private void send() {
-        ports.engines()
-                .send(target.engine(), progress.order(), progress.fencing(), progress.orderId())
-                .whenComplete((reply, failure) -> ports.scheduler().after(0, () -> sent(reply, failure)));
+        CompletableFuture.completedFuture(progress)
+                .thenCompose(
+                        copy -> ports.engines().send(target.engine(), copy.order(), copy.fencing(), copy.orderId()))
+                .whenComplete((reply, failure) -> soon(() -> sent(reply, failure)));
     }
 
     /** Takes the answer to a copy into account. */
@@ -143,8 +142,18 @@
         if (cause instanceof OrderNotSentException) {
             return progress.notSent();
         }
-        long nowNanos = ports.ticker().nanos();
-        return progress.unanswered(Deadline.afterMillis(nowNanos, ports.timing().copyLifetimeMillis()));
+        long nowNanos = now();
+        return progress.unanswered(Deadline.afterMillis(nowNanos, ports.bounds().copyLifetimeMillis()));
+    }
+
+    /** Runs a step on the scheduler. */
+    private void soon(Runnable step) {
+        ports.timing().scheduler().runAt(ports.timing().inMillis(0), step);
+    }
+
+    /** Returns the monotonic time. */
+    private long now() {
+        return ports.timing().ticker().nanos();
     }
 
     /** Ends the execution and leaves the order outstanding. */
--- a/src/main/java/org/verbenatray/orders/OrderExecutor.java
+++ b/src/main/java/org/verbenatray/orders/OrderExecutor.java
@@ -7,7 +7,10 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import org.verbenatray.authority.Authority;
+import org.verbenatray.log.NotAppendedException;
+import org.verbenatray.log.RecordBody;
 import org.verbenatray.log.RecordBody.OrderIntent;
 import org.verbenatray.log.RecordBody.OrderOutcome;
 import org.verbenatray.log.RecordBody.OrderResult;
@@ -72,7 +75,7 @@
     /** Runs one task for an engine unless another one runs or there is no authority. */
     private <T> CompletableFuture<T> exclusively(OrderTarget target, AuthorisedTask<T> task) {
         if (!begin(target.engine())) {
-            return failed(OrderException.Kind.BUSY, target, "another order is running: wait for its outcome");
+            return failed(OrderException.Kind.BUSY, target.engine(), "another order is running: wait for its outcome");
         }
         // The engine counts as busy from here on, so that a lease is not released between this check and a send.
         return CompletableFuture.completedFuture(target)
@@ -82,10 +85,12 @@
 
     /** Runs a task if there is authority. */
     private <T> CompletableFuture<T> authorised(OrderTarget target, AuthorisedTask<T> task) {
-        Optional<Authority> authority = ports.authority().apply(ports.ticker().nanos());
+        Optional<Authority> authority =
+                ports.authority().apply(ports.timing().ticker().nanos());
         boolean covered = authority.isPresent() && authority.get().covers(target.checksFencing());
         if (!covered) {
-            return failed(OrderException.Kind.NO_AUTHORITY, target, "no authority: leave it to the lease's holder");
+            return failed(
+                    OrderException.Kind.NO_AUTHORITY, target.engine(), "no authority: leave it to the lease's holder");
         }
         return task.run(authority.get());
     }
@@ -100,7 +105,9 @@
         OutstandingOrder order = outstanding.get();
         if (!order.lease().equals(authority.lease())) {
             return failed(
-                    OrderException.Kind.NO_AUTHORITY, target, "settle the order of lease " + order.lease() + " first");
+                    OrderException.Kind.NO_AUTHORITY,
+                    target.engine(),
+                    "settle the order of lease " + order.lease() + " first");
         }
         Optional<OrderResult> known = concluded(order.orderId(), authority.fencing());
         if (known.isPresent()) {
@@ -112,8 +119,7 @@
 
     /** Returns the progress of an order of which earlier executions may have sent copies. */
     private OrderProgress takenOver(OrderTarget target, OutstandingOrder order, Authority authority) {
-        Deadline until =
-                Deadline.afterMillis(ports.ticker().nanos(), ports.timing().copyLifetimeMillis());
+        Deadline until = ports.timing().inMillis(ports.bounds().copyLifetimeMillis());
         Order parsed = Order.parse(order.action()).orElseThrow();
         return OrderProgress.takenOver(order, parsed, target.checksFencing(), authority.fencing(), until);
     }
@@ -125,22 +131,29 @@
         OrderIntent intent = new OrderIntent(
                 orderId, authority.lease(), authority.fencing(), target.engine(), order.action(), reason);
         Optional<Long> follows = ports.journal().apply(target.engine()).map(EngineJournal::lastOffset);
-        return onScheduler(ports.appender().submit(intent, follows, journalDeadline()))
-                .whenComplete((verdict, failure) -> {
-                    if (failure != null) {
-                        // It may be accepted later, but is never sent from here.
-                        remember(orderId, authority.fencing(), OrderResult.NOT_RUN);
-                    }
-                })
+        return append(intent, follows)
+                .exceptionallyCompose(failure -> intentUnanswered(target, orderId, authority, failure))
                 .thenCompose(verdict -> runJournalled(target, intent, order, authority, verdict));
     }
 
+    /** Fails an order whose intent was not judged in time; it may be accepted later, but is never sent from here. */
+    private CompletableFuture<Verdict> intentUnanswered(
+            OrderTarget target, String orderId, Authority authority, Throwable failure) {
+        if (!(cause(failure) instanceof NotAppendedException)) {
+            remember(orderId, authority.fencing(), OrderResult.NOT_RUN);
+        }
+        return failed(
+                OrderException.Kind.NOT_JOURNALLED,
+                target.engine(),
+                cause(failure).getMessage());
+    }
+
     /** Carries out an order whose intent was judged. */
     private CompletableFuture<OrderResult> runJournalled(
             OrderTarget target, OrderIntent intent, Order order, Authority authority, Verdict verdict) {
         if (!verdict.isAccepted()) {
             String detail = verdict.rejection().orElseThrow().detail();
-            return failed(OrderException.Kind.NOT_JOURNALLED, target, detail);
+            return failed(OrderException.Kind.NOT_JOURNALLED, target.engine(), detail);
         }
         OutstandingOrder outstanding = new OutstandingOrder(
                 intent.orderId(), intent.engine(), intent.lease(), verdict.offset(), intent.action());
@@ -164,7 +177,12 @@
         remember(order.orderId(), authority.fencing(), result);
         OrderOutcome outcome =
                 new OrderOutcome(order.orderId(), order.lease(), authority.fencing(), order.engine(), result);
-        return onScheduler(ports.appender().submit(outcome, Optional.empty(), journalDeadline()))
+        return append(outcome, Optional.empty())
+                .exceptionallyCompose(failure -> failed(
+                        OrderException.Kind.UNSETTLED,
+                        order.engine(),
+                        order.orderId() + " ended as " + result + " but was not journalled: "
+                                + cause(failure).getMessage()))
                 .thenCompose(verdict -> journalled(order, result, verdict));
     }
 
@@ -180,22 +198,30 @@
                 "order " + order.orderId() + " ended as " + result + " but was not journalled: " + detail));
     }
 
-    /** Returns a future that completes on the scheduler, so that no step runs under the appender's lock. */
-    private <T> CompletableFuture<T> onScheduler(CompletableFuture<T> future) {
-        CompletableFuture<T> moved = new CompletableFuture<>();
-        future.whenComplete((value, failure) -> ports.scheduler().after(0, () -> {
-            if (failure == null) {
-                moved.complete(value);
-            } else {
-                moved.completeExceptionally(failure);
-            }
-        }));
+    /** Appends a record; the future completes on the scheduler, so that no step runs under the appender's lock. */
+    private CompletableFuture<Verdict> append(RecordBody body, Optional<Long> follows) {
+        CompletableFuture<Verdict> moved = new CompletableFuture<>();
+        Deadline deadline = ports.timing().inMillis(ports.bounds().journalMillis());
+        ports.appender()
+                .submit(body, follows, deadline)
+                .whenComplete((verdict, failure) -> ports.timing()
+                        .scheduler()
+                        .runAt(ports.timing().inMillis(0), () -> complete(moved, verdict, failure)));
         return moved;
     }
 
-    /** Returns the deadline of an append that is submitted now. */
-    private Deadline journalDeadline() {
-        return Deadline.afterMillis(ports.ticker().nanos(), ports.timing().journalMillis());
+    /** Completes a future with a value or a failure. */
+    private static <T> void complete(CompletableFuture<T> future, T value, Throwable failure) {
+        if (failure == null) {
+            future.complete(value);
+            return;
+        }
+        future.completeExceptionally(failure);
+    }
+
+    /** Returns the failure that a chain of futures wrapped. */
+    private static Throwable cause(Throwable failure) {
+        return failure instanceof CompletionException ? failure.getCause() : failure;
     }
 
     /** Marks an engine as busy; returns false when it is so already. */
@@ -239,8 +265,8 @@
     }
 
     /** Returns a failed future. */
-    private static <T> CompletableFuture<T> failed(OrderException.Kind kind, OrderTarget target, String message) {
-        return CompletableFuture.failedFuture(new OrderException(kind, "engine " + target.engine() + ": " + message));
+    private static <T> CompletableFuture<T> failed(OrderException.Kind kind, String engine, String message) {
+        return CompletableFuture.failedFuture(new OrderException(kind, "engine " + engine + ": " + message));
     }
 
     /**
--- a/src/main/java/org/verbenatray/orders/OrderPorts.java
+++ b/src/main/java/org/verbenatray/orders/OrderPorts.java
@@ -4,9 +4,8 @@
 import java.util.function.Function;
 import java.util.function.LongFunction;
 import org.verbenatray.authority.Authority;
-import org.verbenatray.authority.Scheduler;
 import org.verbenatray.log.Appender;
-import org.verbenatray.time.Ticker;
+import org.verbenatray.time.Timing;
 
 /**
  * What the execution of orders asks of the rest of the instance.
@@ -15,15 +14,13 @@
  * @param engines the orders interface of the engines
  * @param authority the authority at a time, see {@link org.verbenatray.authority.LeaseKeeper#authority}
  * @param journal the journal of an engine as the fold of this instance has it
- * @param ticker the monotonic clock
- * @param scheduler the timer; all steps run on its threads
- * @param timing the times and bounds
+ * @param timing the sources of time; all steps run on the scheduler's threads
+ * @param bounds the times and bounds of an order
  */
 public record OrderPorts(
         Appender appender,
         EngineOrders engines,
         LongFunction<Optional<Authority>> authority,
         Function<String, Optional<EngineJournal>> journal,
-        Ticker ticker,
-        Scheduler scheduler,
-        OrderTiming timing) {}
+        Timing timing,
+        OrderBounds bounds) {}
--- a/src/test/java/org/verbenatray/authority/LeaseStepsTest.java
+++ b/src/test/java/org/verbenatray/authority/LeaseStepsTest.java
@@ -14,16 +14,16 @@
 
 /** Tests of {@link LeaseSteps} and {@link LeasePreference}. */
 public final class LeaseStepsTest {
-    private static final LeaseTiming TIMING = new LeaseTiming(6_000, 500, 1_500, 400, 1_000);
-    private static final LeaseSteps STEPS = new LeaseSteps("lease", "a", TIMING);
+    private static final LeaseTerms TERMS = new LeaseTerms(6_000, 500, 1_500, 400, 1_000);
+    private static final LeaseSteps STEPS = new LeaseSteps("lease", "a", TERMS);
 
     @Test
     public void theAuthorityEndsOneTermLessTheMarginAfterSendingBeganHoweverLateTheAnswer() {
         LeaseMemory memory = LeaseMemory.create(0);
         LeaseAction claim = STEPS.next(memory, Optional.empty(), at(1_000, 0)).orElseThrow();
-        memory = memory.started(claim, TIMING, millis(1_000));
+        memory = memory.started(claim, TERMS, millis(1_000));
         LeaseAction again = STEPS.next(memory, Optional.empty(), at(2_000, 0)).orElseThrow();
-        memory = memory.started(again, TIMING, millis(2_000));
+        memory = memory.started(again, TERMS, millis(2_000));
         memory = STEPS.observe(memory, Optional.of(state("a", 7)), millis(4_000));
         assertEquals(memory.tenure().orElseThrow().end(), new Deadline(millis(6_500)));
     }
@@ -42,7 +42,7 @@
     public void anotherAcceptedClaimEndsTheHoldingAtOnce() {
         LeaseMemory memory = LeaseMemory.create(0);
         LeaseAction claim = STEPS.next(memory, Optional.empty(), at(0, 0)).orElseThrow();
-        memory = STEPS.observe(memory.started(claim, TIMING, 0), Optional.of(state("a", 7)), 1);
+        memory = STEPS.observe(memory.started(claim, TERMS, 0), Optional.of(state("a", 7)), 1);
         assertTrue(memory.tenure().isPresent());
         assertTrue(STEPS.observe(memory, Optional.of(state("b", 8)), 2).tenure().isEmpty());
     }
--- a/src/test/java/org/verbenatray/orders/FakeInstance.java
+++ b/src/test/java/org/verbenatray/orders/FakeInstance.java
@@ -1,5 +1,8 @@
 package org.verbenatray.orders;
 
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,7 +12,7 @@
 import java.util.stream.Collectors;
 import org.verbenatray.authority.LeaseKeeper;
 import org.verbenatray.authority.LeaseSurroundings;
-import org.verbenatray.authority.LeaseTiming;
+import org.verbenatray.authority.LeaseTerms;
 import org.verbenatray.configuration.EngineRole;
 import org.verbenatray.log.LogRecord;
 import org.verbenatray.log.LogUnavailableException;
@@ -18,6 +21,7 @@
 import org.verbenatray.log.StoredRecord;
 import org.verbenatray.log.Verdict;
 import org.verbenatray.time.Deadline;
+import org.verbenatray.time.Timing;
 
 /** An instance with the real keeper and executor, its own clock rate, and a reader of the log that lags. */
 final class FakeInstance {
@@ -39,18 +43,14 @@
         this.world = world;
         this.name = name;
         this.clockRate = clockRate;
+        Clock noClock = Clock.fixed(Instant.EPOCH, ZoneOffset.UTC);
+        Timing timing = new Timing(this::nanos, noClock, (when, task) -> timers.add(new Timer(when.atNanos(), task)));
         LeaseSurroundings surroundings =
                 new LeaseSurroundings(() -> folds.leases.lease(OrderWorld.LEASE), this::live, this::gone, this::quiet);
-        this.keeper = LeaseKeeper.create(
-                OrderWorld.LEASE, name, LeaseTiming.defaults(), surroundings, this::append, this::nanos, this::after);
+        this.keeper =
+                LeaseKeeper.create(OrderWorld.LEASE, name, LeaseTerms.defaults(), surroundings, this::append, timing);
         this.executor = OrderExecutor.create(new OrderPorts(
-                this::append,
-                new Engines(),
-                keeper::authority,
-                folds.orders::journal,
-                this::nanos,
-                this::after,
-                OrderWorld.TIMING));
+                this::append, new Engines(), keeper::authority, folds.orders::journal, timing, OrderWorld.BOUNDS));
         keeper.start();
     }
 
@@ -135,11 +135,11 @@
         CompletableFuture<Verdict> verdict = new CompletableFuture<>();
         verdicts.put(record.id(), verdict);
         world.appends.add(record);
-        after(deadline.remainingMillis(nanos()), () -> {
+        timers.add(new Timer(deadline.atNanos(), () -> {
             if (verdicts.remove(record.id()) != null) {
                 verdict.completeExceptionally(new LogUnavailableException("no verdict", null));
             }
-        });
+        }));
         return verdict;
     }
 
@@ -162,10 +162,6 @@
         return (long) (world.nowMillis * 1_000_000 * clockRate);
     }
 
-    private void after(long delayMillis, Runnable task) {
-        timers.add(new Timer(nanos() + delayMillis * 1_000_000, task));
-    }
-
     /** A task that is due at a time of this instance's clock. */
     private record Timer(long dueNanos, Runnable task) {}
 
--- a/src/test/java/org/verbenatray/orders/FakeMessage.java
+++ b/src/test/java/org/verbenatray/orders/FakeMessage.java
@@ -71,7 +71,7 @@
     /** Bounds the time in which the request may still arrive, less than the copies' lifetime by any clock. */
     void expireSoon() {
         abandoned = true;
-        int lifetimeMillis = (int) OrderWorld.TIMING.copyLifetimeMillis() * 9 / 10;
+        int lifetimeMillis = (int) OrderWorld.BOUNDS.copyLifetimeMillis() * 9 / 10;
         expiresMillis = world.nowMillis + lifetimeMillis;
         holdBack(world.random.nextInt(lifetimeMillis));
     }
--- a/src/test/java/org/verbenatray/orders/OrderWorld.java
+++ b/src/test/java/org/verbenatray/orders/OrderWorld.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.verbenatray.authority.LeaseState;
@@ -20,7 +21,7 @@
     static final String LEASE = "domain";
 
     /** The times of orders, short so that many cases fit into one run. */
-    static final OrderTiming TIMING = new OrderTiming(250, 3_000, 20_000, 1_500, 3);
+    static final OrderBounds BOUNDS = new OrderBounds(250, 3_000, 20_000, 1_500, 3);
 
     /** The checking engine and the non-checking one. */
     final Map<String, FakeEngine> engines =
@@ -50,6 +51,9 @@
     /** Counts of what happened, to show that the interesting cases were reached. */
     final Map<String, Integer> counts;
 
+    /** The broken invariant of a send, which the sender's future would swallow. */
+    private Optional<String> violation = Optional.empty();
+
     OrderWorld(long seed, Map<String, Integer> counts) {
         this.random = new Random(seed);
         this.counts = counts;
@@ -63,6 +67,7 @@
     void runFaulty(int steps) {
         for (int step = 0; step < steps; step++) {
             choose(faultySteps()).run();
+            requireNoViolation();
         }
     }
 
@@ -72,6 +77,7 @@
         Map<String, Boolean> settled = new HashMap<>();
         for (int step = 0; step < steps && settled.size() < engines.size(); step++) {
             choose(healthySteps()).run();
+            requireNoViolation();
             for (String engine : engines.keySet()) {
                 if (step % 50 == 0 && !settled.containsKey(engine)) {
                     instances.forEach(instance ->
@@ -82,12 +88,18 @@
         return settled;
     }
 
+    private void requireNoViolation() {
+        if (violation.isPresent()) {
+            throw new AssertionError(violation.get());
+        }
+    }
+
     void count(String event) {
         counts.merge(event, 1, Integer::sum);
     }
 
     boolean holdsInTruth(String instance) {
-        return truth.leases.lease(LEASE).flatMap(LeaseState::holder).equals(java.util.Optional.of(instance));
+        return truth.leases.lease(LEASE).flatMap(LeaseState::holder).equals(Optional.of(instance));
     }
 
     private List<Runnable> healthySteps() {
@@ -170,7 +182,7 @@
 
     CompletableFuture<OrderReply> send(FakeInstance sender, FakeEngine engine, Order order, long fencing, String id) {
         if (!holdsInTruth(sender.name)) {
-            throw new AssertionError(sender.name + " sends after its authority was lost");
+            violation = Optional.of(sender.name + " sends after its authority was lost");
         }
         CompletableFuture<OrderReply> future = new CompletableFuture<>();
         FakeMessage message = FakeMessage.order(this, sender, future, () -> engine.receive(order, fencing, id));
