--- a/src/main/java/org/verbenatray/bench/Flight.java
+++ b/src/main/java/org/verbenatray/bench/Flight.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.verbenatray.routing.RouteDispatch;
 import org.verbenatray.standin.engine.EngineRequest;
 
 /** The state of a request of an experiment. */
@@ -21,6 +22,9 @@
     /** The engine that processes the prompt or exports the KV cache, when it is another one. */
     Optional<SimulatedEngine> source = Optional.empty();
 
+    /** What the fleet view counts for it. */
+    Optional<RouteDispatch> counted = Optional.empty();
+
     /** The tokens that were received. */
     int tokens;
 
--- a/src/main/java/org/verbenatray/bench/MixCommand.java
+++ b/src/main/java/org/verbenatray/bench/MixCommand.java
@@ -50,6 +50,10 @@
     @Parameter(names = "--assignment", description = "roles at the start: both, mixed, split, prompts, tokens")
     private String assignment = "mixed";
 
+    /** The router. */
+    @Parameter(names = "--router", description = "cost, the one of the entry instances, or least-time")
+    private String router = Routers.LEAST_TIME;
+
     /** The price of a change. */
     @Parameter(names = "--price", description = "price of a role change in answers; the deployment's when not given")
     private Double price;
@@ -112,6 +116,9 @@
         if (start.isEmpty()) {
             problems.add("--assignment " + assignment + ": use both, mixed, split, prompts or tokens");
         }
+        if (!Routers.NAMES.contains(router)) {
+            problems.add("--router " + router + ": use " + String.join(" or ", Routers.NAMES));
+        }
         for (String policy : policies) {
             if (!policy.equals(Policies.ORACLE) && Policies.named(policy).isEmpty()) {
                 problems.add("--policy " + policy + ": use " + String.join(", ", Policies.NAMES));
@@ -133,7 +140,7 @@
     private void addRuns(List<MixRun> runs, Deployment fleet, MixShape shape, Assignment start) {
         for (String policy : policies) {
             for (long seed : seeds) {
-                runs.add(new MixRun(fleet, shape, start, policy, seed));
+                runs.add(new MixRun(fleet, shape, start, router, policy, seed));
             }
         }
     }
--- a/src/main/java/org/verbenatray/bench/MixExperiment.java
+++ b/src/main/java/org/verbenatray/bench/MixExperiment.java
@@ -42,7 +42,7 @@
 
     /** Returns the counts of one failure domain. */
     private static MixStatistics simulate(MixRun run, PolicyFactory policy) {
-        return MixSimulation.play(run, new LeastTimeRouter(), policy);
+        return MixSimulation.play(run, policy);
     }
 
     /** Returns the best counts of one failure domain over all policies and over all schedules with two assignments. */
--- a/src/main/java/org/verbenatray/bench/MixSimulation.java
+++ b/src/main/java/org/verbenatray/bench/MixSimulation.java
@@ -8,19 +8,28 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.verbenatray.configuration.FleetConfiguration;
 import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
+import org.verbenatray.configuration.FleetConfiguration.ModelSpec;
 import org.verbenatray.fleet.EngineCondition;
 import org.verbenatray.fleet.EngineView;
+import org.verbenatray.fleet.FleetBounds;
+import org.verbenatray.fleet.FleetView;
+import org.verbenatray.fleet.LoadReport;
+import org.verbenatray.fleet.PrefixIndex;
 import org.verbenatray.roles.RoleAlternative;
 import org.verbenatray.routing.Route;
+import org.verbenatray.routing.RouteDispatch;
 import org.verbenatray.routing.RouteRequest;
 import org.verbenatray.routing.Router;
 import org.verbenatray.standin.engine.EngineEvent;
-import org.verbenatray.standin.engine.EngineLoad;
 import org.verbenatray.standin.engine.KvExport;
 
 /** Plays the requests of one run through router, policy and engine models on a simulated clock. */
 final class MixSimulation {
+    /** The size of the KV cache of one token, so that a transfer takes as long as in the engine model. */
+    private static final int KV_BYTES_PER_TOKEN = 50_000;
+
     /** Nanoseconds in one millisecond. */
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -54,6 +63,9 @@
     /** The engines by name. */
     private final Map<String, SimulatedEngine> engines = new LinkedHashMap<>();
 
+    /** What is known of the engines. */
+    private final FleetView fleet;
+
     /** The planning state by failure domain. */
     private final Map<String, DomainPlanning> plannings = new LinkedHashMap<>();
 
@@ -70,15 +82,14 @@
     private final MixStatistics statistics = new MixStatistics();
 
     /** Creates a simulation of a run. */
-    private MixSimulation(MixRun run, Router router, PolicyFactory policies) {
+    private MixSimulation(MixRun run, PolicyFactory policies) {
         this.run = run;
-        this.router = router;
         Deployment deployment = run.deployment();
         List<Arrival> arrivals = Workload.generate(deployment, run.shape(), run.seed());
         for (String domain : deployment.enginesByDomain().keySet()) {
             List<EngineSpec> specs = deployment.engines(domain, run.assignment());
             for (int i = 0; i < specs.size(); i++) {
-                String name = domain + "-" + i;
+                String name = engineName(domain, i);
                 engines.put(name, SimulatedEngine.create(name, specs.get(i)));
             }
             List<Arrival> local = arrivals.stream()
@@ -86,6 +97,12 @@
                     .toList();
             plannings.put(domain, new DomainPlanning(deployment.roles(), policies.create(local)));
         }
+        PrefixIndex prefixIndex = PrefixIndex.create(PrefixIndex.DEFAULT_PIECES_PER_ENGINE);
+        FleetConfiguration configuration = configuration();
+        fleet = FleetView.create(deployment.enginesByDomain().keySet(), FleetBounds.defaults(), prefixIndex);
+        fleet.onConfiguration(configuration);
+        router = Routers.create(run.router(), prefixIndex, configuration, run.seed());
+        engines.values().forEach(engine -> fleet.onReport(engine.report(0), 0));
         for (int i = 0; i < arrivals.size(); i++) {
             Flight flight = new Flight(arrivals.get(i), i);
             timers.at(flight.arrival.atNanos(), now -> arrive(flight, now));
@@ -97,8 +114,8 @@
     }
 
     /** Returns the counts of a run. */
-    static MixStatistics play(MixRun run, Router router, PolicyFactory policies) {
-        MixSimulation simulation = new MixSimulation(run, router, policies);
+    static MixStatistics play(MixRun run, PolicyFactory policies) {
+        MixSimulation simulation = new MixSimulation(run, policies);
         simulation.runUntil(MixShape.SECONDS * NANOS_PER_SECOND + DRAIN_NANOS);
         return simulation.statistics;
     }
@@ -126,18 +143,47 @@
         }
     }
 
+    /** Returns the configuration of the run. */
+    private FleetConfiguration configuration() {
+        Map<String, EngineSpec> specs = new LinkedHashMap<>();
+        engines.forEach((name, engine) -> specs.put(name, engine.spec));
+        ModelSpec model = new ModelSpec("1", List.of(), 0, List.of(), KV_BYTES_PER_TOKEN);
+        return new FleetConfiguration(
+                Map.of(SimulatedEngine.MODEL, model),
+                Map.of(),
+                Map.of(),
+                specs,
+                run.deployment().roles());
+    }
+
     /** Enters the withdrawal of one engine of each larger failure domain. */
     private void enterWithdrawals(MixShape.Withdrawal withdrawal) {
         run.deployment().enginesByDomain().forEach((domain, count) -> {
             if (count > 2) {
-                SimulatedEngine engine = engines.get(domain + "-" + (count - 1));
-                timers.at(
-                        withdrawal.fromSeconds() * NANOS_PER_SECOND, now -> engine.view.know(EngineCondition.LEAVING));
-                timers.at(withdrawal.toSeconds() * NANOS_PER_SECOND, now -> engine.view.know(EngineCondition.READY));
+                SimulatedEngine engine = engines.get(engineName(domain, count - 1));
+                timers.at(withdrawal.fromSeconds() * NANOS_PER_SECOND, now -> leave(engine));
+                timers.at(withdrawal.toSeconds() * NANOS_PER_SECOND, now -> comeBack(engine, now));
             }
         });
     }
 
+    /** Withdraws an engine, which finishes what it has. */
+    private void leave(SimulatedEngine engine) {
+        engine.leaving = true;
+        fleet.onLeaving(engine.name);
+    }
+
+    /** Brings an engine back. */
+    private void comeBack(SimulatedEngine engine, long now) {
+        engine.comeBack();
+        fleet.onReport(engine.report(0), now);
+    }
+
+    /** Returns the name of an engine. */
+    private static String engineName(String domain, int index) {
+        return domain + "-" + index;
+    }
+
     /** Takes a request or refuses it. */
     private void arrive(Flight flight, long now) {
         statistics.arrived(flight.arrival.kind());
@@ -168,12 +214,19 @@
             timers.at(now + RETRY_PERIOD_NANOS, at -> route(flight, at));
             return;
         }
-        int prompt = flight.arrival.promptTokens();
-        first.view.dispatched(now, prefillOnly ? 0 : 1, prompt, prompt);
-        if (prefillOnly) {
-            flight.engine.view.dispatched(
-                    now, 1, 0, prompt + flight.arrival.kind().expectedOutputTokens());
-        }
+        count(flight, route, now);
+    }
+
+    /** Counts the load of a route in the fleet view in place of what was counted before. */
+    private void count(Flight flight, Route route, long now) {
+        flight.counted.ifPresent(counted -> counted.onEnd(now));
+        flight.counted = RouteDispatch.start(fleet, route, routeRequest(flight), now);
+    }
+
+    /** Counts a stream that continues at another engine. */
+    private void countMoved(Flight flight, long now) {
+        Route route = new Route(flight.engine.name, Optional.empty(), flight.arrival.promptTokens(), 0, 0);
+        count(flight, route, now);
     }
 
     /** Routes a request again that was taken before. */
@@ -195,6 +248,7 @@
             return;
         }
         flight.done = true;
+        flight.counted.ifPresent(counted -> counted.onEnd(now));
         statistics.late(flight);
         flights.remove(flight.id());
         flight.engine.model.cancel(flight.id(), now);
@@ -216,15 +270,22 @@
                 flight.source.ifPresent(source -> source.model.release(imported.id(), now));
                 flight.source = Optional.empty();
             } else if (event instanceof EngineEvent.Returned returned) {
-                Optional.ofNullable(flights.remove(returned.id())).ifPresent(flight -> route(flight, now));
+                Optional.ofNullable(flights.remove(returned.id())).ifPresent(flight -> giveBack(flight, now));
             } else if (event instanceof EngineEvent.RoleChanged changed) {
                 plannings.get(engine.failureDomain).changed(engine.name);
                 statistics.changeFinished(changed.atNanos() - engine.orderedNanos);
-                engine.view.deliver(engine.model.load());
+                fleet.onReport(engine.report(0), now);
             }
         }
     }
 
+    /** Routes a request again that an engine gave back. */
+    private void giveBack(Flight flight, long now) {
+        flight.counted.ifPresent(counted -> counted.onEnd(now));
+        flight.counted = Optional.empty();
+        route(flight, now);
+    }
+
     /** Receives a token. */
     private void token(EngineEvent.TokenGenerated token) {
         Flight flight = flights.get(token.id());
@@ -235,6 +296,9 @@
             throw new IllegalStateException("request " + token.id() + " expected offset " + flight.tokens);
         }
         statistics.token(flight, token.atNanos());
+        if (flight.tokens == 0) {
+            flight.counted.ifPresent(counted -> counted.onFirstToken(token.atNanos()));
+        }
         flight.tokens++;
         flight.lastTokenNanos = token.atNanos();
     }
@@ -244,6 +308,7 @@
         Flight flight = flights.remove(finished.id());
         if (flight != null) {
             flight.done = true;
+            flight.counted.ifPresent(counted -> counted.onEnd(finished.atNanos()));
             statistics.answered(flight);
         }
     }
@@ -257,6 +322,7 @@
         Optional<SimulatedEngine> target = decodeTarget(export, flight, now);
         if (target.isPresent() && target.get().model.importKv(export, now).isEmpty()) {
             flight.engine = target.get();
+            countMoved(flight, now);
         } else {
             stranded.add(export);
         }
@@ -265,11 +331,12 @@
     /** Returns the least loaded engine with room for the KV cache. */
     private Optional<SimulatedEngine> decodeTarget(KvExport export, Flight flight, long now) {
         long needed = (long) export.kvTokens() + flight.arrival.kind().expectedOutputTokens();
-        return engines.values().stream()
-                .filter(engine -> engine.failureDomain.equals(flight.arrival.failureDomain()))
-                .filter(engine -> flight.source.filter(engine::equals).isEmpty())
-                .filter(engine -> takesStream(engine.viewAt(now), needed))
-                .min(Comparator.comparingInt(engine -> engine.viewAt(now).runningStreams()));
+        String source = flight.source.map(engine -> engine.name).orElse("");
+        return views(flight.arrival.failureDomain(), now).stream()
+                .filter(view -> !view.name().equals(source))
+                .filter(view -> takesStream(view, needed))
+                .min(Comparator.comparingInt(EngineView::runningStreams))
+                .map(view -> engines.get(view.name()));
     }
 
     /** Returns whether an engine has room for a stream. */
@@ -284,8 +351,8 @@
     private void report(long now) {
         for (SimulatedEngine engine : engines.values()) {
             handle(engine, now);
-            EngineLoad load = engine.model.load();
-            timers.at(now + REPORT_LAG_NANOS, at -> engine.view.deliver(load));
+            LoadReport report = engine.report(REPORT_LAG_NANOS / NANOS_PER_MILLI);
+            timers.at(now + REPORT_LAG_NANOS, at -> fleet.onReport(report, at));
         }
     }
 
@@ -298,7 +365,7 @@
                     statistics.changeOrdered();
                     planning.ordered(change);
                     engine.orderedNanos = now;
-                    engine.view.deliver(engine.model.load());
+                    fleet.onChangeOrdered(engine.name, now);
                     handle(engine, now);
                     moveStreams(engine, now);
                 }
@@ -339,8 +406,7 @@
     private void move(Flight flight, SimulatedEngine from, SimulatedEngine to, long now) {
         KvExport export = from.model.exportKv(flight.id(), now).orElseThrow();
         flight.engine = to;
-        int kv = export.kvTokens() + flight.arrival.kind().expectedOutputTokens();
-        to.view.dispatched(now, 1, 0, kv);
+        countMoved(flight, now);
         if (to.model.importKv(export, now).isPresent()) {
             stranded.add(export);
         }
@@ -361,13 +427,9 @@
 
     /** Returns the views of the engines of a failure domain. */
     private List<EngineView> views(String domain, long now) {
-        List<EngineView> views = new ArrayList<>();
-        for (SimulatedEngine engine : engines.values()) {
-            if (engine.failureDomain.equals(domain)) {
-                views.add(engine.viewAt(now));
-            }
-        }
-        return views;
+        return fleet.views(now).stream()
+                .filter(view -> view.spec().failureDomain().equals(domain))
+                .toList();
     }
 
     /** Creates the policy of a failure domain. */
--- /dev/null
+++ b/src/main/java/org/verbenatray/bench/Routers.java
@@ -0,0 +1,38 @@
+package org.verbenatray.bench;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.verbenatray.configuration.FleetConfiguration;
+import org.verbenatray.fleet.PrefixIndex;
+import org.verbenatray.routing.CostModel;
+import org.verbenatray.routing.CostRouter;
+import org.verbenatray.routing.Router;
+
+/** The routers of the experiments by name. */
+final class Routers {
+    /** The router of the entry instances. */
+    static final String COST = "cost";
+
+    /** The router that scans all pairs and knows that engines honour priorities. */
+    static final String LEAST_TIME = "least-time";
+
+    /** The router of the entry instances behind views of the queue by priority. */
+    static final String COST_BY_PRIORITY = "cost-by-priority";
+
+    /** The names of the routers. */
+    static final List<String> NAMES = List.of(COST, COST_BY_PRIORITY, LEAST_TIME);
+
+    /** Prevents instances. */
+    private Routers() {}
+
+    /** Returns the router of the given name. */
+    static Router create(String name, PrefixIndex prefixIndex, FleetConfiguration configuration, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        return switch (name) {
+            case COST -> CostRouter.create(CostModel.defaults(), prefixIndex, () -> configuration, random::nextLong);
+            case COST_BY_PRIORITY -> PriorityAwareRouter.create(create(COST, prefixIndex, configuration, seed));
+            case LEAST_TIME -> new LeastTimeRouter();
+            default -> throw new IllegalArgumentException("router " + name + ": use " + String.join(" or ", NAMES));
+        };
+    }
+}
--- a/src/main/java/org/verbenatray/bench/SimulatedEngine.java
+++ b/src/main/java/org/verbenatray/bench/SimulatedEngine.java
@@ -2,7 +2,9 @@
 
 import java.util.Map;
 import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
-import org.verbenatray.fleet.EngineView;
+import org.verbenatray.fleet.EngineCondition;
+import org.verbenatray.fleet.LoadReport;
+import org.verbenatray.standin.engine.EngineLoad;
 import org.verbenatray.standin.engine.EngineModel;
 import org.verbenatray.standin.engine.EngineModelSpec;
 
@@ -20,12 +22,21 @@
     /** The modelled engine. */
     final EngineModel model;
 
-    /** What is known of it. */
-    final LaggedView view;
+    /** The configuration. */
+    final EngineSpec spec;
+
+    /** Whether it is leaving. */
+    boolean leaving;
 
     /** When the change of role that is under way was ordered. */
     long orderedNanos;
 
+    /** The number of its starts. */
+    private long incarnation = 1;
+
+    /** The number of reports of this start. */
+    private long reports;
+
     /** Creates an idle engine. */
     private SimulatedEngine(String name, EngineSpec spec) {
         EngineModelSpec.Limits limits = EngineModelSpec.Limits.defaults().inRole(spec.initialRole());
@@ -39,7 +50,7 @@
         this.name = name;
         this.failureDomain = spec.failureDomain();
         this.model = EngineModel.create(modelSpec, Map.of(MODEL, "1"), 0);
-        this.view = new LaggedView(name, spec, model.load());
+        this.spec = spec;
     }
 
     /** Returns an idle engine. */
@@ -47,8 +58,27 @@
         return new SimulatedEngine(name, spec);
     }
 
-    /** Returns what is known of the engine. */
-    EngineView viewAt(long nowNanos) {
-        return view.at(nowNanos);
+    /** Returns a load report that arrives the given milliseconds later. */
+    LoadReport report(long lagMillis) {
+        EngineLoad load = model.load();
+        boolean changing = load.condition() == EngineCondition.CHANGING;
+        return new LoadReport(
+                name,
+                incarnation,
+                reports++,
+                load.role(),
+                leaving,
+                changing,
+                load.acceptedStreams(),
+                load.queuedPrefillTokens(),
+                load.usedKvTokens(),
+                lagMillis);
+    }
+
+    /** Comes back after a withdrawal. */
+    void comeBack() {
+        leaving = false;
+        incarnation++;
+        reports = 0;
     }
 }
--- a/src/main/java/org/verbenatray/standin/engine/EngineLoad.java
+++ b/src/main/java/org/verbenatray/standin/engine/EngineLoad.java
@@ -11,6 +11,7 @@
  * @param role the present role
  * @param condition whether the engine takes new work
  * @param runningStreams the streams that generate tokens or whose KV cache is being imported
+ * @param acceptedStreams the requests that it accepted and has not finished, including those whose prompt waits
  * @param queuedPrefillTokens the prompt tokens that wait or are being processed
  * @param usedKvTokens the tokens reserved in KV cache
  * @param models the served versions by model
@@ -20,6 +21,7 @@
         EngineRole role,
         EngineCondition condition,
         int runningStreams,
+        int acceptedStreams,
         long queuedPrefillTokens,
         long usedKvTokens,
         Map<String, String> models) {}
--- a/src/main/java/org/verbenatray/standin/engine/EngineModel.java
+++ b/src/main/java/org/verbenatray/standin/engine/EngineModel.java
@@ -206,7 +206,8 @@
                 ? EngineCondition.UNREACHABLE
                 : change.isPresent() ? EngineCondition.CHANGING : EngineCondition.READY;
         int running = batch.size() + imports.size();
-        return new EngineLoad(nowNanos, role, condition, running, queued, usedKvTokens, Map.copyOf(models));
+        return new EngineLoad(
+                nowNanos, role, condition, running, streams.size(), queued, usedKvTokens, Map.copyOf(models));
     }
 
     /** Returns the ids of the streams that generate tokens, in the order in which they joined the batch. */
