Roles and versions of engines are ordered under the lease of their failure domain

Change: each instance keeps trying for the lease of its failure domain; its holder settles outstanding orders, loads configured versions one engine at a time and orders the planner's role changes, each with one line that explains it.

--- a/src/main/java/org/verbenatray/cli/StandinEngineCommand.java
+++ b/src/main/java/org/verbenatray/cli/StandinEngineCommand.java
@@ -37,6 +37,10 @@
     @Parameter(names = "--decode-step-millis", description = "Time of a decode step of one stream")
     private String decodeStepMillis = "10";
 
+    /** Whether old fencing numbers are ignored. */
+    @Parameter(names = "--ignore-fencing", description = "Takes orders that carry an old fencing number")
+    private boolean ignoreFencing;
+
     @Override
     public int run(CommandOutput output) throws Exception {
         SettingsCheck check = SettingsCheck.create();
@@ -49,7 +53,7 @@
         check.finish();
         EngineModelSpec.Limits limits = EngineModelSpec.Limits.defaults().inRole(initialRole);
         EngineModelSpec spec = new EngineModelSpec(prefill, step, 0.2, 64, 1_000_000, limits);
-        EngineServer engine = EngineServer.start(checkedName, address, spec, versions);
+        EngineServer engine = EngineServer.start(checkedName, address, spec, versions, !ignoreFencing);
         output.out().println("engine=" + engine.address());
         return Processes.untilStopped(engine::close);
     }
--- a/src/main/java/org/verbenatray/demo/EmbeddedDeployment.java
+++ b/src/main/java/org/verbenatray/demo/EmbeddedDeployment.java
@@ -33,6 +33,12 @@
     /** The address on which everything listens. */
     private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
 
+    /** The time without service of a role change in milliseconds. */
+    private static final long ROLE_CHANGE_MILLIS = 2_000;
+
+    /** The time without service of loading a version in milliseconds. */
+    private static final long LOAD_MODEL_MILLIS = 1_000;
+
     /** The time that reading the log may take in milliseconds. */
     private static final long READ_MILLIS = 20_000;
 
@@ -166,7 +172,15 @@
 
     /** Starts an engine. */
     private EngineServer startEngine(String name) {
-        EngineModelSpec.Limits limits = EngineModelSpec.Limits.defaults().inRole(EngineRole.BOTH);
+        EngineModelSpec.Limits usual = EngineModelSpec.Limits.defaults();
+        EngineModelSpec.Limits limits = new EngineModelSpec.Limits(
+                EngineRole.BOTH,
+                usual.chunkTokens(),
+                usual.cachedPieces(),
+                usual.pieceTokens(),
+                usual.kvTransferTokensPerSecond(),
+                ROLE_CHANGE_MILLIS,
+                LOAD_MODEL_MILLIS);
         EngineModelSpec spec = new EngineModelSpec(
                 shape.prefillTokensPerSecond(),
                 shape.decodeStepMillis(),
@@ -174,7 +188,7 @@
                 FleetYaml.MAX_STREAMS,
                 FleetYaml.KV_TOKENS,
                 limits);
-        return EngineServer.start(name, ANY_PORT, spec, Map.of("gate-check", "1", "trade-review", "1"));
+        return EngineServer.start(name, ANY_PORT, spec, Map.of("gate-check", "1", "trade-review", "1"), true);
     }
 
     /** Shows the backend servers in the instance list. */
--- a/src/main/java/org/verbenatray/instance/EntryInstance.java
+++ b/src/main/java/org/verbenatray/instance/EntryInstance.java
@@ -7,31 +7,43 @@
 import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 import org.verbenatray.admission.AdmissionBounds;
 import org.verbenatray.admission.AdmissionController;
+import org.verbenatray.admission.AdmissionRequest;
 import org.verbenatray.admission.ModelCapacity;
 import org.verbenatray.admission.OutputEstimator;
 import org.verbenatray.admission.RetryBudget;
+import org.verbenatray.authority.LeaseKeeper;
+import org.verbenatray.authority.LeaseSurroundings;
+import org.verbenatray.authority.LeaseTiming;
 import org.verbenatray.configuration.ActiveConfiguration;
 import org.verbenatray.configuration.FleetConfiguration;
+import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
 import org.verbenatray.fleet.EngineView;
 import org.verbenatray.fleet.FleetBounds;
 import org.verbenatray.fleet.FleetView;
 import org.verbenatray.fleet.InstanceListEntry;
 import org.verbenatray.fleet.PrefixIndex;
+import org.verbenatray.orders.EngineOrders;
+import org.verbenatray.orders.OrderExecutor;
+import org.verbenatray.orders.OrderPorts;
+import org.verbenatray.orders.OrderTiming;
 import org.verbenatray.platform.HttpInstanceList;
 import org.verbenatray.platform.HttpLogService;
 import org.verbenatray.platform.InstanceEntry;
 import org.verbenatray.routing.CostModel;
 import org.verbenatray.routing.CostRouter;
 import org.verbenatray.servers.HttpEngineClient;
+import org.verbenatray.servers.HttpEngineOrders;
 import org.verbenatray.servers.HttpServiceClient;
 import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.serving.EntryServer;
@@ -69,6 +81,9 @@
     /** The pause between two looks at the capacity of the engines in milliseconds. */
     private static final long CAPACITY_MILLIS = 250;
 
+    /** The time between two tokens that callers are promised in milliseconds. */
+    private static final long TOKEN_MILLIS = 26;
+
     /** The settings. */
     private final EntrySettings settings;
 
@@ -105,6 +120,9 @@
     /** Bounds the runs of requests after their first. */
     private final RetryBudget retries = RetryBudget.defaults();
 
+    /** The roles of the engines of the own failure domain. */
+    private final RoleControl roles;
+
     /** The HTTP servers. */
     private final EntryServer server;
 
@@ -135,13 +153,15 @@
         HttpInstanceList list = HttpInstanceList.create(transport, settings.platform());
         this.membership = new Membership(list, this::self, timing);
         this.logParts = LogParts.create(
-                settings.name(),
-                HttpLogService.create(transport, settings.platform()),
-                membership::liveInstances,
-                timing);
+                self().id(), HttpLogService.create(transport, settings.platform()), membership::liveInstances, timing);
         PrefixIndex prefixIndex = PrefixIndex.create(PrefixIndex.DEFAULT_PIECES_PER_ENGINE);
         this.fleet = FleetView.create(Set.of(settings.failureDomain()), FleetBounds.defaults(), prefixIndex);
         ServerChooser servers = ServerChooser.create(settings.failureDomain(), ticker);
+        EngineOrders engineOrders = HttpEngineOrders.create(
+                transport,
+                engine -> Optional.ofNullable(fleetConfiguration().engines().get(engine))
+                        .map(EngineSpec::address));
+        this.roles = new RoleControl(orderParts(engineOrders), fleet, engineOrders, timing, metrics);
         this.server = startServer(transport, prefixIndex, servers);
         follow(transport, servers);
     }
@@ -195,6 +215,7 @@
                 .with("open", open.count())
                 .log(log, Level.INFO);
         var drained = open.leave();
+        roles.leave();
         membership.announceNow();
         try {
             drained.get(DRAIN_MILLIS, TimeUnit.MILLISECONDS);
@@ -218,6 +239,45 @@
         Event.named("instance_stopped").with("instance", settings.name()).log(log, Level.INFO);
     }
 
+    /** Returns what orders of the own failure domain are given through. */
+    private OrderParts orderParts(EngineOrders engineOrders) {
+        String lease = settings.failureDomain();
+        AtomicReference<OrderExecutor> executor = new AtomicReference<>();
+        LeaseSurroundings surroundings = new LeaseSurroundings(
+                () -> logParts.fold().read(() -> logParts.leases().lease(lease)),
+                () -> membership.liveIn(lease),
+                membership::isGone,
+                () -> executor.get().isQuiet(timing.ticker().nanos()));
+        org.verbenatray.authority.Scheduler later =
+                (delayMillis, task) -> timing.scheduler().runAt(timing.inMillis(delayMillis), task);
+        LeaseKeeper keeper = LeaseKeeper.create(
+                lease,
+                self().id(),
+                leaseTiming(settings.leaseTermMillis()),
+                surroundings,
+                logParts.appender(),
+                timing.ticker(),
+                later);
+        executor.set(OrderExecutor.create(new OrderPorts(
+                logParts.appender(),
+                engineOrders,
+                keeper::authority,
+                engine -> logParts.fold().read(() -> logParts.orders().journal(engine)),
+                timing.ticker(),
+                later,
+                OrderTiming.defaults())));
+        return new OrderParts(
+                keeper,
+                executor.get(),
+                () -> logParts.fold().read(() -> logParts.orders().outstanding(lease)),
+                this::active);
+    }
+
+    /** Returns the times of a lease with the given term in milliseconds. */
+    private static LeaseTiming leaseTiming(long termMillis) {
+        return new LeaseTiming(termMillis, termMillis / 10, termMillis / 4, termMillis / 10, termMillis / 6);
+    }
+
     /** Starts the HTTP servers. */
     private EntryServer startServer(HttpTransport transport, PrefixIndex prefixIndex, ServerChooser servers) {
         SplittableRandom random = new SplittableRandom(incarnation);
@@ -243,7 +303,8 @@
         QueuedAdmitter admitter = QueuedAdmitter.create(
                 admission,
                 OutputEstimator.create(OutputEstimator.DEFAULT_PAIRS),
-                request -> chooser.expectation(request),
+                chooser::expectation,
+                this::arrived,
                 timing);
         admitter.start();
         ServingParts parts = new ServingParts(
@@ -256,14 +317,36 @@
                 HttpServiceClient.create(transport),
                 servers,
                 settings.defaultTimeoutMillis());
+        describe(admitter);
+        return EntryServer.start(settings, worker, parts, metrics, dump, this::isReady);
+    }
+
+    /** Fills the state dump. */
+    private void describe(QueuedAdmitter admitter) {
         dump.section("instance", () -> settings)
                 .section("configuration", this::active)
                 .section("log", () -> logParts.fold().position())
                 .section("open_requests", open::count)
                 .section("waiting_requests", admitter::waitingRequests)
                 .section("engines", () -> fleet.views(timing.ticker().nanos()))
-                .section("instances", membership::entries);
-        return EntryServer.start(settings, worker, parts, metrics, dump, this::isReady);
+                .section("instances", membership::entries)
+                .section(
+                        "lease",
+                        () -> logParts.fold().read(() -> logParts.leases().lease(settings.failureDomain())))
+                .section("role_changes", roles::decisions);
+    }
+
+    /** Counts a request for the roles; the platform's balancer gives every live instance as many. */
+    private void arrived(AdmissionRequest request) {
+        int instances = Math.max(1, membership.liveIn(settings.failureDomain()).size());
+        long remaining = request.deadline().remainingMillis(timing.ticker().nanos());
+        long generating = request.expectedOutputTokens() * TOKEN_MILLIS;
+        roles.arrived(
+                instances,
+                request.priority(),
+                request.promptTokens(),
+                request.expectedOutputTokens(),
+                Math.max(0, remaining - generating));
     }
 
     /** Starts to follow the log, the instance list and the engines. */
@@ -276,6 +359,7 @@
         membership.onList(entries -> servers.leaving(leavingServices(entries)));
         logParts.start();
         membership.start();
+        roles.start();
         watchCapacity();
         new EnginePoller(transport, this::fleetConfiguration, settings.failureDomain(), fleet, timing).start();
     }
--- a/src/main/java/org/verbenatray/instance/LogParts.java
+++ b/src/main/java/org/verbenatray/instance/LogParts.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.function.IntSupplier;
+import org.verbenatray.authority.LeaseFold;
 import org.verbenatray.configuration.ConfigurationFold;
 import org.verbenatray.log.LogService;
+import org.verbenatray.orders.OrderFold;
 import org.verbenatray.state.AppenderLimits;
 import org.verbenatray.state.BatchingAppender;
 import org.verbenatray.state.FollowerTimes;
@@ -17,6 +19,8 @@
  * The parts of an instance that follow the log and append to it.
  *
  * @param configuration the configuration part of the state
+ * @param leases the leases
+ * @param orders the journal of orders
  * @param fold the whole state
  * @param follower reads the log
  * @param appender appends to it
@@ -24,6 +28,8 @@
  */
 record LogParts(
         ConfigurationFold configuration,
+        LeaseFold leases,
+        OrderFold orders,
         SharedFold fold,
         LogFollower follower,
         BatchingAppender appender,
@@ -31,13 +37,15 @@
     /** Returns parts that do not read yet. */
     static LogParts create(String instance, LogService log, IntSupplier liveInstances, Timing timing) {
         ConfigurationFold configuration = ConfigurationFold.create();
-        SharedFold fold = SharedFold.of(List.of(configuration));
+        LeaseFold leases = LeaseFold.create();
+        OrderFold orders = OrderFold.create(leases);
+        SharedFold fold = SharedFold.of(List.of(configuration, leases, orders));
         LogFollower follower = LogFollower.create(fold, log, FollowerTimes.defaults(), timing);
         BatchingAppender appender = BatchingAppender.create(
                 instance, log, follower, fold, AppenderLimits.defaults(), liveInstances, timing);
         SnapshotWriter snapshots =
                 SnapshotWriter.create(fold, follower, appender, SnapshotPolicy.defaults(), instance, timing);
-        return new LogParts(configuration, fold, follower, appender, snapshots);
+        return new LogParts(configuration, leases, orders, fold, follower, appender, snapshots);
     }
 
     /** Starts to read and to append snapshots. */
--- a/src/main/java/org/verbenatray/instance/Membership.java
+++ b/src/main/java/org/verbenatray/instance/Membership.java
@@ -4,6 +4,8 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -35,6 +37,9 @@
     /** The last list, empty before the first. */
     private volatile Optional<List<InstanceEntry>> last = Optional.empty();
 
+    /** The ids of the instances that any list showed. */
+    private final Set<String> seen = ConcurrentHashMap.newKeySet();
+
     /** Whether the last read failed. */
     private volatile boolean failing;
 
@@ -67,6 +72,25 @@
         return last.orElse(List.of());
     }
 
+    /** Returns the ids of the live entry instances of a failure domain. */
+    List<String> liveIn(String failureDomain) {
+        return entries().stream()
+                .filter(entry -> entry.kind() == InstanceEntry.Kind.ENTRY && !entry.leaving())
+                .filter(entry -> entry.failureDomain().equals(failureDomain))
+                .map(InstanceEntry::id)
+                .toList();
+    }
+
+    /**
+     * Returns whether the list showed an instance earlier and shows it no longer.
+     *
+     * <p>A list that does not show this instance itself proves nothing.
+     */
+    boolean isGone(String id) {
+        List<String> present = entries().stream().map(InstanceEntry::id).toList();
+        return seen.contains(id) && present.contains(self.get().id()) && !present.contains(id);
+    }
+
     /** Returns the number of live entry instances, at least one. */
     int liveInstances() {
         long live = entries().stream()
@@ -88,6 +112,7 @@
         }
         failing = false;
         last = Optional.of(entries);
+        entries.forEach(entry -> seen.add(entry.id()));
         listeners.forEach(listener -> listener.accept(entries));
     }
 }
--- a/src/main/java/org/verbenatray/platform/InstanceEntry.java
+++ b/src/main/java/org/verbenatray/platform/InstanceEntry.java
@@ -12,6 +12,11 @@
  */
 public record InstanceEntry(
         String name, Kind kind, String failureDomain, String address, long incarnation, boolean leaving) {
+    /** Returns the name of this incarnation, which no other process ever has. */
+    public String id() {
+        return name + "@" + incarnation;
+    }
+
     /** The kinds of instances. */
     public enum Kind {
         /** An entry instance of this system. */
--- a/src/main/java/org/verbenatray/serving/QueuedAdmitter.java
+++ b/src/main/java/org/verbenatray/serving/QueuedAdmitter.java
@@ -34,6 +34,9 @@
     /** Returns what the best route promises to a request, empty when no engine can take it now. */
     private final Function<AdmissionRequest, Optional<Expectation>> expectation;
 
+    /** Receives every request that arrives. */
+    private final Consumer<AdmissionRequest> arrivals;
+
     /** The sources of time. */
     private final Timing timing;
 
@@ -45,10 +48,12 @@
             AdmissionController controller,
             OutputEstimator lengths,
             Function<AdmissionRequest, Optional<Expectation>> expectation,
+            Consumer<AdmissionRequest> arrivals,
             Timing timing) {
         this.controller = controller;
         this.lengths = lengths;
         this.expectation = expectation;
+        this.arrivals = arrivals;
         this.timing = timing;
     }
 
@@ -57,8 +62,9 @@
             AdmissionController controller,
             OutputEstimator lengths,
             Function<AdmissionRequest, Optional<Expectation>> expectation,
+            Consumer<AdmissionRequest> arrivals,
             Timing timing) {
-        return new QueuedAdmitter(controller, lengths, expectation, timing);
+        return new QueuedAdmitter(controller, lengths, expectation, arrivals, timing);
     }
 
     /** Looks at the queue now and again after each pause. */
@@ -70,6 +76,7 @@
     @Override
     public Cancellation admit(CompletionRequest request, Consumer<IntConsumer> admitted, Consumer<Refusal> refused) {
         AdmissionRequest wanted = wanted(request);
+        arrivals.accept(wanted);
         long now = timing.ticker().nanos();
         Admission admission = controller.admit(wanted, expectation.apply(wanted), now);
         if (admission instanceof Admission.Refused refusal) {
--- a/src/main/java/org/verbenatray/standin/EngineLoop.java
+++ b/src/main/java/org/verbenatray/standin/EngineLoop.java
@@ -14,6 +14,8 @@
 import org.verbenatray.fleet.EngineCondition;
 import org.verbenatray.fleet.LoadReport;
 import org.verbenatray.log.RecordCodec;
+import org.verbenatray.orders.OrderReply;
+import org.verbenatray.servers.HttpEngineOrders.SentOrder;
 import org.verbenatray.standin.engine.EngineEvent;
 import org.verbenatray.standin.engine.EngineLoad;
 import org.verbenatray.standin.engine.EngineModel;
@@ -39,8 +41,8 @@
     /** The dispatches by id, the oldest first. */
     private final Map<String, StreamRecord> records = new java.util.LinkedHashMap<>();
 
-    /** Receives the events that are not about streams. */
-    private final java.util.function.Consumer<EngineEvent> observer;
+    /** Takes the orders. */
+    private final OrderDesk orders;
 
     /** The name of the engine. */
     private final String name;
@@ -55,11 +57,11 @@
     private volatile boolean leaving;
 
     /** Creates a loop. */
-    EngineLoop(String name, EngineModel model, Ticker ticker, java.util.function.Consumer<EngineEvent> observer) {
+    EngineLoop(String name, EngineModel model, Ticker ticker, boolean checksFencing) {
         this.name = name;
         this.model = model;
         this.ticker = ticker;
-        this.observer = observer;
+        this.orders = new OrderDesk(model, checksFencing);
         this.executor = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "engine-" + name);
             thread.setDaemon(true);
@@ -84,6 +86,18 @@
                 executor);
     }
 
+    /** Returns the desk of orders, for use inside of {@link #ask}. */
+    OrderDesk orders() {
+        return orders;
+    }
+
+    /** Takes an order, for use inside of {@link #ask}. */
+    OrderReply order(SentOrder order) {
+        OrderReply reply = orders.take(order, ticker.nanos());
+        leaving = leaving || orders.isWithdrawn();
+        return reply;
+    }
+
     /** Marks the engine as leaving. */
     void leave() {
         leaving = true;
@@ -150,6 +164,7 @@
             pump();
             new HashMap<>(records).values().forEach(StreamRecord::lose);
             records.clear();
+            orders.crashed();
             incarnation++;
             executor.schedule(() -> model.restart(ticker.nanos()), restartMillis, TimeUnit.MILLISECONDS);
         });
@@ -201,8 +216,10 @@
         } else if (event instanceof EngineEvent.Returned returned) {
             record(returned.id()).ifPresent(StreamRecord::lose);
             records.remove(returned.id());
-        } else {
-            observer.accept(event);
+        } else if (event instanceof EngineEvent.RoleChanged) {
+            orders.changed(true);
+        } else if (event instanceof EngineEvent.ModelLoaded) {
+            orders.changed(false);
         }
     }
 
--- a/src/main/java/org/verbenatray/standin/EngineServer.java
+++ b/src/main/java/org/verbenatray/standin/EngineServer.java
@@ -15,8 +15,11 @@
 import java.util.function.Supplier;
 import org.verbenatray.fleet.PromptPieces;
 import org.verbenatray.log.RecordCodec;
+import org.verbenatray.orders.ModelVersion;
 import org.verbenatray.servers.EngineClient.StreamStatus;
 import org.verbenatray.servers.GenerateRequest;
+import org.verbenatray.servers.HttpEngineOrders;
+import org.verbenatray.servers.HttpEngineOrders.SentOrder;
 import org.verbenatray.standin.engine.EngineModel;
 import org.verbenatray.standin.engine.EngineModelSpec;
 import org.verbenatray.standin.engine.EngineRefusal;
@@ -57,10 +60,15 @@
     private volatile boolean down;
 
     /** Creates and starts an engine. */
-    private EngineServer(String name, InetSocketAddress address, EngineModelSpec spec, Map<String, String> models) {
+    private EngineServer(
+            String name,
+            InetSocketAddress address,
+            EngineModelSpec spec,
+            Map<String, String> models,
+            boolean checksFencing) {
         this.name = name;
         Ticker ticker = Ticker.system();
-        this.loop = new EngineLoop(name, EngineModel.create(spec, models, ticker.nanos()), ticker, event -> {});
+        this.loop = new EngineLoop(name, EngineModel.create(spec, models, ticker.nanos()), ticker, checksFencing);
         RoutingHandler routes = Handlers.routing()
                 .post("/generate", exchange -> body(exchange, (same, body) -> generate(same, body, false)))
                 .post("/prefill", exchange -> body(exchange, (same, body) -> generate(same, body, true)))
@@ -69,6 +77,10 @@
                 .get("/streams/{id}/status", this::status)
                 .delete("/streams/{id}", this::cancel)
                 .get("/load", this::load)
+                .post(HttpEngineOrders.PATH, exchange -> body(exchange, this::order))
+                .get(
+                        HttpEngineOrders.PATH,
+                        exchange -> answer(exchange, () -> loop.orders().state()))
                 .put("/faults", exchange -> body(exchange, this::setFaults))
                 .put("/leaving", this::takeLeave);
         this.server = Undertow.builder()
@@ -82,8 +94,12 @@
 
     /** Returns a started engine that serves the given versions by model; port zero takes one from the system. */
     public static EngineServer start(
-            String name, InetSocketAddress address, EngineModelSpec spec, Map<String, String> models) {
-        return new EngineServer(name, address, spec, models);
+            String name,
+            InetSocketAddress address,
+            EngineModelSpec spec,
+            Map<String, String> models,
+            boolean checksFencing) {
+        return new EngineServer(name, address, spec, models, checksFencing);
     }
 
     /** Returns the base URI. */
@@ -103,6 +119,22 @@
         return loop.incarnation();
     }
 
+    /** Returns whether it serves a version of a model. */
+    public boolean loads(String model, String version) {
+        return loop.ask(() -> loop.orders().state().loaded().contains(new ModelVersion(model, version)))
+                .join();
+    }
+
+    /** Returns the role changes that took effect. */
+    public int roleChanges() {
+        return loop.ask(() -> loop.orders().roleChanges()).join();
+    }
+
+    /** Returns the orders that arrived while another one was under way. */
+    public int conflictingOrders() {
+        return loop.ask(() -> loop.orders().conflicts()).join();
+    }
+
     /** Returns the number of dispatches it took since it was made. */
     public long dispatches() {
         return dispatches.get();
@@ -262,6 +294,19 @@
         answer(exchange, loop::loadReport);
     }
 
+    /** Takes an order. */
+    private void order(HttpServerExchange exchange, byte[] body) {
+        SentOrder order = RecordCodec.decode(new String(body, StandardCharsets.UTF_8), SentOrder.class);
+        loop.ask(() -> loop.order(order)).thenAccept(reply -> {
+            int status = switch (reply) {
+                case DONE -> 200;
+                case REFUSED_OLD_FENCING -> HttpEngineOrders.OLD_FENCING;
+                case REFUSED -> 409;
+            };
+            Replies.text(exchange, status, "text/plain", reply.name());
+        });
+    }
+
     /** Sets the faults. */
     private void setFaults(HttpServerExchange exchange, byte[] body) {
         faults = RecordCodec.decode(new String(body, StandardCharsets.UTF_8), EngineFaults.class);
