--- a/src/test/java/org/verbenatray/once/OnceFleet.java
+++ b/src/test/java/org/verbenatray/once/OnceFleet.java
@@ -109,6 +109,11 @@
         nodes.set(index, new Node(old.name + "'"));
     }
 
+    /** Lets all instances believe that one is gone. */
+    void declareGone(int index) {
+        gone.add(nodes.get(index).name);
+    }
+
     /** Ends all faults and lets time pass. */
     void heal() {
         log.setUnavailable(false);
--- a/src/test/java/org/verbenatray/once/OnceGateTest.java
+++ b/src/test/java/org/verbenatray/once/OnceGateTest.java
@@ -112,9 +112,7 @@
     public void anInstanceSaidToBeGoneByMistakeLosesNothingButTheRecordOfItsAnswer() {
         Tracked first = fleet.request(0, "k", Service.SLOW);
         fleet.time.advanceMillis(100);
-        OnceFleet.Node winner = fleet.nodes.get(0);
-        fleet.replace(0);
-        winner.alive = true;
+        fleet.declareGone(0);
         Tracked repeat = fleet.request(1, "k", Service.PROMPT);
         fleet.time.advanceMillis(1_000);
         assertEquals(first.kind(), Kind.ANSWERED);
@@ -173,13 +171,7 @@
 
     @Test
     public void aWinnerThatWakesAfterTheDeadlineSendsNothingAndFreesTheKey() {
-        fleet.log.setReadsHeld(true);
-        fleet.time.advanceMillis(50);
-        Tracked first = request(0, "k", "b", 400, Service.PROMPT);
-        fleet.time.advanceMillis(50);
-        fleet.nodes.get(0).pause();
-        fleet.log.setReadsHeld(false);
-        fleet.log.releaseHeld();
+        Tracked first = pauseWithReservation(400);
         fleet.time.advanceMillis(1_500);
         fleet.nodes.get(0).resume();
         fleet.time.advanceMillis(500);
@@ -190,6 +182,41 @@
         assertEquals(second.kind(), Kind.ANSWERED);
     }
 
+    @Test
+    public void aRepeatIsNotToldThatTheCallMayHaveRunBeforeThatIsRecorded() {
+        pauseWithReservation(400);
+        fleet.declareGone(0);
+        fleet.log.injectAppendFaults(AppendFault.HELD);
+        fleet.time.advanceMillis(500);
+        Tracked repeat = fleet.request(1, "k", Service.PROMPT);
+        fleet.time.advanceMillis(300);
+        assertNull(repeat.result);
+        fleet.nodes.get(0).resume();
+        fleet.time.advanceMillis(400);
+        assertEquals(repeat.kind(), Kind.NOT_RUN);
+        Tracked last = fleet.request(2, "k", Service.PROMPT);
+        fleet.time.advanceMillis(200);
+        assertEquals(last.kind(), Kind.ANSWERED);
+    }
+
+    @Test
+    public void aRepeatIsNotToldThatACallMayHaveRunWhoseReleaseIsUnderWay() {
+        fleet.log.setReadsHeld(true);
+        fleet.time.advanceMillis(50);
+        fleet.request(0, "k", Service.PROMPT);
+        fleet.time.advanceMillis(600);
+        fleet.log.injectAppendFaults(AppendFault.HELD);
+        fleet.log.setReadsHeld(false);
+        fleet.log.releaseHeld();
+        fleet.time.advanceMillis(250);
+        assertEquals(fleet.request(0, "k", Service.PROMPT).kind(), Kind.NOT_RUN);
+        fleet.log.releaseHeld();
+        fleet.time.advanceMillis(200);
+        Tracked last = fleet.request(1, "k", Service.PROMPT);
+        fleet.time.advanceMillis(200);
+        assertEquals(last.kind(), Kind.ANSWERED);
+    }
+
     @Test
     public void anOutcomeThatCannotBeRecordedIsKeptAndRecordedLater() {
         Tracked first = fleet.request(0, "k", Service.SLOW);
@@ -256,4 +283,16 @@
         Optional<CallKey> callKey = Optional.of(OnceFleet.key(key, Optional.empty()));
         return fleet.request(node, callKey, bodyHash, deadlineMillis, service);
     }
+
+    /** Pauses instance 0 just before it learns that its reservation was accepted. */
+    private Tracked pauseWithReservation(long deadlineMillis) {
+        fleet.log.setReadsHeld(true);
+        fleet.time.advanceMillis(50);
+        Tracked first = request(0, "k", "b", deadlineMillis, Service.PROMPT);
+        fleet.time.advanceMillis(50);
+        fleet.nodes.get(0).pause();
+        fleet.log.setReadsHeld(false);
+        fleet.log.releaseHeld();
+        return first;
+    }
 }
