--- a/src/main/java/org/verbenatray/admission/AdmissionController.java
+++ b/src/main/java/org/verbenatray/admission/AdmissionController.java
@@ -57,6 +57,8 @@
         models.entrySet()
                 .removeIf(entry -> !newConfiguration.models().containsKey(entry.getKey())
                         && entry.getValue().queue().size() == 0);
+        models.values()
+                .forEach(queue -> queue.onChangeMillis(newConfiguration.roles().changeMillis()));
         configureAccounts(nowNanos);
     }
 
@@ -67,8 +69,8 @@
     }
 
     /** Takes over the capacity of the engines of a model. */
-    public synchronized void onCapacity(String model, ModelCapacity capacity) {
-        Optional.ofNullable(models.get(model)).ifPresent(queue -> queue.capacity(capacity));
+    public synchronized void onCapacity(String model, ModelCapacity capacity, long nowNanos) {
+        Optional.ofNullable(models.get(model)).ifPresent(queue -> queue.onCapacity(capacity, nowNanos));
     }
 
     /** Takes over the work of a model that waits at all other instances. */
@@ -192,18 +194,15 @@
             return Optional.of(
                     Refusal.lasting(RefusalKind.UNKNOWN_MODEL, "no model " + request.model() + " is configured"));
         }
-        Optional<Refusal> ofAccount = account.refusal(nowNanos);
-        if (ofAccount.isPresent()) {
-            return ofAccount;
+        Optional<Refusal> tooLong = tooLong(request, model, expectation);
+        if (tooLong.isPresent()) {
+            return tooLong;
         }
-        if (expectation.isEmpty() && !model.served()) {
-            double earliest = configuration.roles().changeMillis();
-            return Optional.of(Refusal.comeBack(
-                    RefusalKind.NO_ENGINE,
-                    model.returnMillis(request, earliest, nowNanos),
-                    "no engine serves " + request.model() + " at present"));
+        Optional<Refusal> ofAccount = account.refusal(nowNanos);
+        if (ofAccount.isEmpty() && expectation.isEmpty() && model.abandoned(nowNanos)) {
+            return Optional.of(noEngine(request, model, nowNanos));
         }
-        return tooLong(request, model, expectation);
+        return ofAccount;
     }
 
     /** Returns the refusal of a request that no KV cache can hold. */
@@ -211,7 +210,7 @@
             AdmissionRequest request, ModelQueue model, Optional<Expectation> expectation) {
         long tokens = (long) request.promptTokens() + request.expectedOutputTokens();
         long largest = model.capacity().largestKvTokens();
-        if (expectation.isPresent() || tokens <= largest) {
+        if (expectation.isPresent() || !model.capacity().serves() || tokens <= largest) {
             return Optional.empty();
         }
         return Optional.of(Refusal.lasting(
@@ -298,6 +297,9 @@
     /** Returns the refusal of a request whose answer would take the given time from now. */
     private static Refusal unreachable(Ticket ticket, ModelQueue model, double totalMillis, long nowNanos) {
         AdmissionRequest request = ticket.request();
+        if (!model.served()) {
+            return noEngine(request, model, nowNanos);
+        }
         double remaining = ModelQueue.remainingMillis(request.deadline(), nowNanos);
         String reason = String.format("the answer is expected in %.0f ms and due in %.0f ms", totalMillis, remaining);
         double allowed = ModelQueue.remainingMillis(request.deadline(), ticket.acceptedNanos());
@@ -309,6 +311,13 @@
                 RefusalKind.DEADLINE_UNREACHABLE, model.returnMillis(request, excess, nowNanos), reason);
     }
 
+    /** Returns the refusal of a request for whose model no engine is in service. */
+    private static Refusal noEngine(AdmissionRequest request, ModelQueue model, long nowNanos) {
+        double millis = model.returnMillis(request, model.outageMillis(), nowNanos);
+        String reason = "no engine serves " + request.model() + " at present";
+        return Refusal.comeBack(RefusalKind.NO_ENGINE, millis, reason);
+    }
+
     /** Returns the refusal of a request for which the queue has no room. */
     private static Refusal overloaded(Ticket ticket, ModelQueue model, long nowNanos) {
         AdmissionRequest request = ticket.request();
--- a/src/main/java/org/verbenatray/admission/FairQueue.java
+++ b/src/main/java/org/verbenatray/admission/FairQueue.java
@@ -126,6 +126,11 @@
         return work;
     }
 
+    /** Returns all waiting requests. */
+    List<Ticket> tickets() {
+        return waiting.values().stream().flatMap(Set::stream).toList();
+    }
+
     /** Returns the waiting requests and the given ones in the order in which they are expected to be released. */
     List<Place> places(List<Ticket> newcomers) {
         Map<String, List<Ticket>> byCustomer = new HashMap<>();
--- a/src/main/java/org/verbenatray/admission/ModelQueue.java
+++ b/src/main/java/org/verbenatray/admission/ModelQueue.java
@@ -9,6 +9,9 @@
 
 /** The waiting requests of one model with the estimates of when they are served. Not thread-safe. */
 final class ModelQueue {
+    /** The times of planned changes that an outage may last before the model counts as abandoned. */
+    private static final double MAX_CHANGES = 2;
+
     /** Nanoseconds in one millisecond. */
     private static final double NANOS_PER_MILLI = 1e6;
 
@@ -24,6 +27,12 @@
     /** Whether engines serve the model at present. */
     private boolean served;
 
+    /** The time at which engines stopped to serve the model. */
+    private long unservedNanos;
+
+    /** The time that a planned change takes an engine out of service in milliseconds. */
+    private long changeMillis;
+
     /** The work that waits for the same engines at the other instances. */
     private Work peersBacklog = Work.NONE;
 
@@ -46,13 +55,21 @@
     }
 
     /** Takes over the capacity of the model's engines; the last one that served is kept for estimates. */
-    void capacity(ModelCapacity newCapacity) {
+    void onCapacity(ModelCapacity newCapacity, long nowNanos) {
+        if (served && !newCapacity.serves()) {
+            unservedNanos = nowNanos;
+        }
         served = newCapacity.serves();
         if (served) {
             capacity = newCapacity;
         }
     }
 
+    /** Takes over the time that a planned change takes an engine out of service. */
+    void onChangeMillis(long newChangeMillis) {
+        changeMillis = newChangeMillis;
+    }
+
     /** Returns the last capacity that served the model. */
     ModelCapacity capacity() {
         return capacity;
@@ -63,6 +80,20 @@
         return served;
     }
 
+    /** Returns whether no engine serves the model and none is expected back from a planned change. */
+    boolean abandoned(long nowNanos) {
+        if (served) {
+            return false;
+        }
+        double outageMillis = (nowNanos - unservedNanos) / NANOS_PER_MILLI;
+        return !capacity.serves() || outageMillis > MAX_CHANGES * changeMillis;
+    }
+
+    /** Returns the time for which the model is expected to stay without engines. */
+    double outageMillis() {
+        return served ? 0 : changeMillis;
+    }
+
     /** Takes over the work that waits at the other instances, of which there are the given number less one. */
     void peers(Work backlog, int newInstances) {
         peersBacklog = backlog;
@@ -81,7 +112,8 @@
     double waitMillis(Ticket newcomer) {
         for (Place place : queue.places(List.of(newcomer))) {
             if (place.ticket() == newcomer) {
-                return drainMillis(place.ahead().plus(newcomer.request().work()));
+                return outageMillis()
+                        + drainMillis(place.ahead().plus(newcomer.request().work()));
             }
         }
         throw new IllegalStateException("the newcomer has no place");
@@ -100,6 +132,9 @@
 
     /** Returns the waiting requests whose deadlines can no longer be met. */
     List<Ticket> hopeless(long nowNanos) {
+        if (abandoned(nowNanos)) {
+            return queue.tickets();
+        }
         List<Ticket> hopeless = new ArrayList<>();
         Work given = Work.NONE;
         for (Place place : queue.places(List.of())) {
--- a/src/main/java/org/verbenatray/admission/ReturnSchedule.java
+++ b/src/main/java/org/verbenatray/admission/ReturnSchedule.java
@@ -1,12 +1,15 @@
 package org.verbenatray.admission;
 
-/** Spreads the times at which refused callers are told to come back over the rate at which work drains. */
+/** Spreads the times at which refused callers come back, so that they use a quarter of the engines' time. */
 final class ReturnSchedule {
     /** Nanoseconds in one millisecond. */
     private static final double NANOS_PER_MILLI = 1e6;
 
     /** The longest time that a caller is told to wait in milliseconds. */
-    private static final double MAX_MILLIS = 60_000;
+    private static final double MAX_MILLIS = 300_000;
+
+    /** The part of the engines' time that is kept for returning callers. */
+    private static final double RETURN_SHARE = 0.25;
 
     /** The time until which returns are scheduled. */
     private long scheduledNanos;
@@ -37,7 +40,7 @@
             return MAX_MILLIS;
         }
         used = true;
-        scheduledNanos = returnNanos + nanos(drainMillis);
+        scheduledNanos = returnNanos + nanos(drainMillis / RETURN_SHARE);
         return (returnNanos - nowNanos) / NANOS_PER_MILLI;
     }
 
--- a/src/main/java/org/verbenatray/instance/EntryInstance.java
+++ b/src/main/java/org/verbenatray/instance/EntryInstance.java
@@ -292,7 +292,8 @@
     private void watchCapacity() {
         List<EngineView> engines = fleet.views(timing.ticker().nanos());
         for (String model : fleetConfiguration().models().keySet()) {
-            admission.onCapacity(model, ModelCapacity.of(model, engines));
+            admission.onCapacity(
+                    model, ModelCapacity.of(model, engines), timing.ticker().nanos());
         }
         timing.scheduler().runAt(timing.inMillis(CAPACITY_MILLIS), this::watchCapacity);
     }
