Calls that must not be repeated go through the log

Cause: a call of a plain service without repetition was sent once per request, so a repeat ran again. Ruled out: telling "not run" for an attempt that was not sent while another with the same key may have run; only what covers every attempt is told so, the rest is told as maybe. Change: reserve, send once on a new connection, outcome; repeats through any instance wait for the answer. Figures: ten repeats at once through two instances: one run, ten equal answers; 5 tests with lost answers and an outage, counter never above one.

--- a/src/main/java/org/verbenatray/instance/EntryInstance.java
+++ b/src/main/java/org/verbenatray/instance/EntryInstance.java
@@ -33,6 +33,8 @@
 import org.verbenatray.fleet.FleetView;
 import org.verbenatray.fleet.InstanceListEntry;
 import org.verbenatray.fleet.PrefixIndex;
+import org.verbenatray.once.OnceGate;
+import org.verbenatray.once.OnceLimits;
 import org.verbenatray.orders.EngineOrders;
 import org.verbenatray.orders.OrderExecutor;
 import org.verbenatray.orders.OrderPorts;
@@ -46,7 +48,9 @@
 import org.verbenatray.servers.HttpEngineOrders;
 import org.verbenatray.servers.HttpServiceClient;
 import org.verbenatray.servers.HttpTransport;
+import org.verbenatray.servers.ServiceClient;
 import org.verbenatray.serving.EntryServer;
+import org.verbenatray.serving.OnceCalls;
 import org.verbenatray.serving.OpenRequests;
 import org.verbenatray.serving.QueuedAdmitter;
 import org.verbenatray.serving.RelayParts;
@@ -123,6 +127,9 @@
     /** The roles of the engines of the own failure domain. */
     private final RoleControl roles;
 
+    /** Lets calls that must not be repeated through at most once. */
+    private final OnceGate once;
+
     /** The HTTP servers. */
     private final EntryServer server;
 
@@ -162,6 +169,15 @@
                 engine -> Optional.ofNullable(fleetConfiguration().engines().get(engine))
                         .map(EngineSpec::address));
         this.roles = new RoleControl(orderParts(engineOrders), fleet, engineOrders, timing, metrics);
+        this.once = OnceGate.create(
+                self().id(),
+                logParts.calls(),
+                logParts.fold(),
+                logParts.appender(),
+                OnceLimits.defaults(),
+                logParts::isReachable,
+                membership::isGone,
+                timing);
         this.server = startServer(transport, prefixIndex, servers);
         follow(transport, servers);
     }
@@ -307,6 +323,7 @@
                 this::arrived,
                 timing);
         admitter.start();
+        ServiceClient services = HttpServiceClient.create(transport);
         ServingParts parts = new ServingParts(
                 settings.name(),
                 settings.failureDomain(),
@@ -314,8 +331,9 @@
                 open,
                 admitter,
                 relay,
-                HttpServiceClient.create(transport),
+                services,
                 servers,
+                OnceCalls.create(once, services, servers),
                 settings.defaultTimeoutMillis());
         describe(admitter);
         return EntryServer.start(settings, worker, parts, metrics, dump, this::isReady);
@@ -353,6 +371,9 @@
     private void follow(HttpTransport transport, ServerChooser servers) {
         logParts.follower().onApplied(applied -> configurationChanged());
         logParts.follower().onLeap(position -> configurationChanged());
+        logParts.follower().onApplied(once::applied);
+        logParts.follower().onLeap(position -> once.recheck());
+        once.start();
         membership.onList(entries -> fleet.onInstanceList(enginesOf(entries)));
         membership.onList(entries -> admission.onInstances(
                 membership.liveInstances(), timing.ticker().nanos()));
--- a/src/main/java/org/verbenatray/platform/HttpInstanceList.java
+++ b/src/main/java/org/verbenatray/platform/HttpInstanceList.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import org.verbenatray.log.RecordCodec;
 import org.verbenatray.servers.HttpCall;
+import org.verbenatray.servers.HttpReply;
 import org.verbenatray.servers.HttpTransport;
+import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.time.Deadline;
 
 /** The platform's instance list over HTTP and JSON. */
@@ -50,6 +53,16 @@
                 .thenAccept(reply -> {});
     }
 
+    /** Returns the instances of a reply. */
+    private static List<InstanceEntry> instances(HttpReply reply) {
+        if (reply.status() != 200) {
+            throw new CompletionException(ServerFailure.create(
+                    ServerFailure.Kind.REFUSED,
+                    "the instance list answered with status " + reply.status() + "; check the platform"));
+        }
+        return RecordCodec.decode(reply.text(), Listing.class).instances();
+    }
+
     /**
      * The body of the list.
      *
--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/OnceCalls.java
@@ -0,0 +1,110 @@
+package org.verbenatray.serving;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.verbenatray.configuration.FleetConfiguration.ServerSpec;
+import org.verbenatray.log.RecordBody.CallAnswer;
+import org.verbenatray.once.CallKey;
+import org.verbenatray.once.CallKeys;
+import org.verbenatray.once.NotSentException;
+import org.verbenatray.once.OnceGate;
+import org.verbenatray.once.OnceRequest;
+import org.verbenatray.once.OnceResult;
+import org.verbenatray.servers.HttpReply;
+import org.verbenatray.servers.ServerFailure;
+import org.verbenatray.servers.ServiceClient;
+import org.xnio.XnioIoThread;
+
+/** Runs calls of plain services that must not be repeated. */
+public final class OnceCalls {
+    /** The gate that lets each call through at most once. */
+    private final OnceGate gate;
+
+    /** Talks to backend servers. */
+    private final ServiceClient services;
+
+    /** Chooses them. */
+    private final ServerChooser servers;
+
+    /** Creates the runner. */
+    private OnceCalls(OnceGate gate, ServiceClient services, ServerChooser servers) {
+        this.gate = gate;
+        this.services = services;
+        this.servers = servers;
+    }
+
+    /** Returns a runner. */
+    public static OnceCalls create(OnceGate gate, ServiceClient services, ServerChooser servers) {
+        return new OnceCalls(gate, services, servers);
+    }
+
+    /** Runs a call; the future never fails but for a malformed key, with a {@link RefusalException}. */
+    CompletableFuture<OnceResult> run(ServiceCall call, XnioIoThread thread) {
+        Optional<CallKey> key = call.idempotencyKey().map(text -> key(call, text));
+        String bodyHash = CallKeys.bodyHash(
+                call.service(),
+                call.request().method(),
+                call.request().path(),
+                call.request().body());
+        OnceRequest request = new OnceRequest(key, bodyHash, call.request().deadline());
+        return gate.execute(request, () -> send(call, thread, new HashSet<>()));
+    }
+
+    /** Returns the key of a call. */
+    private static CallKey key(ServiceCall call, String text) {
+        return CallKeys.derive(call.request().customer(), call.service(), text)
+                .orElseThrow(() -> new RefusalException(Refusal.notRun(
+                        RefusalKind.BAD_REQUEST,
+                        "the header " + ServiceFilter.KEY_HEADER + " is not usable; give a UUIDv7")));
+    }
+
+    /** Sends a call to the first server that takes its connection. */
+    private CompletableFuture<CallAnswer> send(ServiceCall call, XnioIoThread thread, Set<String> barred) {
+        Optional<ServerSpec> chosen = servers.choose(call.spec(), barred);
+        if (chosen.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new NotSentException("no backend server of " + call.service() + " takes connections", null));
+        }
+        ServerSpec server = chosen.get();
+        return services.send(server.address(), call.request(), true, thread)
+                .thenApply(OnceCalls::answer)
+                .exceptionallyCompose(problem -> {
+                    servers.failed(server);
+                    if (!nothingSent(problem)) {
+                        return CompletableFuture.failedFuture(problem);
+                    }
+                    barred.add(server.name());
+                    return send(call, thread, barred);
+                });
+    }
+
+    /** Returns whether a failure means that no byte was sent. */
+    private static boolean nothingSent(Throwable problem) {
+        Throwable cause = problem instanceof CompletionException ? problem.getCause() : problem;
+        return cause instanceof ServerFailure failure && failure.kind() == ServerFailure.Kind.NOT_CONNECTED;
+    }
+
+    /** Returns the answer of a reply; a body that is not text is not kept. */
+    private static CallAnswer answer(HttpReply reply) {
+        String type = reply.header("content-type").orElse("application/octet-stream");
+        return new CallAnswer(reply.status(), type, textOf(reply.body()));
+    }
+
+    /** Returns the text of a body, empty when it is no UTF-8. */
+    private static Optional<String> textOf(byte[] body) {
+        try {
+            return Optional.of(StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(body))
+                    .toString());
+        } catch (CharacterCodingException e) {
+            return Optional.empty();
+        }
+    }
+}
--- a/src/main/java/org/verbenatray/serving/ServiceHandler.java
+++ b/src/main/java/org/verbenatray/serving/ServiceHandler.java
@@ -6,6 +6,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
@@ -68,7 +69,12 @@
             CallerRequest request = identify.apply(reader.read(exchange, body));
             ServiceCall call = service.apply(exchange, request);
             parts.open().enter();
-            new Call(exchange, call).send();
+            Call open = new Call(exchange, call);
+            if (call.call().repeatable()) {
+                open.send();
+            } else {
+                open.runOnce();
+            }
         } catch (RefusalException e) {
             parts.relay().metrics().answered("service", e.refusal().kind().name());
             RefusalReply.send(exchange, e.refusal());
@@ -95,6 +101,20 @@
             this.call = call;
         }
 
+        /** Runs the call at most once. */
+        void runOnce() {
+            try {
+                parts.once()
+                        .run(call, exchange.getIoThread())
+                        .thenAccept(result -> exchange.getIoThread().execute(() -> {
+                            finished(result.kind().name().toLowerCase(Locale.ROOT), "-");
+                            OnceReplies.send(exchange, result);
+                        }));
+            } catch (RefusalException e) {
+                refuse(e.refusal());
+            }
+        }
+
         /** Sends the call to the best server. */
         void send() {
             Optional<ServerSpec> chosen = parts.servers().choose(call.spec(), barred);
@@ -103,9 +123,8 @@
                 return;
             }
             ServerSpec server = chosen.get();
-            boolean fresh = !call.call().repeatable();
             parts.services()
-                    .send(server.address(), call.request(), fresh, exchange.getIoThread())
+                    .send(server.address(), call.request(), false, exchange.getIoThread())
                     .whenComplete(
                             (reply, failure) -> exchange.getIoThread().execute(() -> answered(server, reply, failure)));
         }
@@ -124,8 +143,7 @@
             barred.add(server.name());
             boolean nothingSent = failure.kind() == ServerFailure.Kind.NOT_CONNECTED;
             sent = sent || !nothingSent;
-            boolean again = nothingSent || call.call().repeatable();
-            if (again && barred.size() < MAX_RUNS && failure.kind() != ServerFailure.Kind.SILENT) {
+            if (barred.size() < MAX_RUNS && failure.kind() != ServerFailure.Kind.SILENT) {
                 send();
                 return;
             }
@@ -155,13 +173,8 @@
                 return Refusal.retryLater(
                         RefusalKind.NO_SERVER, message + "; nothing was sent, send it again", RETRY_MILLIS);
             }
-            return call.call().repeatable()
-                    ? Refusal.mayHaveRun(
-                            RefusalKind.SERVER_FAILED, message + "; send it again", Optional.of(RETRY_MILLIS))
-                    : Refusal.mayHaveRun(
-                            RefusalKind.SERVER_FAILED,
-                            message + "; find out from the service whether it ran before sending it again",
-                            Optional.empty());
+            return Refusal.mayHaveRun(
+                    RefusalKind.SERVER_FAILED, message + "; send it again", Optional.of(RETRY_MILLIS));
         }
 
         /** Gives a refusal as the final answer. */
--- a/src/main/java/org/verbenatray/serving/ServingParts.java
+++ b/src/main/java/org/verbenatray/serving/ServingParts.java
@@ -15,6 +15,7 @@
  * @param relay what relays work with
  * @param services talks to backend servers of plain services
  * @param servers chooses them
+ * @param once runs calls that must not be repeated
  * @param defaultTimeoutMillis the time a request may take where the caller states none, in milliseconds
  */
 public record ServingParts(
@@ -26,4 +27,5 @@
         RelayParts relay,
         ServiceClient services,
         ServerChooser servers,
+        OnceCalls once,
         long defaultTimeoutMillis) {}
--- /dev/null
+++ b/src/test/java/org/verbenatray/serving/OnceCallsTest.java
@@ -0,0 +1,117 @@
+package org.verbenatray.serving;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.verbenatray.demo.EmbeddedDeployment;
+import org.verbenatray.demo.EmbeddedDeployment.Shape;
+import org.verbenatray.load.UuidV7;
+import org.verbenatray.processes.Await;
+import org.verbenatray.processes.HttpCaller;
+import org.verbenatray.standin.InMemoryLog.AppendFault;
+import org.verbenatray.standin.ServiceServer;
+
+/** Calls that must not be repeated, through running instances; the service's counter is the judge. */
+public final class OnceCallsTest {
+    private static final String BODY = "{\"mason\":7}";
+
+    private final HttpCaller caller = HttpCaller.withKey(EmbeddedDeployment.API_KEY);
+
+    private final SplittableRandom random = new SplittableRandom(1);
+
+    private EmbeddedDeployment deployment;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        deployment = EmbeddedDeployment.start(Shape.small());
+    }
+
+    @AfterMethod
+    public void stop() {
+        deployment.close();
+    }
+
+    @Test
+    public void repeatsThroughAllInstancesAtOnceRunOnceAndGetTheSameAnswer() {
+        String key = freshKey();
+        List<CompletableFuture<HttpResponse<String>>> answers = IntStream.range(0, 10)
+                .mapToObj(i -> issueLater(i % 2, key, BODY))
+                .toList();
+        for (CompletableFuture<HttpResponse<String>> answer : answers) {
+            assertEquals(answer.join().statusCode(), 200, answer.join().body());
+            assertTrue(
+                    answer.join().body().contains("\"runs\":1"), answer.join().body());
+        }
+        assertEquals(runs(BODY), 1);
+    }
+
+    @Test
+    public void anAnswerThatIsLostAfterTheCallTookEffectIsNeverAskedForAgain() {
+        String key = freshKey();
+        service().loseAnswers(1);
+        HttpResponse<String> first = issueLater(0, key, BODY).join();
+        assertTrue(first.body().contains("\"ran\":\"maybe\""), first.body());
+        HttpResponse<String> repeat = issueLater(1, key, BODY).join();
+        assertTrue(repeat.body().contains("\"ran\":\"maybe\""), repeat.body());
+        assertEquals(runs(BODY), 1);
+    }
+
+    @Test
+    public void theSameKeyWithAnotherBodyIsRefusedAndNotRun() {
+        String key = freshKey();
+        issueLater(0, key, BODY).join();
+        HttpResponse<String> other = issueLater(1, key, "{\"mason\":8}").join();
+        assertEquals(other.statusCode(), 422, other.body());
+        assertEquals(runs("{\"mason\":8}"), 0);
+    }
+
+    @Test
+    public void withoutTheLogACallIsRefusedAtOnceWhileOtherRequestsAreServed() {
+        deployment.platform().outage(true);
+        Await.until(() -> issueLater(0, freshKey(), BODY).join().statusCode() == 503);
+        int before = runs(BODY);
+        HttpResponse<String> refused = issueLater(0, freshKey(), BODY).join();
+        assertEquals(refused.statusCode(), 503, refused.body());
+        assertTrue(refused.headers().firstValue("Retry-After").isPresent());
+        assertEquals(runs(BODY), before);
+        String uri = deployment.entries().get(0).callersAddress();
+        assertEquals(
+                caller.send("GET", uri + "/services/registry/passports/7", "").statusCode(), 200);
+        HttpResponse<String> completion =
+                caller.send("POST", uri + "/v1/completions", HttpCaller.completion("check", 5, 1, false));
+        assertEquals(completion.statusCode(), 200, completion.body());
+    }
+
+    @Test
+    public void aReservationWhoseAppendAnswerIsLostRunsOnce() {
+        deployment.platform().records().injectAppendFaults(AppendFault.ANSWER_LOST, AppendFault.ANSWER_LOST);
+        String key = freshKey();
+        Await.until(() -> issueLater(1, key, BODY).join().statusCode() == 200);
+        assertEquals(runs(BODY), 1);
+    }
+
+    private String freshKey() {
+        return UuidV7.at(System.currentTimeMillis(), random).toString();
+    }
+
+    private ServiceServer service() {
+        return deployment.services().get(0);
+    }
+
+    private int runs(String body) {
+        return service().runs("POST", "/certificates", body);
+    }
+
+    private CompletableFuture<HttpResponse<String>> issueLater(int entry, String key, String body) {
+        String uri = deployment.entries().get(entry).callersAddress() + "/services/registry/certificates";
+        return caller.sendLater("POST", uri, body, "Idempotency-Key", key);
+    }
+}
