--- a/src/main/java/org/verbenatray/instance/EnginePoller.java
+++ b/src/main/java/org/verbenatray/instance/EnginePoller.java
@@ -2,6 +2,8 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.verbenatray.configuration.FleetConfiguration;
 import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
@@ -43,6 +45,9 @@
     /** The sources of time. */
     private final Timing timing;
 
+    /** The last known incarnations by engine. */
+    private final Map<String, Long> incarnations = new ConcurrentHashMap<>();
+
     /** Creates a poller. */
     EnginePoller(
             HttpTransport transport,
@@ -63,6 +68,17 @@
         timing.scheduler().runAt(timing.inMillis(PAUSE_MILLIS), this::start);
     }
 
+    /** Returns the last known incarnation of an engine, zero for none. */
+    long incarnation(String engine) {
+        return incarnations.getOrDefault(engine, 0L);
+    }
+
+    /** Takes a report over. */
+    private void received(LoadReport report) {
+        incarnations.merge(report.engine(), report.incarnation(), Math::max);
+        fleet.onReport(report, timing.ticker().nanos());
+    }
+
     /** Reads the report of one engine. */
     private void read(String name, EngineSpec engine) {
         if (!engine.failureDomain().equals(failureDomain)) {
--- a/src/main/java/org/verbenatray/instance/EntryInstance.java
+++ b/src/main/java/org/verbenatray/instance/EntryInstance.java
@@ -59,7 +59,10 @@
 import org.verbenatray.serving.RoutedChooser;
 import org.verbenatray.serving.ServerChooser;
 import org.verbenatray.serving.ServingParts;
+import org.verbenatray.serving.SuspectGuard;
 import org.verbenatray.settings.EntrySettings;
+import org.verbenatray.suspects.SuspectLimits;
+import org.verbenatray.suspects.SuspectTable;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.telemetry.Metrics;
 import org.verbenatray.telemetry.StateDump;
@@ -130,6 +133,9 @@
     /** Lets calls that must not be repeated through at most once. */
     private final OnceGate once;
 
+    /** Reads the load reports of the engines. */
+    private final EnginePoller poller;
+
     /** The HTTP servers. */
     private final EntryServer server;
 
@@ -163,6 +169,7 @@
                 self().id(), HttpLogService.create(transport, settings.platform()), membership::liveInstances, timing);
         PrefixIndex prefixIndex = PrefixIndex.create(PrefixIndex.DEFAULT_PIECES_PER_ENGINE);
         this.fleet = FleetView.create(Set.of(settings.failureDomain()), FleetBounds.defaults(), prefixIndex);
+        this.poller = new EnginePoller(transport, this::fleetConfiguration, settings.failureDomain(), fleet, timing);
         ServerChooser servers = ServerChooser.create(settings.failureDomain(), ticker);
         EngineOrders engineOrders = HttpEngineOrders.create(
                 transport,
@@ -179,7 +186,7 @@
                 membership::isGone,
                 timing);
         this.server = startServer(transport, prefixIndex, servers);
-        follow(transport, servers);
+        follow(servers);
     }
 
     /** Returns a started instance. */
@@ -296,20 +303,15 @@
 
     /** Starts the HTTP servers. */
     private EntryServer startServer(HttpTransport transport, PrefixIndex prefixIndex, ServerChooser servers) {
-        SplittableRandom random = new SplittableRandom(incarnation);
-        CostRouter router = CostRouter.create(CostModel.defaults(), prefixIndex, this::fleetConfiguration, () -> {
-            synchronized (random) {
-                return random.nextLong();
-            }
-        });
-        RoutedChooser chooser = RoutedChooser.create(
-                router, fleet, prefixIndex, this::fleetConfiguration, settings.failureDomain(), timing.ticker());
+        RoutedChooser chooser = chooser(prefixIndex);
+        SuspectTable suspects = SuspectTable.create(self().id(), SuspectLimits.defaults());
+        SuspectGuard guard = SuspectGuard.create(suspects, chooser, fleet, timing);
         RelaySettings relaySettings = new RelaySettings(
                 settings.silenceMillis(),
                 RelaySettings.defaults().probeMillis(),
                 RelaySettings.defaults().maxRuns());
         RelayParts relay = new RelayParts(
-                chooser,
+                guard,
                 HttpEngineClient.create(transport),
                 relaySettings,
                 RelayTimers.onThreads(timing.ticker()),
@@ -335,12 +337,30 @@
                 servers,
                 OnceCalls.create(once, services, servers),
                 settings.defaultTimeoutMillis());
-        describe(admitter);
+        describe(admitter, guard);
         return EntryServer.start(settings, worker, parts, metrics, dump, this::isReady);
     }
 
+    /** Returns what chooses engines. */
+    private RoutedChooser chooser(PrefixIndex prefixIndex) {
+        SplittableRandom random = new SplittableRandom(incarnation);
+        CostRouter router = CostRouter.create(CostModel.defaults(), prefixIndex, this::fleetConfiguration, () -> {
+            synchronized (random) {
+                return random.nextLong();
+            }
+        });
+        return RoutedChooser.create(
+                router,
+                fleet,
+                prefixIndex,
+                this::fleetConfiguration,
+                poller::incarnation,
+                settings.failureDomain(),
+                timing.ticker());
+    }
+
     /** Fills the state dump. */
-    private void describe(QueuedAdmitter admitter) {
+    private void describe(QueuedAdmitter admitter, SuspectGuard guard) {
         dump.section("instance", () -> settings)
                 .section("configuration", this::active)
                 .section("log", () -> logParts.fold().position())
@@ -351,6 +371,7 @@
                 .section(
                         "lease",
                         () -> logParts.fold().read(() -> logParts.leases().lease(settings.failureDomain())))
+                .section("suspects", guard::entries)
                 .section("role_changes", roles::decisions);
     }
 
@@ -368,7 +389,7 @@
     }
 
     /** Starts to follow the log, the instance list and the engines. */
-    private void follow(HttpTransport transport, ServerChooser servers) {
+    private void follow(ServerChooser servers) {
         logParts.follower().onApplied(applied -> configurationChanged());
         logParts.follower().onLeap(position -> configurationChanged());
         logParts.follower().onApplied(once::applied);
@@ -382,7 +403,7 @@
         membership.start();
         roles.start();
         watchCapacity();
-        new EnginePoller(transport, this::fleetConfiguration, settings.failureDomain(), fleet, timing).start();
+        poller.start();
     }
 
     /** Takes the configuration in force over into the view of the fleet. */
--- a/src/main/java/org/verbenatray/serving/EngineSlot.java
+++ b/src/main/java/org/verbenatray/serving/EngineSlot.java
@@ -17,6 +17,9 @@
     /** Returns the base URI of the engine that processes the prompt. */
     String prefillAddress();
 
+    /** Returns the incarnation of one of its engines at the time of the dispatch. */
+    long incarnation(String engine);
+
     /** Tells that the first token came. */
     void firstToken();
 
--- a/src/main/java/org/verbenatray/serving/RelayParts.java
+++ b/src/main/java/org/verbenatray/serving/RelayParts.java
@@ -8,7 +8,7 @@
 /**
  * What every relay of an instance works with.
  *
- * @param chooser chooses engines
+ * @param guard chooses engines and keeps requests that crash them apart
  * @param engines talks to engines
  * @param settings the bounds
  * @param timers runs actions later
@@ -17,7 +17,7 @@
  * @param metrics counts what happens
  */
 public record RelayParts(
-        EngineChooser chooser,
+        SuspectGuard guard,
         EngineClient engines,
         RelaySettings settings,
         RelayTimers timers,
--- a/src/main/java/org/verbenatray/serving/RoutedChooser.java
+++ b/src/main/java/org/verbenatray/serving/RoutedChooser.java
@@ -4,10 +4,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 import org.verbenatray.admission.AdmissionRequest;
 import org.verbenatray.admission.Expectation;
 import org.verbenatray.configuration.FleetConfiguration;
 import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
+import org.verbenatray.fleet.Candidates;
 import org.verbenatray.fleet.Dispatch;
 import org.verbenatray.fleet.FleetView;
 import org.verbenatray.fleet.PrefixIndex;
@@ -32,6 +34,9 @@
     /** The configuration in force. */
     private final Supplier<FleetConfiguration> configuration;
 
+    /** Returns the last known incarnation of an engine. */
+    private final ToLongFunction<String> incarnations;
+
     /** The failure domain of this instance. */
     private final String failureDomain;
 
@@ -44,12 +49,14 @@
             FleetView fleet,
             PrefixIndex prefixIndex,
             Supplier<FleetConfiguration> configuration,
+            ToLongFunction<String> incarnations,
             String failureDomain,
             Ticker ticker) {
         this.router = router;
         this.fleet = fleet;
         this.prefixIndex = prefixIndex;
         this.configuration = configuration;
+        this.incarnations = incarnations;
         this.failureDomain = failureDomain;
         this.ticker = ticker;
     }
@@ -60,13 +67,15 @@
             FleetView fleet,
             PrefixIndex prefixIndex,
             Supplier<FleetConfiguration> configuration,
+            ToLongFunction<String> incarnations,
             String failureDomain,
             Ticker ticker) {
-        return new RoutedChooser(router, fleet, prefixIndex, configuration, failureDomain, ticker);
+        return new RoutedChooser(router, fleet, prefixIndex, configuration, incarnations, failureDomain, ticker);
     }
 
     @Override
-    public Optional<EngineSlot> choose(CompletionRequest request, int emittedTokens, Set<String> barred) {
+    public Optional<EngineSlot> choose(
+            CompletionRequest request, int emittedTokens, Set<String> barred, Optional<String> only) {
         List<Long> hashes = PromptPieces.hashes(request.model(), request.prompt());
         RouteRequest wanted = new RouteRequest(
                 request.model(),
@@ -76,8 +85,16 @@
                 Math.max(1, request.maxTokens() - emittedTokens),
                 hashes,
                 barred);
-        return router.choose(wanted, fleet.candidates(request.model(), ticker.nanos()))
-                .flatMap(route -> slot(route, wanted, hashes));
+        return router.choose(wanted, candidates(request.model(), only)).flatMap(route -> slot(route, wanted, hashes));
+    }
+
+    /** Returns the engines that may be chosen. */
+    private Candidates candidates(String model, Optional<String> only) {
+        long now = ticker.nanos();
+        if (only.isEmpty()) {
+            return fleet.candidates(model, now);
+        }
+        return Candidates.of(fleet.view(only.get(), now).stream().toList());
     }
 
     /** Returns what the best route promises to a request, empty when no engine can take it now. */
@@ -128,12 +145,16 @@
         /** The counted dispatch. */
         private final Dispatch dispatch;
 
+        /** The incarnation of the engine that is sent to first. */
+        private final long incarnation;
+
         /** Creates a slot. */
         Slot(Route route, String address, String prefillAddress, Dispatch dispatch) {
             this.route = route;
             this.address = address;
             this.prefillAddress = prefillAddress;
             this.dispatch = dispatch;
+            this.incarnation = incarnations.applyAsLong(route.prefillEngine().orElse(route.engine()));
         }
 
         @Override
@@ -156,6 +177,13 @@
             return prefillAddress;
         }
 
+        @Override
+        public long incarnation(String engine) {
+            return engine.equals(route.prefillEngine().orElse(route.engine()))
+                    ? incarnation
+                    : incarnations.applyAsLong(engine);
+        }
+
         @Override
         public void firstToken() {
             dispatch.onFirstToken(ticker.nanos());
--- a/src/main/java/org/verbenatray/serving/StreamRelay.java
+++ b/src/main/java/org/verbenatray/serving/StreamRelay.java
@@ -5,13 +5,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.servers.EngineChunk;
 import org.verbenatray.servers.EngineClient;
+import org.verbenatray.servers.EngineClient.StreamStatus;
 import org.verbenatray.servers.GenerateRequest;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.servers.StreamListener;
+import org.verbenatray.suspects.Fingerprint;
 import org.verbenatray.telemetry.Metrics;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
@@ -30,7 +33,10 @@
     private final CompletionRequest request;
 
     /** Chooses engines. */
-    private final EngineChooser chooser;
+    private final SuspectGuard guard;
+
+    /** Identifies equal requests. */
+    private final Fingerprint fingerprint;
 
     /** Talks to engines. */
     private final EngineClient engines;
@@ -95,6 +101,9 @@
     /** The dispatches so far. */
     private int runs;
 
+    /** Whether the guard counts the request as running or waiting. */
+    private boolean guarded;
+
     /** Whether an engine may have begun to run the request. */
     private boolean begun;
 
@@ -107,7 +116,8 @@
     /** Creates a relay from its parts. */
     StreamRelay(CompletionRequest request, RelayParts parts, AnswerSink sink, XnioIoThread thread) {
         this.request = request;
-        this.chooser = parts.chooser();
+        this.guard = parts.guard();
+        this.fingerprint = SuspectGuard.fingerprint(request);
         this.engines = parts.engines();
         this.settings = parts.settings();
         this.timers = parts.timers();
@@ -128,6 +138,7 @@
     void callerGone() {
         if (!over) {
             close();
+            unguard(false);
             abandonDispatch();
         }
     }
@@ -142,14 +153,28 @@
         return runs;
     }
 
-    /** Dispatches the request, or what remains of it, to an engine. */
+    /** Dispatches the request, or what remains of it, to an engine, now or when it may be sent. */
     private void run() {
-        Optional<EngineSlot> chosen = chooser.choose(request, emittedTokens, Set.copyOf(barred));
-        if (chosen.isEmpty()) {
-            noEngine();
+        if (over) {
             return;
         }
-        slot = chosen.get();
+        guarded = true;
+        GuardedChoice choice = guard.choose(request, fingerprint, emittedTokens, Set.copyOf(barred));
+        if (choice instanceof GuardedChoice.Send send) {
+            dispatch(send.slot());
+        } else if (choice instanceof GuardedChoice.Wait wait) {
+            watch.cancel();
+            watch = timers.at(thread, wait.askAgain(), this::run);
+        } else if (choice instanceof GuardedChoice.Refuse refuse) {
+            giveUp(refuse.refusal());
+        } else {
+            noEngine();
+        }
+    }
+
+    /** Dispatches the request, or what remains of it, to the chosen engine. */
+    private void dispatch(EngineSlot chosen) {
+        slot = chosen;
         runs++;
         dispatch = UUID.randomUUID().toString();
         GenerateRequest generate = new GenerateRequest(
@@ -185,6 +210,7 @@
         String prefillAddress = address;
         engine = slot.engine();
         address = slot.address();
+        guard.moved(fingerprint, engine);
         lastProgressNanos = ticker.nanos();
         prefillRelease = () -> engines.cancel(prefillAddress, dispatch, thread);
         exchange = engines.importKv(address, kv, thread, new Listener(++connection));
@@ -243,6 +269,7 @@
     /** Gives the end of the whole answer. */
     private void finish(String finish) {
         close();
+        unguard(true);
         slot.ended();
         sink.end(finish, emittedTokens);
     }
@@ -268,6 +295,7 @@
                     if (problem == null && status.known()) {
                         resume();
                     } else {
+                        noteCrash(status, problem);
                         runElsewhere(failure);
                     }
                 }));
@@ -282,8 +310,33 @@
         watchProgress();
     }
 
+    /** Tells the guard where the engine was started anew or takes no connections after it took this dispatch. */
+    private void noteCrash(StreamStatus status, Throwable problem) {
+        long dispatched = slot.incarnation(engine);
+        boolean restarted = status != null && status.incarnation().orElse(dispatched) != dispatched;
+        if (restarted || closesConnections(problem)) {
+            guard.crashed(engine, dispatched);
+        }
+    }
+
+    /** Returns whether a failure shows that nothing serves at the engine's address. */
+    private static boolean closesConnections(Throwable problem) {
+        Throwable cause = problem instanceof CompletionException ? problem.getCause() : problem;
+        return cause instanceof ServerFailure failure
+                && (failure.kind() == ServerFailure.Kind.NOT_CONNECTED || failure.kind() == ServerFailure.Kind.BROKEN);
+    }
+
+    /** Tells the guard that the request no longer runs. */
+    private void unguard(boolean whole) {
+        if (guarded) {
+            guarded = false;
+            guard.finished(fingerprint, whole);
+        }
+    }
+
     /** Gives the engine up and runs what remains on another one. */
     private void runElsewhere(ServerFailure failure) {
+        unguard(false);
         barred.add(engine);
         exchange.cancel();
         releasePrefill();
@@ -321,6 +374,7 @@
                         return;
                     }
                     if (problem != null || !status.known()) {
+                        noteCrash(status, problem);
                         runElsewhere(ServerFailure.create(ServerFailure.Kind.SILENT, "the engine is silent"));
                     } else if (status.generated() > emittedTokens) {
                         resume();
@@ -364,6 +418,7 @@
     /** Gives a final answer in place of a whole one. */
     private void giveUp(Refusal refusal) {
         close();
+        unguard(false);
         sink.fail(refusal);
     }
 
--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -0,0 +1,204 @@
+package org.verbenatray.serving;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.verbenatray.configuration.EngineRole;
+import org.verbenatray.fleet.EngineCondition;
+import org.verbenatray.fleet.EngineView;
+import org.verbenatray.fleet.FleetView;
+import org.verbenatray.suspects.Fingerprint;
+import org.verbenatray.suspects.Quarantine;
+import org.verbenatray.suspects.SuspectDigest;
+import org.verbenatray.suspects.SuspectEntry;
+import org.verbenatray.suspects.SuspectTable;
+import org.verbenatray.telemetry.Event;
+import org.verbenatray.time.Timing;
+
+/** Chooses engines so that a request which crashes its engine takes down a bounded number of them; thread-safe. */
+public final class SuspectGuard {
+    /** The logger. */
+    private static final Logger log = System.getLogger(SuspectGuard.class.getName());
+
+    /** The pause before a barred engine is looked at again in milliseconds. */
+    private static final long LOOK_MILLIS = 100;
+
+    /** The requests that may crash engines. */
+    private final SuspectTable table;
+
+    /** Chooses engines. */
+    private final EngineChooser chooser;
+
+    /** The engines. */
+    private final FleetView fleet;
+
+    /** The sources of time. */
+    private final Timing timing;
+
+    /** The engines that are barred for a suspect of this instance, by fingerprint. */
+    private final Map<Fingerprint, String> alone = new HashMap<>();
+
+    /** Creates a guard. */
+    private SuspectGuard(SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing) {
+        this.table = table;
+        this.chooser = chooser;
+        this.fleet = fleet;
+        this.timing = timing;
+    }
+
+    /** Returns a guard. */
+    public static SuspectGuard create(SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing) {
+        return new SuspectGuard(table, chooser, fleet, timing);
+    }
+
+    /** Returns the fingerprint of a request. */
+    static Fingerprint fingerprint(CompletionRequest request) {
+        byte[] body = (request.maxTokens() + "\n" + request.prompt()).getBytes(StandardCharsets.UTF_8);
+        return Fingerprint.of(request.customer(), request.model(), body);
+    }
+
+    /** Decides what a request has to do next. */
+    synchronized GuardedChoice choose(
+            CompletionRequest request, Fingerprint fingerprint, int emittedTokens, Set<String> barred) {
+        long now = timing.clock().millis();
+        String prepared = alone.get(fingerprint);
+        if (prepared != null) {
+            return sendAlone(request, fingerprint, emittedTokens, prepared);
+        }
+        Quarantine quarantine = table.decide(fingerprint, enginesOfOwn(request.model(), barred), now);
+        if (quarantine instanceof Quarantine.Refused refused) {
+            return new GuardedChoice.Refuse(condemned(refused.comeBackMillis() - now));
+        }
+        if (quarantine instanceof Quarantine.Wait wait) {
+            return new GuardedChoice.Wait(timing.inMillis(Math.max(1, wait.askAgainMillis() - now)));
+        }
+        if (quarantine instanceof Quarantine.Alone run) {
+            table.bar(fingerprint, run.server(), now);
+            alone.put(fingerprint, run.server());
+            logQuarantine(request, run.server());
+            return sendAlone(request, fingerprint, emittedTokens, run.server());
+        }
+        Optional<String> only = ((Quarantine.Normally) quarantine).onlyServer();
+        return sendNormally(request, fingerprint, emittedTokens, barred, only);
+    }
+
+    /** Notes that a request moved from the engine of its prompt to the one that generates. */
+    synchronized void moved(Fingerprint fingerprint, String engine) {
+        table.finished(fingerprint, false, timing.clock().millis());
+        table.started(fingerprint, engine);
+    }
+
+    /** Notes that a request ended, or gave a barred engine up before it was sent. */
+    synchronized void finished(Fingerprint fingerprint, boolean whole) {
+        alone.remove(fingerprint);
+        table.finished(fingerprint, whole, timing.clock().millis());
+    }
+
+    /** Notes that an engine crashed with requests in flight. */
+    synchronized void crashed(String engine, long incarnation) {
+        Set<Fingerprint> suspects =
+                table.crashed(engine, engine + "@" + incarnation, timing.clock().millis());
+        suspects.forEach(alone::remove);
+        if (!suspects.isEmpty()) {
+            Event.named("engine_crashed_with_requests")
+                    .with("engine", engine)
+                    .with("incarnation", incarnation)
+                    .with("suspects", suspects.size())
+                    .log(log, Level.WARNING);
+        }
+    }
+
+    /** Returns what peers have to know. */
+    public synchronized SuspectDigest digest() {
+        return table.digest();
+    }
+
+    /** Takes in what a peer knows. */
+    public synchronized void merge(SuspectDigest digest) {
+        table.merge(digest, timing.clock().millis());
+    }
+
+    /** Returns the entries for the state dump. */
+    public synchronized List<SuspectEntry> entries() {
+        return table.entries();
+    }
+
+    /** Sends a request like any other, but to no barred engine. */
+    private GuardedChoice sendNormally(
+            CompletionRequest request,
+            Fingerprint fingerprint,
+            int emittedTokens,
+            Set<String> barred,
+            Optional<String> only) {
+        Set<String> allBarred = new HashSet<>(barred);
+        allBarred.addAll(table.barredServers(timing.clock().millis()));
+        if (only.isPresent() && allBarred.contains(only.get())) {
+            return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
+        }
+        Optional<EngineSlot> slot = chooser.choose(request, emittedTokens, allBarred, only);
+        if (slot.isEmpty()) {
+            return only.isPresent()
+                    ? new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS))
+                    : new GuardedChoice.NoEngine();
+        }
+        EngineSlot chosen = slot.get();
+        table.started(fingerprint, chosen.prefillEngine().orElse(chosen.engine()));
+        return new GuardedChoice.Send(chosen);
+    }
+
+    /** Sends a suspect once nothing else is left on its engine. */
+    private GuardedChoice sendAlone(
+            CompletionRequest request, Fingerprint fingerprint, int emittedTokens, String engine) {
+        Optional<EngineView> view = fleet.view(engine, timing.ticker().nanos());
+        boolean usable = view.isPresent() && view.get().condition() == EngineCondition.READY;
+        if (!usable) {
+            finished(fingerprint, false);
+            return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
+        }
+        if (view.get().runningStreams() > 0 || view.get().queuedPrefillTokens() > 0) {
+            return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
+        }
+        Optional<EngineSlot> slot = chooser.choose(request, emittedTokens, Set.of(), Optional.of(engine));
+        if (slot.isEmpty()) {
+            finished(fingerprint, false);
+            return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
+        }
+        alone.remove(fingerprint);
+        table.started(fingerprint, engine);
+        return new GuardedChoice.Send(slot.get());
+    }
+
+    /** Returns the engines that can run a request of a model without another engine. */
+    private List<String> enginesOfOwn(String model, Set<String> barred) {
+        return fleet.views(timing.ticker().nanos()).stream()
+                .filter(view -> view.condition() == EngineCondition.READY && view.role() == EngineRole.BOTH)
+                .filter(view ->
+                        view.spec().models().isEmpty() || view.spec().models().contains(model))
+                .map(EngineView::name)
+                .filter(name -> !barred.contains(name))
+                .toList();
+    }
+
+    /** Returns the final answer to a request that crashed engines. */
+    private static Refusal condemned(long comeBackMillis) {
+        return Refusal.mayHaveRun(
+                RefusalKind.CRASHES_SERVERS,
+                "this request crashed backend servers and is not run again for now; change it, or come back later",
+                Optional.of(Math.max(1, comeBackMillis)));
+    }
+
+    /** Logs that a suspect runs alone. */
+    private static void logQuarantine(CompletionRequest request, String engine) {
+        Event.named("suspect_runs_alone")
+                .with("request", request.requestId())
+                .with("customer", request.customer())
+                .with("engine", engine)
+                .log(log, Level.WARNING);
+    }
+}
--- a/src/main/java/org/verbenatray/standin/EngineServer.java
+++ b/src/main/java/org/verbenatray/standin/EngineServer.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
@@ -53,6 +54,9 @@
     /** The requests for work that it got. */
     private final AtomicLong attempts = new AtomicLong();
 
+    /** The crashes. */
+    private final AtomicInteger crashes = new AtomicInteger();
+
     /** How often the open replies were made silent. */
     private final AtomicLong silences = new AtomicLong();
 
@@ -140,6 +144,11 @@
         return dispatches.get();
     }
 
+    /** Returns the number of crashes. */
+    public int crashes() {
+        return crashes.get();
+    }
+
     /** Returns the number of requests for work that it got, taken or refused. */
     public long attempts() {
         return attempts.get();
@@ -162,6 +171,7 @@
 
     /** Crashes now and starts again after the configured time. */
     public void crash() {
+        crashes.incrementAndGet();
         down = true;
         long restartMillis = faults.restartMillis();
         loop.crash(restartMillis);
