--- a/src/main/java/org/verbenatray/admission/FairQueue.java
+++ b/src/main/java/org/verbenatray/admission/FairQueue.java
@@ -163,6 +163,11 @@
         return largest.isEmpty() ? Optional.empty() : Optional.of(largest.get(largest.size() - 1));
     }
 
+    /** Returns the number of waiting requests of a customer. */
+    int sizeOf(String customer) {
+        return waiting.getOrDefault(customer, Set.of()).size();
+    }
+
     /** Returns the number of waiting requests of a customer and priority. */
     int sizeOf(String customer, int priority) {
         return (int) waiting.getOrDefault(customer, Set.of()).stream()
