--- a/src/main/java/org/verbenatray/roles/CapacityModel.java
+++ b/src/main/java/org/verbenatray/roles/CapacityModel.java
@@ -11,6 +11,9 @@
     /** The share of an engine's time that may be planned; the rest absorbs bursts. */
     private static final double PLANNED_SHARE = 0.97;
 
+    /** The share of a specialised engine's time that routing fills before it uses engines in both roles. */
+    private static final double SEPARATED_SHARE = 0.8;
+
     /** The share of prompts in the time of engines in both roles from which interactive answers are lost. */
     private static final double HARMLESS_PROMPTS = 0.25;
 
@@ -154,9 +157,9 @@
         double mixed = 0;
         for (Assigned engine : engines) {
             if (engine.role() == EngineRole.DECODE) {
-                calm += PLANNED_SHARE * decodeTokensPerSecond(engine.spec());
+                calm += SEPARATED_SHARE * decodeTokensPerSecond(engine.spec());
             } else if (engine.role() == EngineRole.PREFILL) {
-                prefill += PLANNED_SHARE * engine.spec().prefillTokensPerSecond();
+                prefill += SEPARATED_SHARE * engine.spec().prefillTokensPerSecond();
             } else {
                 mixed += engine.spec().prefillTokensPerSecond();
             }
--- a/src/main/java/org/verbenatray/roles/Demand.java
+++ b/src/main/java/org/verbenatray/roles/Demand.java
@@ -1,6 +1,8 @@
 package org.verbenatray.roles;
 
+import java.util.Comparator;
 import java.util.List;
+import java.util.TreeMap;
 
 /**
  * The work that arrived per second over a window.
@@ -37,6 +39,18 @@
         return classes.stream().mapToDouble(PriorityDemand::answersPerSecond).sum();
     }
 
+    /** Returns the mean of this demand and another one, by priority. */
+    public Demand meanWith(Demand other) {
+        TreeMap<Integer, PriorityDemand> byPriority = new TreeMap<>(Comparator.reverseOrder());
+        for (PriorityDemand work : classes) {
+            byPriority.merge(work.priority(), work.scaled(0.5), PriorityDemand::plus);
+        }
+        for (PriorityDemand work : other.classes) {
+            byPriority.merge(work.priority(), work.scaled(0.5), PriorityDemand::plus);
+        }
+        return new Demand(List.copyOf(byPriority.values()));
+    }
+
     /**
      * The work of one priority.
      *
@@ -51,5 +65,27 @@
             double answersPerSecond,
             double promptTokensPerSecond,
             double outputTokensPerSecond,
-            double patienceSeconds) {}
+            double patienceSeconds) {
+        /** Returns the same kind of work at another rate. */
+        private PriorityDemand scaled(double factor) {
+            return new PriorityDemand(
+                    priority,
+                    factor * answersPerSecond,
+                    factor * promptTokensPerSecond,
+                    factor * outputTokensPerSecond,
+                    patienceSeconds);
+        }
+
+        /** Returns the sum with other work of the same priority. */
+        private PriorityDemand plus(PriorityDemand other) {
+            double answers = answersPerSecond + other.answersPerSecond;
+            double patience = patienceSeconds * answersPerSecond + other.patienceSeconds * other.answersPerSecond;
+            return new PriorityDemand(
+                    priority,
+                    answers,
+                    promptTokensPerSecond + other.promptTokensPerSecond,
+                    outputTokensPerSecond + other.outputTokensPerSecond,
+                    answers == 0 ? 0 : patience / answers);
+        }
+    }
 }
--- a/src/main/java/org/verbenatray/roles/RolePlanner.java
+++ b/src/main/java/org/verbenatray/roles/RolePlanner.java
@@ -88,11 +88,8 @@
     /** Weighs all changes and chooses the best one if it is worth its price. */
     private static RolePlan choose(PlannerInput input, List<EngineView> ready) {
         List<Assigned> settled = settledOf(input, ready);
-        double wait = waitSeconds(ready);
-        double answers = AnswerForecast.of(input.shortDemand(), wait)
-                .then(settled, input.expectedShiftMillis() / MILLIS_PER_SECOND)
-                .answers();
-        List<RoleAlternative> alternatives = alternativesOf(input, ready, settled, answers);
+        double answers = answersWithoutChange(input.shortDemand(), input, ready, settled);
+        List<RoleAlternative> alternatives = alternativesOf(input, ready, settled);
         boolean missing = !ready.isEmpty() && lacksRole(settled);
         double price = missing ? 0 : input.spec().changePrice() + UNCERTAINTY * answers;
         List<RoleAlternative> changes = alternatives.stream()
@@ -103,6 +100,14 @@
         return new RolePlan(changes, alternatives, answers, input.shortDemand(), input.expectedShiftMillis(), reason);
     }
 
+    /** Returns the answers in time that are expected without a change. */
+    private static double answersWithoutChange(
+            Demand demand, PlannerInput input, List<EngineView> ready, List<Assigned> settled) {
+        return AnswerForecast.of(demand, waitSeconds(ready))
+                .then(settled, input.expectedShiftMillis() / MILLIS_PER_SECOND)
+                .answers();
+    }
+
     /** Returns the time in which the engines process the prompts that wait in seconds. */
     private static double waitSeconds(List<EngineView> ready) {
         double tokens = 0;
@@ -135,15 +140,25 @@
         return assigned;
     }
 
-    /** Returns the permitted changes, the best first. */
+    /**
+     * Returns the permitted changes, the best first. A change gains what it gains under both the demand of the short
+     * window and its mean with that of the long window, since the short window alone follows chance.
+     */
     private static List<RoleAlternative> alternativesOf(
-            PlannerInput input, List<EngineView> ready, List<Assigned> settled, double answers) {
-        List<RoleAlternative> alternatives = new ArrayList<>();
+            PlannerInput input, List<EngineView> ready, List<Assigned> settled) {
+        Demand mean = input.shortDemand().meanWith(input.longDemand());
         double wait = waitSeconds(ready);
+        double answers = answersWithoutChange(input.shortDemand(), input, ready, settled);
+        double meanAnswers = answersWithoutChange(mean, input, ready, settled);
+        List<RoleAlternative> alternatives = new ArrayList<>();
         for (EngineView engine : ready) {
             for (EngineRole to : EngineRole.values()) {
                 if (to != engine.role() && keepsBothRoles(ready, engine, to)) {
-                    alternatives.add(weigh(input, engine, to, settled, wait, answers));
+                    double after = answersAfter(input.shortDemand(), input, engine, to, settled, wait);
+                    double meanAfter = answersAfter(mean, input, engine, to, settled, wait);
+                    double gain = Math.min(after - answers, meanAfter - meanAnswers);
+                    long outMillis = (long) outMillis(input, engine);
+                    alternatives.add(new RoleAlternative(engine.name(), engine.role(), to, outMillis, after, gain));
                 }
             }
         }
@@ -151,22 +166,29 @@
         return alternatives;
     }
 
-    /** Weighs one change. */
-    private static RoleAlternative weigh(
-            PlannerInput input, EngineView engine, EngineRole to, List<Assigned> settled, double wait, double answers) {
-        Assigned present = new Assigned(engine.spec(), engine.role());
+    /** Returns the answers in time that are expected with a change. */
+    private static double answersAfter(
+            Demand demand,
+            PlannerInput input,
+            EngineView engine,
+            EngineRole to,
+            List<Assigned> settled,
+            double waitSeconds) {
         List<Assigned> without = new ArrayList<>(settled);
-        without.remove(present);
+        without.remove(new Assigned(engine.spec(), engine.role()));
         List<Assigned> changed = new ArrayList<>(without);
         changed.add(new Assigned(engine.spec(), to));
         double shiftSeconds = input.expectedShiftMillis() / MILLIS_PER_SECOND;
-        double outMillis = input.spec().changeMillis() + finishMillis(engine);
-        double outSeconds = Math.min(shiftSeconds, outMillis / MILLIS_PER_SECOND);
-        double after = AnswerForecast.of(input.shortDemand(), wait)
+        double outSeconds = Math.min(shiftSeconds, outMillis(input, engine) / MILLIS_PER_SECOND);
+        return AnswerForecast.of(demand, waitSeconds)
                 .then(without, outSeconds)
                 .then(changed, shiftSeconds - outSeconds)
                 .answers();
-        return new RoleAlternative(engine.name(), engine.role(), to, (long) outMillis, after, after - answers);
+    }
+
+    /** Returns the time that an engine is out of service for a change in milliseconds. */
+    private static double outMillis(PlannerInput input, EngineView engine) {
+        return input.spec().changeMillis() + finishMillis(engine);
     }
 
     /** Returns the time in milliseconds in which an engine finishes the prompts that it has. */
