--- a/src/main/java/org/verbenatray/log/RecordBody.java
+++ b/src/main/java/org/verbenatray/log/RecordBody.java
@@ -155,7 +155,7 @@
      *
      * @param upTo the first offset that the snapshot does not cover
      * @param hash the SHA-256 of the parts in hexadecimal
-     * @param parts the state of each fold as JSON by the fold's name
+     * @param parts the state of each fold by the fold's name, as JSON or compressed JSON
      */
     record Snapshot(long upTo, String hash, Map<String, String> parts) implements RecordBody {}
 }
--- a/src/main/java/org/verbenatray/once/CallLimits.java
+++ b/src/main/java/org/verbenatray/once/CallLimits.java
@@ -25,5 +25,5 @@
         long maxKeptChars) {
     /** The bounds of format 1. */
     static final CallLimits FORMAT_1 = new CallLimits(
-            TimeUnit.HOURS.toMillis(24), TimeUnit.MINUTES.toMillis(15), 65_536, 32_768, 8_192, 2_048, 8_192, 8_388_608);
+            TimeUnit.HOURS.toMillis(6), TimeUnit.MINUTES.toMillis(15), 65_536, 32_768, 8_192, 2_048, 8_192, 8_388_608);
 }
--- a/src/main/java/org/verbenatray/standin/InMemoryLog.java
+++ b/src/main/java/org/verbenatray/standin/InMemoryLog.java
@@ -24,7 +24,7 @@
     private final double appendsPerSecond;
 
     /** The retained records. */
-    private final ArrayDeque<StoredRecord> retained = new ArrayDeque<>();
+    private final List<StoredRecord> retained = new ArrayList<>();
 
     /** The faults of the coming append calls, consumed in order. */
     private final Deque<AppendFault> appendFaults = new ArrayDeque<>();
@@ -190,9 +190,8 @@
 
     /** Drops the records before an offset. */
     public synchronized void dropBefore(long offset) {
-        while (!retained.isEmpty() && retained.peek().offset() < offset) {
-            retained.poll();
-        }
+        long dropped = Math.max(0, offset - firstRetained());
+        retained.subList(0, (int) Math.min(retained.size(), dropped)).clear();
     }
 
     /** Sets whether every call fails without an effect. */
--- a/src/main/java/org/verbenatray/state/SharedFold.java
+++ b/src/main/java/org/verbenatray/state/SharedFold.java
@@ -128,8 +128,9 @@
 
     /** Returns a snapshot of the whole state. */
     public synchronized Snapshot snapshot() {
-        Map<String, String> states = exportParts();
-        return new Snapshot(position, SnapshotHash.of(states), states);
+        Map<String, String> packed = new TreeMap<>();
+        exportParts().forEach((name, state) -> packed.put(name, PartCodec.pack(state)));
+        return new Snapshot(position, SnapshotHash.of(packed), packed);
     }
 
     /** Returns the hash of the whole state; equal states have equal hashes. */
@@ -166,7 +167,9 @@
         }
         Map<String, String> before = exportParts();
         try {
-            importParts(snapshot.parts());
+            Map<String, String> states = new TreeMap<>();
+            snapshot.parts().forEach((name, packed) -> states.put(name, PartCodec.unpack(packed)));
+            importParts(states);
         } catch (RuntimeException e) {
             importParts(before);
             throw new SnapshotInvalidException("a part cannot be read; take a snapshot of the same version", e);
--- a/src/test/java/org/verbenatray/once/OnceGateTest.java
+++ b/src/test/java/org/verbenatray/once/OnceGateTest.java
@@ -132,6 +132,19 @@
         assertEquals(fleet.request(2, "done", Service.PROMPT).kind(), Kind.ANSWERED);
     }
 
+    @Test
+    public void aCutOffInstanceSpeaksOfItsOwnAttemptOnlyUntilANeighbourRelaysTheRecords() {
+        fleet.nodes.get(0).cutOff = true;
+        fleet.time.advanceMillis(1_000);
+        fleet.request(1, "k", Service.PROMPT);
+        fleet.time.advanceMillis(200);
+        Tracked blind = fleet.request(0, "k", Service.PROMPT);
+        assertEquals(blind.kind(), Kind.NOT_RUN);
+        assertEquals(blind.result.scope(), Scope.ATTEMPT);
+        fleet.nodes.get(0).follower.offer(fleet.log.records());
+        assertEquals(fleet.request(0, "k", Service.PROMPT).kind(), Kind.ANSWERED);
+    }
+
     @Test
     public void aLostAppendAnswerThatIsReadInTimeMakesNoDifference() {
         fleet.log.injectAppendFaults(AppendFault.ANSWER_LOST);
--- a/src/test/java/org/verbenatray/state/SharedFoldTest.java
+++ b/src/test/java/org/verbenatray/state/SharedFoldTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.verbenatray.log.LogRecord;
 import org.verbenatray.log.RecordBody.LeaseRelease;
@@ -19,8 +20,14 @@
 
 /** Tests of {@link SharedFold}. */
 public final class SharedFoldTest {
-    private final ChainFold chain = new ChainFold();
-    private final SharedFold fold = SharedFold.of(List.of(chain));
+    private ChainFold chain;
+    private SharedFold fold;
+
+    @BeforeMethod
+    public void prepare() {
+        chain = new ChainFold();
+        fold = SharedFold.of(List.of(chain));
+    }
 
     @Test
     public void aGapAndAStepBackAreTypedErrors() {
@@ -60,6 +67,23 @@
         assertFalse(fold.restore(fold.snapshot()));
     }
 
+    @Test
+    public void longPartsAreCompressedAndComeBackWhole() {
+        for (int i = 0; i < 500; i++) {
+            fold.apply(stored(i, "id" + i, 1));
+        }
+        Snapshot snapshot = fold.snapshot();
+        assertTrue(snapshot.parts().get("chain").length() < chain.exportState().length());
+        SharedFold copy = SharedFold.of(List.of(new ChainFold()));
+        assertTrue(copy.restore(snapshot));
+        assertEquals(copy.hash(), fold.hash());
+        Map<String, String> parts = new TreeMap<>(snapshot.parts());
+        parts.put("chain", "gzip:AAAA");
+        Snapshot damaged = new Snapshot(900, SnapshotHash.of(parts), parts);
+        assertThrows(SnapshotInvalidException.class, () -> copy.restore(damaged));
+        assertEquals(copy.hash(), fold.hash());
+    }
+
     @Test
     public void anUnsoundSnapshotInTheLogDoesNotCountAsTheNewest() {
         SharedFold own = SharedFold.of(List.of());
