--- a/src/main/java/org/verbenatray/instance/EntryInstance.java
+++ b/src/main/java/org/verbenatray/instance/EntryInstance.java
@@ -24,7 +24,7 @@
 import org.verbenatray.admission.RetryBudget;
 import org.verbenatray.authority.LeaseKeeper;
 import org.verbenatray.authority.LeaseSurroundings;
-import org.verbenatray.authority.LeaseTiming;
+import org.verbenatray.authority.LeaseTerms;
 import org.verbenatray.configuration.ActiveConfiguration;
 import org.verbenatray.configuration.FleetConfiguration;
 import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
@@ -36,9 +36,9 @@
 import org.verbenatray.once.OnceGate;
 import org.verbenatray.once.OnceLimits;
 import org.verbenatray.orders.EngineOrders;
+import org.verbenatray.orders.OrderBounds;
 import org.verbenatray.orders.OrderExecutor;
 import org.verbenatray.orders.OrderPorts;
-import org.verbenatray.orders.OrderTiming;
 import org.verbenatray.platform.HttpInstanceList;
 import org.verbenatray.platform.HttpLogService;
 import org.verbenatray.platform.InstanceEntry;
@@ -271,24 +271,15 @@
                 () -> membership.liveIn(lease),
                 membership::isGone,
                 () -> executor.get().isQuiet(timing.ticker().nanos()));
-        org.verbenatray.authority.Scheduler later =
-                (delayMillis, task) -> timing.scheduler().runAt(timing.inMillis(delayMillis), task);
         LeaseKeeper keeper = LeaseKeeper.create(
-                lease,
-                self().id(),
-                leaseTiming(settings.leaseTermMillis()),
-                surroundings,
-                logParts.appender(),
-                timing.ticker(),
-                later);
+                lease, self().id(), leaseTerms(settings.leaseTermMillis()), surroundings, logParts.appender(), timing);
         executor.set(OrderExecutor.create(new OrderPorts(
                 logParts.appender(),
                 engineOrders,
                 keeper::authority,
                 engine -> logParts.fold().read(() -> logParts.orders().journal(engine)),
-                timing.ticker(),
-                later,
-                OrderTiming.defaults())));
+                timing,
+                OrderBounds.defaults())));
         return new OrderParts(
                 keeper,
                 executor.get(),
@@ -297,8 +288,8 @@
     }
 
     /** Returns the times of a lease with the given term in milliseconds. */
-    private static LeaseTiming leaseTiming(long termMillis) {
-        return new LeaseTiming(termMillis, termMillis / 10, termMillis / 4, termMillis / 10, termMillis / 6);
+    private static LeaseTerms leaseTerms(long termMillis) {
+        return new LeaseTerms(termMillis, termMillis / 10, termMillis / 4, termMillis / 10, termMillis / 6);
     }
 
     /** Starts the HTTP servers. */
