--- a/src/main/java/org/verbenatray/cli/EntryCommand.java
+++ b/src/main/java/org/verbenatray/cli/EntryCommand.java
@@ -2,6 +2,8 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
 import org.verbenatray.instance.EntryInstance;
 import org.verbenatray.settings.EntrySettings;
 import org.verbenatray.settings.SettingsCheck;
@@ -33,6 +35,12 @@
     @Parameter(names = "--peers", description = "IP number and port for other instances")
     private String peers = "127.0.0.1:8082";
 
+    /** The known peers. */
+    @Parameter(
+            names = "--known-peers",
+            description = "Addresses of peers, separated by commas, used until the instance list was read")
+    private List<String> knownPeers = new ArrayList<>();
+
     /** The threads. */
     @Parameter(names = "--io-threads", description = "Threads that move bytes, 1 to 64")
     private String ioThreads = "2";
@@ -74,6 +82,9 @@
                 check.address("--listen", listen),
                 check.address("--operators", operators),
                 check.address("--peers", peers),
+                knownPeers.stream()
+                        .map(address -> check.address("--known-peers", address))
+                        .toList(),
                 (int) check.number("--io-threads", ioThreads, 1, 64),
                 check.number("--max-body-bytes", maxBodyBytes, 1_024, 1L << 30),
                 (int) check.number("--max-open-requests", maxOpenRequests, 1, 1_000_000),
--- a/src/main/java/org/verbenatray/demo/EmbeddedDeployment.java
+++ b/src/main/java/org/verbenatray/demo/EmbeddedDeployment.java
@@ -83,8 +83,7 @@
 
     /** Starts one more entry instance and waits until it takes requests. */
     public EntryInstance addEntry(String name, String failureDomain) throws IOException, InterruptedException {
-        EntryInstance entry = EntryInstance.start(settings(name, failureDomain));
-        entries.add(entry);
+        EntryInstance entry = startEntry(name, failureDomain, List.of());
         while (!entry.isReady()) {
             Thread.onSpinWait();
             synchronized (this) {
@@ -94,6 +93,14 @@
         return entry;
     }
 
+    /** Starts one more entry instance without waiting; it links to the given peers until it has an instance list. */
+    public EntryInstance startEntry(String name, String failureDomain, List<InetSocketAddress> knownPeers)
+            throws IOException {
+        EntryInstance entry = EntryInstance.start(settings(name, failureDomain, knownPeers));
+        entries.add(entry);
+        return entry;
+    }
+
     /** Publishes one file of the configuration and returns the verdict. */
     public Verdict publish(String file, String content) throws IOException {
         try (LogSession session = LogSession.open("operator", platform.address(), READ_MILLIS)) {
@@ -213,7 +220,7 @@
     }
 
     /** Returns the settings of an entry instance. */
-    private EntrySettings settings(String name, String failureDomain) {
+    private EntrySettings settings(String name, String failureDomain, List<InetSocketAddress> knownPeers) {
         return new EntrySettings(
                 name,
                 failureDomain,
@@ -221,6 +228,7 @@
                 ANY_PORT,
                 ANY_PORT,
                 ANY_PORT,
+                knownPeers,
                 shape.ioThreads(),
                 16L * 1024 * 1024,
                 4_096,
--- /dev/null
+++ b/src/main/java/org/verbenatray/instance/FleetParts.java
@@ -0,0 +1,57 @@
+package org.verbenatray.instance;
+
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.verbenatray.configuration.FleetConfiguration;
+import org.verbenatray.fleet.FleetBounds;
+import org.verbenatray.fleet.FleetView;
+import org.verbenatray.fleet.PrefixIndex;
+import org.verbenatray.routing.CostModel;
+import org.verbenatray.routing.CostRouter;
+import org.verbenatray.serving.RoutedChooser;
+import org.verbenatray.serving.SuspectGuard;
+import org.verbenatray.suspects.SuspectLimits;
+import org.verbenatray.suspects.SuspectTable;
+
+/**
+ * What an instance knows of the engines and how it chooses among them.
+ *
+ * @param view the view of the engines
+ * @param poller reads their load reports
+ * @param chooser chooses by cost
+ * @param suspects keeps requests apart that may crash engines
+ */
+record FleetParts(FleetView view, EnginePoller poller, RoutedChooser chooser, SuspectGuard suspects) {
+    /** Returns the parts, without any engine before the first configuration. */
+    static FleetParts create(InstanceRuntime runtime, Supplier<FleetConfiguration> configuration) {
+        String failureDomain = runtime.settings().failureDomain();
+        PrefixIndex prefixIndex = PrefixIndex.create(PrefixIndex.DEFAULT_PIECES_PER_ENGINE);
+        FleetView view = FleetView.create(Set.of(failureDomain), FleetBounds.defaults(), prefixIndex);
+        EnginePoller poller =
+                new EnginePoller(runtime.transport(), configuration, failureDomain, view, runtime.timing());
+        CostRouter router = CostRouter.create(
+                CostModel.defaults(), prefixIndex, configuration, randomNumbers(runtime.incarnation()));
+        RoutedChooser chooser = RoutedChooser.create(
+                router,
+                view,
+                prefixIndex,
+                configuration,
+                poller::incarnation,
+                failureDomain,
+                runtime.timing().ticker());
+        SuspectTable table = SuspectTable.create(runtime.id(), SuspectLimits.defaults());
+        return new FleetParts(view, poller, chooser, SuspectGuard.create(table, chooser, view, runtime.timing()));
+    }
+
+    /** Returns a source of random numbers that several threads may use. */
+    private static LongSupplier randomNumbers(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        return () -> {
+            synchronized (random) {
+                return random.nextLong();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/instance/InstanceRuntime.java
@@ -0,0 +1,77 @@
+package org.verbenatray.instance;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.time.Clock;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.verbenatray.servers.HttpTransport;
+import org.verbenatray.settings.EntrySettings;
+import org.verbenatray.telemetry.Metrics;
+import org.verbenatray.time.Scheduler;
+import org.verbenatray.time.Ticker;
+import org.verbenatray.time.Timing;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * What all parts of an instance run on.
+ *
+ * @param settings the settings
+ * @param incarnation when the instance was started, in milliseconds since the epoch
+ * @param worker the threads that move bytes
+ * @param executor the thread that runs what is due later
+ * @param timing the sources of time
+ * @param transport HTTP towards backend servers and the platform
+ * @param metrics the metrics
+ */
+record InstanceRuntime(
+        EntrySettings settings,
+        long incarnation,
+        XnioWorker worker,
+        ScheduledExecutorService executor,
+        Timing timing,
+        HttpTransport transport,
+        Metrics metrics) {
+    /** The size of a buffer in bytes. */
+    private static final int BUFFER_BYTES = 16 * 1024;
+
+    /** Returns a runtime whose threads are started. */
+    static InstanceRuntime start(EntrySettings settings) throws IOException {
+        XnioWorker worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, settings.ioThreads())
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.THREAD_DAEMON, true)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
+        ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "timer-" + settings.name());
+            thread.setDaemon(true);
+            return thread;
+        });
+        Ticker ticker = Ticker.system();
+        Timing timing = new Timing(ticker, Clock.systemUTC(), Scheduler.on(executor, ticker));
+        HttpTransport transport = HttpTransport.create(worker, new DefaultByteBufferPool(true, BUFFER_BYTES), ticker);
+        long incarnation = timing.clock().millis();
+        return new InstanceRuntime(settings, incarnation, worker, executor, timing, transport, Metrics.create());
+    }
+
+    /** Returns the name of this incarnation, which no other process ever has. */
+    String id() {
+        return settings.name() + "@" + incarnation;
+    }
+
+    /** Returns the present time in nanoseconds of the monotonic clock. */
+    long nanos() {
+        return timing.ticker().nanos();
+    }
+
+    /** Ends all threads. */
+    void stop() {
+        executor.shutdownNow();
+        worker.shutdownNow();
+    }
+}
--- a/src/main/java/org/verbenatray/instance/Membership.java
+++ b/src/main/java/org/verbenatray/instance/Membership.java
@@ -67,6 +67,11 @@
         list.announce(self.get()).exceptionally(failure -> null);
     }
 
+    /** Tells the platform that this instance is about to end. */
+    void withdraw() {
+        list.withdraw(self.get()).exceptionally(failure -> null).join();
+    }
+
     /** Returns the last list. */
     List<InstanceEntry> entries() {
         return last.orElse(List.of());
--- a/src/main/java/org/verbenatray/instance/RoleControl.java
+++ b/src/main/java/org/verbenatray/instance/RoleControl.java
@@ -19,7 +19,6 @@
 import org.verbenatray.fleet.FleetView;
 import org.verbenatray.log.RecordBody.OrderResult;
 import org.verbenatray.orders.EngineOrderState;
-import org.verbenatray.orders.EngineOrders;
 import org.verbenatray.orders.ModelVersion;
 import org.verbenatray.orders.Order;
 import org.verbenatray.orders.OrderTarget;
@@ -49,9 +48,6 @@
     /** The engines of the failure domain. */
     private final FleetView fleet;
 
-    /** Reads the state of engines. */
-    private final EngineOrders engines;
-
     /** The sources of time. */
     private final Timing timing;
 
@@ -71,10 +67,9 @@
     private DomainPlanner planner;
 
     /** Creates a control that does nothing before it is started. */
-    RoleControl(OrderParts parts, FleetView fleet, EngineOrders engines, Timing timing, Metrics metrics) {
+    RoleControl(OrderParts parts, FleetView fleet, Timing timing, Metrics metrics) {
         this.parts = parts;
         this.fleet = fleet;
-        this.engines = engines;
         this.timing = timing;
         this.metrics = metrics;
         this.planner = DomainPlanner.create(RoleSpec.defaults(), timing.ticker().nanos());
@@ -91,6 +86,11 @@
         parts.keeper().leave();
     }
 
+    /** Returns whether the log shows that this instance holds no lease. */
+    boolean hasLeft() {
+        return parts.keeper().hasLeft();
+    }
+
     /** Counts a request that arrived here and stands for as many as there are instances that share the callers. */
     synchronized void arrived(int weight, int priority, long promptTokens, long outputTokens, long patienceMillis) {
         planner.arrived(timing.ticker().nanos(), weight, priority, promptTokens, outputTokens, patienceMillis);
@@ -175,7 +175,8 @@
         }
         EngineView view = unchecked.get();
         underWay.put(view.name(), Optional.empty());
-        engines.state(view.name())
+        parts.engines()
+                .state(view.name())
                 .whenComplete((state, failure) -> timing.scheduler()
                         .runAt(timing.inMillis(0), () -> versionsRead(view, state, configuration, offset, authority)));
     }
--- /dev/null
+++ b/src/main/java/org/verbenatray/instance/ServingWiring.java
@@ -0,0 +1,166 @@
+package org.verbenatray.instance;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.verbenatray.admission.AdmissionBounds;
+import org.verbenatray.admission.AdmissionController;
+import org.verbenatray.admission.AdmissionRequest;
+import org.verbenatray.admission.ModelCapacity;
+import org.verbenatray.admission.OutputEstimator;
+import org.verbenatray.admission.RetryBudget;
+import org.verbenatray.configuration.ActiveConfiguration;
+import org.verbenatray.fleet.EngineView;
+import org.verbenatray.once.OnceGate;
+import org.verbenatray.once.OnceLimits;
+import org.verbenatray.servers.HttpEngineClient;
+import org.verbenatray.servers.HttpServiceClient;
+import org.verbenatray.servers.ServiceClient;
+import org.verbenatray.serving.OnceCalls;
+import org.verbenatray.serving.OpenRequests;
+import org.verbenatray.serving.QueuedAdmitter;
+import org.verbenatray.serving.RelayParts;
+import org.verbenatray.serving.RelaySettings;
+import org.verbenatray.serving.RelayTimers;
+import org.verbenatray.serving.ServerChooser;
+import org.verbenatray.serving.ServingParts;
+
+/** Builds what serves callers and keeps it up to date with the configuration and the instance list. */
+final class ServingWiring {
+    /** The pause between two looks at the capacity of the engines in milliseconds. */
+    private static final long CAPACITY_MILLIS = 250;
+
+    /** What everything runs on. */
+    private final InstanceRuntime runtime;
+
+    /** The parts around the log. */
+    private final LogParts logParts;
+
+    /** The engines. */
+    private final FleetParts fleet;
+
+    /** Decides which requests run now, wait or are refused. */
+    private final AdmissionController admission = AdmissionController.create(AdmissionBounds.defaults());
+
+    /** Bounds the runs of requests after their first. */
+    private final RetryBudget retries = RetryBudget.defaults();
+
+    /** The open requests. */
+    private final OpenRequests open;
+
+    /** Lets calls that must not be repeated through at most once. */
+    private final OnceGate once;
+
+    /** Lets requests wait for their admission. */
+    private final QueuedAdmitter admitter;
+
+    /** Chooses backend servers of plain services. */
+    private final ServerChooser servers;
+
+    /** Creates the parts. */
+    ServingWiring(
+            InstanceRuntime runtime,
+            LogParts logParts,
+            FleetParts fleet,
+            Membership membership,
+            Consumer<AdmissionRequest> arrivals) {
+        this.runtime = runtime;
+        this.logParts = logParts;
+        this.fleet = fleet;
+        this.open = OpenRequests.bounded(runtime.settings().maxOpenRequests(), runtime.metrics());
+        this.servers = ServerChooser.create(
+                runtime.settings().failureDomain(), runtime.timing().ticker());
+        this.once = OnceGate.create(
+                runtime.id(),
+                logParts.calls(),
+                logParts.fold(),
+                logParts.appender(),
+                OnceLimits.defaults(),
+                logParts::isReachable,
+                membership::isGone,
+                runtime.timing());
+        this.admitter = QueuedAdmitter.create(
+                admission,
+                OutputEstimator.create(OutputEstimator.DEFAULT_PAIRS),
+                fleet.chooser()::expectation,
+                arrivals,
+                runtime.timing());
+    }
+
+    /** Starts the regular work. */
+    void start() {
+        logParts.follower().onApplied(once::applied);
+        logParts.follower().onLeap(position -> once.recheck());
+        once.start();
+        admitter.start();
+        watchCapacity();
+    }
+
+    /** Returns what the handlers of callers' requests share. */
+    ServingParts parts() {
+        RelaySettings bounds = RelaySettings.defaults();
+        RelayParts relay = new RelayParts(
+                fleet.suspects(),
+                HttpEngineClient.create(runtime.transport()),
+                new RelaySettings(runtime.settings().silenceMillis(), bounds.probeMillis(), bounds.maxRuns()),
+                RelayTimers.onThreads(runtime.timing().ticker()),
+                runtime.timing().ticker(),
+                retries::tryRetry,
+                runtime.metrics());
+        ServiceClient services = HttpServiceClient.create(runtime.transport());
+        return new ServingParts(
+                runtime.settings().name(),
+                runtime.settings().failureDomain(),
+                logParts.configuration()::active,
+                open,
+                admitter,
+                relay,
+                services,
+                servers,
+                OnceCalls.create(once, services, servers),
+                runtime.settings().defaultTimeoutMillis());
+    }
+
+    /** Returns the open requests. */
+    OpenRequests open() {
+        return open;
+    }
+
+    /** Returns the requests that wait for their admission. */
+    int waiting() {
+        return admitter.waitingRequests();
+    }
+
+    /** Returns the calls whose outcome is not in the log yet. */
+    int unsettledCalls() {
+        return once.open();
+    }
+
+    /** Returns the chooser of backend servers of plain services. */
+    ServerChooser servers() {
+        return servers;
+    }
+
+    /** Takes a configuration over. */
+    void onConfiguration(ActiveConfiguration active) {
+        admission.onConfiguration(active.fleet(), runtime.nanos());
+    }
+
+    /** Takes the number of live instances over. */
+    void onInstances(int instances) {
+        admission.onInstances(instances, runtime.nanos());
+    }
+
+    /** Counts the first run of a request towards the budget of further ones. */
+    void onArrival() {
+        retries.onFirstAttempt();
+    }
+
+    /** Takes the present capacity of the engines over, now and again after each pause. */
+    private void watchCapacity() {
+        List<EngineView> engines = fleet.view().views(runtime.nanos());
+        for (String model : logParts.configuration().active().fleet().models().keySet()) {
+            admission.onCapacity(model, ModelCapacity.of(model, engines), runtime.nanos());
+        }
+        runtime.timing().scheduler().runAt(runtime.timing().inMillis(CAPACITY_MILLIS), this::watchCapacity);
+    }
+}
--- a/src/main/java/org/verbenatray/peers/PeerLinks.java
+++ b/src/main/java/org/verbenatray/peers/PeerLinks.java
@@ -1,5 +1,6 @@
 package org.verbenatray.peers;
 
+import com.google.protobuf.ByteString;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -147,13 +148,14 @@
     }
 
     /** Sends what is known of a request that crashed backend servers to all peers. */
-    public void sendSuspect(String fingerprint, SuspectState state, long remainingMillis) {
+    public void sendSuspect(String fingerprint, SuspectState state, long remainingMillis, String detail) {
         SuspectReport report = SuspectReport.newBuilder()
                 .setInstance(settings.self().instance())
                 .setSequence(sequence.incrementAndGet())
                 .setFingerprint(fingerprint)
                 .setState(state)
                 .setRemainingMillis(remainingMillis)
+                .setDetail(ByteString.copyFromUtf8(detail))
                 .build();
         onThread(() -> router.sendSuspect(report));
     }
--- a/src/main/java/org/verbenatray/platform/HttpInstanceList.java
+++ b/src/main/java/org/verbenatray/platform/HttpInstanceList.java
@@ -44,10 +44,21 @@
                         reply -> RecordCodec.decode(reply.text(), Listing.class).instances());
     }
 
-    /** Tells the platform that this instance lives or is leaving; the platform forgets it after a while. */
+    /** Tells the platform that this instance lives or is leaving, with its process so that its end is noticed. */
     public CompletableFuture<Void> announce(InstanceEntry entry) {
+        String path =
+                "/instances/" + entry.name() + "?pid=" + ProcessHandle.current().pid();
+        return send(HttpCall.json("PUT", address, path, RecordCodec.encode(entry)));
+    }
+
+    /** Tells the platform that this instance ends. */
+    public CompletableFuture<Void> withdraw(InstanceEntry entry) {
+        return send(HttpCall.bare("DELETE", address, "/instances/" + entry.name()));
+    }
+
+    /** Sends a call whose reply does not matter. */
+    private CompletableFuture<Void> send(HttpCall call) {
         Deadline deadline = Deadline.afterMillis(transport.ticker().nanos(), EXCHANGE_MILLIS);
-        HttpCall call = HttpCall.json("PUT", address, "/instances/" + entry.name(), RecordCodec.encode(entry));
         return transport
                 .call(call, transport.anyThread(), deadline, MAX_LIST_BYTES)
                 .thenAccept(reply -> {});
--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.verbenatray.configuration.EngineRole;
 import org.verbenatray.fleet.EngineCondition;
 import org.verbenatray.fleet.EngineView;
@@ -44,6 +45,9 @@
     /** The engines that are barred for a suspect of this instance, by fingerprint. */
     private final Map<Fingerprint, String> alone = new HashMap<>();
 
+    /** Receives what changed, for the peers. */
+    private Consumer<SuspectDigest> listener = digest -> {};
+
     /** Creates a guard. */
     private SuspectGuard(SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing) {
         this.table = table;
@@ -63,6 +67,11 @@
         return Fingerprint.of(request.customer(), request.model(), body);
     }
 
+    /** Sets the receiver of what changed; it must not call back. */
+    public synchronized void onChange(Consumer<SuspectDigest> newListener) {
+        listener = newListener;
+    }
+
     /** Decides what a request has to do next. */
     synchronized GuardedChoice choose(
             CompletionRequest request, Fingerprint fingerprint, int emittedTokens, Set<String> barred) {
@@ -82,6 +91,7 @@
             table.bar(fingerprint, run.server(), now);
             alone.put(fingerprint, run.server());
             logQuarantine(request, run.server());
+            changed(fingerprint);
             return sendAlone(request, fingerprint, emittedTokens, run.server());
         }
         Optional<String> only = ((Quarantine.Normally) quarantine).onlyServer();
@@ -98,6 +108,7 @@
     synchronized void finished(Fingerprint fingerprint, boolean whole) {
         alone.remove(fingerprint);
         table.finished(fingerprint, whole, timing.clock().millis());
+        changed(fingerprint);
     }
 
     /** Notes that an engine crashed with requests in flight. */
@@ -105,6 +116,7 @@
         Set<Fingerprint> suspects =
                 table.crashed(engine, engine + "@" + incarnation, timing.clock().millis());
         suspects.forEach(alone::remove);
+        suspects.forEach(this::changed);
         if (!suspects.isEmpty()) {
             Event.named("engine_crashed_with_requests")
                     .with("engine", engine)
@@ -114,11 +126,6 @@
         }
     }
 
-    /** Returns what peers have to know. */
-    public synchronized SuspectDigest digest() {
-        return table.digest();
-    }
-
     /** Takes in what a peer knows. */
     public synchronized void merge(SuspectDigest digest) {
         table.merge(digest, timing.clock().millis());
@@ -129,6 +136,17 @@
         return table.entries();
     }
 
+    /** Tells the listener what is known of one request, if it is a suspect. */
+    private void changed(Fingerprint fingerprint) {
+        SuspectDigest all = table.digest();
+        List<SuspectEntry> one = all.entries().stream()
+                .filter(entry -> entry.fingerprint().equals(fingerprint))
+                .toList();
+        if (!one.isEmpty()) {
+            listener.accept(new SuspectDigest(all.instance(), all.sequence(), all.aloneRuns(), one));
+        }
+    }
+
     /** Sends a request like any other, but to no barred engine. */
     private GuardedChoice sendNormally(
             CompletionRequest request,
--- a/src/main/java/org/verbenatray/settings/EntrySettings.java
+++ b/src/main/java/org/verbenatray/settings/EntrySettings.java
@@ -1,6 +1,7 @@
 package org.verbenatray.settings;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 
 /**
  * The settings of an entry instance.
@@ -11,6 +12,7 @@
  * @param listen the address for callers
  * @param operators the address for operators
  * @param peers the address for other instances
+ * @param knownPeers the addresses of peers that are linked to until the platform's instance list was read
  * @param ioThreads the number of threads that move bytes
  * @param maxBodyBytes the largest body of a request in bytes
  * @param maxOpenRequests the largest number of requests without a final answer
@@ -25,6 +27,7 @@
         InetSocketAddress listen,
         InetSocketAddress operators,
         InetSocketAddress peers,
+        List<InetSocketAddress> knownPeers,
         int ioThreads,
         long maxBodyBytes,
         int maxOpenRequests,
--- a/src/main/java/org/verbenatray/standin/PlatformServer.java
+++ b/src/main/java/org/verbenatray/standin/PlatformServer.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import org.verbenatray.log.LogService;
 import org.verbenatray.log.RecordCodec;
@@ -16,16 +17,11 @@
 import org.verbenatray.platform.HttpLogService.AppendReply;
 import org.verbenatray.platform.HttpLogService.AppendRequest;
 import org.verbenatray.platform.InstanceEntry;
-import org.verbenatray.time.Deadline;
-import org.verbenatray.time.Ticker;
 import org.verbenatray.web.Bodies;
 import org.verbenatray.web.Replies;
 
 /** A stand-in platform over HTTP: the log service and the instance list. */
 public final class PlatformServer implements AutoCloseable {
-    /** The time after which an instance that was not announced again is forgotten, in milliseconds. */
-    private static final long FORGET_MILLIS = 6_000;
-
     /** The largest number of records of one page. */
     private static final int MAX_PAGE = 10_000;
 
@@ -35,9 +31,6 @@
     /** The announced instances by name. */
     private final Map<String, Announced> instances = new ConcurrentHashMap<>();
 
-    /** The clock. */
-    private final Ticker ticker = Ticker.system();
-
     /** The HTTP server. */
     private final Undertow server;
 
@@ -51,6 +44,7 @@
                 .post("/log", exchange -> Bodies.read(exchange, this::append, PlatformServer::broken))
                 .get("/log", this::read)
                 .get("/instances", exchange -> Replies.json(exchange, 200, listing()))
+                .delete("/instances/{name}", this::withdraw)
                 .put("/instances/{name}", exchange -> Bodies.read(exchange, this::announce, PlatformServer::broken));
         this.server = Undertow.builder()
                 .addHttpListener(address.getPort(), address.getHostString())
@@ -80,8 +74,7 @@
 
     /** Returns the announced instances. */
     public Listing listing() {
-        long now = ticker.nanos();
-        instances.values().removeIf(announced -> announced.forgetAt().passed(now));
+        instances.values().removeIf(Announced::hasEnded);
         List<InstanceEntry> entries =
                 instances.values().stream().map(Announced::entry).toList();
         return new Listing(entries);
@@ -89,7 +82,7 @@
 
     /** Shows an instance until it is removed or shown otherwise. */
     public void show(InstanceEntry entry) {
-        instances.put(entry.name(), new Announced(entry, new Deadline(ticker.nanos() + Long.MAX_VALUE / 2)));
+        instances.put(entry.name(), new Announced(entry, OptionalLong.empty()));
     }
 
     /** Shows an instance no longer. */
@@ -150,7 +143,14 @@
     /** Notes that an instance lives. */
     private void announce(HttpServerExchange exchange, byte[] body) {
         InstanceEntry entry = RecordCodec.decode(new String(body, StandardCharsets.UTF_8), InstanceEntry.class);
-        instances.put(entry.name(), new Announced(entry, Deadline.afterMillis(ticker.nanos(), FORGET_MILLIS)));
+        long pid = Long.parseLong(exchange.getQueryParameters().get("pid").getFirst());
+        instances.put(entry.name(), new Announced(entry, OptionalLong.of(pid)));
+        Replies.text(exchange, 200, "text/plain", "noted");
+    }
+
+    /** Shows an instance no longer because it ends. */
+    private void withdraw(HttpServerExchange exchange) {
+        remove(exchange.getQueryParameters().get("name").getFirst());
         Replies.text(exchange, 200, "text/plain", "noted");
     }
 
@@ -163,7 +163,12 @@
      * An announced instance.
      *
      * @param entry what it announced
-     * @param forgetAt when it is forgotten
+     * @param pid its process, empty for an instance that is shown until it is removed
      */
-    private record Announced(InstanceEntry entry, Deadline forgetAt) {}
+    private record Announced(InstanceEntry entry, OptionalLong pid) {
+        /** Returns whether the process of the instance has ended; one that is paused has not. */
+        boolean hasEnded() {
+            return pid.isPresent() && ProcessHandle.of(pid.getAsLong()).isEmpty();
+        }
+    }
 }
--- a/src/test/java/org/verbenatray/peers/PeerLinksTest.java
+++ b/src/test/java/org/verbenatray/peers/PeerLinksTest.java
@@ -58,7 +58,7 @@
         nanos.addAndGet(TimeUnit.SECONDS.toNanos(1));
         first.sendLoad(List.of(load("engine", 3)));
         first.sendDigest(DomainDigest.newBuilder().setFailureDomain("johar").build());
-        first.sendSuspect("print", SuspectState.SUSPECT_STATE_SUSPECT, 9);
+        first.sendSuspect("print", SuspectState.SUSPECT_STATE_SUSPECT, 9, "");
         first.sendRecords("c", List.of(record(7), record(8)));
         first.requestState("b", 5, true);
         await(
@@ -84,7 +84,7 @@
         middle.connectTo(new PlannedLinks(List.of(address("c", "johar", last)), false));
         await("b: reachable a true", "b: reachable c true", "a: reachable b true", "c: reachable b true");
         nanos.addAndGet(TimeUnit.SECONDS.toNanos(1));
-        first.sendSuspect("print", SuspectState.SUSPECT_STATE_CONDEMNED, 60_000);
+        first.sendSuspect("print", SuspectState.SUSPECT_STATE_CONDEMNED, 60_000, "");
         first.sendLoad(List.of(load("engine", 4)));
         await("b: suspect print", "c: suspect print", "b: load a engine 4", "c: load a engine 4");
         PeerLinks later = start("d", "gulberg", 0);
@@ -110,7 +110,7 @@
         byte[] hello = PeerFrames.hello(new PeerIdentity("z", "johar"), 1).toByteArray();
         assertTrue(closes(first, hello.length, hello, unasked.toByteArray()));
         assertTrue(closes(first, hello.length, hello, hello));
-        second.sendSuspect("still", SuspectState.SUSPECT_STATE_SUSPECT, 1);
+        second.sendSuspect("still", SuspectState.SUSPECT_STATE_SUSPECT, 1, "");
         await("a: suspect still");
     }
 
