Tests for strides, failure domains of a model, expected waits per customer and uncovered dispatches

Cause: four trials that switched a mechanism off passed, so nothing tested it. Change: tests of the coprime stride, the model's failure domains, the wait of a customer with a small backlog, and a foreign engine with uncovered dispatches; each now fails in its trial. Ruled out: nothing.

--- a/src/test/java/org/verbenatray/admission/AdmissionControllerTest.java
+++ b/src/test/java/org/verbenatray/admission/AdmissionControllerTest.java
@@ -84,7 +84,7 @@
 
     @Test
     public void aDeadlineThatCannotBeMetIsRefusedAtOnce() {
-        AdmissionController busy = AdmissionFixtures.controller(Map.of("a", FREE), BOUNDS);
+        AdmissionController busy = AdmissionFixtures.controller(Map.of("a", FREE, "b", FREE), BOUNDS);
         Refusal never = refusal(busy.admit(request("a", 1, 2_000), IDLE, 0));
         assertEquals(never.kind(), RefusalKind.DEADLINE_UNREACHABLE);
         assertEquals(never.retryAfterMillis(), OptionalLong.empty(), "even an idle fleet is too slow");
@@ -96,6 +96,8 @@
         assertEquals(later.retryAfterMillis(), OptionalLong.of(500), "80 requests drain in 1 s");
         Refusal next = refusal(busy.admit(request("a", 1, 2_550), Optional.empty(), 0));
         assertEquals(next.retryAfterMillis(), OptionalLong.of(550), "a quarter of the capacity is for returns");
+        Admission other = busy.admit(request("b", 1, 2_550), Optional.empty(), 0);
+        assertEquals(((Admission.Queued) other).expectedWaitMillis(), 25, "its share comes after one of the others");
     }
 
     @Test
--- a/src/test/java/org/verbenatray/fleet/FleetViewTest.java
+++ b/src/test/java/org/verbenatray/fleet/FleetViewTest.java
@@ -118,6 +118,8 @@
         assertEquals(view("f1", 0).runningStreams(), 3);
         fleet.onPeerLoad("f1", new LoadChange(2, 0, 0), 0, MILLI);
         assertEquals(view("f1", 1).runningStreams(), 5);
+        fleet.onDomainDigest(new DomainDigest("away", 1, 0, 0, List.of()), MILLI);
+        assertTrue(fleet.view("f1", 0).isPresent(), "a dispatch to it is not covered by a report");
         fleet.onPeerLoad("f1", new LoadChange(-2, 0, 0), 0, MILLI);
         fleet.onReport(report("f1", 2, 3, 0, 0), 100 * MILLI);
         fleet.onDomainDigest(new DomainDigest("away", 1, 0, 0, List.of(report("f2", 1, 0, 0, 0))), 0);
--- a/src/test/java/org/verbenatray/routing/CostRouterTest.java
+++ b/src/test/java/org/verbenatray/routing/CostRouterTest.java
@@ -7,6 +7,7 @@
 import static org.verbenatray.routing.RoutingFixtures.idle;
 import static org.verbenatray.routing.RoutingFixtures.loaded;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +20,7 @@
 import org.testng.annotations.Test;
 import org.verbenatray.configuration.EngineRole;
 import org.verbenatray.configuration.FleetConfiguration;
+import org.verbenatray.configuration.FleetConfiguration.ModelSpec;
 import org.verbenatray.fleet.Candidates;
 import org.verbenatray.fleet.EngineView;
 import org.verbenatray.fleet.FleetFixtures;
@@ -89,6 +91,28 @@
         assertEquals(chosen, 100);
     }
 
+    @Test
+    public void aModelStaysInTheFailureDomainsThatServeIt() {
+        ModelSpec model = new ModelSpec("1", List.of(), 1, List.of("away"), 100_000);
+        FleetConfiguration limited = new FleetConfiguration(
+                Map.of(FleetFixtures.MODEL, model), Map.of(), Map.of(), Map.of(), configuration.roles());
+        CostRouter limitedRouter = CostRouter.create(CostModel.defaults(), index, () -> limited, () -> 1);
+        EngineView home = idle("home", engine(HOME, EngineRole.BOTH));
+        EngineView away = idle("away", engine("away", EngineRole.BOTH));
+        assertTrue(limitedRouter.choose(REQUEST, List.of(home)).isEmpty());
+        assertEquals(
+                limitedRouter.choose(REQUEST, List.of(home, away)).orElseThrow().engine(), "away");
+    }
+
+    @Test
+    public void theOnlyUsableEngineIsFoundWhereverTheWalkStarts() {
+        List<EngineView> engines = new ArrayList<>(many(32).subList(0, 60));
+        engines.set(17, idle("free", engine(HOME, EngineRole.BOTH)));
+        for (int request = 0; request < 200; request++) {
+            assertEquals(router.choose(REQUEST, engines).orElseThrow().engine(), "free");
+        }
+    }
+
     private static List<EngineView> many(int streams) {
         return IntStream.range(0, 2_500)
                 .mapToObj(number -> loaded("e" + number, engine(HOME, EngineRole.BOTH), streams, 0))
