Bound the names in peer frames and what is sent

Cause: names from peers are remembered, up to 16,384 of them, and a frame may be 256 KiB, so that one faulty peer could fill the memory; a merged delta over the frame bound would make the other side close the link again and again. Change: names and fingerprints over 256 characters are a bad frame; a frame over the bound is dropped by its sender and counted, and two deltas whose merge is over it are not merged.

--- a/src/main/java/org/verbenatray/peers/FrameRouter.java
+++ b/src/main/java/org/verbenatray/peers/FrameRouter.java
@@ -19,6 +19,9 @@
     /** The event lines. */
     private static final Logger log = System.getLogger(FrameRouter.class.getName());
 
+    /** The largest length of names of instances and engines and of fingerprints in characters. */
+    private static final int MAX_NAME_CHARS = 256;
+
     /** The settings, which name this instance. */
     private final PeerSettings settings;
 
@@ -113,8 +116,17 @@
         registry.openLinks().forEach(link -> link.send(FramePriority.LEAVING, leaving.getInstance(), frame));
     }
 
+    /** Fails on a name that is too long to be remembered. */
+    private static void checkName(String name) {
+        if (name.length() > MAX_NAME_CHARS) {
+            throw new BadFrameException("a name of " + name.length() + " characters");
+        }
+    }
+
     /** Handles load of an instance of the own failure domain and relays what is new in it. */
     private void load(PeerLink link, PeerIdentity from, LoadDelta delta) {
+        checkName(delta.getInstance());
+        delta.getEnginesList().forEach(load -> checkName(load.getEngine()));
         if (!settings.isOwnDomain(from) || isSelf(delta.getInstance())) {
             return;
         }
@@ -131,6 +143,8 @@
 
     /** Handles and relays a report on a suspect that did not arrive before. */
     private void suspect(PeerLink link, PeerIdentity from, SuspectReport report) {
+        checkName(report.getInstance());
+        checkName(report.getFingerprint());
         if (!isSelf(report.getInstance()) && filter.isNew(suspectKey(report), report.getSequence())) {
             suspects.add(suspectKey(report), report, ticker.nanos());
             handle(handlers.suspect(), from, report);
@@ -143,6 +157,7 @@
 
     /** Handles and relays the notice of a leaving instance that did not arrive before. */
     private void leaving(PeerLink link, PeerIdentity from, Leaving leaving) {
+        checkName(leaving.getInstance());
         if (!isSelf(leaving.getInstance()) && filter.isNew("leaving/" + leaving.getInstance(), leaving.getSequence())) {
             handle(handlers.leaving(), from, leaving);
             Frame frame = Frame.newBuilder().setLeaving(leaving).build();
--- a/src/main/java/org/verbenatray/peers/Outbox.java
+++ b/src/main/java/org/verbenatray/peers/Outbox.java
@@ -30,7 +30,7 @@
     /** The budget of snapshots. */
     private final ByteBudget bulk;
 
-    /** The number of frames that were dropped because too many waited. */
+    /** The number of frames that were dropped because too many waited or they were too large. */
     private long dropped;
 
     /** Creates an empty outbox. */
@@ -49,6 +49,10 @@
 
     /** Adds a frame in place of a waiting one with the same key; load is merged engine by engine. */
     void put(FramePriority priority, String key, Frame frame) {
+        if (frame.getSerializedSize() > PeerFrames.MAX_FRAME_BYTES) {
+            dropped++;
+            return;
+        }
         LinkedHashMap<String, Frame> frames = waiting.get(priority);
         Frame before = frames.get(key);
         if (before == null && frames.size() >= priority.maxWaiting()) {
@@ -90,7 +94,7 @@
         return waiting.values().stream().mapToInt(Map::size).sum();
     }
 
-    /** Returns the number of frames that were dropped because too many waited. */
+    /** Returns the number of frames that were dropped because too many waited or they were too large. */
     long dropped() {
         return dropped;
     }
@@ -125,6 +129,7 @@
                 .clearEngines()
                 .addAllEngines(loads.values())
                 .build();
-        return Frame.newBuilder().setLoadDelta(merged).build();
+        Frame frame = Frame.newBuilder().setLoadDelta(merged).build();
+        return frame.getSerializedSize() > PeerFrames.MAX_FRAME_BYTES ? after : frame;
     }
 }
--- a/src/test/java/org/verbenatray/peers/OutboxTest.java
+++ b/src/test/java/org/verbenatray/peers/OutboxTest.java
@@ -82,6 +82,20 @@
         assertTrue(bytes >= BYTES_PER_SECOND * (seconds - 2), "bytes: " + bytes);
     }
 
+    @Test
+    public void aFrameThatThePeerWouldRefuseIsNotSent() {
+        Outbox outbox = outbox();
+        outbox.changeControlRate(BYTES_PER_SECOND, 0);
+        outbox.put(FramePriority.LOAD, "a", load(1, "x".repeat(PeerFrames.MAX_FRAME_BYTES), 1));
+        assertEquals(outbox.dropped(), 1);
+        outbox.put(FramePriority.LOAD, "a", load(1, "x".repeat(200_000), 1));
+        outbox.put(FramePriority.LOAD, "a", load(2, "y".repeat(200_000), 1));
+        List<Frame> sent = drain(outbox, SECOND_NANOS);
+        assertEquals(sent.size(), 1);
+        assertEquals(sent.get(0).getLoadDelta().getSequence(), 2);
+        assertEquals(sent.get(0).getLoadDelta().getEnginesCount(), 1);
+    }
+
     @Test
     public void heartbeatsPassAFloodOfSuspectsWhichIsBoundedByDebt() {
         Outbox outbox = outbox();
