--- a/src/main/java/org/verbenatray/peers/PeerLinks.java
+++ b/src/main/java/org/verbenatray/peers/PeerLinks.java
@@ -178,12 +178,10 @@
                 })));
     }
 
-    /** Asks a peer for records from an offset on, and for its newest snapshot before them. */
+    /** Asks a peer for records from an offset on, or for a snapshot; it may answer either way with a snapshot. */
     public void requestState(String instance, long fromOffset, boolean snapshot) {
         onThread(() -> registry.linkTo(instance).ifPresent(link -> {
-            if (snapshot) {
-                link.assembly().expect();
-            }
+            link.assembly().expect();
             link.send(FramePriority.HEARTBEAT, "state-request", PeerFrames.stateRequest(fromOffset, snapshot));
         }));
     }
--- a/src/main/java/org/verbenatray/peers/RecentSuspects.java
+++ b/src/main/java/org/verbenatray/peers/RecentSuspects.java
@@ -13,6 +13,9 @@
     /** The largest number of reports. */
     private static final int MAX_REPORTS = 1_024;
 
+    /** The largest size of all reports in bytes. */
+    private static final long MAX_BYTES = 4L * 1_024 * 1_024;
+
     /** The reports by key, oldest first. */
     private final Map<String, Held> reports = new LinkedHashMap<>();
 
@@ -28,12 +31,12 @@
     void add(String key, SuspectReport report, long nowNanos) {
         dropExpired(nowNanos);
         reports.remove(key);
-        if (reports.size() >= MAX_REPORTS) {
+        reports.put(key, new Held(report, Deadline.afterMillis(nowNanos, report.getRemainingMillis())));
+        while (reports.size() > MAX_REPORTS || bytes() > MAX_BYTES) {
             Iterator<Held> oldest = reports.values().iterator();
             oldest.next();
             oldest.remove();
         }
-        reports.put(key, new Held(report, Deadline.afterMillis(nowNanos, report.getRemainingMillis())));
     }
 
     /** Returns the reports with the time that is left of each. */
@@ -48,6 +51,13 @@
         return remaining;
     }
 
+    /** Returns the size of all reports in bytes. */
+    private long bytes() {
+        return reports.values().stream()
+                .mapToLong(held -> held.report().getSerializedSize())
+                .sum();
+    }
+
     /** Drops the expired reports. */
     private void dropExpired(long nowNanos) {
         reports.values().removeIf(held -> held.expiresAt().passed(nowNanos));
--- a/src/main/java/org/verbenatray/peers/SnapshotAssembly.java
+++ b/src/main/java/org/verbenatray/peers/SnapshotAssembly.java
@@ -4,10 +4,15 @@
 import java.util.Optional;
 import org.verbenatray.peers.generated.StateReply;
 
-/** Puts together the chunks of a requested snapshot. Not thread-safe. */
+/**
+ * Puts together the chunks of requested snapshots, one after the other. Not thread-safe.
+ *
+ * <p>A request may be repeated while its answer is on the way, and a peer that no longer has the requested records
+ * answers with a snapshot; so at most as many snapshots are taken as requests were sent.
+ */
 final class SnapshotAssembly {
-    /** Whether a snapshot was requested and is not complete. */
-    private boolean expected;
+    /** The requests that were not answered by a complete snapshot. */
+    private long unanswered;
 
     /** The chunks so far. */
     private ByteString received = ByteString.EMPTY;
@@ -29,11 +34,9 @@
         return new SnapshotAssembly();
     }
 
-    /** Expects a snapshot from its first chunk on. */
+    /** Expects one more snapshot; one that is being received goes on. */
     void expect() {
-        expected = true;
-        received = ByteString.EMPTY;
-        chunks = 0;
+        unanswered++;
     }
 
     /** Takes a chunk and returns the snapshot after its last one; fails on a chunk that is not the next one. */
@@ -42,7 +45,8 @@
             upTo = reply.getUpTo();
             count = reply.getCount();
         }
-        boolean next = expected && reply.getIndex() == chunks && reply.getUpTo() == upTo && reply.getCount() == count;
+        boolean next =
+                unanswered > 0 && reply.getIndex() == chunks && reply.getUpTo() == upTo && reply.getCount() == count;
         if (!next || count < 1 || count > PeerFrames.MAX_CHUNKS) {
             throw new BadFrameException("chunk " + reply.getIndex() + " of a snapshot that was not expected");
         }
@@ -52,7 +56,8 @@
             return Optional.empty();
         }
         PeerSnapshot snapshot = new PeerSnapshot(upTo, received.toStringUtf8());
-        expected = false;
+        unanswered--;
+        chunks = 0;
         received = ByteString.EMPTY;
         return Optional.of(snapshot);
     }
