Admission and routing see the same load; priorities are not held back by lower ones

Cause: an admitted request was counted only when it was dispatched, so the queue let out too many; a request could be released before its caller was known; admission and routing expected other output lengths; lower priorities held checks back because the whole queue of an engine counted against them. Ruled out: more frequent looks at the queue, which only narrow the race.

--- a/src/main/java/org/verbenatray/admission/AdmissionController.java
+++ b/src/main/java/org/verbenatray/admission/AdmissionController.java
@@ -5,8 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.function.Function;
 import org.verbenatray.configuration.FleetConfiguration;
+import org.verbenatray.configuration.FleetConfiguration.CustomerSpec;
+import org.verbenatray.configuration.FleetConfiguration.ModelSpec;
 
 /**
  * Decides which requests run now, wait or are refused. It holds no threads and no clock; every decision is a function
@@ -34,6 +38,9 @@
     /** The configuration in force. */
     private FleetConfiguration configuration = FleetConfiguration.empty();
 
+    /** The priorities that requests can have. */
+    private SortedSet<Integer> priorities = new TreeSet<>();
+
     /** The number of instances that share the customers' limits. */
     private int instances = 1;
 
@@ -50,6 +57,7 @@
     /** Takes over a configuration; customers and models that stay keep their state. */
     public synchronized void onConfiguration(FleetConfiguration newConfiguration, long nowNanos) {
         configuration = newConfiguration;
+        priorities = prioritiesOf(newConfiguration);
         accounts.entrySet()
                 .removeIf(entry -> !newConfiguration.customers().containsKey(entry.getKey())
                         && entry.getValue().openRequests() == 0);
@@ -78,9 +86,14 @@
         Optional.ofNullable(models.get(model)).ifPresent(queue -> queue.peers(backlog, instances));
     }
 
-    /** Returns whether an engine with this expectation takes one more request now. */
-    public boolean dispatchable(Expectation expectation) {
-        return expectation.queueMillis() <= bounds.maxEngineQueueMillis();
+    /**
+     * Returns whether an engine with this expectation takes one more request of the given priority now.
+     *
+     * <p>Engines serve the higher priority first, so each priority may fill their queues beyond what lower ones may.
+     */
+    public synchronized boolean dispatchable(int priority, Expectation expectation) {
+        long lower = priorities.headSet(priority).size();
+        return expectation.queueMillis() <= bounds.maxEngineQueueMillis() * (1 + lower);
     }
 
     /**
@@ -96,7 +109,10 @@
             return new Admission.Refused(refusal.get());
         }
         Ticket ticket = Ticket.create(request, nowNanos, model.serviceMillis(request, expectation));
-        if (model.queue().size() == 0 && expectation.filter(this::dispatchable).isPresent()) {
+        if (model.queue().size() == 0
+                && expectation
+                        .filter(promise -> dispatchable(request.priority(), promise))
+                        .isPresent()) {
             return admitNow(ticket, account, expectation.get(), nowNanos);
         }
         return enqueue(ticket, account, model, nowNanos);
@@ -331,6 +347,17 @@
         return Optional.ofNullable(accounts.get(ticket.request().customer()));
     }
 
+    /** Returns the priorities that requests can have: the higher one of model and customer. */
+    private static SortedSet<Integer> prioritiesOf(FleetConfiguration configuration) {
+        SortedSet<Integer> found = new TreeSet<>();
+        for (ModelSpec model : configuration.models().values()) {
+            for (CustomerSpec customer : configuration.customers().values()) {
+                found.add(Math.max(model.priority(), customer.priority()));
+            }
+        }
+        return found;
+    }
+
     /** Applies the customers' limits for the number of instances. */
     private void configureAccounts(long nowNanos) {
         configuration
--- a/src/main/java/org/verbenatray/fleet/LoadReport.java
+++ b/src/main/java/org/verbenatray/fleet/LoadReport.java
@@ -27,6 +27,21 @@
         long queuedPrefillTokens,
         long usedKvTokens,
         long ageMillis) {
+    /** Returns this report with a further age in milliseconds. */
+    public LoadReport aged(long moreMillis) {
+        return new LoadReport(
+                engine,
+                incarnation,
+                sequence,
+                role,
+                leaving,
+                changing,
+                runningStreams,
+                queuedPrefillTokens,
+                usedKvTokens,
+                ageMillis + Math.max(0, moreMillis));
+    }
+
     /** Returns whether this report was made after the other one. */
     boolean newerThan(LoadReport other) {
         if (incarnation != other.incarnation) {
--- a/src/main/java/org/verbenatray/instance/EnginePoller.java
+++ b/src/main/java/org/verbenatray/instance/EnginePoller.java
@@ -27,6 +27,9 @@
     /** The time one read may take in milliseconds. */
     private static final long READ_MILLIS = 1_000;
 
+    /** Nanoseconds in one millisecond. */
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     /** The largest report in bytes. */
     private static final int MAX_REPORT_BYTES = 64 * 1024;
 
@@ -73,10 +76,11 @@
         return incarnations.getOrDefault(engine, 0L);
     }
 
-    /** Takes a report over. */
-    private void received(LoadReport report) {
+    /** Takes a report over that was measured at the earliest when it was asked for. */
+    private void received(LoadReport report, long sentNanos) {
         incarnations.merge(report.engine(), report.incarnation(), Math::max);
-        fleet.onReport(report, timing.ticker().nanos());
+        long now = timing.ticker().nanos();
+        fleet.onReport(report.aged((now - sentNanos) / NANOS_PER_MILLI), now);
     }
 
     /** Reads the report of one engine. */
@@ -85,6 +89,7 @@
             return;
         }
         Deadline deadline = timing.inMillis(READ_MILLIS);
+        long sentNanos = timing.ticker().nanos();
         transport
                 .call(
                         HttpCall.bare("GET", engine.address(), "/load"),
--- a/src/main/java/org/verbenatray/instance/FleetParts.java
+++ b/src/main/java/org/verbenatray/instance/FleetParts.java
@@ -4,6 +4,7 @@
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.verbenatray.admission.OutputEstimator;
 import org.verbenatray.configuration.FleetConfiguration;
 import org.verbenatray.fleet.FleetBounds;
 import org.verbenatray.fleet.FleetView;
@@ -37,6 +38,7 @@
                 router,
                 view,
                 prefixIndex,
+                OutputEstimator.create(OutputEstimator.DEFAULT_PAIRS),
                 configuration,
                 poller::incarnation,
                 failureDomain,
--- a/src/main/java/org/verbenatray/instance/RoleControl.java
+++ b/src/main/java/org/verbenatray/instance/RoleControl.java
@@ -159,7 +159,6 @@
         if (decisions.size() > KEPT_DECISIONS) {
             decisions.removeFirst();
         }
-        metrics.roleChanged();
         order(target, new Order.ChangeRole(change.to()), plan.reason().name());
     }
 
@@ -237,7 +236,10 @@
 
     /** Notes the end of an order. */
     private synchronized void ended(OrderTarget target, String action, OrderResult result, Throwable failure) {
-        underWay.remove(target.engine());
+        Optional<EngineRole> role = underWay.remove(target.engine());
+        if (result == OrderResult.DONE && role != null && role.isPresent()) {
+            metrics.roleChanged();
+        }
         Event.named("order_ended")
                 .with("engine", target.engine())
                 .with("action", action)
--- a/src/main/java/org/verbenatray/instance/ServingWiring.java
+++ b/src/main/java/org/verbenatray/instance/ServingWiring.java
@@ -6,7 +6,6 @@
 import org.verbenatray.admission.AdmissionController;
 import org.verbenatray.admission.AdmissionRequest;
 import org.verbenatray.admission.ModelCapacity;
-import org.verbenatray.admission.OutputEstimator;
 import org.verbenatray.admission.RetryBudget;
 import org.verbenatray.configuration.ActiveConfiguration;
 import org.verbenatray.fleet.EngineView;
@@ -78,12 +77,7 @@
                 logParts::isReachable,
                 membership::isGone,
                 runtime.timing());
-        this.admitter = QueuedAdmitter.create(
-                admission,
-                OutputEstimator.create(OutputEstimator.DEFAULT_PAIRS),
-                fleet.chooser()::expectation,
-                arrivals,
-                runtime.timing());
+        this.admitter = QueuedAdmitter.create(admission, fleet.chooser(), arrivals, runtime.timing());
     }
 
     /** Starts the regular work. */
--- a/src/main/java/org/verbenatray/servers/HttpEngineOrders.java
+++ b/src/main/java/org/verbenatray/servers/HttpEngineOrders.java
@@ -20,6 +20,9 @@
     /** The status of an order that carried an old fencing number. */
     public static final int OLD_FENCING = 412;
 
+    /** The status of an order that was refused for another reason. */
+    public static final int REFUSED = 409;
+
     /** The status of an order that took effect or is under way. */
     private static final int TAKEN = 200;
 
@@ -60,7 +63,8 @@
             return switch (reply.status()) {
                 case TAKEN -> OrderReply.DONE;
                 case OLD_FENCING -> OrderReply.REFUSED_OLD_FENCING;
-                default -> OrderReply.REFUSED;
+                case REFUSED -> OrderReply.REFUSED;
+                default -> throw unknownStatus(engine, reply.status());
             };
         });
     }
@@ -81,6 +85,12 @@
         return transport.call(call.onFreshConnection(), transport.anyThread(), deadline, MAX_REPLY_BYTES);
     }
 
+    /** Returns the failure of an order of which a status does not tell whether it takes effect. */
+    private static CompletionException unknownStatus(String engine, int status) {
+        return new CompletionException(ServerFailure.create(
+                ServerFailure.Kind.WRONG_REPLY, "engine " + engine + " answered an order with status " + status));
+    }
+
     /** Returns the failure that tells whether anything was sent. */
     private static Throwable failureOf(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
--- a/src/main/java/org/verbenatray/serving/CompletionHandler.java
+++ b/src/main/java/org/verbenatray/serving/CompletionHandler.java
@@ -5,7 +5,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
-import java.util.function.IntConsumer;
+import java.util.Optional;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.web.Bodies;
@@ -76,8 +76,8 @@
         /** When the first token came. */
         private long firstTokenNanos;
 
-        /** Returns the admission with the number of generated tokens. */
-        private IntConsumer release = outputTokens -> {};
+        /** The admission, empty before it is given. */
+        private Optional<Admitted> admission = Optional.empty();
 
         /** Withdraws the request from the queue of admission. */
         private Cancellation waiting = () -> {};
@@ -99,7 +99,7 @@
         void admit() {
             CallerWatch.of(exchange.getConnection()).whenClosed(() -> later(this::callerGone));
             waiting = parts.admitter()
-                    .admit(request, released -> later(() -> admitted(released)), refusal -> later(() -> fail(refusal)));
+                    .admit(request, given -> later(() -> admitted(given)), refusal -> later(() -> fail(refusal)));
         }
 
         /** Runs an action on the thread of the request. */
@@ -108,12 +108,13 @@
         }
 
         /** Starts the relay. */
-        private void admitted(IntConsumer released) {
+        private void admitted(Admitted given) {
             if (over) {
-                released.accept(0);
+                given.ended(0);
                 return;
             }
-            release = released;
+            admission = Optional.of(given);
+            given.beginning();
             relay.start();
         }
 
@@ -158,7 +159,7 @@
         private void finished(String result, int outputTokens) {
             over = true;
             parts.open().exit();
-            release.accept(outputTokens);
+            admission.ifPresent(given -> given.ended(outputTokens));
             CallerWatch.of(exchange.getConnection()).whenClosed(() -> {});
             parts.relay().metrics().answered("completion", result);
             Event.named("completion_done")
--- a/src/main/java/org/verbenatray/serving/EngineSlot.java
+++ b/src/main/java/org/verbenatray/serving/EngineSlot.java
@@ -20,6 +20,9 @@
     /** Returns the incarnation of one of its engines at the time of the dispatch. */
     long incarnation(String engine);
 
+    /** Tells that the engine of the prompt handed its KV cache over. */
+    void prefilled();
+
     /** Tells that the first token came. */
     void firstToken();
 
--- a/src/main/java/org/verbenatray/serving/QueuedAdmitter.java
+++ b/src/main/java/org/verbenatray/serving/QueuedAdmitter.java
@@ -1,38 +1,36 @@
 package org.verbenatray.serving;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.function.IntConsumer;
 import org.verbenatray.admission.Admission;
 import org.verbenatray.admission.AdmissionController;
 import org.verbenatray.admission.AdmissionRequest;
-import org.verbenatray.admission.Expectation;
-import org.verbenatray.admission.OutputEstimator;
 import org.verbenatray.admission.RefusedTicket;
 import org.verbenatray.admission.Release;
 import org.verbenatray.admission.Ticket;
 import org.verbenatray.servers.Cancellation;
+import org.verbenatray.serving.RoutedChooser.Promise;
 import org.verbenatray.time.Timing;
 
-/** Admits requests by the {@link AdmissionController} and lets them wait in its queue. */
+/**
+ * Admits requests by the {@link AdmissionController} and lets them wait in its queue.
+ *
+ * <p>The load of an admitted request is counted at once, so that the next decision sees it.
+ */
 public final class QueuedAdmitter implements Admitter {
     /** The pause between two looks at the queue in milliseconds. */
     private static final long LOOK_MILLIS = 10;
 
-    /** The part of the answers that the expected length covers. */
-    private static final double LENGTH_QUANTILE = 0.9;
-
     /** Decides. */
     private final AdmissionController controller;
 
-    /** Estimates the length of answers. */
-    private final OutputEstimator lengths;
-
-    /** Returns what the best route promises to a request, empty when no engine can take it now. */
-    private final Function<AdmissionRequest, Optional<Expectation>> expectation;
+    /** Knows what the best route promises. */
+    private final RoutedChooser chooser;
 
     /** Receives every request that arrives. */
     private final Consumer<AdmissionRequest> arrivals;
@@ -40,135 +38,146 @@
     /** The sources of time. */
     private final Timing timing;
 
-    /** The waiting requests by ticket. */
-    private final Map<Ticket, Waiting> waiting = new ConcurrentHashMap<>();
+    /** The waiting requests. */
+    private final Map<AdmissionRequest, Waiting> waiting = new IdentityHashMap<>();
 
     /** Creates an admitter. */
     private QueuedAdmitter(
-            AdmissionController controller,
-            OutputEstimator lengths,
-            Function<AdmissionRequest, Optional<Expectation>> expectation,
-            Consumer<AdmissionRequest> arrivals,
-            Timing timing) {
+            AdmissionController controller, RoutedChooser chooser, Consumer<AdmissionRequest> arrivals, Timing timing) {
         this.controller = controller;
-        this.lengths = lengths;
-        this.expectation = expectation;
+        this.chooser = chooser;
         this.arrivals = arrivals;
         this.timing = timing;
     }
 
     /** Returns an admitter that looks at its queue after {@link #start()}. */
     public static QueuedAdmitter create(
-            AdmissionController controller,
-            OutputEstimator lengths,
-            Function<AdmissionRequest, Optional<Expectation>> expectation,
-            Consumer<AdmissionRequest> arrivals,
-            Timing timing) {
-        return new QueuedAdmitter(controller, lengths, expectation, arrivals, timing);
+            AdmissionController controller, RoutedChooser chooser, Consumer<AdmissionRequest> arrivals, Timing timing) {
+        return new QueuedAdmitter(controller, chooser, arrivals, timing);
     }
 
     /** Looks at the queue now and again after each pause. */
     public void start() {
-        releaseWaiting();
+        releaseWaiting().forEach(Runnable::run);
         timing.scheduler().runAt(timing.inMillis(LOOK_MILLIS), this::start);
     }
 
     @Override
-    public Cancellation admit(CompletionRequest request, Consumer<IntConsumer> admitted, Consumer<Refusal> refused) {
+    public Cancellation admit(CompletionRequest request, Consumer<Admitted> admitted, Consumer<Refusal> refused) {
         AdmissionRequest wanted = wanted(request);
         arrivals.accept(wanted);
-        long now = timing.ticker().nanos();
-        Admission admission = controller.admit(wanted, expectation.apply(wanted), now);
-        if (admission instanceof Admission.Refused refusal) {
-            refused.accept(Refusals.of(refusal.refusal()));
-            return () -> {};
-        }
-        if (admission instanceof Admission.Admitted decided) {
-            admitted.accept(closing(decided.ticket()));
-            return () -> {};
+        List<Runnable> answers = new ArrayList<>();
+        synchronized (this) {
+            long now = timing.ticker().nanos();
+            Optional<Promise> promise = chooser.promise(request);
+            Admission admission = controller.admit(wanted, promise.map(Promise::expectation), now);
+            if (admission instanceof Admission.Refused refusal) {
+                answers.add(() -> refused.accept(Refusals.of(refusal.refusal())));
+            } else if (admission instanceof Admission.Admitted decided) {
+                Admitted result = hold(decided.ticket(), promise.orElseThrow());
+                answers.add(() -> admitted.accept(result));
+            } else {
+                Ticket ticket = ((Admission.Queued) admission).ticket();
+                waiting.put(wanted, new Waiting(request, ticket, admitted, refused));
+                answers.addAll(releaseWaiting());
+            }
         }
-        Ticket ticket = ((Admission.Queued) admission).ticket();
-        waiting.put(ticket, new Waiting(admitted, refused));
-        return () -> cancel(ticket);
+        answers.forEach(Runnable::run);
+        return () -> cancel(wanted);
     }
 
     /** Returns the number of waiting requests. */
-    public int waitingRequests() {
+    public synchronized int waitingRequests() {
         return waiting.size();
     }
 
     /** Returns what admission has to know of a request. */
     private AdmissionRequest wanted(CompletionRequest request) {
-        int output = lengths.estimate(request.customer(), request.model(), request.maxTokens(), LENGTH_QUANTILE);
         return new AdmissionRequest(
                 request.customer(),
                 request.model(),
                 request.priority(),
                 request.promptTokens(),
-                output,
+                chooser.expectedTokens(request),
                 request.deadline());
     }
 
-    /** Returns what closes a ticket. */
-    private IntConsumer closing(Ticket ticket) {
-        return outputTokens -> {
-            AdmissionRequest request = ticket.request();
-            if (outputTokens > 0) {
-                lengths.onAnswer(request.customer(), request.model(), outputTokens);
+    /** Counts the load of an admitted request. */
+    private Admitted hold(Ticket ticket, Promise promise) {
+        Runnable held = chooser.hold(promise);
+        return new Admitted() {
+            @Override
+            public void beginning() {
+                held.run();
+            }
+
+            @Override
+            public void ended(int outputTokens) {
+                held.run();
+                AdmissionRequest request = ticket.request();
+                if (outputTokens > 0) {
+                    chooser.answered(request.customer(), request.model(), outputTokens);
+                }
+                controller.close(ticket, outputTokens, timing.ticker().nanos());
             }
-            controller.close(ticket, outputTokens, timing.ticker().nanos());
         };
     }
 
     /** Withdraws a waiting request. */
-    private void cancel(Ticket ticket) {
-        if (waiting.remove(ticket) != null) {
-            controller.cancel(ticket, timing.ticker().nanos());
+    private synchronized void cancel(AdmissionRequest request) {
+        Waiting caller = waiting.remove(request);
+        if (caller != null) {
+            controller.cancel(caller.ticket(), timing.ticker().nanos());
         }
     }
 
-    /** Admits the waiting requests that fit an engine and answers those that were given up. */
-    private void releaseWaiting() {
+    /** Returns the answers to the waiting requests that fit an engine now and to those that were given up. */
+    private synchronized List<Runnable> releaseWaiting() {
+        List<Runnable> answers = new ArrayList<>();
         if (waiting.isEmpty()) {
-            return;
+            return answers;
         }
         long now = timing.ticker().nanos();
-        waiting.keySet().stream()
-                .map(ticket -> ticket.request().model())
-                .distinct()
-                .forEach(model -> {
-                    Optional<Release<Expectation>> next = controller.next(model, now, this::dispatchable);
-                    while (next.isPresent()) {
-                        admitWaiting(next.get().ticket());
-                        next = controller.next(model, now, this::dispatchable);
-                    }
-                });
+        for (String model : waitingModels()) {
+            Optional<Release<Promise>> next = controller.next(model, now, this::dispatchable);
+            while (next.isPresent()) {
+                Release<Promise> release = next.get();
+                Waiting caller = waiting.remove(release.ticket().request());
+                Admitted result = hold(release.ticket(), release.route());
+                answers.add(() -> caller.admitted().accept(result));
+                next = controller.next(model, now, this::dispatchable);
+            }
+        }
         for (RefusedTicket refused : controller.giveUp(now)) {
-            Optional.ofNullable(waiting.remove(refused.ticket()))
-                    .ifPresent(caller -> caller.refused().accept(Refusals.of(refused.refusal())));
+            Optional.ofNullable(waiting.remove(refused.ticket().request()))
+                    .ifPresent(caller -> answers.add(() -> caller.refused().accept(Refusals.of(refused.refusal()))));
         }
+        return answers;
     }
 
-    /** Returns what the best route promises, empty when no engine takes one more request now. */
-    private Optional<Expectation> dispatchable(AdmissionRequest request) {
-        return expectation.apply(request).filter(controller::dispatchable);
+    /** Returns the models that requests wait for, that of the highest waiting priority first. */
+    private List<String> waitingModels() {
+        return waiting.keySet().stream()
+                .sorted(Comparator.comparingInt(AdmissionRequest::priority).reversed())
+                .map(AdmissionRequest::model)
+                .distinct()
+                .toList();
     }
 
-    /** Admits a waiting request. */
-    private void admitWaiting(Ticket ticket) {
-        Waiting caller = waiting.remove(ticket);
-        if (caller == null) {
-            controller.cancel(ticket, timing.ticker().nanos());
-            return;
-        }
-        caller.admitted().accept(closing(ticket));
+    /** Returns what the best route promises, empty when no engine takes one more request now. */
+    private Optional<Promise> dispatchable(AdmissionRequest request) {
+        return chooser.promise(waiting.get(request).request())
+                .filter(promise -> controller.dispatchable(request.priority(), promise.expectation()));
     }
 
     /**
-     * The caller of a waiting request.
+     * A waiting request and its caller.
      *
+     * @param request the request
+     * @param ticket its place in the queue
      * @param admitted receives the admission
      * @param refused receives the final answer
      */
-    private record Waiting(Consumer<IntConsumer> admitted, Consumer<Refusal> refused) {}
+    private record Waiting(
+            CompletionRequest request, Ticket ticket, Consumer<Admitted> admitted, Consumer<Refusal> refused) {}
 }
--- a/src/main/java/org/verbenatray/serving/RoutedChooser.java
+++ b/src/main/java/org/verbenatray/serving/RoutedChooser.java
@@ -1,27 +1,29 @@
 package org.verbenatray.serving;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
-import org.verbenatray.admission.AdmissionRequest;
 import org.verbenatray.admission.Expectation;
+import org.verbenatray.admission.OutputEstimator;
 import org.verbenatray.configuration.FleetConfiguration;
 import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
 import org.verbenatray.fleet.Candidates;
-import org.verbenatray.fleet.Dispatch;
 import org.verbenatray.fleet.FleetView;
 import org.verbenatray.fleet.PrefixIndex;
 import org.verbenatray.fleet.PromptPieces;
 import org.verbenatray.routing.CostRouter;
 import org.verbenatray.routing.Route;
+import org.verbenatray.routing.RouteDispatch;
 import org.verbenatray.routing.RouteRequest;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.time.Ticker;
 
 /** Chooses engines by the router and counts the dispatches in the fleet view. */
 public final class RoutedChooser implements EngineChooser {
+    /** The part of the answers that the expected length covers. */
+    private static final double LENGTH_QUANTILE = 0.9;
+
     /** The router. */
     private final CostRouter router;
 
@@ -31,6 +33,9 @@
     /** The prefix index. */
     private final PrefixIndex prefixIndex;
 
+    /** Estimates the length of answers. */
+    private final OutputEstimator lengths;
+
     /** The configuration in force. */
     private final Supplier<FleetConfiguration> configuration;
 
@@ -48,6 +53,7 @@
             CostRouter router,
             FleetView fleet,
             PrefixIndex prefixIndex,
+            OutputEstimator lengths,
             Supplier<FleetConfiguration> configuration,
             ToLongFunction<String> incarnations,
             String failureDomain,
@@ -55,6 +61,7 @@
         this.router = router;
         this.fleet = fleet;
         this.prefixIndex = prefixIndex;
+        this.lengths = lengths;
         this.configuration = configuration;
         this.incarnations = incarnations;
         this.failureDomain = failureDomain;
@@ -66,26 +73,65 @@
             CostRouter router,
             FleetView fleet,
             PrefixIndex prefixIndex,
+            OutputEstimator lengths,
             Supplier<FleetConfiguration> configuration,
             ToLongFunction<String> incarnations,
             String failureDomain,
             Ticker ticker) {
-        return new RoutedChooser(router, fleet, prefixIndex, configuration, incarnations, failureDomain, ticker);
+        return new RoutedChooser(
+                router, fleet, prefixIndex, lengths, configuration, incarnations, failureDomain, ticker);
     }
 
     @Override
     public Optional<EngineSlot> choose(
             CompletionRequest request, int emittedTokens, Set<String> barred, Optional<String> only) {
-        List<Long> hashes = PromptPieces.hashes(request.model(), request.prompt());
-        RouteRequest wanted = new RouteRequest(
+        RouteRequest wanted = wanted(request, emittedTokens, barred);
+        return router.choose(wanted, candidates(request.model(), only)).flatMap(route -> slot(route, wanted));
+    }
+
+    /** Returns the best route of a request with what it promises, empty when no engine can take it now. */
+    Optional<Promise> promise(CompletionRequest request) {
+        RouteRequest wanted = wanted(request, 0, Set.of());
+        long now = ticker.nanos();
+        return router.choose(wanted, fleet.candidates(request.model(), now))
+                .flatMap(route -> fleet.view(route.prefillEngine().orElse(route.engine()), now)
+                        .map(prefiller -> new Promise(wanted, route, Expectation.of(route, prefiller))));
+    }
+
+    /** Counts the load of an admitted request until it is dispatched, so that the next one sees it. */
+    Runnable hold(Promise promise) {
+        return RouteDispatch.start(fleet, promise.route(), promise.request(), ticker.nanos())
+                .<Runnable>map(dispatch -> () -> dispatch.onEnd(ticker.nanos()))
+                .orElse(() -> {});
+    }
+
+    /** Returns the tokens that a request is expected to generate. */
+    int expectedTokens(CompletionRequest request) {
+        return lengths.estimate(request.customer(), request.model(), request.maxTokens(), LENGTH_QUANTILE);
+    }
+
+    /** Notes the length of a whole answer. */
+    void answered(String customer, String model, int outputTokens) {
+        lengths.onAnswer(customer, model, outputTokens);
+    }
+
+    /** Returns what routing has to know of a request. */
+    private RouteRequest wanted(CompletionRequest request, int emittedTokens, Set<String> barred) {
+        return new RouteRequest(
                 request.model(),
                 request.priority(),
                 failureDomain,
                 request.promptTokens() + emittedTokens,
-                Math.max(1, request.maxTokens() - emittedTokens),
-                hashes,
+                Math.max(1, expectedTokens(request) - emittedTokens),
+                PromptPieces.hashes(versioned(request.model()), request.prompt()),
                 barred);
-        return router.choose(wanted, candidates(request.model(), only)).flatMap(route -> slot(route, wanted, hashes));
+    }
+
+    /** Returns a model with its configured version, because the caches of versions differ. */
+    private String versioned(String model) {
+        return Optional.ofNullable(configuration.get().models().get(model))
+                .map(spec -> model + "@" + spec.version())
+                .orElse(model);
     }
 
     /** Returns the engines that may be chosen. */
@@ -97,40 +143,29 @@
         return Candidates.of(fleet.view(only.get(), now).stream().toList());
     }
 
-    /** Returns what the best route promises to a request, empty when no engine can take it now. */
-    public Optional<Expectation> expectation(AdmissionRequest request) {
-        RouteRequest wanted = new RouteRequest(
-                request.model(),
-                request.priority(),
-                failureDomain,
-                request.promptTokens(),
-                request.expectedOutputTokens(),
-                List.of(),
-                Set.of());
-        long now = ticker.nanos();
-        return router.choose(wanted, fleet.candidates(request.model(), now))
-                .flatMap(route -> fleet.view(route.prefillEngine().orElse(route.engine()), now)
-                        .map(prefiller -> Expectation.of(route, prefiller)));
-    }
-
     /** Counts the dispatch and returns its slot. */
-    private Optional<EngineSlot> slot(Route route, RouteRequest request, List<Long> hashes) {
+    private Optional<EngineSlot> slot(Route route, RouteRequest request) {
         EngineSpec spec = configuration.get().engines().get(route.engine());
         Optional<EngineSpec> prefillSpec =
                 route.prefillEngine().map(name -> configuration.get().engines().get(name));
-        if (spec == null) {
+        if (spec == null || prefillSpec.isPresent() != route.prefillEngine().isPresent()) {
             return Optional.empty();
         }
-        String prefilling = route.prefillEngine().orElse(route.engine());
-        prefixIndex.onDispatch(prefilling, hashes);
-        return fleet.onDispatch(route.engine(), request.promptTokens(), route.cachedTokens(), ticker.nanos())
-                .map(dispatch -> new Slot(
-                        route,
-                        spec.address(),
-                        prefillSpec.map(EngineSpec::address).orElse(""),
-                        dispatch));
+        prefixIndex.onDispatch(route.prefillEngine().orElse(route.engine()), request.prefixHashes());
+        String prefillAddress = prefillSpec.map(EngineSpec::address).orElse(spec.address());
+        return RouteDispatch.start(fleet, route, request, ticker.nanos())
+                .map(dispatch -> new Slot(route, spec.address(), prefillAddress, dispatch));
     }
 
+    /**
+     * The best route of a request.
+     *
+     * @param request what routing knew of it
+     * @param route the route
+     * @param expectation what it promises
+     */
+    record Promise(RouteRequest request, Route route, Expectation expectation) {}
+
     /** A routed dispatch. */
     private final class Slot implements EngineSlot {
         /** The route. */
@@ -139,22 +174,22 @@
         /** The base URI of the engine. */
         private final String address;
 
-        /** The base URI of the engine that processes the prompt first. */
+        /** The base URI of the engine that processes the prompt. */
         private final String prefillAddress;
 
         /** The counted dispatch. */
-        private final Dispatch dispatch;
+        private final RouteDispatch dispatch;
 
         /** The incarnation of the engine that is sent to first. */
         private final long incarnation;
 
         /** Creates a slot. */
-        Slot(Route route, String address, String prefillAddress, Dispatch dispatch) {
+        Slot(Route route, String address, String prefillAddress, RouteDispatch dispatch) {
             this.route = route;
             this.address = address;
             this.prefillAddress = prefillAddress;
             this.dispatch = dispatch;
-            this.incarnation = incarnations.applyAsLong(route.prefillEngine().orElse(route.engine()));
+            this.incarnation = incarnations.applyAsLong(firstEngine());
         }
 
         @Override
@@ -179,9 +214,12 @@
 
         @Override
         public long incarnation(String engine) {
-            return engine.equals(route.prefillEngine().orElse(route.engine()))
-                    ? incarnation
-                    : incarnations.applyAsLong(engine);
+            return engine.equals(firstEngine()) ? incarnation : incarnations.applyAsLong(engine);
+        }
+
+        @Override
+        public void prefilled() {
+            dispatch.onPrefilled(ticker.nanos());
         }
 
         @Override
@@ -196,14 +234,26 @@
 
         @Override
         public void failed(String engine, ServerFailure failure) {
-            if (failure.kind() == ServerFailure.Kind.LEAVING) {
-                fleet.onLeaving(engine);
-                dispatch.onEnd(ticker.nanos());
-            } else if (failure.kind() == ServerFailure.Kind.FULL || failure.kind() == ServerFailure.Kind.REFUSED) {
-                dispatch.onEnd(ticker.nanos());
-            } else {
-                dispatch.onFailure(ticker.nanos());
+            long now = ticker.nanos();
+            switch (failure.kind()) {
+                case LEAVING -> {
+                    fleet.onLeaving(engine);
+                    dispatch.onEnd(now);
+                }
+                case FULL, REFUSED -> dispatch.onEnd(now);
+                default -> {
+                    if (engine.equals(route.engine())) {
+                        dispatch.onFailure(now);
+                    } else {
+                        dispatch.onPrefillFailure(now);
+                    }
+                }
             }
         }
+
+        /** Returns the engine that is sent to first. */
+        private String firstEngine() {
+            return route.prefillEngine().orElse(route.engine());
+        }
     }
 }
--- a/src/main/java/org/verbenatray/serving/ServingParts.java
+++ b/src/main/java/org/verbenatray/serving/ServingParts.java
@@ -23,7 +23,7 @@
         String failureDomain,
         Supplier<ActiveConfiguration> configuration,
         OpenRequests open,
-        Admitter admitter,
+        QueuedAdmitter admitter,
         RelayParts relay,
         ServiceClient services,
         ServerChooser servers,
--- a/src/main/java/org/verbenatray/serving/StreamRelay.java
+++ b/src/main/java/org/verbenatray/serving/StreamRelay.java
@@ -208,6 +208,7 @@
     /** Moves the processed prompt to the engine that generates the tokens. */
     private void moveKv(String kv) {
         String prefillAddress = address;
+        slot.prefilled();
         engine = slot.engine();
         address = slot.address();
         guard.moved(fingerprint, engine);
--- a/src/main/java/org/verbenatray/standin/EngineLoop.java
+++ b/src/main/java/org/verbenatray/standin/EngineLoop.java
@@ -118,9 +118,9 @@
                 load.role(),
                 leaving,
                 load.condition() == EngineCondition.CHANGING,
-                load.runningStreams(),
+                model.acceptedStreams(),
                 load.queuedPrefillTokens(),
-                load.usedKvTokens(),
+                model.committedKvTokens(),
                 0);
     }
 
--- a/src/main/java/org/verbenatray/standin/EngineServer.java
+++ b/src/main/java/org/verbenatray/standin/EngineServer.java
@@ -311,7 +311,7 @@
             int status = switch (reply) {
                 case DONE -> 200;
                 case REFUSED_OLD_FENCING -> HttpEngineOrders.OLD_FENCING;
-                case REFUSED -> 409;
+                case REFUSED -> HttpEngineOrders.REFUSED;
             };
             Replies.text(exchange, status, "text/plain", reply.name());
         });
--- a/src/main/java/org/verbenatray/standin/engine/EngineModel.java
+++ b/src/main/java/org/verbenatray/standin/engine/EngineModel.java
@@ -210,6 +210,18 @@
                 nowNanos, role, condition, running, streams.size(), queued, usedKvTokens, Map.copyOf(models));
     }
 
+    /** Returns the number of accepted streams that have not ended, with those that wait for their prefill. */
+    public int acceptedStreams() {
+        return streams.size();
+    }
+
+    /** Returns the tokens of KV cache that all accepted streams hold or will reserve. */
+    public long committedKvTokens() {
+        return streams.values().stream()
+                .mapToLong(stream -> stream.request.kvReservation())
+                .sum();
+    }
+
     /** Returns the ids of the streams that generate tokens, in the order in which they joined the batch. */
     public List<String> decodingIds() {
         return batch.stream().map(stream -> stream.request.id()).toList();
--- a/src/test/java/org/verbenatray/admission/AdmissionControllerTest.java
+++ b/src/test/java/org/verbenatray/admission/AdmissionControllerTest.java
@@ -186,6 +186,15 @@
             ticket(shared.admit(request("c", 1, 9_000), IDLE, 0));
         }
         assertEquals(refusal(shared.admit(request("c", 1, 9_000), IDLE, 0)).kind(), RefusalKind.TOO_MANY_OPEN);
-        assertFalse(shared.dispatchable(new Expectation(801, 900, 20)));
+        assertFalse(shared.dispatchable(1, new Expectation(801, 900, 20)));
+    }
+
+    @Test
+    public void aHigherPriorityMayFillTheQueueOfAnEngineBeyondWhatALowerOneMay() {
+        CustomerSpec urgent = new CustomerSpec("", 1, 1e6, 1e9, 9, 7);
+        AdmissionController controller = AdmissionFixtures.controller(Map.of("c", FREE, "u", urgent), BOUNDS);
+        assertTrue(controller.dispatchable(7, new Expectation(1_600, 1_700, 20)));
+        assertFalse(controller.dispatchable(7, new Expectation(1_601, 1_700, 20)));
+        assertFalse(controller.dispatchable(1, new Expectation(801, 900, 20)));
     }
 }
