--- a/src/main/java/org/verbenatray/instance/EntryInstance.java
+++ b/src/main/java/org/verbenatray/instance/EntryInstance.java
@@ -63,6 +63,9 @@
     /** The HTTP servers. */
     private final EntryServer server;
 
+    /** The configuration that all parts have taken over. */
+    private volatile ActiveConfiguration inForce = ActiveConfiguration.none();
+
     /** Whether this instance was closed. */
     private final AtomicBoolean closed = new AtomicBoolean();
 
@@ -79,7 +82,7 @@
         this.fleet = FleetParts.create(runtime, () -> active().fleet());
         OrderParts orders = OrderParts.create(runtime, logParts, membership);
         this.roles = new RoleControl(orders, fleet.view(), runtime.timing(), runtime.metrics());
-        this.serving = new ServingWiring(runtime, logParts, fleet, membership, this::arrived);
+        this.serving = new ServingWiring(runtime, logParts, fleet, membership, this::active, this::arrived);
         this.peers = new PeerControl(
                 new PeerIdentity(runtime.id(), settings.failureDomain()),
                 settings.peers(),
@@ -127,7 +130,7 @@
 
     /** Returns the configuration in force. */
     public ActiveConfiguration active() {
-        return logParts.configuration().active();
+        return inForce;
     }
 
     /** Returns the number of requests without a final answer. */
@@ -233,12 +236,22 @@
         fleet.poller().start();
     }
 
-    /** Takes the configuration in force over. */
+    /** Lets all parts take the accepted configuration over before requests are checked by it. */
     private void configurationChanged() {
-        ActiveConfiguration present = active();
-        runtime.metrics().configurationOffset(present.offset());
-        fleet.view().onConfiguration(present.fleet());
-        serving.onConfiguration(present);
+        ActiveConfiguration accepted =
+                logParts.fold().read(() -> logParts.configuration().active());
+        if (accepted.offset() == inForce.offset()) {
+            return;
+        }
+        fleet.view().onConfiguration(accepted.fleet());
+        serving.onConfiguration(accepted);
+        inForce = accepted;
+        runtime.metrics().configurationOffset(accepted.offset());
+        Event.named("configuration_in_force")
+                .with("instance", runtime.id())
+                .with("offset", accepted.offset())
+                .with("hash", accepted.hash())
+                .log(log, Level.INFO);
     }
 
     /** Counts a request for the roles; the platform's balancer gives every live instance as many. */
--- a/src/main/java/org/verbenatray/instance/ServingWiring.java
+++ b/src/main/java/org/verbenatray/instance/ServingWiring.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.verbenatray.admission.AdmissionBounds;
 import org.verbenatray.admission.AdmissionController;
 import org.verbenatray.admission.AdmissionRequest;
@@ -37,6 +38,9 @@
     /** The engines. */
     private final FleetParts fleet;
 
+    /** The configuration that all parts have taken over. */
+    private final Supplier<ActiveConfiguration> configuration;
+
     /** Decides which requests run now, wait or are refused. */
     private final AdmissionController admission = AdmissionController.create(AdmissionBounds.defaults());
 
@@ -61,10 +65,12 @@
             LogParts logParts,
             FleetParts fleet,
             Membership membership,
+            Supplier<ActiveConfiguration> configuration,
             Consumer<AdmissionRequest> arrivals) {
         this.runtime = runtime;
         this.logParts = logParts;
         this.fleet = fleet;
+        this.configuration = configuration;
         this.open = OpenRequests.bounded(runtime.settings().maxOpenRequests(), runtime.metrics());
         this.servers = ServerChooser.create(
                 runtime.settings().failureDomain(), runtime.timing().ticker());
@@ -104,7 +110,7 @@
         return new ServingParts(
                 runtime.settings().name(),
                 runtime.settings().failureDomain(),
-                logParts.configuration()::active,
+                configuration,
                 open,
                 admitter,
                 relay,
@@ -152,7 +158,7 @@
     /** Takes the present capacity of the engines over, now and again after each pause. */
     private void watchCapacity() {
         List<EngineView> engines = fleet.view().views(runtime.nanos());
-        for (String model : logParts.configuration().active().fleet().models().keySet()) {
+        for (String model : configuration.get().fleet().models().keySet()) {
             admission.onCapacity(model, ModelCapacity.of(model, engines), runtime.nanos());
         }
         runtime.timing().scheduler().runAt(runtime.timing().inMillis(CAPACITY_MILLIS), this::watchCapacity);
--- a/src/main/java/org/verbenatray/platform/HttpInstanceList.java
+++ b/src/main/java/org/verbenatray/platform/HttpInstanceList.java
@@ -40,8 +40,7 @@
         Deadline deadline = Deadline.afterMillis(transport.ticker().nanos(), EXCHANGE_MILLIS);
         return transport
                 .call(HttpCall.bare("GET", address, "/instances"), transport.anyThread(), deadline, MAX_LIST_BYTES)
-                .thenApply(
-                        reply -> RecordCodec.decode(reply.text(), Listing.class).instances());
+                .thenApply(HttpInstanceList::instances);
     }
 
     /** Tells the platform that this instance lives or is leaving, with its process so that its end is noticed. */
--- a/src/main/java/org/verbenatray/telemetry/KeyValueFormatter.java
+++ b/src/main/java/org/verbenatray/telemetry/KeyValueFormatter.java
@@ -11,7 +11,7 @@
 /** Formats log records as one line each: time, level, logger and the message. */
 public final class KeyValueFormatter extends Formatter {
     /** The loggers of libraries whose information messages are not shown. */
-    private static final String[] QUIET_LOGGERS = {"org.xnio", "io.undertow", "org.jboss", "io.netty"};
+    private static final String[] QUIET_LOGGERS = {"io.undertow", "org.jboss", "io.netty"};
 
     /** Creates the formatter. */
     private KeyValueFormatter() {}
@@ -27,6 +27,7 @@
         console.setLevel(level);
         root.addHandler(console);
         root.setLevel(level);
+        Logger.getLogger("org.xnio").setLevel(Level.SEVERE);
         for (String name : QUIET_LOGGERS) {
             Logger.getLogger(name).setLevel(Level.WARNING);
         }
