--- a/src/main/java/org/verbenatray/roles/CapacityModel.java
+++ b/src/main/java/org/verbenatray/roles/CapacityModel.java
@@ -20,6 +20,12 @@
     /** The part of the interactive answers that is lost per share of prompts above that. */
     private static final double INTERFERENCE_LOSS = 1.55;
 
+    /** The part of the patience that chunks between all tokens may use without a loss. */
+    private static final double BORNE_STRETCHES = 0.8;
+
+    /** The smallest patience in seconds that is told apart. */
+    private static final double MIN_PATIENCE_SECONDS = 0.01;
+
     /** The largest part of the interactive answers that is lost. */
     private static final double MAX_INTERFERENCE_LOSS = 0.8;
 
@@ -170,7 +176,19 @@
         double disturbed = Math.max(0, work.outputTokensPerSecond() - calm) / work.outputTokensPerSecond();
         double prompts = Math.max(0, demand.promptTokensPerSecond() - prefill);
         double loss = INTERFERENCE_LOSS * (prompts / mixed - HARMLESS_PROMPTS);
-        return disturbed * Math.max(0, Math.min(MAX_INTERFERENCE_LOSS, loss));
+        return disturbed * impatience(engines, work) * Math.max(0, Math.min(MAX_INTERFERENCE_LOSS, loss));
+    }
+
+    /** Returns how little the answers bear of a chunk of a prompt between all their tokens, from 0 to 1. */
+    private static double impatience(List<Assigned> engines, PriorityDemand work) {
+        double chunkSeconds = engines.stream()
+                .filter(engine -> engine.role() == EngineRole.BOTH)
+                .mapToDouble(engine -> CHUNK_TOKENS / engine.spec().prefillTokensPerSecond())
+                .average()
+                .orElse(0);
+        double tokens = work.outputTokensPerSecond() / work.answersPerSecond();
+        double stretches = chunkSeconds * tokens / Math.max(MIN_PATIENCE_SECONDS, work.patienceSeconds());
+        return Math.max(0, Math.min(1, stretches - BORNE_STRETCHES));
     }
 
     /**
--- a/src/main/java/org/verbenatray/roles/RolePlanner.java
+++ b/src/main/java/org/verbenatray/roles/RolePlanner.java
@@ -16,7 +16,7 @@
     public static final long STALE_MILLIS = 3_000;
 
     /** The part of the forecast answers that a gain has to exceed besides the price. */
-    private static final double UNCERTAINTY = 0.02;
+    private static final double UNCERTAINTY = 0.07;
 
     /** Milliseconds in one second. */
     private static final double MILLIS_PER_SECOND = 1_000;
