--- a/src/main/java/org/verbenatray/demo/EmbeddedDeployment.java
+++ b/src/main/java/org/verbenatray/demo/EmbeddedDeployment.java
@@ -33,6 +33,12 @@
     /** The address on which everything listens. */
     private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
 
+    /** The time without service of a role change in milliseconds. */
+    private static final long ROLE_CHANGE_MILLIS = 2_000;
+
+    /** The time without service of loading a version in milliseconds. */
+    private static final long LOAD_MODEL_MILLIS = 1_000;
+
     /** The time that reading the log may take in milliseconds. */
     private static final long READ_MILLIS = 20_000;
 
@@ -77,8 +83,7 @@
 
     /** Starts one more entry instance and waits until it takes requests. */
     public EntryInstance addEntry(String name, String failureDomain) throws IOException, InterruptedException {
-        EntryInstance entry = EntryInstance.start(settings(name, failureDomain));
-        entries.add(entry);
+        EntryInstance entry = startEntry(name, failureDomain, List.of());
         while (!entry.isReady()) {
             Thread.onSpinWait();
             synchronized (this) {
@@ -88,6 +93,14 @@
         return entry;
     }
 
+    /** Starts one more entry instance without waiting; it links to the given peers until it has an instance list. */
+    public EntryInstance startEntry(String name, String failureDomain, List<InetSocketAddress> knownPeers)
+            throws IOException {
+        EntryInstance entry = EntryInstance.start(settings(name, failureDomain, knownPeers));
+        entries.add(entry);
+        return entry;
+    }
+
     /** Publishes one file of the configuration and returns the verdict. */
     public Verdict publish(String file, String content) throws IOException {
         try (LogSession session = LogSession.open("operator", platform.address(), READ_MILLIS)) {
@@ -166,7 +179,15 @@
 
     /** Starts an engine. */
     private EngineServer startEngine(String name) {
-        EngineModelSpec.Limits limits = EngineModelSpec.Limits.defaults().inRole(EngineRole.BOTH);
+        EngineModelSpec.Limits usual = EngineModelSpec.Limits.defaults();
+        EngineModelSpec.Limits limits = new EngineModelSpec.Limits(
+                EngineRole.BOTH,
+                usual.chunkTokens(),
+                usual.cachedPieces(),
+                usual.pieceTokens(),
+                usual.kvTransferTokensPerSecond(),
+                ROLE_CHANGE_MILLIS,
+                LOAD_MODEL_MILLIS);
         EngineModelSpec spec = new EngineModelSpec(
                 shape.prefillTokensPerSecond(),
                 shape.decodeStepMillis(),
@@ -174,7 +195,7 @@
                 FleetYaml.MAX_STREAMS,
                 FleetYaml.KV_TOKENS,
                 limits);
-        return EngineServer.start(name, ANY_PORT, spec, Map.of("gate-check", "1", "trade-review", "1"));
+        return EngineServer.start(name, ANY_PORT, spec, Map.of("gate-check", "1", "trade-review", "1"), true);
     }
 
     /** Shows the backend servers in the instance list. */
@@ -199,7 +220,7 @@
     }
 
     /** Returns the settings of an entry instance. */
-    private EntrySettings settings(String name, String failureDomain) {
+    private EntrySettings settings(String name, String failureDomain, List<InetSocketAddress> knownPeers) {
         return new EntrySettings(
                 name,
                 failureDomain,
@@ -207,6 +228,7 @@
                 ANY_PORT,
                 ANY_PORT,
                 ANY_PORT,
+                knownPeers,
                 shape.ioThreads(),
                 16L * 1024 * 1024,
                 4_096,
--- a/src/main/java/org/verbenatray/instance/EnginePoller.java
+++ b/src/main/java/org/verbenatray/instance/EnginePoller.java
@@ -2,6 +2,8 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.verbenatray.configuration.FleetConfiguration;
 import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
@@ -25,6 +27,9 @@
     /** The time one read may take in milliseconds. */
     private static final long READ_MILLIS = 1_000;
 
+    /** Nanoseconds in one millisecond. */
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     /** The largest report in bytes. */
     private static final int MAX_REPORT_BYTES = 64 * 1024;
 
@@ -43,6 +48,9 @@
     /** The sources of time. */
     private final Timing timing;
 
+    /** The last known incarnations by engine. */
+    private final Map<String, Long> incarnations = new ConcurrentHashMap<>();
+
     /** Creates a poller. */
     EnginePoller(
             HttpTransport transport,
@@ -63,12 +71,25 @@
         timing.scheduler().runAt(timing.inMillis(PAUSE_MILLIS), this::start);
     }
 
+    /** Returns the last known incarnation of an engine, zero for none. */
+    long incarnation(String engine) {
+        return incarnations.getOrDefault(engine, 0L);
+    }
+
+    /** Takes a report over that was measured at the earliest when it was asked for. */
+    private void received(LoadReport report, long sentNanos) {
+        incarnations.merge(report.engine(), report.incarnation(), Math::max);
+        long now = timing.ticker().nanos();
+        fleet.onReport(report.aged((now - sentNanos) / NANOS_PER_MILLI), now);
+    }
+
     /** Reads the report of one engine. */
     private void read(String name, EngineSpec engine) {
         if (!engine.failureDomain().equals(failureDomain)) {
             return;
         }
         Deadline deadline = timing.inMillis(READ_MILLIS);
+        long sentNanos = timing.ticker().nanos();
         transport
                 .call(
                         HttpCall.bare("GET", engine.address(), "/load"),
