--- a/src/main/java/org/verbenatray/serving/StreamRelay.java
+++ b/src/main/java/org/verbenatray/serving/StreamRelay.java
@@ -29,6 +29,9 @@
     /** The time after which a caller may come back when no engine can take its request, in milliseconds. */
     private static final long NO_ENGINE_RETRY_MILLIS = 2_000;
 
+    /** The tokens of a dispatch after which a crash of its engine is likely not due to it. */
+    private static final int PROGRESS_TOKENS = 8;
+
     /** The request. */
     private final CompletionRequest request;
 
@@ -101,6 +104,9 @@
     /** The dispatches so far. */
     private int runs;
 
+    /** The relayed tokens from which on a crash of the engine is likely not due to this request. */
+    private int progressAt;
+
     /** Whether the guard counts the request as running or waiting. */
     private boolean guarded;
 
@@ -176,6 +182,7 @@
     private void dispatch(EngineSlot chosen) {
         slot = chosen;
         runs++;
+        progressAt = emittedTokens + PROGRESS_TOKENS;
         dispatch = UUID.randomUUID().toString();
         GenerateRequest generate = new GenerateRequest(
                 dispatch,
@@ -262,7 +269,11 @@
             slot.firstToken();
             metrics.firstToken(ticker.nanos() - request.receivedNanos());
         }
+        boolean progressedBefore = emittedTokens >= progressAt;
         emittedTokens += fresh.size();
+        if (!progressedBefore && emittedTokens >= progressAt) {
+            guard.progressed(fingerprint);
+        }
         fresh.forEach(emittedText::append);
         sink.tokens(fresh);
     }
--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -104,6 +104,11 @@
         table.started(fingerprint, engine);
     }
 
+    /** Notes that the engine generated enough tokens for a request that a later crash is likely not due to it. */
+    synchronized void progressed(Fingerprint fingerprint) {
+        table.progressed(fingerprint);
+    }
+
     /** Notes that a request ended, or gave a barred engine up before it was sent. */
     synchronized void finished(Fingerprint fingerprint, boolean whole) {
         alone.remove(fingerprint);
--- a/src/main/java/org/verbenatray/suspects/SuspectEntry.java
+++ b/src/main/java/org/verbenatray/suspects/SuspectEntry.java
@@ -1,6 +1,7 @@
 package org.verbenatray.suspects;
 
 import java.util.Comparator;
+import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
 
@@ -11,6 +12,7 @@
  * @param fingerprint the fingerprint
  * @param epoch rises each time the request finishes alone and is cleared
  * @param crashes the server incarnations that crashed while they ran it in this epoch
+ * @param earlyCrashes those of them that came before the server had generated tokens, or while it ran alone
  * @param condemnedAtCrashes the number of crashes for which the time of condemnation was set
  * @param condemnedUntilMillis the end of the condemnation in milliseconds since the epoch, zero for none
  * @param lastChangeMillis the time of the last crash or clearing in milliseconds since the epoch
@@ -19,12 +21,16 @@
         Fingerprint fingerprint,
         long epoch,
         SortedSet<String> crashes,
+        SortedSet<String> earlyCrashes,
         int condemnedAtCrashes,
         long condemnedUntilMillis,
         long lastChangeMillis) {
-    /** The crashes that condemn. */
+    /** The crashes that condemn when one of them was early. */
     static final int CONDEMNING_CRASHES = 2;
 
+    /** The crashes that condemn when all of them were late. */
+    static final int CONDEMNING_LATE_CRASHES = 3;
+
     /** The bound on the remembered crashes; with as many the fingerprint is barred until it is forgotten. */
     static final int MAX_CRASHES = 16;
 
@@ -35,7 +41,7 @@
 
     /** Returns the entry of a fingerprint without crashes. */
     static SuspectEntry create(Fingerprint fingerprint) {
-        return new SuspectEntry(fingerprint, 0, new TreeSet<>(), 0, 0, 0);
+        return new SuspectEntry(fingerprint, 0, new TreeSet<>(), new TreeSet<>(), 0, 0, 0);
     }
 
     /** Returns the join of two entries of the same fingerprint. */
@@ -45,45 +51,44 @@
             SuspectEntry newer = epoch > other.epoch ? this : other;
             return newer.withLastChange(changeMillis);
         }
-        SortedSet<String> union = new TreeSet<>(crashes);
-        union.addAll(other.crashes);
-        while (union.size() > MAX_CRASHES) {
-            union.remove(union.last());
-        }
+        SortedSet<String> early = union(earlyCrashes, other.earlyCrashes);
         SuspectEntry condemnation = BY_CONDEMNATION.compare(this, other) >= 0 ? this : other;
         return new SuspectEntry(
                 fingerprint,
                 epoch,
-                union,
+                union(crashes, other.crashes),
+                early,
                 condemnation.condemnedAtCrashes,
                 condemnation.condemnedUntilMillis,
                 changeMillis);
     }
 
     /** Returns the entry after one more crash. */
-    SuspectEntry crashed(String incarnation, long nowMillis) {
-        TreeSet<String> incarnations = new TreeSet<>(crashes);
-        incarnations.add(incarnation);
-        return merge(new SuspectEntry(fingerprint, epoch, incarnations, 0, 0, nowMillis));
+    SuspectEntry crashed(String incarnation, boolean early, long nowMillis) {
+        SortedSet<String> one = new TreeSet<>(Set.of(incarnation));
+        SortedSet<String> oneEarly = early ? one : new TreeSet<>();
+        return merge(new SuspectEntry(fingerprint, epoch, one, oneEarly, 0, 0, nowMillis));
     }
 
     /** Returns the entry after the request finished alone. */
     SuspectEntry cleared(long nowMillis) {
-        return new SuspectEntry(fingerprint, epoch + 1, new TreeSet<>(), 0, 0, nowMillis);
+        return new SuspectEntry(fingerprint, epoch + 1, new TreeSet<>(), new TreeSet<>(), 0, 0, nowMillis);
     }
 
     /** Returns the entry with the end of the condemnation set when its crashes ask for one. */
     SuspectEntry condemnedIfDue(SuspectLimits limits, long nowMillis) {
-        if (crashes.size() < CONDEMNING_CRASHES || crashes.size() <= condemnedAtCrashes) {
+        int condemning = earlyCrashes.isEmpty() ? CONDEMNING_LATE_CRASHES : CONDEMNING_CRASHES;
+        if (crashes.size() < condemning || crashes.size() <= condemnedAtCrashes) {
             return this;
         }
         long untilMillis = nowMillis + limits.condemnedMillis(crashes.size());
-        return new SuspectEntry(fingerprint, epoch, crashes, crashes.size(), untilMillis, lastChangeMillis);
+        return new SuspectEntry(
+                fingerprint, epoch, crashes, earlyCrashes, crashes.size(), untilMillis, lastChangeMillis);
     }
 
     /** Returns whether the request must not run normally. */
     boolean isSuspect() {
-        return !crashes.isEmpty();
+        return !earlyCrashes.isEmpty() || crashes.size() >= CONDEMNING_CRASHES;
     }
 
     /** Returns whether the request must not run at all at the given time. */
@@ -91,8 +96,19 @@
         return crashes.size() >= MAX_CRASHES || nowMillis < condemnedUntilMillis;
     }
 
+    /** Returns the union of two sets of crashes up to the bound. */
+    private static SortedSet<String> union(SortedSet<String> first, SortedSet<String> second) {
+        SortedSet<String> union = new TreeSet<>(first);
+        union.addAll(second);
+        while (union.size() > MAX_CRASHES) {
+            union.remove(union.last());
+        }
+        return union;
+    }
+
     /** Returns the same entry with another time of the last change. */
     private SuspectEntry withLastChange(long millis) {
-        return new SuspectEntry(fingerprint, epoch, crashes, condemnedAtCrashes, condemnedUntilMillis, millis);
+        return new SuspectEntry(
+                fingerprint, epoch, crashes, earlyCrashes, condemnedAtCrashes, condemnedUntilMillis, millis);
     }
 }
--- a/src/main/java/org/verbenatray/suspects/SuspectTable.java
+++ b/src/main/java/org/verbenatray/suspects/SuspectTable.java
@@ -96,7 +96,16 @@
 
     /** Takes note that a request is about to be sent, normally or, after {@link #bar}, alone. */
     public void started(Fingerprint fingerprint, String server) {
-        inFlight.merge(fingerprint, new InFlight(server, 1), (known, one) -> new InFlight(server, known.copies() + 1));
+        inFlight.merge(fingerprint, InFlight.first(server), (known, one) -> known.withCopies(known.copies() + 1));
+    }
+
+    /**
+     * Takes note that the server generated tokens for a request.
+     *
+     * <p>A crash after that more likely has another cause, so the request stays free to run with others once more.
+     */
+    public void progressed(Fingerprint fingerprint) {
+        inFlight.computeIfPresent(fingerprint, (key, known) -> known.afterProgress());
     }
 
     /** Bars a server for a run alone; the request is sent when nothing else is left there. */
@@ -113,8 +122,7 @@
      */
     public void finished(Fingerprint fingerprint, boolean whole, long nowMillis) {
         inFlight.computeIfPresent(
-                fingerprint,
-                (key, known) -> known.copies() == 1 ? null : new InFlight(known.server(), known.copies() - 1));
+                fingerprint, (key, known) -> known.copies() == 1 ? null : known.withCopies(known.copies() - 1));
         boolean alone = aloneRuns.remove(fingerprint) != null;
         if (!alone) {
             return;
@@ -137,9 +145,10 @@
                 .map(Map.Entry::getKey)
                 .collect(Collectors.toCollection(HashSet::new));
         for (Fingerprint fingerprint : hit) {
-            inFlight.remove(fingerprint);
+            InFlight running = inFlight.remove(fingerprint);
+            boolean early = aloneRuns.containsKey(fingerprint) || !running.progressed();
             SuspectEntry entry = entries.getOrDefault(fingerprint, SuspectEntry.create(fingerprint));
-            put(entry.crashed(incarnation, nowMillis), nowMillis);
+            put(entry.crashed(incarnation, early, nowMillis), nowMillis);
         }
         if (aloneRuns.keySet().removeAll(hit)) {
             sequence++;
--- a/src/test/java/org/verbenatray/suspects/SuspectEntryPropertiesTest.java
+++ b/src/test/java/org/verbenatray/suspects/SuspectEntryPropertiesTest.java
@@ -37,7 +37,15 @@
         for (int crash = random.nextInt(14); crash > 0; crash--) {
             crashes.add("s" + random.nextInt(40));
         }
+        TreeSet<String> early = new TreeSet<>(crashes);
+        early.removeIf(crash -> random.nextBoolean());
         return new SuspectEntry(
-                FINGERPRINT, random.nextInt(3), crashes, random.nextInt(3), random.nextInt(100), random.nextInt(100));
+                FINGERPRINT,
+                random.nextInt(3),
+                crashes,
+                early,
+                random.nextInt(3),
+                random.nextInt(100),
+                random.nextInt(100));
     }
 }
--- a/src/test/java/org/verbenatray/suspects/SuspectTableTest.java
+++ b/src/test/java/org/verbenatray/suspects/SuspectTableTest.java
@@ -70,6 +70,22 @@
         assertEquals(table.decide(REQUEST, SERVERS, 1_021), new Quarantine.Refused(3_020));
     }
 
+    @Test
+    public void aRequestThatGeneratedTokensBeforeTheCrashRunsWithOthersOnceMoreThenAloneThenNoMore() {
+        SuspectTable table = SuspectTable.create("one", LIMITS);
+        for (int crash = 1; crash <= 3; crash++) {
+            Quarantine decision = table.decide(REQUEST, SERVERS, crash);
+            assertEquals(decision instanceof Quarantine.Alone, crash == 3, "before crash " + crash);
+            if (crash == 3) {
+                table.bar(REQUEST, "s1", crash);
+            }
+            table.started(REQUEST, "s1");
+            table.progressed(REQUEST);
+            table.crashed("s1", "s1/" + crash, crash);
+        }
+        assertTrue(table.decide(REQUEST, SERVERS, 4) instanceof Quarantine.Refused);
+    }
+
     @Test
     public void aFullTableDropsWhatBarsLeast() {
         SuspectTable table = crashedOnce("one");
