--- a/src/main/java/org/verbenatray/instance/ServingWiring.java
+++ b/src/main/java/org/verbenatray/instance/ServingWiring.java
@@ -29,6 +29,12 @@
     /** The pause between two looks at the capacity of the engines in milliseconds. */
     private static final long CAPACITY_MILLIS = 250;
 
+    /** The further runs that each first run allows. */
+    private static final double RETRY_FRACTION = 0.1;
+
+    /** The further runs that can be saved: the batch of one engine that crashes may run elsewhere at once. */
+    private static final double RETRY_RESERVE = 64;
+
     /** What everything runs on. */
     private final InstanceRuntime runtime;
 
@@ -45,7 +51,7 @@
     private final AdmissionController admission = AdmissionController.create(AdmissionBounds.defaults());
 
     /** Bounds the runs of requests after their first. */
-    private final RetryBudget retries = RetryBudget.defaults();
+    private final RetryBudget retries = RetryBudget.create(RETRY_FRACTION, RETRY_RESERVE);
 
     /** The open requests. */
     private final OpenRequests open;
--- a/src/test/java/org/verbenatray/serving/StreamFaultsTest.java
+++ b/src/test/java/org/verbenatray/serving/StreamFaultsTest.java
@@ -56,8 +56,8 @@
 
     @Test
     public void aStreamGoesOnElsewhereAfterItsEngineCrashes() {
-        List<CompletableFuture<HttpResponse<String>>> answers = sendAll(8, 200);
-        Await.until(() -> dispatches() == 8);
+        List<CompletableFuture<HttpResponse<String>>> answers = sendAll(40, 200);
+        Await.until(() -> dispatches() == 40);
         engines().get(0).crash();
         assertAllWhole(answers, 200);
     }
