--- a/src/main/java/org/verbenatray/serving/StreamRelay.java
+++ b/src/main/java/org/verbenatray/serving/StreamRelay.java
@@ -26,8 +26,11 @@
  * <p>All calls come from the thread of the request.
  */
 final class StreamRelay {
-    /** The time after which a caller may come back when no engine can take its request, in milliseconds. */
-    private static final long NO_ENGINE_RETRY_MILLIS = 2_000;
+    /** The longest time that a begun request waits for an engine in milliseconds. */
+    private static final long NO_ENGINE_WAIT_MILLIS = 5_000;
+
+    /** The pause between two looks for an engine in milliseconds. */
+    private static final long NO_ENGINE_LOOK_MILLIS = 50;
 
     /** The tokens of a dispatch after which a crash of its engine is likely not due to it. */
     private static final int PROGRESS_TOKENS = 8;
@@ -101,6 +104,9 @@
     /** Counts the connections of this relay, so that late calls of old ones are told apart. */
     private int connection;
 
+    /** Until when a begun request waits for an engine, empty while it has one. */
+    private Optional<Deadline> waitUntil = Optional.empty();
+
     /** The dispatches so far. */
     private int runs;
 
@@ -180,6 +186,7 @@
 
     /** Dispatches the request, or what remains of it, to the chosen engine. */
     private void dispatch(EngineSlot chosen) {
+        waitUntil = Optional.empty();
         slot = chosen;
         runs++;
         progressAt = emittedTokens + PROGRESS_TOKENS;
@@ -355,7 +362,7 @@
         slot.failed(engine, failure);
         boolean neverRan = failure.kind() == ServerFailure.Kind.LEAVING || failure.kind() == ServerFailure.Kind.FULL;
         if (runs >= settings.maxRuns() || !(neverRan || retryAllowed.getAsBoolean())) {
-            giveUp(failed("the backend servers failed (" + failure.getMessage() + "); send the request again"));
+            giveUp(RelayRefusals.serversFailed(failure, begun));
             return;
         }
         metrics.recovered("run_again");
@@ -397,22 +404,24 @@
                 }));
     }
 
-    /** Gives the final answer when no engine may take the request. */
+    /** Waits a while for an engine when the request was begun, else gives the final answer. */
     private void noEngine() {
-        String message = "no engine can take model " + request.model() + " now; send the request again later";
-        if (begun) {
-            giveUp(Refusal.mayHaveRun(RefusalKind.NO_SERVER, message, Optional.of(NO_ENGINE_RETRY_MILLIS)));
-        } else {
-            giveUp(Refusal.retryLater(RefusalKind.NO_SERVER, message, NO_ENGINE_RETRY_MILLIS));
+        if (begun && !waitedTooLong()) {
+            barred.clear();
+            watch.cancel();
+            watch = timers.at(thread, Deadline.afterMillis(ticker.nanos(), NO_ENGINE_LOOK_MILLIS), this::run);
+            return;
         }
+        giveUp(RelayRefusals.noEngine(request.model(), begun));
     }
 
-    /** Returns the failure of the backend servers. */
-    private Refusal failed(String message) {
-        Optional<Long> retry = Optional.of(NO_ENGINE_RETRY_MILLIS);
-        return begun
-                ? Refusal.mayHaveRun(RefusalKind.SERVER_FAILED, message, retry)
-                : Refusal.retryLater(RefusalKind.SERVER_FAILED, message, NO_ENGINE_RETRY_MILLIS);
+    /** Returns whether the request has waited for an engine for as long as it may; the first call begins the wait. */
+    private boolean waitedTooLong() {
+        long now = ticker.nanos();
+        if (waitUntil.isEmpty()) {
+            waitUntil = Optional.of(Deadline.afterMillis(now, NO_ENGINE_WAIT_MILLIS));
+        }
+        return waitUntil.get().passed(now);
     }
 
     /** Gives the final answer at the deadline. */
@@ -421,10 +430,7 @@
             return;
         }
         abandonDispatch();
-        giveUp(Refusal.mayHaveRun(
-                RefusalKind.DEADLINE,
-                "the deadline passed after " + emittedTokens + " tokens; allow more time or ask for fewer tokens",
-                Optional.empty()));
+        giveUp(RelayRefusals.expired(emittedTokens));
     }
 
     /** Gives a final answer in place of a whole one. */
--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -159,14 +159,15 @@
             int emittedTokens,
             Set<String> barred,
             Optional<String> only) {
+        Set<String> quarantined = table.barredServers(timing.clock().millis());
         Set<String> allBarred = new HashSet<>(barred);
-        allBarred.addAll(table.barredServers(timing.clock().millis()));
+        allBarred.addAll(quarantined);
         if (only.isPresent() && allBarred.contains(only.get())) {
             return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
         }
         Optional<EngineSlot> slot = chooser.choose(request, emittedTokens, allBarred, only);
         if (slot.isEmpty()) {
-            return only.isPresent()
+            return only.isPresent() || !quarantined.isEmpty()
                     ? new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS))
                     : new GuardedChoice.NoEngine();
         }
--- a/src/main/java/org/verbenatray/standin/EngineLoop.java
+++ b/src/main/java/org/verbenatray/standin/EngineLoop.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.verbenatray.fleet.EngineCondition;
 import org.verbenatray.fleet.LoadReport;
@@ -50,6 +51,9 @@
     /** Grows with every start and crash. */
     private volatile long incarnation = System.currentTimeMillis();
 
+    /** The tokens generated so far. */
+    private final AtomicLong tokens = new AtomicLong();
+
     /** Grows with every load report. */
     private long reports;
 
@@ -69,6 +73,11 @@
         });
     }
 
+    /** Returns the tokens generated so far. */
+    long tokens() {
+        return tokens.get();
+    }
+
     /** Returns the incarnation. */
     long incarnation() {
         return incarnation;
@@ -207,6 +216,7 @@
     /** Passes one event on. */
     private void handle(EngineEvent event) {
         if (event instanceof EngineEvent.TokenGenerated token) {
+            tokens.incrementAndGet();
             record(token.id()).ifPresent(stream -> stream.token(token.offset()));
         } else if (event instanceof EngineEvent.Finished finished) {
             record(finished.id()).ifPresent(StreamRecord::finish);
--- a/src/main/java/org/verbenatray/standin/EngineServer.java
+++ b/src/main/java/org/verbenatray/standin/EngineServer.java
@@ -144,6 +144,11 @@
         return dispatches.get();
     }
 
+    /** Returns the tokens generated so far. */
+    public long tokens() {
+        return loop.tokens();
+    }
+
     /** Returns the number of crashes. */
     public int crashes() {
         return crashes.get();
--- a/src/test/java/org/verbenatray/serving/StreamFaultsTest.java
+++ b/src/test/java/org/verbenatray/serving/StreamFaultsTest.java
@@ -58,10 +58,20 @@
     public void aStreamGoesOnElsewhereAfterItsEngineCrashes() {
         List<CompletableFuture<HttpResponse<String>>> answers = sendAll(40, 200);
         Await.until(() -> dispatches() == 40);
+        Await.until(() -> engines().stream().mapToLong(EngineServer::tokens).sum() > 40 * 30);
         engines().get(0).crash();
         assertAllWhole(answers, 200);
     }
 
+    @Test
+    public void streamsWaitForAnEngineThatComesBackWhenAllHaveCrashed() {
+        List<CompletableFuture<HttpResponse<String>>> answers = sendAll(8, 100);
+        Await.until(() -> dispatches() == 8);
+        Await.until(() -> engines().stream().mapToLong(EngineServer::tokens).sum() > 8 * 30);
+        engines().forEach(EngineServer::crash);
+        assertAllWhole(answers, 100);
+    }
+
     @Test
     public void aLeavingEngineGetsNothingNewAndFinishesWhatItHas() {
         List<CompletableFuture<HttpResponse<String>>> before = sendAll(4, 200);
