--- /dev/null
+++ b/src/main/java/org/verbenatray/cli/BenchFaultsCommand.java
@@ -0,0 +1,66 @@
+package org.verbenatray.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
+import org.verbenatray.faults.FaultPlan;
+import org.verbenatray.faults.FaultReport;
+import org.verbenatray.faults.FaultRun;
+import org.verbenatray.log.RecordCodec;
+import org.verbenatray.settings.SettingsCheck;
+
+/** Plays seeded combinations of faults against instances in this process. */
+@Parameters(commandDescription = "Plays seeded combinations of faults and checks that no promise is broken.")
+final class BenchFaultsCommand implements Command {
+    /** Milliseconds in one second. */
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    /** The first seed. */
+    @Parameter(names = "--first-seed", description = "First seed")
+    private String firstSeed = "1";
+
+    /** The number of seeds. */
+    @Parameter(names = "--seeds", description = "Number of seeds")
+    private String seeds = "10";
+
+    /** The length of one run. */
+    @Parameter(names = "--seconds", description = "Length of the run of one seed in seconds")
+    private String seconds = "10";
+
+    @Override
+    public int run(CommandOutput output) throws Exception {
+        SettingsCheck check = SettingsCheck.create();
+        long first = check.number("--first-seed", firstSeed, 0, Long.MAX_VALUE / 2);
+        long count = check.number("--seeds", seeds, 1, 1_000_000);
+        long length = check.number("--seconds", seconds, 2, 3_600);
+        check.finish();
+        List<Long> failed = new ArrayList<>();
+        long calls = 0;
+        for (long seed = first; seed < first + count; seed++) {
+            FaultReport report = FaultRun.create(FaultPlan.draw(seed, length * MILLIS_PER_SECOND))
+                    .run();
+            output.out().println(RecordCodec.encode(report));
+            calls += report.calls();
+            if (!report.holds()) {
+                failed.add(seed);
+                output.out()
+                        .println(
+                                "reproduce with: bench faults --first-seed " + seed + " --seeds 1 --seconds " + length);
+            }
+        }
+        output.out().println(RecordCodec.encode(new Summary(first, count, length, calls, failed)));
+        return failed.isEmpty() ? ExitCode.DONE : ExitCode.FAILED;
+    }
+
+    /**
+     * The result of all runs.
+     *
+     * @param firstSeed the first seed
+     * @param seeds the number of seeds
+     * @param seconds the length of each run in seconds
+     * @param calls the calls of all runs
+     * @param failedSeeds the seeds whose runs broke an invariant
+     */
+    private record Summary(long firstSeed, long seeds, long seconds, long calls, List<Long> failedSeeds) {}
+}
--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -30,6 +30,7 @@
         commands.put("history", HistoryCommand::new);
         commands.put("dump", DumpCommand::new);
         commands.put("demo", DemoCommand::new);
+        commands.put("bench faults", BenchFaultsCommand::new);
         commands.put("standin platform", StandinPlatformCommand::new);
         commands.put("standin engine", StandinEngineCommand::new);
         commands.put("standin service", StandinServiceCommand::new);
--- a/src/main/java/org/verbenatray/demo/EmbeddedDeployment.java
+++ b/src/main/java/org/verbenatray/demo/EmbeddedDeployment.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.verbenatray.configuration.ConfigurationMerger;
 import org.verbenatray.configuration.EngineRole;
 import org.verbenatray.instance.EntryInstance;
@@ -20,6 +22,7 @@
 import org.verbenatray.settings.EntrySettings;
 import org.verbenatray.standin.EngineServer;
 import org.verbenatray.standin.InMemoryLog;
+import org.verbenatray.standin.PlatformGate;
 import org.verbenatray.standin.PlatformServer;
 import org.verbenatray.standin.ServiceServer;
 import org.verbenatray.standin.engine.EngineModelSpec;
@@ -49,13 +52,16 @@
     private final PlatformServer platform;
 
     /** The engines. */
-    private final List<EngineServer> engines = new ArrayList<>();
+    private final List<EngineServer> engines = new CopyOnWriteArrayList<>();
 
     /** The servers of the plain service. */
     private final List<ServiceServer> services = new ArrayList<>();
 
     /** The entry instances. */
-    private final List<EntryInstance> entries = new ArrayList<>();
+    private final List<EntryInstance> entries = new CopyOnWriteArrayList<>();
+
+    /** The way of each entry instance to the platform, by its name. */
+    private final Map<String, PlatformGate> gates = new ConcurrentHashMap<>();
 
     /** Creates a deployment and starts everything but the entry instances. */
     private EmbeddedDeployment(Shape shape) {
@@ -96,6 +102,7 @@
     /** Starts one more entry instance without waiting; it links to the given peers until it has an instance list. */
     public EntryInstance startEntry(String name, String failureDomain, List<InetSocketAddress> knownPeers)
             throws IOException {
+        gates.put(name, PlatformGate.start(ANY_PORT, platform));
         EntryInstance entry = EntryInstance.start(settings(name, failureDomain, knownPeers));
         entries.add(entry);
         return entry;
@@ -157,6 +164,29 @@
         return entries;
     }
 
+    /** Returns the way of an entry instance to the platform. */
+    public PlatformGate gate(String entry) {
+        return gates.get(entry);
+    }
+
+    /** Starts an engine that no configuration names yet and shows it in the instance list; returns its index. */
+    public int addEngine() {
+        int index = engines.size();
+        engines.add(startEngine(engineName(index)));
+        showEngine(index, false);
+        return index;
+    }
+
+    /** Returns the configuration of an engine that replaces another one, as a file that is merged after the first. */
+    public String replacementYaml(int leaving, int replacement) {
+        FleetYaml yaml = FleetYaml.empty(shape);
+        yaml.engine(
+                engineName(replacement),
+                shape.domainOf(replacement),
+                engines.get(replacement).address());
+        return yaml.text() + "  " + engineName(leaving) + ": null\n";
+    }
+
     /** Shows an engine in the instance list as live or leaving. */
     public void showEngine(int index, boolean leaving) {
         EngineServer engine = engines.get(index);
@@ -174,6 +204,7 @@
         entries.forEach(EntryInstance::close);
         engines.forEach(EngineServer::close);
         services.forEach(ServiceServer::close);
+        gates.values().forEach(PlatformGate::close);
         platform.close();
     }
 
@@ -224,7 +255,7 @@
         return new EntrySettings(
                 name,
                 failureDomain,
-                platform.address(),
+                gates.get(name).address(),
                 ANY_PORT,
                 ANY_PORT,
                 ANY_PORT,
--- a/src/main/java/org/verbenatray/demo/FleetYaml.java
+++ b/src/main/java/org/verbenatray/demo/FleetYaml.java
@@ -30,6 +30,11 @@
         this.shape = shape;
     }
 
+    /** Returns a writer that wrote nothing. */
+    static FleetYaml empty(Shape shape) {
+        return new FleetYaml(shape);
+    }
+
     /** Returns a writer that wrote the models. */
     static FleetYaml create(Shape shape) {
         FleetYaml yaml = new FleetYaml(shape);
--- /dev/null
+++ b/src/main/java/org/verbenatray/faults/package-info.java
@@ -0,0 +1,2 @@
+/** Seeded combinations of faults against running instances, with invariants that are checked throughout. */
+package org.verbenatray.faults;
--- a/src/main/java/org/verbenatray/load/LoadCall.java
+++ b/src/main/java/org/verbenatray/load/LoadCall.java
@@ -1,5 +1,6 @@
 package org.verbenatray.load;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -13,4 +14,11 @@
  * @param expected the text that a whole answer must have, where it is known
  */
 public record LoadCall(
-        CallKind kind, String path, Map<String, String> headers, String body, Optional<String> expected) {}
+        CallKind kind, String path, Map<String, String> headers, String body, Optional<String> expected) {
+    /** Returns this call with a further header. */
+    public LoadCall withHeader(String name, String value) {
+        Map<String, String> more = new HashMap<>(headers);
+        more.put(name, value);
+        return new LoadCall(kind, path, Map.copyOf(more), body, expected);
+    }
+}
--- a/src/main/java/org/verbenatray/standin/EngineFaults.java
+++ b/src/main/java/org/verbenatray/standin/EngineFaults.java
@@ -47,6 +47,12 @@
                 dropEvery, repeatEvery, wrongDispatchEvery, cutEvery, crashOn, millis, ignoresFencing, loadLagMillis);
     }
 
+    /** Returns these faults with load reports that lag, in milliseconds. */
+    public EngineFaults withLoadLagMillis(long millis) {
+        return new EngineFaults(
+                dropEvery, repeatEvery, wrongDispatchEvery, cutEvery, crashOn, restartMillis, ignoresFencing, millis);
+    }
+
     /** Returns these faults with damaged lines. */
     public EngineFaults withDamagedLines(int drop, int repeat, int wrongDispatch, int cut) {
         return new EngineFaults(
--- a/src/main/java/org/verbenatray/standin/EngineServer.java
+++ b/src/main/java/org/verbenatray/standin/EngineServer.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import org.verbenatray.fleet.LoadReport;
 import org.verbenatray.fleet.PromptPieces;
 import org.verbenatray.log.RecordCodec;
 import org.verbenatray.orders.ModelVersion;
@@ -60,6 +61,9 @@
     /** How often the open replies were made silent. */
     private final AtomicLong silences = new AtomicLong();
 
+    /** The last load that was reported, for reports that lag. */
+    private volatile LaggingLoad lastLoad = new LaggingLoad(Optional.empty(), 0);
+
     /** Whether it is down after a crash. */
     private volatile boolean down;
 
@@ -301,7 +305,20 @@
 
     /** Reports the load. */
     private void load(HttpServerExchange exchange) {
-        answer(exchange, loop::loadReport);
+        answer(exchange, this::reportedLoad);
+    }
+
+    /** Returns the load, or an earlier one that is younger than the lag. */
+    private LoadReport reportedLoad() {
+        long now = System.nanoTime();
+        long lagNanos = faults.loadLagMillis() * 1_000_000L;
+        LaggingLoad last = lastLoad;
+        if (lagNanos > 0 && last.report().isPresent() && now - last.madeNanos() < lagNanos) {
+            return last.report().get();
+        }
+        LoadReport report = loop.loadReport();
+        lastLoad = new LaggingLoad(Optional.of(report), now);
+        return report;
     }
 
     /** Takes an order. */
@@ -343,4 +360,12 @@
     private static String parameter(HttpServerExchange exchange, String key) {
         return exchange.getQueryParameters().get(key).getFirst();
     }
+
+    /**
+     * A load that was reported.
+     *
+     * @param report the report
+     * @param madeNanos when it was made
+     */
+    private record LaggingLoad(Optional<LoadReport> report, long madeNanos) {}
 }
--- a/src/main/java/org/verbenatray/standin/PlatformServer.java
+++ b/src/main/java/org/verbenatray/standin/PlatformServer.java
@@ -31,6 +31,9 @@
     /** The announced instances by name. */
     private final Map<String, Announced> instances = new ConcurrentHashMap<>();
 
+    /** Answers the calls. */
+    private final RoutingHandler routes;
+
     /** The HTTP server. */
     private final Undertow server;
 
@@ -40,7 +43,7 @@
     /** Creates and starts a platform. */
     private PlatformServer(InetSocketAddress address, InMemoryLog records) {
         this.records = records;
-        RoutingHandler routes = Handlers.routing()
+        this.routes = Handlers.routing()
                 .post("/log", exchange -> Bodies.read(exchange, this::append, PlatformServer::broken))
                 .get("/log", this::read)
                 .get("/instances", exchange -> Replies.json(exchange, 200, listing()))
@@ -50,7 +53,7 @@
                 .addHttpListener(address.getPort(), address.getHostString())
                 .setIoThreads(2)
                 .setWorkerThreads(1)
-                .setHandler(exchange -> unlessOut(exchange, routes))
+                .setHandler(this::handle)
                 .build();
         server.start();
     }
@@ -101,8 +104,8 @@
         server.stop();
     }
 
-    /** Refuses everything during an outage. */
-    private void unlessOut(HttpServerExchange exchange, RoutingHandler routes) throws Exception {
+    /** Answers a call, or refuses it during an outage. */
+    void handle(HttpServerExchange exchange) throws Exception {
         if (outage) {
             Replies.text(exchange, 503, "text/plain", "the platform is out of service; try again later");
             return;
--- a/src/main/java/org/verbenatray/standin/ServiceServer.java
+++ b/src/main/java/org/verbenatray/standin/ServiceServer.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.verbenatray.web.Bodies;
 import org.verbenatray.web.Replies;
@@ -26,6 +27,9 @@
     /** The answers that are still to be lost after the call took effect. */
     private final AtomicInteger answersToLose = new AtomicInteger();
 
+    /** The time that each answer takes in milliseconds. */
+    private volatile long answerMillis;
+
     /** Creates and starts a service. */
     private ServiceServer(InetSocketAddress address) {
         this.server = Undertow.builder()
@@ -70,6 +74,11 @@
         answersToLose.set(count);
     }
 
+    /** Sets the time between the effect of a call and its answer in milliseconds. */
+    public void answerMillis(long newAnswerMillis) {
+        answerMillis = newAnswerMillis;
+    }
+
     @Override
     public void close() {
         server.stop();
@@ -89,7 +98,13 @@
         if (dispatch != null) {
             exchange.getResponseHeaders().put(DISPATCH_HEADER, dispatch);
         }
-        Replies.json(exchange, 200, new Ran(method, exchange.getRequestPath(), count));
+        Ran ran = new Ran(method, exchange.getRequestPath(), count);
+        if (answerMillis == 0) {
+            Replies.json(exchange, 200, ran);
+            return;
+        }
+        exchange.getIoThread()
+                .executeAfter(() -> Replies.json(exchange, 200, ran), answerMillis, TimeUnit.MILLISECONDS);
     }
 
     /** Returns the key of a call. */
