Name each crash by the incarnation that crashed

Cause: EnginePoller.received, which kept the incarnations, was never called; every engine was taken for incarnation 0. All crashes of one engine had the same name, so a request that crashed one engine in several of its lives was counted once and never condemned, and an unknown dispatch always counted as a crash. Ruled out: the table of suspects, whose own tests name crashes rightly. Change: instance/EnginePoller reports through received, with the age since the request was sent; instance/FleetParts takes incarnations from fleet/FleetView, which also knows them of other failure domains and from the instance list.

--- a/src/main/java/org/verbenatray/fleet/EngineState.java
+++ b/src/main/java/org/verbenatray/fleet/EngineState.java
@@ -82,6 +82,11 @@
         return spec;
     }
 
+    /** Returns the newest incarnation that was seen, zero for none. */
+    synchronized long incarnation() {
+        return incarnation == UNKNOWN_INCARNATION ? 0 : incarnation;
+    }
+
     /** Returns the present role. */
     synchronized EngineRole role() {
         return report == null ? spec.initialRole() : report.role();
--- a/src/main/java/org/verbenatray/fleet/FleetView.java
+++ b/src/main/java/org/verbenatray/fleet/FleetView.java
@@ -229,6 +229,17 @@
         return Optional.ofNullable(layout.state(engine)).map(state -> read(state, nowNanos));
     }
 
+    /** Returns the newest incarnation of an engine that was seen, zero for none. */
+    public long incarnation(String engine) {
+        EngineState state = layout.state(engine);
+        return state == null ? 0 : state.incarnation();
+    }
+
+    /** Returns whether all load of the engines of a failure domain is known, not only that of a digest. */
+    public boolean isDetailed(String failureDomain) {
+        return detailedDomains.contains(failureDomain);
+    }
+
     /** Returns the engines configured for a model, whose views are made when they are read. */
     public Candidates candidates(String model, long nowNanos) {
         return layout.candidates(model, state -> read(state, nowNanos));
--- a/src/main/java/org/verbenatray/instance/EnginePoller.java
+++ b/src/main/java/org/verbenatray/instance/EnginePoller.java
@@ -2,8 +2,6 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.verbenatray.configuration.FleetConfiguration;
 import org.verbenatray.configuration.FleetConfiguration.EngineSpec;
@@ -48,9 +46,6 @@
     /** The sources of time. */
     private final Timing timing;
 
-    /** The last known incarnations by engine. */
-    private final Map<String, Long> incarnations = new ConcurrentHashMap<>();
-
     /** Creates a poller. */
     EnginePoller(
             HttpTransport transport,
@@ -71,14 +66,8 @@
         timing.scheduler().runAt(timing.inMillis(PAUSE_MILLIS), this::start);
     }
 
-    /** Returns the last known incarnation of an engine, zero for none. */
-    long incarnation(String engine) {
-        return incarnations.getOrDefault(engine, 0L);
-    }
-
     /** Takes a report over that was measured at the earliest when it was asked for. */
     private void received(LoadReport report, long sentNanos) {
-        incarnations.merge(report.engine(), report.incarnation(), Math::max);
         long now = timing.ticker().nanos();
         fleet.onReport(report.aged((now - sentNanos) / NANOS_PER_MILLI), now);
     }
@@ -96,9 +85,7 @@
                         transport.anyThread(),
                         deadline,
                         MAX_REPORT_BYTES)
-                .thenAccept(reply -> fleet.onReport(
-                        RecordCodec.decode(reply.text(), LoadReport.class),
-                        timing.ticker().nanos()))
+                .thenAccept(reply -> received(RecordCodec.decode(reply.text(), LoadReport.class), sentNanos))
                 .exceptionally(failure -> {
                     Event.named("load_report_failed")
                             .with("engine", name)
--- a/src/main/java/org/verbenatray/instance/FleetParts.java
+++ b/src/main/java/org/verbenatray/instance/FleetParts.java
@@ -40,7 +40,7 @@
                 prefixIndex,
                 OutputEstimator.create(OutputEstimator.DEFAULT_PAIRS),
                 configuration,
-                poller::incarnation,
+                view::incarnation,
                 failureDomain,
                 runtime.timing().ticker());
         SuspectTable table = SuspectTable.create(runtime.id(), SuspectLimits.defaults());
