Run suspects alone on engines whose load is known in detail

Cause: a suspect could choose an engine of another failure domain for its run alone. Of these only digests come, and only of the least loaded engines, so the view could show a running stream for good; the suspect then waited until its deadline with the engine barred. The cause was inferred from the events, no smaller test was made. Change: serving/SuspectGuard prefers engines of detailed failure domains, fleet/FleetView tells which these are.

--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -197,15 +197,21 @@
         return new GuardedChoice.Send(slot.get());
     }
 
-    /** Returns the engines that can run a request of a model without another engine. */
+    /**
+     * Returns the engines that can run a request of a model without another engine, those whose load is known in detail
+     * where there are any: of the others it is not known when nothing is left on them.
+     */
     private List<String> enginesOfOwn(String model, Set<String> barred) {
-        return fleet.views(timing.ticker().nanos()).stream()
+        List<EngineView> usable = fleet.views(timing.ticker().nanos()).stream()
                 .filter(view -> view.condition() == EngineCondition.READY && view.role() == EngineRole.BOTH)
                 .filter(view ->
                         view.spec().models().isEmpty() || view.spec().models().contains(model))
-                .map(EngineView::name)
-                .filter(name -> !barred.contains(name))
+                .filter(view -> !barred.contains(view.name()))
                 .toList();
+        List<EngineView> known = usable.stream()
+                .filter(view -> fleet.isDetailed(view.spec().failureDomain()))
+                .toList();
+        return (known.isEmpty() ? usable : known).stream().map(EngineView::name).toList();
     }
 
     /** Returns the final answer to a request that crashed engines. */
