--- a/src/main/java/org/verbenatray/faults/Callers.java
+++ b/src/main/java/org/verbenatray/faults/Callers.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
-import org.verbenatray.instance.EntryInstance;
 import org.verbenatray.load.CallKind;
 import org.verbenatray.load.CallResult;
 import org.verbenatray.load.CallResult.Outcome;
@@ -172,8 +171,8 @@
 
     /** Sends a call to the instance whose turn it is. */
     private CompletableFuture<CallResult> send(LoadCall call, int turn) {
-        List<EntryInstance> live = actions.live();
-        String address = live.get(Math.floorMod(turn, live.size())).callersAddress();
+        List<String> addresses = actions.addresses();
+        String address = addresses.get(Math.floorMod(turn, addresses.size()));
         return caller.call(address, call).thenApply(result -> {
             judge(address, call, result);
             return result;
--- a/src/main/java/org/verbenatray/faults/FaultActions.java
+++ b/src/main/java/org/verbenatray/faults/FaultActions.java
@@ -105,7 +105,7 @@
         this.pace = pace;
         List<EntryInstance> entries = deployment.entries();
         for (int i = 0; i < entries.size(); i++) {
-            rotation.add(new Member("entry-" + (i + 1), FaultRun.SHAPE.domains().get(i % 2), entries.get(i)));
+            rotation.add(Member.of("entry-" + (i + 1), FaultRun.SHAPE.domains().get(i % 2), entries.get(i)));
         }
     }
 
@@ -122,6 +122,11 @@
         return rotation.stream().map(Member::entry).toList();
     }
 
+    /** Returns the callers' addresses of these instances. */
+    List<String> addresses() {
+        return rotation.stream().map(Member::address).toList();
+    }
+
     /** Returns the part of long reviews. */
     double reviews() {
         return reviews;
@@ -285,7 +290,7 @@
 
     /** Stops an instance without a drain. */
     private void kill(Member member) {
-        killed.add(member.entry().callersAddress());
+        killed.add(member.address());
         rotation.remove(member);
         run(member.entry()::close);
         pace.after(LIST_LAG_MILLIS, () -> deployment.platform().remove(member.name()));
@@ -305,7 +310,7 @@
                 .toList();
         String name = "entry-new-" + numbers.getAndIncrement();
         try {
-            Member added = new Member(name, old.domain(), deployment.startEntry(name, old.domain(), peers));
+            Member added = Member.of(name, old.domain(), deployment.startEntry(name, old.domain(), peers));
             awaitReady(added);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -378,6 +383,12 @@
      * @param name its name
      * @param domain its failure domain
      * @param entry the instance
+     * @param address its address for callers, which a stopped instance no longer tells
      */
-    private record Member(String name, String domain, EntryInstance entry) {}
+    private record Member(String name, String domain, EntryInstance entry, String address) {
+        /** Returns a member. */
+        static Member of(String name, String domain, EntryInstance entry) {
+            return new Member(name, domain, entry, entry.callersAddress());
+        }
+    }
 }
