--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -30,6 +30,8 @@
         commands.put("history", HistoryCommand::new);
         commands.put("dump", DumpCommand::new);
         commands.put("demo", DemoCommand::new);
+        commands.put("bench overhead", BenchOverheadCommand::new);
+        commands.put("bench once", BenchOnceCommand::new);
         commands.put("standin platform", StandinPlatformCommand::new);
         commands.put("standin engine", StandinEngineCommand::new);
         commands.put("standin service", StandinServiceCommand::new);
--- /dev/null
+++ b/src/test/java/org/verbenatray/bench/SizeListTest.java
@@ -0,0 +1,32 @@
+package org.verbenatray.bench;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.verbenatray.settings.SettingsCheck;
+import org.verbenatray.settings.SettingsException;
+
+/** The reading of lists of sizes. */
+public final class SizeListTest {
+    @Test
+    public void sizesAreReadInTheirOrder() {
+        SettingsCheck check = SettingsCheck.create();
+        assertEquals(SizeList.parse("--sizes", "32, 1,256", 256, check), List.of(32, 1, 256));
+        check.finish();
+    }
+
+    @DataProvider
+    public Object[] wrongLists() {
+        return new Object[] {"", "1,", "0", "-1", "two", "1 2", "257", "99999999999"};
+    }
+
+    @Test(dataProvider = "wrongLists")
+    public void aWrongListIsReportedAndGivesNone(String value) {
+        SettingsCheck check = SettingsCheck.create();
+        assertEquals(SizeList.parse("--sizes", value, 256, check), List.of());
+        assertThrows(SettingsException.class, check::finish);
+    }
+}
