Add commands that measure configuration changes and the control work of an instance

Ruled out: made-up engines as processes or servers of their own; one server answers for all of them on loopback addresses, so that only the instance's threads grow. Ruled out: opaque keys in bench once; the table keeps 2,048 of them per customer and refuses more. Change: bench configuration, bench control; PeerLinks counts the bytes on its links. Conclusion: to be run alone.

--- a/src/main/java/org/verbenatray/cli/BenchOnceCommand.java
+++ b/src/main/java/org/verbenatray/cli/BenchOnceCommand.java
@@ -20,7 +20,7 @@
 
     /** The length of a turn. */
     @Parameter(names = "--seconds", description = "Length of each of the three turns of each path in seconds")
-    private String seconds = "10";
+    private String seconds = "4";
 
     @Override
     public int run(CommandOutput output) throws Exception {
--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -32,6 +32,8 @@
         commands.put("demo", DemoCommand::new);
         commands.put("bench overhead", BenchOverheadCommand::new);
         commands.put("bench once", BenchOnceCommand::new);
+        commands.put("bench configuration", BenchConfigurationCommand::new);
+        commands.put("bench control", BenchControlCommand::new);
         commands.put("standin platform", StandinPlatformCommand::new);
         commands.put("standin engine", StandinEngineCommand::new);
         commands.put("standin service", StandinServiceCommand::new);
--- a/src/main/java/org/verbenatray/peers/PeerLinks.java
+++ b/src/main/java/org/verbenatray/peers/PeerLinks.java
@@ -85,6 +85,9 @@
     /** The sequence of the last message; starts at the wall clock, so that it grows across restarts. */
     private final AtomicLong sequence;
 
+    /** The bytes on all links. */
+    private final LinkTraffic traffic = new LinkTraffic();
+
     /** The listening socket. */
     private final Channel server;
 
@@ -202,6 +205,16 @@
         return table.peers();
     }
 
+    /** Returns the bytes that were sent on all links so far, without the headers of TCP and below. */
+    public long sentBytes() {
+        return traffic.sentBytes();
+    }
+
+    /** Returns the bytes that were received on all links so far, without the headers of TCP and below. */
+    public long receivedBytes() {
+        return traffic.receivedBytes();
+    }
+
     /** Sends what waits as far as possible, closes all links, stops listening and waits for the thread to end. */
     @Override
     public void close() {
@@ -301,6 +314,7 @@
             protected void initChannel(Channel channel) {
                 PeerLink link = PeerLink.create(owner, ticker, dialed, settings.bulkBytesPerSecond());
                 if (registry.add(link)) {
+                    channel.pipeline().addLast(traffic);
                     FramePipeline.install(channel, link);
                 } else {
                     channel.close();
