--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -34,6 +34,7 @@
         commands.put("bench once", BenchOnceCommand::new);
         commands.put("bench configuration", BenchConfigurationCommand::new);
         commands.put("bench control", BenchControlCommand::new);
+        commands.put("bench faults", BenchFaultsCommand::new);
         commands.put("standin platform", StandinPlatformCommand::new);
         commands.put("standin engine", StandinEngineCommand::new);
         commands.put("standin service", StandinServiceCommand::new);
--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -104,6 +104,11 @@
         table.started(fingerprint, engine);
     }
 
+    /** Notes that the engine generated enough tokens for a request that a later crash is likely not due to it. */
+    synchronized void progressed(Fingerprint fingerprint) {
+        table.progressed(fingerprint);
+    }
+
     /** Notes that a request ended, or gave a barred engine up before it was sent. */
     synchronized void finished(Fingerprint fingerprint, boolean whole) {
         alone.remove(fingerprint);
@@ -154,14 +159,15 @@
             int emittedTokens,
             Set<String> barred,
             Optional<String> only) {
+        Set<String> quarantined = table.barredServers(timing.clock().millis());
         Set<String> allBarred = new HashSet<>(barred);
-        allBarred.addAll(table.barredServers(timing.clock().millis()));
+        allBarred.addAll(quarantined);
         if (only.isPresent() && allBarred.contains(only.get())) {
             return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
         }
         Optional<EngineSlot> slot = chooser.choose(request, emittedTokens, allBarred, only);
         if (slot.isEmpty()) {
-            return only.isPresent()
+            return only.isPresent() || !quarantined.isEmpty()
                     ? new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS))
                     : new GuardedChoice.NoEngine();
         }
@@ -192,15 +198,21 @@
         return new GuardedChoice.Send(slot.get());
     }
 
-    /** Returns the engines that can run a request of a model without another engine. */
+    /**
+     * Returns the engines that can run a request of a model without another engine, those whose load is known in detail
+     * where there are any: of the others it is not known when nothing is left on them.
+     */
     private List<String> enginesOfOwn(String model, Set<String> barred) {
-        return fleet.views(timing.ticker().nanos()).stream()
+        List<EngineView> usable = fleet.views(timing.ticker().nanos()).stream()
                 .filter(view -> view.condition() == EngineCondition.READY && view.role() == EngineRole.BOTH)
                 .filter(view ->
                         view.spec().models().isEmpty() || view.spec().models().contains(model))
-                .map(EngineView::name)
-                .filter(name -> !barred.contains(name))
+                .filter(view -> !barred.contains(view.name()))
+                .toList();
+        List<EngineView> known = usable.stream()
+                .filter(view -> fleet.isDetailed(view.spec().failureDomain()))
                 .toList();
+        return (known.isEmpty() ? usable : known).stream().map(EngineView::name).toList();
     }
 
     /** Returns the final answer to a request that crashed engines. */
