A way out of conflicts when publishing; half-saved files and rejected plans are held back

LogSession.refresh returned at once when the last read had been to the end, so it could miss what others published since. A folder without a YAML file is refused, because publishing it would remove everything. refresh waits for a read sent after its call.

--- a/src/main/java/org/verbenatray/cli/CheckCommand.java
+++ b/src/main/java/org/verbenatray/cli/CheckCommand.java
@@ -3,9 +3,9 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
-import org.verbenatray.configuration.ConfigurationFolder;
-import org.verbenatray.configuration.ConfigurationMerger;
-import org.verbenatray.configuration.MergeResult;
+import java.util.List;
+import org.verbenatray.configuration.ConfigurationProblem;
+import org.verbenatray.instance.FolderPublisher;
 
 /** Checks a configuration folder. */
 @Parameters(commandDescription = "Checks a configuration folder and prints everything that is wrong with it.")
@@ -15,10 +15,10 @@
     private String folder;
 
     @Override
-    public int run(CommandOutput output) throws Exception {
-        MergeResult result = ConfigurationMerger.merge(ConfigurationFolder.read(Path.of(folder)));
-        result.problems().forEach(problem -> output.err().println(problem));
-        if (!result.isValid()) {
+    public int run(CommandOutput output) {
+        List<ConfigurationProblem> problems = FolderPublisher.check(Path.of(folder));
+        problems.forEach(problem -> output.err().println(FolderPublisher.text(problem)));
+        if (!problems.isEmpty()) {
             return ExitCode.FAILED;
         }
         output.out().println("ok");
--- a/src/main/java/org/verbenatray/cli/CommandLine.java
+++ b/src/main/java/org/verbenatray/cli/CommandLine.java
@@ -97,7 +97,7 @@
     }
 
     /** Returns the message of the innermost cause. */
-    private static String rootOf(Throwable failure) {
+    static String rootOf(Throwable failure) {
         Throwable root = failure;
         while (root.getCause() != null) {
             root = root.getCause();
--- a/src/main/java/org/verbenatray/cli/PublishCommand.java
+++ b/src/main/java/org/verbenatray/cli/PublishCommand.java
@@ -3,21 +3,16 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
-import java.nio.file.FileSystems;
 import java.nio.file.Path;
-import java.nio.file.StandardWatchEventKinds;
-import java.nio.file.WatchKey;
-import java.nio.file.WatchService;
-import java.util.Optional;
-import java.util.SortedMap;
-import org.verbenatray.configuration.ChangeSets;
+import java.util.concurrent.TimeUnit;
 import org.verbenatray.configuration.ConfigurationFolder;
-import org.verbenatray.configuration.ConfigurationMerger;
-import org.verbenatray.configuration.MergeResult;
-import org.verbenatray.configuration.PublishPlan;
-import org.verbenatray.configuration.PublishState;
+import org.verbenatray.configuration.ConfigurationFolderException;
+import org.verbenatray.instance.FolderPublisher;
+import org.verbenatray.instance.FolderWatch;
+import org.verbenatray.instance.FolderWatch.Reading;
 import org.verbenatray.instance.LogSession;
-import org.verbenatray.log.Verdict;
+import org.verbenatray.instance.PublishResult;
+import org.verbenatray.log.LogUnavailableException;
 import org.verbenatray.settings.SettingsCheck;
 
 /** Publishes a configuration folder. */
@@ -26,6 +21,9 @@
     /** The time for reading the log in milliseconds. */
     private static final long READ_MILLIS = 30_000;
 
+    /** The pause between two reads of a watched folder in milliseconds. */
+    private static final long WATCH_MILLIS = 300;
+
     /** The folder. */
     @Parameter(description = "FOLDER", required = true)
     private String folder;
@@ -42,73 +40,83 @@
     @Parameter(names = "--watch", description = "Publishes again whenever a file in the folder changes")
     private boolean watch;
 
+    /** Whether to write what is in force into the folder. */
+    @Parameter(
+            names = "--take-over",
+            description = "Writes what others changed into the folder instead of publishing; keeps copies as *.mine")
+    private boolean takeOver;
+
+    /** Whether to publish against the changes of others. */
+    @Parameter(
+            names = "--overrule",
+            description = "Publishes the folder as it is, also against what others changed: it was seen")
+    private boolean overrule;
+
     @Override
     public int run(CommandOutput output) throws Exception {
         SettingsCheck check = SettingsCheck.create();
         String checkedAuthor = check.name("--author", author);
         String checkedPlatform = check.uri("--platform", platform);
+        if ((takeOver ? 1 : 0) + (overrule ? 1 : 0) + (watch ? 1 : 0) > 1) {
+            check.report("--watch", "several of --watch, --take-over and --overrule", "give one of them");
+        }
         check.finish();
         Path path = Path.of(folder);
         try (LogSession session = LogSession.open(checkedAuthor, checkedPlatform, READ_MILLIS)) {
-            int code = publish(session, path, output);
+            FolderPublisher publisher = FolderPublisher.create(path, session);
             if (watch) {
-                watch(session, path, output);
+                return watch(publisher, session, path, output);
             }
-            return code;
+            return print(once(publisher), output);
         }
     }
 
-    /** Publishes the folder as it is now. */
-    private static int publish(LogSession session, Path path, CommandOutput output) throws IOException {
-        SortedMap<String, String> files = ConfigurationFolder.read(path);
-        MergeResult merged = ConfigurationMerger.merge(files);
-        if (!merged.isValid()) {
-            merged.problems().forEach(problem -> output.err().println(problem));
-            return ExitCode.FAILED;
-        }
-        PublishState before = ConfigurationFolder.readPublishState(path);
-        PublishPlan plan = ChangeSets.plan(files, session.configuration(), before);
-        plan.behind().forEach(divergence -> output.err().println("behind: " + divergence.message()));
-        plan.conflicts().forEach(divergence -> output.err().println("conflict: " + divergence.message()));
-        if (plan.change().isEmpty()) {
-            ConfigurationFolder.writePublishState(path, plan.next());
-            output.out()
-                    .println("nothing to publish, in force is offset "
-                            + session.configuration().offset());
-            return plan.conflicts().isEmpty() ? ExitCode.DONE : ExitCode.FAILED;
-        }
-        Verdict verdict = session.append(plan.change().get(), Optional.of(plan.follows()));
-        if (verdict.rejection().isPresent()) {
-            output.err()
-                    .println("rejected at offset " + verdict.offset() + ": "
-                            + verdict.rejection().get().detail());
-            return ExitCode.FAILED;
+    /** Publishes or takes over once. */
+    private PublishResult once(FolderPublisher publisher) throws IOException {
+        if (takeOver) {
+            return publisher.takeOver();
         }
-        PublishState after =
-                ChangeSets.plan(files, session.configuration(), plan.next()).next();
-        ConfigurationFolder.writePublishState(path, after);
-        output.out().println("accepted at offset " + verdict.offset());
-        return ExitCode.DONE;
+        return overrule ? publisher.overrule() : publisher.publish();
     }
 
-    /** Publishes again whenever a file changes, until the process is stopped. */
-    private static void watch(LogSession session, Path path, CommandOutput output) throws Exception {
-        try (WatchService service = FileSystems.getDefault().newWatchService()) {
-            path.register(
-                    service,
-                    StandardWatchEventKinds.ENTRY_CREATE,
-                    StandardWatchEventKinds.ENTRY_MODIFY,
-                    StandardWatchEventKinds.ENTRY_DELETE);
-            while (true) {
-                WatchKey key = service.take();
-                boolean ofConfiguration = key.pollEvents().stream()
-                        .anyMatch(event -> String.valueOf(event.context()).endsWith(".yaml"));
-                key.reset();
-                if (ofConfiguration) {
+    /** Prints a result and returns its exit code. */
+    private static int print(PublishResult result, CommandOutput output) {
+        result.lines().forEach((result.isDone() ? output.out() : output.err())::println);
+        return result.isDone() ? ExitCode.DONE : ExitCode.FAILED;
+    }
+
+    /** Publishes whenever the folder has new content that has settled, until the process is stopped. */
+    private static int watch(FolderPublisher publisher, LogSession session, Path path, CommandOutput output)
+            throws InterruptedException {
+        WatchedExit exit = WatchedExit.install();
+        FolderWatch watched = FolderWatch.create();
+        String lastFailure = "";
+        while (true) {
+            if (watched.hasSettled(read(path))) {
+                try {
                     session.refresh(READ_MILLIS);
-                    publish(session, path, output);
+                    exit.code(print(publisher.publish(), output));
+                    lastFailure = "";
+                } catch (IOException | LogUnavailableException | java.util.concurrent.CompletionException e) {
+                    String failure = "not published: " + CommandLine.rootOf(e) + "; it is tried again";
+                    if (!failure.equals(lastFailure)) {
+                        output.err().println(failure);
+                    }
+                    lastFailure = failure;
+                    exit.code(ExitCode.FAILED);
+                    watched.again();
                 }
             }
+            TimeUnit.MILLISECONDS.sleep(WATCH_MILLIS);
+        }
+    }
+
+    /** Reads the folder. */
+    private static Reading read(Path path) {
+        try {
+            return Reading.of(ConfigurationFolder.readSome(path));
+        } catch (ConfigurationFolderException e) {
+            return Reading.failed(e.problems());
         }
     }
 }
--- a/src/main/java/org/verbenatray/configuration/ConfigurationFolder.java
+++ b/src/main/java/org/verbenatray/configuration/ConfigurationFolder.java
@@ -10,6 +10,7 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.stream.Stream;
@@ -20,6 +21,9 @@
     /** The hidden file that holds the publish state. */
     private static final String PUBLISH_STATE_FILE = ".published.json";
 
+    /** The end of the names of copies of replaced files. */
+    private static final String COPY_SUFFIX = ".mine";
+
     /** The largest number of directory entries that are looked at. */
     private static final int MAX_DIRECTORY_ENTRIES = 4 * ConfigurationLimits.MAX_FILES;
 
@@ -47,6 +51,55 @@
         return textByFile;
     }
 
+    /**
+     * Returns the text of every {@code *.yaml} file by name, of at least one.
+     *
+     * @throws ConfigurationFolderException when the folder holds none, cannot be read or breaks a bound
+     */
+    public static SortedMap<String, String> readSome(Path folder) {
+        SortedMap<String, String> textByFile = read(folder);
+        if (textByFile.isEmpty()) {
+            String allowed = "at least one file whose name ends in .yaml; an empty folder would remove everything";
+            throw ConfigurationFolderException.of(
+                    List.of(ConfigurationProblem.ofFile(folder.toString(), "no configuration file", allowed)));
+        }
+        return textByFile;
+    }
+
+    /**
+     * Writes or removes one file and keeps a copy of what was there, which is not read as configuration.
+     *
+     * @return the name of the copy, empty when there was no file
+     * @throws IOException when a file cannot be written
+     */
+    public static Optional<String> replace(Path folder, String name, Optional<String> content) throws IOException {
+        if (!ConfigurationLimits.FILE_NAME.matcher(name).matches()) {
+            throw new IOException("the file name " + ConfigurationProblem.quoted(name) + " is not usable");
+        }
+        Path file = folder.resolve(name);
+        Optional<Path> copy = Files.exists(file) ? Optional.of(freeCopy(folder, name)) : Optional.empty();
+        if (copy.isPresent()) {
+            Files.copy(file, copy.get());
+        }
+        if (content.isPresent()) {
+            Path temporary = folder.resolve("." + name + ".new");
+            Files.writeString(temporary, content.get());
+            Files.move(temporary, file, StandardCopyOption.REPLACE_EXISTING);
+        } else {
+            Files.deleteIfExists(file);
+        }
+        return copy.map(path -> path.getFileName().toString());
+    }
+
+    /** Returns the first name for a copy that no file has. */
+    private static Path freeCopy(Path folder, String name) {
+        Path copy = folder.resolve(name + COPY_SUFFIX);
+        for (int number = 2; Files.exists(copy); number++) {
+            copy = folder.resolve(name + "." + number + COPY_SUFFIX);
+        }
+        return copy;
+    }
+
     /** Returns what the publisher of the folder last saw, nothing when the folder was never published from here. */
     public static PublishState readPublishState(Path folder) {
         Path file = folder.resolve(PUBLISH_STATE_FILE);
--- a/src/main/java/org/verbenatray/instance/LogSession.java
+++ b/src/main/java/org/verbenatray/instance/LogSession.java
@@ -30,6 +30,9 @@
     /** The pause between two looks at the progress of the reader in milliseconds. */
     private static final long LOOK_MILLIS = 10;
 
+    /** The time after which any read counts. */
+    private static final long ANY_READ = Long.MIN_VALUE;
+
     /** The time that one append may take in milliseconds. */
     private static final long APPEND_MILLIS = 15_000;
 
@@ -65,7 +68,7 @@
         LogSession session = new LogSession(author, platform);
         session.parts.follower().start();
         try {
-            session.caughtUp(session.timing.inMillis(timeoutMillis)).get();
+            session.caughtUp(ANY_READ, session.timing.inMillis(timeoutMillis)).get();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new LogUnavailableException("interrupted while reading the log; start the command again", e);
@@ -97,10 +100,11 @@
         }
     }
 
-    /** Reads whatever is new; returns when the reader has caught up. */
+    /** Reads whatever is new by now; fails when the platform does not answer in time. */
     public void refresh(long timeoutMillis) {
+        long now = timing.ticker().nanos();
         parts.follower().poke();
-        caughtUp(timing.inMillis(timeoutMillis)).join();
+        caughtUp(now, timing.inMillis(timeoutMillis)).join();
     }
 
     @Override
@@ -110,16 +114,20 @@
         worker.shutdownNow();
     }
 
-    /** Completes when the reader has caught up with the log. */
-    private CompletableFuture<Void> caughtUp(Deadline deadline) {
+    /** Completes when the reader has caught up with the log as it was after the given time. */
+    private CompletableFuture<Void> caughtUp(long afterNanos, Deadline deadline) {
         CompletableFuture<Void> done = new CompletableFuture<>();
-        look(deadline, done);
+        look(afterNanos, deadline, done);
         return done;
     }
 
     /** Looks whether the reader has caught up, again and again until the deadline. */
-    private void look(Deadline deadline, CompletableFuture<Void> done) {
-        if (parts.follower().isCaughtUp() && parts.follower().lastReadNanos().isPresent()) {
+    private void look(long afterNanos, Deadline deadline, CompletableFuture<Void> done) {
+        boolean readSince = parts.follower()
+                .lastReadNanos()
+                .filter(at -> afterNanos == ANY_READ || at - afterNanos >= 0)
+                .isPresent();
+        if (readSince && parts.follower().isCaughtUp()) {
             done.complete(null);
         } else if (timing.passed(deadline)) {
             String cause = parts.follower()
@@ -128,7 +136,7 @@
                     .orElse("the log was not read to its end in time");
             done.completeExceptionally(new LogUnavailableException(cause, null));
         } else {
-            timing.scheduler().runAt(timing.inMillis(LOOK_MILLIS), () -> look(deadline, done));
+            timing.scheduler().runAt(timing.inMillis(LOOK_MILLIS), () -> look(afterNanos, deadline, done));
         }
     }
 }
