--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -28,6 +28,7 @@
         commands.put("check", CheckCommand::new);
         commands.put("publish", PublishCommand::new);
         commands.put("history", HistoryCommand::new);
+        commands.put("explain", ExplainCommand::new);
         commands.put("dump", DumpCommand::new);
         commands.put("demo", DemoCommand::new);
         commands.put("standin platform", StandinPlatformCommand::new);
--- /dev/null
+++ b/src/main/java/org/verbenatray/explain/Explanation.java
@@ -0,0 +1,59 @@
+package org.verbenatray.explain;
+
+import java.time.Instant;
+import java.util.List;
+import org.verbenatray.telemetry.Event;
+
+/**
+ * What became of one request.
+ *
+ * @param request the id of the request
+ * @param instance the instance that served it
+ * @param failureDomain the failure domain of the instance
+ * @param customer the customer
+ * @param subject the model, or the service with the method and path of its call
+ * @param receivedMillis when it was received, in milliseconds since the epoch
+ * @param configuration the offset of the configuration in force at that time
+ * @param steps what happened to it, in order
+ * @param omittedSteps the number of later steps that were not kept
+ */
+public record Explanation(
+        String request,
+        String instance,
+        String failureDomain,
+        String customer,
+        String subject,
+        long receivedMillis,
+        long configuration,
+        List<TimedStep> steps,
+        int omittedSteps) {
+    /** Returns the explanation as lines of key=value pairs. */
+    public List<String> lines() {
+        Event head = Event.named("received")
+                .with("request", request)
+                .with("at", Instant.ofEpochMilli(receivedMillis))
+                .with("customer", customer)
+                .with("subject", subject)
+                .with("instance", instance)
+                .with("failure_domain", failureDomain)
+                .with("configuration", configuration)
+                .with("omitted_steps", omittedSteps);
+        return java.util.stream.Stream.concat(
+                        java.util.stream.Stream.of(head.toString()),
+                        steps.stream()
+                                .map(step -> step.step()
+                                        .event()
+                                        .with("request", request)
+                                        .with("after_ms", step.afterMillis())
+                                        .toString()))
+                .toList();
+    }
+
+    /**
+     * A step and its time.
+     *
+     * @param afterMillis the time since the receipt of the request in milliseconds
+     * @param step the step
+     */
+    public record TimedStep(long afterMillis, Step step) {}
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Bounded records of what became of single requests and why, for operators. */
+package org.verbenatray.explain;
--- a/src/main/java/org/verbenatray/instance/ServingWiring.java
+++ b/src/main/java/org/verbenatray/instance/ServingWiring.java
@@ -8,6 +8,7 @@
 import org.verbenatray.admission.ModelCapacity;
 import org.verbenatray.admission.RetryBudget;
 import org.verbenatray.configuration.ActiveConfiguration;
+import org.verbenatray.explain.Explanations;
 import org.verbenatray.fleet.EngineView;
 import org.verbenatray.once.OnceGate;
 import org.verbenatray.once.OnceLimits;
@@ -111,6 +112,11 @@
                 services,
                 servers,
                 OnceCalls.create(once, services, servers),
+                Explanations.bounded(
+                        runtime.settings().name(),
+                        runtime.settings().failureDomain(),
+                        Explanations.DEFAULT_REQUESTS,
+                        runtime.timing()),
                 runtime.settings().defaultTimeoutMillis());
     }
 
--- a/src/main/java/org/verbenatray/serving/CompletionBody.java
+++ b/src/main/java/org/verbenatray/serving/CompletionBody.java
@@ -2,12 +2,16 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
-import org.verbenatray.log.RecordCodec;
 
 /**
  * The JSON body of a completion request; keys that this system does not use are ignored.
@@ -32,6 +36,15 @@
     /** The largest number of tokens that may be asked for. */
     private static final int LARGEST_MAX_TOKENS = 131_072;
 
+    /** Reads bodies without turning values of one type into another and without ignoring what follows. */
+    private static final ObjectReader READER = JsonMapper.builder()
+            .addModule(new Jdk8Module())
+            .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build()
+            .readerFor(CompletionBody.class);
+
     /** Parses a body; fails with a {@link RefusalException} that names what is wrong. */
     static CompletionBody parse(byte[] body, boolean chat) {
         CompletionBody parsed = read(body);
@@ -41,6 +54,9 @@
         if (chat && parsed.messages().orElse(List.of()).isEmpty()) {
             throw bad("the key \"messages\" is missing or empty; give at least one message with role and content");
         }
+        if (chat && !parsed.messages().orElse(List.of()).stream().allMatch(Message::isWhole)) {
+            throw bad("a message lacks its role or its content; give both as strings");
+        }
         if (!chat && parsed.prompt().orElse("").isEmpty()) {
             throw bad("the key \"prompt\" is missing or empty; give the prompt as a string");
         }
@@ -69,7 +85,7 @@
     /** Reads the JSON. */
     private static CompletionBody read(byte[] body) {
         try {
-            return RecordCodec.mapper().readValue(body, CompletionBody.class);
+            return READER.readValue(body);
         } catch (JsonMappingException e) {
             throw bad("the body has a wrong type at " + e.getPathReference().replaceAll("^.*\\[\"", "[\"")
                     + "; see the completion API for the types");
@@ -91,5 +107,10 @@
      * @param role the role
      * @param content the text
      */
-    record Message(String role, String content) {}
+    record Message(String role, String content) {
+        /** Returns whether a message is there with its role and content. */
+        private static boolean isWhole(Message message) {
+            return message != null && message.role() != null && message.content() != null;
+        }
+    }
 }
--- a/src/main/java/org/verbenatray/serving/CompletionHandler.java
+++ b/src/main/java/org/verbenatray/serving/CompletionHandler.java
@@ -6,6 +6,8 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Optional;
+import org.verbenatray.explain.Step;
+import org.verbenatray.explain.Trace;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.web.Bodies;
@@ -67,6 +69,9 @@
         /** The request. */
         private final CompletionRequest request;
 
+        /** Keeps what happens for explanations. */
+        private final Trace trace;
+
         /** Sends the answer. */
         private final AnswerSink answer;
 
@@ -89,7 +94,14 @@
         Call(HttpServerExchange exchange, CompletionRequest request) {
             this.exchange = exchange;
             this.request = request;
-            this.relay = new StreamRelay(request, parts.relay(), this, exchange.getIoThread());
+            this.trace = parts.explanations()
+                    .begin(
+                            request.requestId(),
+                            request.customer(),
+                            request.model(),
+                            request.receivedNanos(),
+                            parts.configuration().get().offset());
+            this.relay = new StreamRelay(request, parts.relay(), this, trace, exchange.getIoThread());
             StreamedReply reply = StreamedReply.create(exchange, MAX_PENDING_BYTES, this::callerGone);
             this.answer =
                     request.streamed() ? new SseAnswer(request, exchange, reply) : new WholeAnswer(request, exchange);
@@ -113,6 +125,7 @@
                 given.ended(0);
                 return;
             }
+            trace.add(new Step.Admitted(trace.afterMillis()));
             admission = Optional.of(given);
             given.beginning();
             relay.start();
@@ -132,6 +145,7 @@
             if (outputTokens > 1) {
                 parts.relay().metrics().betweenTokens((now - firstTokenNanos) / (outputTokens - 1.0));
             }
+            trace.add(new Step.Ended("whole", Optional.empty(), outputTokens));
             finished("whole", outputTokens);
             answer.end(finish, outputTokens);
         }
@@ -141,6 +155,7 @@
             if (over) {
                 return;
             }
+            trace.add(new Step.Ended(refusal.document().error().type(), Optional.of(refusal.message()), 0));
             finished(refusal.kind().name(), 0);
             answer.fail(refusal);
         }
@@ -150,6 +165,7 @@
             if (!over) {
                 waiting.cancel();
                 relay.callerGone();
+                trace.add(new Step.Ended("caller_gone", Optional.empty(), 0));
                 finished("caller_gone", 0);
                 exchange.endExchange();
             }
--- a/src/main/java/org/verbenatray/serving/EngineSlot.java
+++ b/src/main/java/org/verbenatray/serving/EngineSlot.java
@@ -1,6 +1,7 @@
 package org.verbenatray.serving;
 
 import java.util.Optional;
+import org.verbenatray.routing.Route;
 import org.verbenatray.servers.ServerFailure;
 
 /** One engine chosen for one dispatch, and what becomes known of it. */
@@ -14,6 +15,16 @@
     /** Returns the name of another engine that processes the prompt first. */
     Optional<String> prefillEngine();
 
+    /** Returns why the engine was chosen, empty where no router chose it. */
+    default Optional<Route> route() {
+        return Optional.empty();
+    }
+
+    /** Returns the number of engines that were configured to generate the tokens. */
+    default int alternatives() {
+        return 0;
+    }
+
     /** Returns the base URI of the engine that processes the prompt. */
     String prefillAddress();
 
--- a/src/main/java/org/verbenatray/serving/EntryServer.java
+++ b/src/main/java/org/verbenatray/serving/EntryServer.java
@@ -6,10 +6,14 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.verbenatray.explain.Explanation;
+import org.verbenatray.explain.Explanations;
 import org.verbenatray.settings.EntrySettings;
 import org.verbenatray.telemetry.Metrics;
 import org.verbenatray.telemetry.StateDump;
+import org.verbenatray.web.Bodies;
 import org.verbenatray.web.Replies;
 import org.xnio.XnioWorker;
 
@@ -38,7 +42,7 @@
         callers = Undertow.builder()
                 .setWorker(worker)
                 .addHttpListener(settings.listen().getPort(), settings.listen().getHostString())
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, settings.maxBodyBytes())
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, Bodies.serverLimit(settings.maxBodyBytes()))
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
@@ -68,7 +72,10 @@
                 .get("/healthz", exchange -> Replies.text(exchange, 200, "text/plain", "ok\n"))
                 .get("/readyz", exchange -> readiness(exchange, ready.getAsBoolean()))
                 .get("/metrics", exchange -> Replies.text(exchange, 200, "text/plain; version=0.0.4", metrics.text()))
-                .get("/state", exchange -> Replies.json(exchange, 200, dump.read()));
+                .get("/state", exchange -> Replies.json(exchange, 200, dump.read()))
+                .get("/explain/{id}", exchange -> explain(exchange, parts.explanations()))
+                .setFallbackHandler(exchange -> RefusalReply.send(exchange, unknownOperation()))
+                .setInvalidMethodHandler(exchange -> RefusalReply.send(exchange, unknownOperation()));
         EntryServer server = new EntryServer(settings, worker, serving, operating);
         server.callers.start();
         server.operators.start();
@@ -96,8 +103,9 @@
         HttpHandler routes = Handlers.routing()
                 .post("/v1/completions", new CompletionHandler(parts, false))
                 .post("/v1/chat/completions", new CompletionHandler(parts, true))
-                .get("/v1/models", new ModelsHandler(parts.configuration()))
-                .setFallbackHandler(EntryServer::notFound);
+                .get("/v1/models", new ModelsHandler(parts))
+                .setFallbackHandler(EntryServer::notFound)
+                .setInvalidMethodHandler(EntryServer::notFound);
         HttpHandler services = new ServiceHandler(parts);
         return exchange -> {
             if (exchange.getRequestPath().startsWith(ServiceFilter.PREFIX)) {
@@ -114,10 +122,32 @@
                 exchange,
                 Refusal.notRun(
                         RefusalKind.NOT_FOUND,
-                        "nothing is served here; use /v1/completions, /v1/chat/completions, /v1/models"
+                        "nothing is served here; use POST /v1/completions, /v1/chat/completions, /v1/models"
                                 + " or /services/NAME/..."));
     }
 
+    /** Tells what became of a request. */
+    private static void explain(HttpServerExchange exchange, Explanations explanations) {
+        String id = exchange.getQueryParameters().get("id").getFirst();
+        Optional<Explanation> found = explanations.find(id);
+        if (found.isPresent()) {
+            Replies.json(exchange, 200, found.get());
+            return;
+        }
+        RefusalReply.send(
+                exchange,
+                Refusal.notRun(
+                        RefusalKind.NOT_FOUND,
+                        "this instance keeps no request of that id; ask the others with explain --operators"));
+    }
+
+    /** Returns the refusal of an unknown path of the operators' port. */
+    private static Refusal unknownOperation() {
+        return Refusal.notRun(
+                RefusalKind.NOT_FOUND,
+                "nothing is served here; use GET /healthz, /readyz, /metrics, /state or /explain/ID");
+    }
+
     /** Tells whether this instance takes requests. */
     private static void readiness(HttpServerExchange exchange, boolean ready) {
         Replies.text(exchange, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
--- a/src/main/java/org/verbenatray/serving/ModelsHandler.java
+++ b/src/main/java/org/verbenatray/serving/ModelsHandler.java
@@ -8,18 +8,40 @@
 import org.verbenatray.configuration.ActiveConfiguration;
 import org.verbenatray.web.Replies;
 
-/** Lists the configured models. */
+/** Lists the configured models to customers. */
 final class ModelsHandler implements HttpHandler {
+    /** No body. */
+    private static final byte[] NO_BODY = new byte[0];
+
     /** The configuration in force. */
     private final Supplier<ActiveConfiguration> configuration;
 
+    /** Reads requests. */
+    private final RequestReader reader;
+
+    /** Finds customers. */
+    private final IdentifyFilter identify;
+
     /** Creates a handler. */
-    ModelsHandler(Supplier<ActiveConfiguration> configuration) {
-        this.configuration = configuration;
+    ModelsHandler(ServingParts parts) {
+        this.configuration = parts.configuration();
+        this.reader =
+                new RequestReader(parts.defaultTimeoutMillis(), parts.relay().ticker());
+        this.identify = new IdentifyFilter(parts.configuration());
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
+        try {
+            identify.apply(reader.read(exchange, NO_BODY));
+            list(exchange);
+        } catch (RefusalException e) {
+            RefusalReply.send(exchange, e.refusal());
+        }
+    }
+
+    /** Sends the list. */
+    private void list(HttpServerExchange exchange) {
         List<Model> models = configuration.get().fleet().models().keySet().stream()
                 .sorted()
                 .map(name -> new Model(name, "model", "verbenatray"))
--- a/src/main/java/org/verbenatray/serving/OnceCalls.java
+++ b/src/main/java/org/verbenatray/serving/OnceCalls.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
 import org.verbenatray.configuration.FleetConfiguration.ServerSpec;
 import org.verbenatray.log.RecordBody.CallAnswer;
 import org.verbenatray.once.CallKey;
@@ -44,8 +45,8 @@
         return new OnceCalls(gate, services, servers);
     }
 
-    /** Runs a call; the future never fails but for a malformed key, with a {@link RefusalException}. */
-    CompletableFuture<OnceResult> run(ServiceCall call, XnioIoThread thread) {
+    /** Runs a call and tells each server that it is handed to; fails at once with a {@link RefusalException}. */
+    CompletableFuture<OnceResult> run(ServiceCall call, Consumer<String> sentTo, XnioIoThread thread) {
         Optional<CallKey> key = call.idempotencyKey().map(text -> key(call, text));
         String bodyHash = CallKeys.bodyHash(
                 call.service(),
@@ -53,7 +54,7 @@
                 call.request().path(),
                 call.request().body());
         OnceRequest request = new OnceRequest(key, bodyHash, call.request().deadline());
-        return gate.execute(request, () -> send(call, thread, new HashSet<>()));
+        return gate.execute(request, () -> send(call, sentTo, thread, new HashSet<>()));
     }
 
     /** Returns the key of a call. */
@@ -65,13 +66,15 @@
     }
 
     /** Sends a call to the first server that takes its connection. */
-    private CompletableFuture<CallAnswer> send(ServiceCall call, XnioIoThread thread, Set<String> barred) {
+    private CompletableFuture<CallAnswer> send(
+            ServiceCall call, Consumer<String> sentTo, XnioIoThread thread, Set<String> barred) {
         Optional<ServerSpec> chosen = servers.choose(call.spec(), barred);
         if (chosen.isEmpty()) {
             return CompletableFuture.failedFuture(
                     new NotSentException("no backend server of " + call.service() + " takes connections", null));
         }
         ServerSpec server = chosen.get();
+        sentTo.accept(server.name());
         return services.send(server.address(), call.request(), true, thread)
                 .thenApply(OnceCalls::answer)
                 .exceptionallyCompose(problem -> {
@@ -80,7 +83,7 @@
                         return CompletableFuture.failedFuture(problem);
                     }
                     barred.add(server.name());
-                    return send(call, thread, barred);
+                    return send(call, sentTo, thread, barred);
                 });
     }
 
--- a/src/main/java/org/verbenatray/serving/RoutedChooser.java
+++ b/src/main/java/org/verbenatray/serving/RoutedChooser.java
@@ -86,7 +86,9 @@
     public Optional<EngineSlot> choose(
             CompletionRequest request, int emittedTokens, Set<String> barred, Optional<String> only) {
         RouteRequest wanted = wanted(request, emittedTokens, barred);
-        return router.choose(wanted, candidates(request.model(), only)).flatMap(route -> slot(route, wanted));
+        Candidates candidates = candidates(request.model(), only);
+        return router.choose(wanted, candidates)
+                .flatMap(route -> slot(route, wanted, candidates.decoding().size()));
     }
 
     /** Returns the best route of a request with what it promises, empty when no engine can take it now. */
@@ -144,7 +146,7 @@
     }
 
     /** Counts the dispatch and returns its slot. */
-    private Optional<EngineSlot> slot(Route route, RouteRequest request) {
+    private Optional<EngineSlot> slot(Route route, RouteRequest request, int alternatives) {
         EngineSpec spec = configuration.get().engines().get(route.engine());
         Optional<EngineSpec> prefillSpec =
                 route.prefillEngine().map(name -> configuration.get().engines().get(name));
@@ -154,7 +156,7 @@
         prefixIndex.onDispatch(route.prefillEngine().orElse(route.engine()), request.prefixHashes());
         String prefillAddress = prefillSpec.map(EngineSpec::address).orElse(spec.address());
         return RouteDispatch.start(fleet, route, request, ticker.nanos())
-                .map(dispatch -> new Slot(route, spec.address(), prefillAddress, dispatch));
+                .map(dispatch -> new Slot(route, alternatives, spec.address(), prefillAddress, dispatch));
     }
 
     /**
@@ -171,6 +173,9 @@
         /** The route. */
         private final Route route;
 
+        /** The number of engines that were configured to generate the tokens. */
+        private final int alternatives;
+
         /** The base URI of the engine. */
         private final String address;
 
@@ -184,8 +189,9 @@
         private final long incarnation;
 
         /** Creates a slot. */
-        Slot(Route route, String address, String prefillAddress, RouteDispatch dispatch) {
+        Slot(Route route, int alternatives, String address, String prefillAddress, RouteDispatch dispatch) {
             this.route = route;
+            this.alternatives = alternatives;
             this.address = address;
             this.prefillAddress = prefillAddress;
             this.dispatch = dispatch;
@@ -197,6 +203,16 @@
             return route.engine();
         }
 
+        @Override
+        public Optional<Route> route() {
+            return Optional.of(route);
+        }
+
+        @Override
+        public int alternatives() {
+            return alternatives;
+        }
+
         @Override
         public String address() {
             return address;
--- a/src/main/java/org/verbenatray/serving/ServiceHandler.java
+++ b/src/main/java/org/verbenatray/serving/ServiceHandler.java
@@ -11,6 +11,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletionException;
 import org.verbenatray.configuration.FleetConfiguration.ServerSpec;
+import org.verbenatray.explain.Step;
+import org.verbenatray.explain.Trace;
+import org.verbenatray.once.OnceResult;
 import org.verbenatray.servers.HttpReply;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.telemetry.Event;
@@ -69,7 +72,7 @@
             CallerRequest request = identify.apply(reader.read(exchange, body));
             ServiceCall call = service.apply(exchange, request);
             parts.open().enter();
-            Call open = new Call(exchange, call);
+            Call open = new Call(exchange, call, request.receivedNanos());
             if (call.call().repeatable()) {
                 open.send();
             } else {
@@ -89,6 +92,9 @@
         /** The call. */
         private final ServiceCall call;
 
+        /** Keeps what happens for explanations. */
+        private final Trace trace;
+
         /** The servers that must not be tried again. */
         private final Set<String> barred = new HashSet<>();
 
@@ -96,17 +102,27 @@
         private boolean sent;
 
         /** Creates a call. */
-        Call(HttpServerExchange exchange, ServiceCall call) {
+        Call(HttpServerExchange exchange, ServiceCall call, long receivedNanos) {
             this.exchange = exchange;
             this.call = call;
+            this.trace = parts.explanations()
+                    .begin(
+                            call.request().requestId(),
+                            call.request().customer(),
+                            call.service() + " " + call.request().method() + " "
+                                    + call.call().path(),
+                            receivedNanos,
+                            parts.configuration().get().offset());
         }
 
         /** Runs the call at most once. */
         void runOnce() {
+            trace.add(new Step.Reserving(call.idempotencyKey().isPresent()));
             try {
                 parts.once()
-                        .run(call, exchange.getIoThread())
+                        .run(call, server -> trace.add(new Step.Sent(server)), exchange.getIoThread())
                         .thenAccept(result -> exchange.getIoThread().execute(() -> {
+                            trace.add(ended(result));
                             finished(result.kind().name().toLowerCase(Locale.ROOT), "-");
                             OnceReplies.send(exchange, result);
                         }));
@@ -123,6 +139,7 @@
                 return;
             }
             ServerSpec server = chosen.get();
+            trace.add(new Step.Sent(server.name()));
             parts.services()
                     .send(server.address(), call.request(), false, exchange.getIoThread())
                     .whenComplete(
@@ -132,6 +149,7 @@
         /** Handles the reply or the failure of a server. */
         private void answered(ServerSpec server, HttpReply reply, Throwable problem) {
             if (problem == null) {
+                trace.add(new Step.Ended("answered", Optional.empty(), 0));
                 finished("answered", server.name());
                 exchange.getResponseHeaders().put(SERVER_HEADER, server.name());
                 String type = reply.header("content-type").orElse("application/octet-stream");
@@ -139,6 +157,7 @@
                 return;
             }
             ServerFailure failure = failureOf(problem);
+            trace.add(new Step.ServerFailed(server.name(), failure.getMessage()));
             parts.servers().failed(server);
             barred.add(server.name());
             boolean nothingSent = failure.kind() == ServerFailure.Kind.NOT_CONNECTED;
@@ -158,6 +177,12 @@
                     : ServerFailure.create(ServerFailure.Kind.BROKEN, String.valueOf(cause), cause);
         }
 
+        /** Returns the last step of a call that may run at most once. */
+        private static Step ended(OnceResult result) {
+            String kind = result.kind().name().toLowerCase(Locale.ROOT);
+            return new Step.Ended(kind, Optional.of(result.reason()), 0);
+        }
+
         /** Returns the refusal when no server is left. */
         private Refusal noServer() {
             String message = "no backend server of " + call.service() + " can take the call; send it again later";
@@ -179,6 +204,7 @@
 
         /** Gives a refusal as the final answer. */
         private void refuse(Refusal refusal) {
+            trace.add(new Step.Ended(refusal.document().error().type(), Optional.of(refusal.message()), 0));
             finished(refusal.kind().name(), "-");
             RefusalReply.send(exchange, refusal);
         }
--- a/src/main/java/org/verbenatray/serving/ServingParts.java
+++ b/src/main/java/org/verbenatray/serving/ServingParts.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Supplier;
 import org.verbenatray.configuration.ActiveConfiguration;
+import org.verbenatray.explain.Explanations;
 import org.verbenatray.servers.ServiceClient;
 
 /**
@@ -16,6 +17,7 @@
  * @param services talks to backend servers of plain services
  * @param servers chooses them
  * @param once runs calls that must not be repeated
+ * @param explanations what became of the last requests
  * @param defaultTimeoutMillis the time a request may take where the caller states none, in milliseconds
  */
 public record ServingParts(
@@ -28,4 +30,5 @@
         ServiceClient services,
         ServerChooser servers,
         OnceCalls once,
+        Explanations explanations,
         long defaultTimeoutMillis) {}
--- a/src/main/java/org/verbenatray/serving/StreamRelay.java
+++ b/src/main/java/org/verbenatray/serving/StreamRelay.java
@@ -7,6 +7,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
+import org.verbenatray.explain.Trace;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.servers.EngineChunk;
 import org.verbenatray.servers.EngineClient;
@@ -62,6 +63,9 @@
     /** Counts what happens. */
     private final Metrics metrics;
 
+    /** Keeps what happens for explanations. */
+    private final RelayTrace trace;
+
     /** The engines that must not be tried again. */
     private final Set<String> barred = new HashSet<>();
 
@@ -114,7 +118,7 @@
     private boolean over;
 
     /** Creates a relay from its parts. */
-    StreamRelay(CompletionRequest request, RelayParts parts, AnswerSink sink, XnioIoThread thread) {
+    StreamRelay(CompletionRequest request, RelayParts parts, AnswerSink sink, Trace trace, XnioIoThread thread) {
         this.request = request;
         this.guard = parts.guard();
         this.fingerprint = SuspectGuard.fingerprint(request);
@@ -125,6 +129,7 @@
         this.retryAllowed = parts.retryAllowed();
         this.metrics = parts.metrics();
         this.sink = sink;
+        this.trace = new RelayTrace(trace);
         this.thread = thread;
     }
 
@@ -163,6 +168,7 @@
         if (choice instanceof GuardedChoice.Send send) {
             dispatch(send.slot());
         } else if (choice instanceof GuardedChoice.Wait wait) {
+            trace.heldBack();
             watch.cancel();
             watch = timers.at(thread, wait.askAgain(), this::run);
         } else if (choice instanceof GuardedChoice.Refuse refuse) {
@@ -176,6 +182,7 @@
     private void dispatch(EngineSlot chosen) {
         slot = chosen;
         runs++;
+        trace.dispatched(runs, chosen, emittedTokens);
         dispatch = UUID.randomUUID().toString();
         GenerateRequest generate = new GenerateRequest(
                 dispatch,
@@ -305,6 +312,7 @@
     /** Continues the stream of the engine over a new connection. */
     private void resume() {
         metrics.recovered("resumed");
+        trace.resumed(engine, emittedTokens);
         lastProgressNanos = ticker.nanos();
         exchange.cancel();
         exchange = engines.resume(address, dispatch, emittedTokens, thread, new Listener(++connection));
@@ -316,6 +324,7 @@
         long dispatched = slot.incarnation(engine);
         boolean restarted = status != null && status.incarnation().orElse(dispatched) != dispatched;
         if (restarted || closesConnections(problem)) {
+            trace.crashed(engine, dispatched);
             guard.crashed(engine, dispatched);
         }
     }
@@ -348,6 +357,7 @@
             return;
         }
         metrics.recovered("run_again");
+        trace.runAgain(engine, failure, emittedTokens);
         run();
     }
 
--- a/src/main/java/org/verbenatray/standin/ServiceServer.java
+++ b/src/main/java/org/verbenatray/standin/ServiceServer.java
@@ -5,7 +5,10 @@
 import io.undertow.util.HttpString;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.verbenatray.web.Bodies;
@@ -26,6 +29,9 @@
     /** The answers that are still to be lost after the call took effect. */
     private final AtomicInteger answersToLose = new AtomicInteger();
 
+    /** The headers of the last call, with lower-case names. */
+    private volatile Map<String, List<String>> lastHeaders = Map.of();
+
     /** Creates and starts a service. */
     private ServiceServer(InetSocketAddress address) {
         this.server = Undertow.builder()
@@ -65,6 +71,11 @@
                 .orElse(0);
     }
 
+    /** Returns the headers of the last call, with lower-case names. */
+    public Map<String, List<String>> lastHeaders() {
+        return lastHeaders;
+    }
+
     /** Loses the given number of coming answers after the calls took effect. */
     public void loseAnswers(int count) {
         answersToLose.set(count);
@@ -77,6 +88,7 @@
 
     /** Runs one call. */
     private void serve(HttpServerExchange exchange, byte[] body) {
+        lastHeaders = headersOf(exchange);
         String method = exchange.getRequestMethod().toString();
         String text = new String(body, StandardCharsets.UTF_8);
         int count = runs.computeIfAbsent(key(method, exchange.getRequestPath(), text), key -> new AtomicInteger())
@@ -92,6 +104,15 @@
         Replies.json(exchange, 200, new Ran(method, exchange.getRequestPath(), count));
     }
 
+    /** Returns the headers of a call. */
+    private static Map<String, List<String>> headersOf(HttpServerExchange exchange) {
+        Map<String, List<String>> headers = new TreeMap<>();
+        exchange.getRequestHeaders()
+                .forEach(values ->
+                        headers.put(values.getHeaderName().toString().toLowerCase(Locale.ROOT), List.copyOf(values)));
+        return headers;
+    }
+
     /** Returns the key of a call. */
     private static String key(String method, String path, String body) {
         return method + " " + path + " " + body;
