--- a/src/main/java/org/verbenatray/instance/PeerControl.java
+++ b/src/main/java/org/verbenatray/instance/PeerControl.java
@@ -71,8 +71,8 @@
     /** The exchanges so far. */
     private int exchanges;
 
-    /** Whether records were asked of peers at the last exchange. */
-    private boolean cutOff;
+    /** Tells when the log service went out of reach or came back. */
+    private final LogReach reach;
 
     /** Creates a control that listens but has no links yet. */
     PeerControl(
@@ -88,6 +88,7 @@
         this.suspects = suspects;
         this.timing = timing;
         this.loads = new PeerLoads(fleet);
+        this.reach = LogReach.startingAt(timing.ticker().nanos());
         this.links = PeerLinks.start(
                 PeerSettings.defaults(self, listen.getHostString(), listen.getPort()),
                 handlers(),
@@ -185,14 +186,9 @@
 
     /** Asks the peer that read most of the log for what this instance lacks. */
     private void askForRecords() {
-        boolean nowCutOff = !logParts.follower().isFresh(CUT_OFF_MILLIS);
-        if (nowCutOff != cutOff) {
-            Event.named(nowCutOff ? "log_out_of_reach" : "log_in_reach")
-                    .with("instance", self.instance())
-                    .with("position", logParts.fold().position())
-                    .log(log, Level.WARNING);
-        }
-        cutOff = nowCutOff;
+        boolean cutOff = !logParts.follower().isFresh(CUT_OFF_MILLIS);
+        boolean everRead = logParts.follower().lastReadNanos().isPresent();
+        reach.changed(cutOff, everRead, timing.ticker().nanos()).ifPresent(this::logReach);
         long position = logParts.fold().position();
         if (!cutOff) {
             return;
@@ -204,6 +200,16 @@
                 .ifPresent(peer -> links.requestState(peer.identity().instance(), position, position == 0));
     }
 
+    /** Logs that the log service went out of reach or came back. */
+    private void logReach(boolean outOfReach) {
+        Event.named(outOfReach ? "log_out_of_reach" : "log_in_reach")
+                .with("instance", self.instance())
+                .with("failure_domain", self.failureDomain())
+                .with("position", logParts.fold().position())
+                .with("configuration", logParts.configuration().active().offset())
+                .log(log, outOfReach ? Level.WARNING : Level.INFO);
+    }
+
     /** Answers a peer that is cut off from the platform. */
     private void answer(PeerIdentity from, StateRequest request) {
         Optional<List<org.verbenatray.log.StoredRecord>> records = relayed.from(request.getFromOffset());
@@ -246,10 +252,6 @@
 
     /** Forgets the load of a peer that fell silent. */
     private void reachable(PeerIdentity peer, boolean isReachable) {
-        Event.named(isReachable ? "peer_reachable" : "peer_silent")
-                .with("peer", peer.instance())
-                .with("failure_domain", peer.failureDomain())
-                .log(log, Level.INFO);
         if (!isReachable) {
             loads.forget(peer.instance(), timing.ticker().nanos());
         }
--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.verbenatray.configuration.EngineRole;
 import org.verbenatray.fleet.EngineCondition;
 import org.verbenatray.fleet.EngineView;
@@ -42,6 +43,9 @@
     /** The sources of time. */
     private final Timing timing;
 
+    /** Adds the instance, its failure domain and its configuration to an event. */
+    private final UnaryOperator<Event> context;
+
     /** The engines that are barred for a suspect of this instance, by fingerprint. */
     private final Map<Fingerprint, String> alone = new HashMap<>();
 
@@ -49,16 +53,19 @@
     private Consumer<SuspectDigest> listener = digest -> {};
 
     /** Creates a guard. */
-    private SuspectGuard(SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing) {
+    private SuspectGuard(
+            SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing, UnaryOperator<Event> context) {
         this.table = table;
         this.chooser = chooser;
         this.fleet = fleet;
         this.timing = timing;
+        this.context = context;
     }
 
-    /** Returns a guard. */
-    public static SuspectGuard create(SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing) {
-        return new SuspectGuard(table, chooser, fleet, timing);
+    /** Returns a guard; the context adds the instance, its failure domain and its configuration to an event. */
+    public static SuspectGuard create(
+            SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing, UnaryOperator<Event> context) {
+        return new SuspectGuard(table, chooser, fleet, timing, context);
     }
 
     /** Returns the fingerprint of a request. */
@@ -104,6 +111,11 @@
         table.started(fingerprint, engine);
     }
 
+    /** Notes that the engine generated enough tokens for a request that a later crash is likely not due to it. */
+    synchronized void progressed(Fingerprint fingerprint) {
+        table.progressed(fingerprint);
+    }
+
     /** Notes that a request ended, or gave a barred engine up before it was sent. */
     synchronized void finished(Fingerprint fingerprint, boolean whole) {
         alone.remove(fingerprint);
@@ -118,7 +130,7 @@
         suspects.forEach(alone::remove);
         suspects.forEach(this::changed);
         if (!suspects.isEmpty()) {
-            Event.named("engine_crashed_with_requests")
+            context.apply(Event.named("engine_crashed_with_requests"))
                     .with("engine", engine)
                     .with("incarnation", incarnation)
                     .with("suspects", suspects.size())
@@ -154,14 +166,15 @@
             int emittedTokens,
             Set<String> barred,
             Optional<String> only) {
+        Set<String> quarantined = table.barredServers(timing.clock().millis());
         Set<String> allBarred = new HashSet<>(barred);
-        allBarred.addAll(table.barredServers(timing.clock().millis()));
+        allBarred.addAll(quarantined);
         if (only.isPresent() && allBarred.contains(only.get())) {
             return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
         }
         Optional<EngineSlot> slot = chooser.choose(request, emittedTokens, allBarred, only);
         if (slot.isEmpty()) {
-            return only.isPresent()
+            return only.isPresent() || !quarantined.isEmpty()
                     ? new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS))
                     : new GuardedChoice.NoEngine();
         }
@@ -192,15 +205,21 @@
         return new GuardedChoice.Send(slot.get());
     }
 
-    /** Returns the engines that can run a request of a model without another engine. */
+    /**
+     * Returns the engines that can run a request of a model without another engine, those whose load is known in detail
+     * where there are any: of the others it is not known when nothing is left on them.
+     */
     private List<String> enginesOfOwn(String model, Set<String> barred) {
-        return fleet.views(timing.ticker().nanos()).stream()
+        List<EngineView> usable = fleet.views(timing.ticker().nanos()).stream()
                 .filter(view -> view.condition() == EngineCondition.READY && view.role() == EngineRole.BOTH)
                 .filter(view ->
                         view.spec().models().isEmpty() || view.spec().models().contains(model))
-                .map(EngineView::name)
-                .filter(name -> !barred.contains(name))
+                .filter(view -> !barred.contains(view.name()))
+                .toList();
+        List<EngineView> known = usable.stream()
+                .filter(view -> fleet.isDetailed(view.spec().failureDomain()))
                 .toList();
+        return (known.isEmpty() ? usable : known).stream().map(EngineView::name).toList();
     }
 
     /** Returns the final answer to a request that crashed engines. */
@@ -212,8 +231,8 @@
     }
 
     /** Logs that a suspect runs alone. */
-    private static void logQuarantine(CompletionRequest request, String engine) {
-        Event.named("suspect_runs_alone")
+    private void logQuarantine(CompletionRequest request, String engine) {
+        context.apply(Event.named("suspect_runs_alone"))
                 .with("request", request.requestId())
                 .with("customer", request.customer())
                 .with("engine", engine)
--- a/src/main/java/org/verbenatray/standin/ServiceServer.java
+++ b/src/main/java/org/verbenatray/standin/ServiceServer.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.verbenatray.web.Bodies;
 import org.verbenatray.web.Replies;
@@ -32,6 +33,9 @@
     /** The headers of the last call, with lower-case names. */
     private volatile Map<String, List<String>> lastHeaders = Map.of();
 
+    /** The time that each answer takes in milliseconds. */
+    private volatile long answerMillis;
+
     /** Creates and starts a service. */
     private ServiceServer(InetSocketAddress address) {
         this.server = Undertow.builder()
@@ -81,6 +85,11 @@
         answersToLose.set(count);
     }
 
+    /** Sets the time between the effect of a call and its answer in milliseconds. */
+    public void answerMillis(long newAnswerMillis) {
+        answerMillis = newAnswerMillis;
+    }
+
     @Override
     public void close() {
         server.stop();
@@ -101,7 +110,13 @@
         if (dispatch != null) {
             exchange.getResponseHeaders().put(DISPATCH_HEADER, dispatch);
         }
-        Replies.json(exchange, 200, new Ran(method, exchange.getRequestPath(), count));
+        Ran ran = new Ran(method, exchange.getRequestPath(), count);
+        if (answerMillis == 0) {
+            Replies.json(exchange, 200, ran);
+            return;
+        }
+        exchange.getIoThread()
+                .executeAfter(() -> Replies.json(exchange, 200, ran), answerMillis, TimeUnit.MILLISECONDS);
     }
 
     /** Returns the headers of a call. */
