--- a/src/main/java/org/verbenatray/instance/EntryInstance.java
+++ b/src/main/java/org/verbenatray/instance/EntryInstance.java
@@ -79,7 +79,7 @@
                 HttpLogService.create(runtime.transport(), settings.platform()),
                 membership::liveInstances,
                 runtime.timing());
-        this.fleet = FleetParts.create(runtime, () -> active().fleet());
+        this.fleet = FleetParts.create(runtime, () -> active().fleet(), () -> active().offset());
         OrderParts orders = OrderParts.create(runtime, logParts, membership);
         this.roles = new RoleControl(orders, fleet.view(), runtime.timing(), runtime.metrics());
         this.serving = new ServingWiring(runtime, logParts, fleet, membership, this::active, this::arrived);
--- a/src/main/java/org/verbenatray/instance/FleetParts.java
+++ b/src/main/java/org/verbenatray/instance/FleetParts.java
@@ -4,6 +4,7 @@
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.verbenatray.admission.OutputEstimator;
 import org.verbenatray.configuration.FleetConfiguration;
 import org.verbenatray.fleet.FleetBounds;
@@ -15,6 +16,7 @@
 import org.verbenatray.serving.SuspectGuard;
 import org.verbenatray.suspects.SuspectLimits;
 import org.verbenatray.suspects.SuspectTable;
+import org.verbenatray.telemetry.Event;
 
 /**
  * What an instance knows of the engines and how it chooses among them.
@@ -26,7 +28,7 @@
  */
 record FleetParts(FleetView view, EnginePoller poller, RoutedChooser chooser, SuspectGuard suspects) {
     /** Returns the parts, without any engine before the first configuration. */
-    static FleetParts create(InstanceRuntime runtime, Supplier<FleetConfiguration> configuration) {
+    static FleetParts create(InstanceRuntime runtime, Supplier<FleetConfiguration> configuration, LongSupplier offset) {
         String failureDomain = runtime.settings().failureDomain();
         PrefixIndex prefixIndex = PrefixIndex.create(PrefixIndex.DEFAULT_PIECES_PER_ENGINE);
         FleetView view = FleetView.create(Set.of(failureDomain), FleetBounds.defaults(), prefixIndex);
@@ -44,7 +46,12 @@
                 failureDomain,
                 runtime.timing().ticker());
         SuspectTable table = SuspectTable.create(runtime.id(), SuspectLimits.defaults());
-        return new FleetParts(view, poller, chooser, SuspectGuard.create(table, chooser, view, runtime.timing()));
+        UnaryOperator<Event> context =
+                event -> event.with("instance", runtime.settings().name())
+                        .with("failure_domain", failureDomain)
+                        .with("configuration", offset.getAsLong());
+        return new FleetParts(
+                view, poller, chooser, SuspectGuard.create(table, chooser, view, runtime.timing(), context));
     }
 
     /** Returns a source of random numbers that several threads may use. */
--- a/src/main/java/org/verbenatray/serving/StreamRelay.java
+++ b/src/main/java/org/verbenatray/serving/StreamRelay.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
-import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
+import org.verbenatray.explain.Trace;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.servers.EngineChunk;
 import org.verbenatray.servers.EngineClient;
@@ -68,6 +68,9 @@
     /** Counts what happens. */
     private final Metrics metrics;
 
+    /** Keeps what happens for explanations. */
+    private final RelayTrace trace;
+
     /** The engines that must not be tried again. */
     private final Set<String> barred = new HashSet<>();
 
@@ -126,7 +129,7 @@
     private boolean over;
 
     /** Creates a relay from its parts. */
-    StreamRelay(CompletionRequest request, RelayParts parts, AnswerSink sink, XnioIoThread thread) {
+    StreamRelay(CompletionRequest request, RelayParts parts, AnswerSink sink, Trace trace, XnioIoThread thread) {
         this.request = request;
         this.guard = parts.guard();
         this.fingerprint = SuspectGuard.fingerprint(request);
@@ -137,6 +140,7 @@
         this.retryAllowed = parts.retryAllowed();
         this.metrics = parts.metrics();
         this.sink = sink;
+        this.trace = new RelayTrace(trace);
         this.thread = thread;
     }
 
@@ -175,6 +179,7 @@
         if (choice instanceof GuardedChoice.Send send) {
             dispatch(send.slot());
         } else if (choice instanceof GuardedChoice.Wait wait) {
+            trace.heldBack();
             watch.cancel();
             watch = timers.at(thread, wait.askAgain(), this::run);
         } else if (choice instanceof GuardedChoice.Refuse refuse) {
@@ -189,6 +194,7 @@
         waitUntil = Optional.empty();
         slot = chosen;
         runs++;
+        trace.dispatched(runs, chosen, emittedTokens);
         progressAt = emittedTokens + PROGRESS_TOKENS;
         dispatch = UUID.randomUUID().toString();
         GenerateRequest generate = new GenerateRequest(
@@ -323,6 +329,7 @@
     /** Continues the stream of the engine over a new connection. */
     private void resume() {
         metrics.recovered("resumed");
+        trace.resumed(engine, emittedTokens);
         lastProgressNanos = ticker.nanos();
         exchange.cancel();
         exchange = engines.resume(address, dispatch, emittedTokens, thread, new Listener(++connection));
@@ -333,18 +340,12 @@
     private void noteCrash(StreamStatus status, Throwable problem) {
         long dispatched = slot.incarnation(engine);
         boolean restarted = status != null && status.incarnation().orElse(dispatched) != dispatched;
-        if (restarted || closesConnections(problem)) {
+        if (restarted || CrashSigns.closesConnections(problem)) {
+            trace.crashed(engine, dispatched);
             guard.crashed(engine, dispatched);
         }
     }
 
-    /** Returns whether a failure shows that nothing serves at the engine's address. */
-    private static boolean closesConnections(Throwable problem) {
-        Throwable cause = problem instanceof CompletionException ? problem.getCause() : problem;
-        return cause instanceof ServerFailure failure
-                && (failure.kind() == ServerFailure.Kind.NOT_CONNECTED || failure.kind() == ServerFailure.Kind.BROKEN);
-    }
-
     /** Tells the guard that the request no longer runs. */
     private void unguard(boolean whole) {
         if (guarded) {
@@ -366,6 +367,7 @@
             return;
         }
         metrics.recovered("run_again");
+        trace.runAgain(engine, failure, emittedTokens);
         run();
     }
 
--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.verbenatray.configuration.EngineRole;
 import org.verbenatray.fleet.EngineCondition;
 import org.verbenatray.fleet.EngineView;
@@ -42,6 +43,9 @@
     /** The sources of time. */
     private final Timing timing;
 
+    /** Adds the instance, its failure domain and its configuration to an event. */
+    private final UnaryOperator<Event> context;
+
     /** The engines that are barred for a suspect of this instance, by fingerprint. */
     private final Map<Fingerprint, String> alone = new HashMap<>();
 
@@ -49,16 +53,19 @@
     private Consumer<SuspectDigest> listener = digest -> {};
 
     /** Creates a guard. */
-    private SuspectGuard(SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing) {
+    private SuspectGuard(
+            SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing, UnaryOperator<Event> context) {
         this.table = table;
         this.chooser = chooser;
         this.fleet = fleet;
         this.timing = timing;
+        this.context = context;
     }
 
-    /** Returns a guard. */
-    public static SuspectGuard create(SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing) {
-        return new SuspectGuard(table, chooser, fleet, timing);
+    /** Returns a guard; the context adds the instance, its failure domain and its configuration to an event. */
+    public static SuspectGuard create(
+            SuspectTable table, EngineChooser chooser, FleetView fleet, Timing timing, UnaryOperator<Event> context) {
+        return new SuspectGuard(table, chooser, fleet, timing, context);
     }
 
     /** Returns the fingerprint of a request. */
@@ -126,7 +133,7 @@
         suspects.forEach(alone::remove);
         suspects.forEach(this::changed);
         if (!suspects.isEmpty()) {
-            Event.named("engine_crashed_with_requests")
+            context.apply(Event.named("engine_crashed_with_requests"))
                     .with("engine", engine)
                     .with("incarnation", incarnation)
                     .with("suspects", suspects.size())
@@ -228,8 +235,8 @@
     }
 
     /** Logs that a suspect runs alone. */
-    private static void logQuarantine(CompletionRequest request, String engine) {
-        Event.named("suspect_runs_alone")
+    private void logQuarantine(CompletionRequest request, String engine) {
+        context.apply(Event.named("suspect_runs_alone"))
                 .with("request", request.requestId())
                 .with("customer", request.customer())
                 .with("engine", engine)
--- a/src/main/java/org/verbenatray/standin/ServiceServer.java
+++ b/src/main/java/org/verbenatray/standin/ServiceServer.java
@@ -5,7 +5,10 @@
 import io.undertow.util.HttpString;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -27,6 +30,9 @@
     /** The answers that are still to be lost after the call took effect. */
     private final AtomicInteger answersToLose = new AtomicInteger();
 
+    /** The headers of the last call, with lower-case names. */
+    private volatile Map<String, List<String>> lastHeaders = Map.of();
+
     /** The time that each answer takes in milliseconds. */
     private volatile long answerMillis;
 
@@ -69,6 +75,11 @@
                 .orElse(0);
     }
 
+    /** Returns the headers of the last call, with lower-case names. */
+    public Map<String, List<String>> lastHeaders() {
+        return lastHeaders;
+    }
+
     /** Loses the given number of coming answers after the calls took effect. */
     public void loseAnswers(int count) {
         answersToLose.set(count);
@@ -86,6 +97,7 @@
 
     /** Runs one call. */
     private void serve(HttpServerExchange exchange, byte[] body) {
+        lastHeaders = headersOf(exchange);
         String method = exchange.getRequestMethod().toString();
         String text = new String(body, StandardCharsets.UTF_8);
         int count = runs.computeIfAbsent(key(method, exchange.getRequestPath(), text), key -> new AtomicInteger())
@@ -107,6 +119,15 @@
                 .executeAfter(() -> Replies.json(exchange, 200, ran), answerMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns the headers of a call. */
+    private static Map<String, List<String>> headersOf(HttpServerExchange exchange) {
+        Map<String, List<String>> headers = new TreeMap<>();
+        exchange.getRequestHeaders()
+                .forEach(values ->
+                        headers.put(values.getHeaderName().toString().toLowerCase(Locale.ROOT), List.copyOf(values)));
+        return headers;
+    }
+
     /** Returns the key of a call. */
     private static String key(String method, String path, String body) {
         return method + " " + path + " " + body;
