Don't run suspects alone on engines that are down

Cause: a crashed engine closes connections until it is back, and its view still says READY. Suspects were sent alone to it, their failure counted as a second crash, and innocent requests were condemned. Change: serving/SuspectGuard takes an engine for down while an entry holds a crash of its newest known incarnation, changed less than 30 s ago; neither chosen for a run alone nor sent a prepared one. The event of a run alone names the fingerprint. Not mended: a suspect that reaches an engine in the moment of its crash, before any news of it.

--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -30,6 +30,9 @@
     /** The pause before a barred engine is looked at again in milliseconds. */
     private static final long LOOK_MILLIS = 100;
 
+    /** The time for which an engine that crashed and was not seen again gets no suspect, in milliseconds. */
+    private static final long DOWN_MILLIS = 30_000;
+
     /** The requests that may crash engines. */
     private final SuspectTable table;
 
@@ -90,7 +93,7 @@
         if (quarantine instanceof Quarantine.Alone run) {
             table.bar(fingerprint, run.server(), now);
             alone.put(fingerprint, run.server());
-            logQuarantine(request, run.server());
+            logQuarantine(request, fingerprint, run.server());
             changed(fingerprint);
             return sendAlone(request, fingerprint, emittedTokens, run.server());
         }
@@ -179,7 +182,7 @@
     private GuardedChoice sendAlone(
             CompletionRequest request, Fingerprint fingerprint, int emittedTokens, String engine) {
         Optional<EngineView> view = fleet.view(engine, timing.ticker().nanos());
-        boolean usable = view.isPresent() && view.get().condition() == EngineCondition.READY;
+        boolean usable = view.isPresent() && view.get().condition() == EngineCondition.READY && !isDown(engine);
         if (!usable) {
             finished(fingerprint, false);
             return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
@@ -206,7 +209,7 @@
                 .filter(view -> view.condition() == EngineCondition.READY && view.role() == EngineRole.BOTH)
                 .filter(view ->
                         view.spec().models().isEmpty() || view.spec().models().contains(model))
-                .filter(view -> !barred.contains(view.name()))
+                .filter(view -> !barred.contains(view.name()) && !isDown(view.name()))
                 .toList();
         List<EngineView> known = usable.stream()
                 .filter(view -> fleet.isDetailed(view.spec().failureDomain()))
@@ -214,6 +217,15 @@
         return (known.isEmpty() ? usable : known).stream().map(EngineView::name).toList();
     }
 
+    /** Returns whether an engine crashed lately and was not seen again since; it would fail whatever is sent to it. */
+    private boolean isDown(String engine) {
+        String incarnation = engine + "@" + fleet.incarnation(engine);
+        long since = timing.clock().millis() - DOWN_MILLIS;
+        return table.entries().stream()
+                .anyMatch(entry ->
+                        entry.lastChangeMillis() > since && entry.crashes().contains(incarnation));
+    }
+
     /** Returns the final answer to a request that crashed engines. */
     private static Refusal condemned(long comeBackMillis) {
         return Refusal.mayHaveRun(
@@ -223,10 +235,11 @@
     }
 
     /** Logs that a suspect runs alone. */
-    private static void logQuarantine(CompletionRequest request, String engine) {
+    private static void logQuarantine(CompletionRequest request, Fingerprint fingerprint, String engine) {
         Event.named("suspect_runs_alone")
                 .with("request", request.requestId())
                 .with("customer", request.customer())
+                .with("fingerprint", fingerprint.hex())
                 .with("engine", engine)
                 .log(log, Level.WARNING);
     }
--- /dev/null
+++ b/src/test/java/org/verbenatray/serving/EnginesDownTest.java
@@ -0,0 +1,71 @@
+package org.verbenatray.serving;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.verbenatray.demo.EmbeddedDeployment;
+import org.verbenatray.demo.EmbeddedDeployment.Shape;
+import org.verbenatray.processes.Await;
+import org.verbenatray.processes.HttpCaller;
+import org.verbenatray.standin.EngineFaults;
+import org.verbenatray.standin.EngineServer;
+import org.verbenatray.standin.engine.TokenText;
+
+/** Innocent requests whose engine crashed while the other engine is down too. */
+public final class EnginesDownTest {
+    private static final int REQUESTS = 4;
+
+    private static final int TOKENS = 100;
+
+    private final HttpCaller caller = HttpCaller.withKey(EmbeddedDeployment.API_KEY);
+
+    private EmbeddedDeployment deployment;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        deployment = EmbeddedDeployment.start(new Shape(List.of("north"), 1, 2, 1, 20_000, 20, 300, 300, 1));
+        deployment.engines().forEach(engine -> engine.faults(EngineFaults.none().withRestartMillis(2_000)));
+    }
+
+    @AfterMethod
+    public void stop() {
+        deployment.close();
+    }
+
+    @Test
+    public void anInnocentRequestIsNotCondemnedByAnEngineThatIsStillDown() {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int seed = 0; seed < REQUESTS; seed++) {
+            answers.add(send(seed));
+        }
+        Await.until(() -> deployment.engines().stream()
+                        .mapToLong(EngineServer::dispatches)
+                        .sum()
+                == REQUESTS);
+        EngineServer first = deployment.engines().get(0);
+        String crash = first.name() + "@" + first.incarnation();
+        first.crash();
+        Await.until(() -> state().contains(crash));
+        deployment.engines().get(1).crash();
+        for (int seed = 0; seed < REQUESTS; seed++) {
+            String body = answers.get(seed).join().body();
+            assertEquals(HttpCaller.textOf(body), TokenText.between(seed, 0, TOKENS), body);
+        }
+    }
+
+    private String state() {
+        return caller.send("GET", deployment.entries().get(0).operatorsAddress() + "/state", "")
+                .body();
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(long seed) {
+        String uri = deployment.entries().get(0).callersAddress() + "/v1/completions";
+        return caller.sendLater("POST", uri, HttpCaller.completion("innocent " + seed, TOKENS, seed, true));
+    }
+}
