The news that a request is condemned waits for no byte budget

Cause: reports on suspects wait while a link is more than 2,048 bytes in debt, in the order in which they came. A crash of a batch gives dozens of reports of some 600 bytes at 960 bytes a second, and the report of the second crash stood behind them: an instance that had not heard of it ran the request once more. Ruled out: the order of sequences in the flood filter, the merge of entries. Change: peers/FramePriority has CONDEMNED without a budget before SUSPECT, peers/FrameRouter picks it by the state of the report, instance/PeerControl gives the state. Trial with the budget of suspects: PeerLinksTest.theNewsThatARequestIsCondemnedPassesAFloodOfSuspects failed. Left: the news that an engine is barred for a run alone still waits for the budget, so two suspects may share an engine.

--- a/src/main/java/org/verbenatray/instance/PeerControl.java
+++ b/src/main/java/org/verbenatray/instance/PeerControl.java
@@ -24,6 +24,7 @@
 import org.verbenatray.platform.InstanceEntry;
 import org.verbenatray.serving.SuspectGuard;
 import org.verbenatray.suspects.SuspectDigest;
+import org.verbenatray.suspects.SuspectEntry;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Timing;
 
@@ -231,10 +232,14 @@
     private void sendSuspect(SuspectDigest digest) {
         digest.entries()
                 .forEach(entry -> links.sendSuspect(
-                        entry.fingerprint().hex(),
-                        SuspectState.SUSPECT_STATE_SUSPECT,
-                        SUSPECT_MILLIS,
-                        RecordCodec.encode(digest)));
+                        entry.fingerprint().hex(), stateOf(entry), SUSPECT_MILLIS, RecordCodec.encode(digest)));
+    }
+
+    /** Returns the state of a suspect that peers see without reading the entry. */
+    private SuspectState stateOf(SuspectEntry entry) {
+        return entry.condemnedUntilMillis() > timing.clock().millis()
+                ? SuspectState.SUSPECT_STATE_CONDEMNED
+                : SuspectState.SUSPECT_STATE_SUSPECT;
     }
 
     /** Takes what a peer knows of a suspect. */
--- a/src/main/java/org/verbenatray/peers/FramePriority.java
+++ b/src/main/java/org/verbenatray/peers/FramePriority.java
@@ -4,7 +4,9 @@
 enum FramePriority {
     /** An instance is leaving. */
     LEAVING(Budget.NONE, 1_024),
-    /** Requests that crashed backend servers. */
+    /** Requests that crashed so many backend servers that they must not run. */
+    CONDEMNED(Budget.NONE, 1_024),
+    /** Requests that crashed a backend server. */
     SUSPECT(Budget.CONTROL_WITH_DEBT, 1_024),
     /** Heartbeats and requests of state. */
     HEARTBEAT(Budget.NONE, 4),
--- a/src/main/java/org/verbenatray/peers/FrameRouter.java
+++ b/src/main/java/org/verbenatray/peers/FrameRouter.java
@@ -11,6 +11,7 @@
 import org.verbenatray.peers.generated.Leaving;
 import org.verbenatray.peers.generated.LoadDelta;
 import org.verbenatray.peers.generated.SuspectReport;
+import org.verbenatray.peers.generated.SuspectState;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Ticker;
 
@@ -99,7 +100,7 @@
     void greet(PeerLink link) {
         for (SuspectReport report : suspects.remaining(ticker.nanos())) {
             Frame frame = Frame.newBuilder().setSuspectReport(report).build();
-            link.send(FramePriority.SUSPECT, suspectKey(report), frame);
+            link.send(priority(report), suspectKey(report), frame);
         }
     }
 
@@ -107,7 +108,14 @@
     void sendSuspect(SuspectReport report) {
         suspects.add(suspectKey(report), report, ticker.nanos());
         Frame frame = Frame.newBuilder().setSuspectReport(report).build();
-        registry.openLinks().forEach(link -> link.send(FramePriority.SUSPECT, suspectKey(report), frame));
+        registry.openLinks().forEach(link -> link.send(priority(report), suspectKey(report), frame));
+    }
+
+    /** Returns the order in which a report is sent; what condemns a request must not wait for its turn. */
+    private static FramePriority priority(SuspectReport report) {
+        return report.getState() == SuspectState.SUSPECT_STATE_CONDEMNED
+                ? FramePriority.CONDEMNED
+                : FramePriority.SUSPECT;
     }
 
     /** Sends the notice of a leaving instance to all links. */
@@ -151,7 +159,7 @@
             Frame frame = Frame.newBuilder().setSuspectReport(report).build();
             registry.openLinks().stream()
                     .filter(other -> other != link)
-                    .forEach(other -> other.send(FramePriority.SUSPECT, suspectKey(report), frame));
+                    .forEach(other -> other.send(priority(report), suspectKey(report), frame));
         }
     }
 
--- a/src/test/java/org/verbenatray/peers/PeerLinksTest.java
+++ b/src/test/java/org/verbenatray/peers/PeerLinksTest.java
@@ -94,6 +94,20 @@
         await("d: suspect print");
     }
 
+    @Test
+    public void theNewsThatARequestIsCondemnedPassesAFloodOfSuspects() throws Exception {
+        PeerLinks first = start("a", "johar", 0);
+        PeerLinks second = start("b", "gulberg", 0);
+        connect(first, "b", second);
+        await("a: reachable b true", "b: reachable a true");
+        String detail = "x".repeat(600);
+        for (int i = 0; i < 20; i++) {
+            first.sendSuspect("other " + i, SuspectState.SUSPECT_STATE_SUSPECT, 60_000, detail);
+        }
+        first.sendSuspect("print", SuspectState.SUSPECT_STATE_CONDEMNED, 60_000, detail);
+        await("b: suspect print");
+    }
+
     @Test
     public void badAndOversizedFramesCloseOnlyTheirLink() throws Exception {
         PeerLinks first = start("a", "johar", 0);
