--- a/src/main/java/org/verbenatray/faults/Callers.java
+++ b/src/main/java/org/verbenatray/faults/Callers.java
@@ -25,6 +25,9 @@
     /** The largest number of attempts of one issuance. */
     private static final int MAX_ATTEMPTS = 4;
 
+    /** The kind of refusal of a request that crashes engines. */
+    private static final String CONDEMNED = "\"crashes_servers\"";
+
     /** The number of times that the poison request is sent. */
     private static final int POISON_SENDS = 5;
 
@@ -64,6 +67,9 @@
     /** The calls whose connection broke because their instance was killed. */
     private final AtomicInteger brokenByKill = new AtomicInteger();
 
+    /** The calls other than the poison request that were told that they crash engines. */
+    private final AtomicInteger innocentCondemned = new AtomicInteger();
+
     /** The chains of calls that have not ended. */
     private final List<CompletableFuture<?>> open = new ArrayList<>();
 
@@ -135,6 +141,11 @@
         return brokenByKill.get();
     }
 
+    /** Returns the calls other than the poison request that were told that they crash engines. */
+    int innocentCondemned() {
+        return innocentCondemned.get();
+    }
+
     /** Sends the poison request and sends it again after its final answer. */
     private CompletableFuture<Void> poison(LoadCall call, int sent) {
         if (sent == POISON_SENDS) {
@@ -184,6 +195,7 @@
         boolean poisonous = call.body().contains(FaultActions.POISON_TEXT);
         if (!poisonous) {
             summary.add(result);
+            innocentCondemned.addAndGet(result.detail().contains(CONDEMNED) ? 1 : 0);
         }
         if (result.outcome() == Outcome.WRONG) {
             violations.add("wrong answer: " + result);
--- a/src/main/java/org/verbenatray/faults/FaultReport.java
+++ b/src/main/java/org/verbenatray/faults/FaultReport.java
@@ -13,6 +13,7 @@
  * @param notRun the calls that were told that nothing was run
  * @param mayHaveRun the calls that were told that they may have run
  * @param brokenByKill the calls whose connection broke because their instance was killed
+ * @param innocentCondemned the other calls that were told that they crash engines
  * @param issuances the issuances by key
  * @param roleChanges the role changes that took effect
  * @param poisonCrashes the engines that the poison request crashed
@@ -28,6 +29,7 @@
         int notRun,
         int mayHaveRun,
         int brokenByKill,
+        int innocentCondemned,
         int issuances,
         int roleChanges,
         int poisonCrashes,
--- a/src/main/java/org/verbenatray/faults/FaultRun.java
+++ b/src/main/java/org/verbenatray/faults/FaultRun.java
@@ -180,6 +180,7 @@
                 summary.count(Outcome.NOT_RUN),
                 summary.count(Outcome.MAY_HAVE_RUN),
                 callers.brokenByKill(),
+                callers.innocentCondemned(),
                 ledger.count(),
                 deployment.engines().stream()
                         .mapToInt(EngineServer::roleChanges)
