Answers that are no text reach their caller; a repeat without a kept answer is told that the call ran

Cause: a binary answer, or a kept answer without its body, went out empty with its status and looked complete. Change: the caller of the attempt that ran gets the raw reply; a repeat gets the refusal ANSWER_NOT_KEPT with ran=yes.

--- a/src/main/java/org/verbenatray/serving/OnceCalls.java
+++ b/src/main/java/org/verbenatray/serving/OnceCalls.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.verbenatray.configuration.FleetConfiguration.ServerSpec;
 import org.verbenatray.log.RecordBody.CallAnswer;
@@ -16,7 +17,6 @@
 import org.verbenatray.once.NotSentException;
 import org.verbenatray.once.OnceGate;
 import org.verbenatray.once.OnceRequest;
-import org.verbenatray.once.OnceResult;
 import org.verbenatray.servers.HttpReply;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.servers.ServiceClient;
@@ -46,7 +46,7 @@
     }
 
     /** Runs a call and tells each server that it is handed to; fails at once with a {@link RefusalException}. */
-    CompletableFuture<OnceResult> run(ServiceCall call, Consumer<String> sentTo, XnioIoThread thread) {
+    CompletableFuture<OnceReply> run(ServiceCall call, Consumer<String> sentTo, XnioIoThread thread) {
         Optional<CallKey> key = call.idempotencyKey().map(text -> key(call, text));
         String bodyHash = CallKeys.bodyHash(
                 call.service(),
@@ -54,7 +54,9 @@
                 call.request().path(),
                 call.request().body());
         OnceRequest request = new OnceRequest(key, bodyHash, call.request().deadline());
-        return gate.execute(request, () -> send(call, sentTo, thread, new HashSet<>()));
+        AtomicReference<HttpReply> fresh = new AtomicReference<>();
+        return gate.execute(request, () -> send(call, sentTo, fresh::set, thread, new HashSet<>()))
+                .thenApply(result -> new OnceReply(result, Optional.ofNullable(fresh.get())));
     }
 
     /** Returns the key of a call. */
@@ -67,7 +69,11 @@
 
     /** Sends a call to the first server that takes its connection. */
     private CompletableFuture<CallAnswer> send(
-            ServiceCall call, Consumer<String> sentTo, XnioIoThread thread, Set<String> barred) {
+            ServiceCall call,
+            Consumer<String> sentTo,
+            Consumer<HttpReply> replied,
+            XnioIoThread thread,
+            Set<String> barred) {
         Optional<ServerSpec> chosen = servers.choose(call.spec(), barred);
         if (chosen.isEmpty()) {
             return CompletableFuture.failedFuture(
@@ -76,14 +82,17 @@
         ServerSpec server = chosen.get();
         sentTo.accept(server.name());
         return services.send(server.address(), call.request(), true, thread)
-                .thenApply(OnceCalls::answer)
+                .thenApply(reply -> {
+                    replied.accept(reply);
+                    return answer(reply);
+                })
                 .exceptionallyCompose(problem -> {
                     servers.failed(server);
                     if (!nothingSent(problem)) {
                         return CompletableFuture.failedFuture(problem);
                     }
                     barred.add(server.name());
-                    return send(call, sentTo, thread, barred);
+                    return send(call, sentTo, replied, thread, barred);
                 });
     }
 
--- a/src/main/java/org/verbenatray/serving/OnceReplies.java
+++ b/src/main/java/org/verbenatray/serving/OnceReplies.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.verbenatray.log.RecordBody.CallAnswer;
 import org.verbenatray.once.OnceResult;
+import org.verbenatray.servers.HttpReply;
 import org.verbenatray.web.Replies;
 
 /** Sends the results of calls that must not be repeated. */
@@ -16,9 +17,19 @@
     private OnceReplies() {}
 
     /** Sends a result. */
-    static void send(HttpServerExchange exchange, OnceResult result) {
-        if (result.answer().isPresent()) {
-            answer(exchange, result, result.answer().get());
+    static void send(HttpServerExchange exchange, OnceReply reply) {
+        OnceResult result = reply.result();
+        Optional<CallAnswer> answer = result.answer();
+        if (answer.isPresent() && reply.fresh().isPresent() && !result.stored()) {
+            HttpReply fresh = reply.fresh().get();
+            Replies.bytes(exchange, fresh.status(), answer.get().contentType(), fresh.body());
+        } else if (answer.isPresent() && answer.get().body().isPresent()) {
+            exchange.getResponseHeaders().put(REPLAYED_HEADER, "true");
+            Replies.text(
+                    exchange,
+                    answer.get().status(),
+                    answer.get().contentType(),
+                    answer.get().body().get());
         } else {
             RefusalReply.send(exchange, refusal(result));
         }
@@ -32,6 +43,8 @@
             case KEY_MISUSED -> Refusal.notRun(RefusalKind.KEY_MISUSED, result.reason());
             case RUNNING -> Refusal.mayHaveRun(RefusalKind.CALL_RUNNING, result.reason(), retry);
             case NOT_RUN -> notRun(result, retry);
+            case ANSWERED ->
+                new Refusal(RefusalKind.ANSWER_NOT_KEPT, Refusal.Ran.YES, result.reason(), Optional.empty());
             default -> Refusal.mayHaveRun(RefusalKind.SERVER_FAILED, result.reason(), retry);
         };
     }
@@ -45,13 +58,4 @@
                 result.reason() + "; nothing was sent for this request, an earlier one with its key may have run";
         return Refusal.mayHaveRun(RefusalKind.LOG_UNAVAILABLE, message, retry);
     }
-
-    /** Sends the answer of the backend server. */
-    private static void answer(HttpServerExchange exchange, OnceResult result, CallAnswer answer) {
-        if (result.stored()) {
-            exchange.getResponseHeaders().put(REPLAYED_HEADER, "true");
-        }
-        Replies.text(
-                exchange, answer.status(), answer.contentType(), answer.body().orElse(""));
-    }
 }
--- /dev/null
+++ b/src/main/java/org/verbenatray/serving/OnceReply.java
@@ -0,0 +1,13 @@
+package org.verbenatray.serving;
+
+import java.util.Optional;
+import org.verbenatray.once.OnceResult;
+import org.verbenatray.servers.HttpReply;
+
+/**
+ * What became of a call that must not be repeated.
+ *
+ * @param result what is known of the call
+ * @param fresh the reply of the backend server to this very request, where it was sent
+ */
+record OnceReply(OnceResult result, Optional<HttpReply> fresh) {}
--- a/src/main/java/org/verbenatray/serving/RefusalKind.java
+++ b/src/main/java/org/verbenatray/serving/RefusalKind.java
@@ -14,6 +14,8 @@
     TOO_LARGE(413),
     /** The idempotency key was used with another body, is too old, or cannot be kept. */
     KEY_MISUSED(422),
+    /** The call of the key ran, but its answer was too large or no text and is not kept for repeats. */
+    ANSWER_NOT_KEPT(409),
     /** The call of the key is running. */
     CALL_RUNNING(409),
     /** The customer's limit is reached. */
--- a/src/main/java/org/verbenatray/serving/ServiceHandler.java
+++ b/src/main/java/org/verbenatray/serving/ServiceHandler.java
@@ -121,10 +121,10 @@
             try {
                 parts.once()
                         .run(call, server -> trace.add(new Step.Sent(server)), exchange.getIoThread())
-                        .thenAccept(result -> exchange.getIoThread().execute(() -> {
-                            trace.add(ended(result));
-                            finished(result.kind().name().toLowerCase(Locale.ROOT), "-");
-                            OnceReplies.send(exchange, result);
+                        .thenAccept(reply -> exchange.getIoThread().execute(() -> {
+                            trace.add(ended(reply.result()));
+                            finished(reply.result().kind().name().toLowerCase(Locale.ROOT), "-");
+                            OnceReplies.send(exchange, reply);
                         }));
             } catch (RefusalException e) {
                 refuse(e.refusal());
--- a/src/main/java/org/verbenatray/standin/ServiceServer.java
+++ b/src/main/java/org/verbenatray/standin/ServiceServer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,9 @@
     /** The HTTP server. */
     private final Undertow server;
 
+    /** The answer to every call, empty for the number of its runs. */
+    private volatile Optional<byte[]> fixedAnswer = Optional.empty();
+
     /** The answers that are still to be lost after the call took effect. */
     private final AtomicInteger answersToLose = new AtomicInteger();
 
@@ -80,6 +84,11 @@
         return lastHeaders;
     }
 
+    /** Answers every call with these bytes from now on. */
+    public void answerWith(byte[] bytes) {
+        fixedAnswer = Optional.of(bytes.clone());
+    }
+
     /** Loses the given number of coming answers after the calls took effect. */
     public void loseAnswers(int count) {
         answersToLose.set(count);
@@ -110,6 +119,10 @@
         if (dispatch != null) {
             exchange.getResponseHeaders().put(DISPATCH_HEADER, dispatch);
         }
+        if (fixedAnswer.isPresent()) {
+            Replies.bytes(exchange, 200, "application/octet-stream", fixedAnswer.get());
+            return;
+        }
         Ran ran = new Ran(method, exchange.getRequestPath(), count);
         if (answerMillis == 0) {
             Replies.json(exchange, 200, ran);
--- a/src/test/java/org/verbenatray/processes/HttpCaller.java
+++ b/src/test/java/org/verbenatray/processes/HttpCaller.java
@@ -40,6 +40,16 @@
     /** Sends a request without waiting for the answer. */
     public CompletableFuture<HttpResponse<String>> sendLater(
             String method, String uri, String body, String... headers) {
+        return client.sendAsync(request(method, uri, body, headers), BodyHandlers.ofString());
+    }
+
+    /** Sends a POST and returns the whole answer as bytes. */
+    public HttpResponse<byte[]> sendForBytes(String uri, String body, String... headers) {
+        return client.sendAsync(request("POST", uri, body, headers), BodyHandlers.ofByteArray())
+                .join();
+    }
+
+    private HttpRequest request(String method, String uri, String body, String... headers) {
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(uri))
                 .timeout(TIMEOUT)
                 .header("Authorization", "Bearer " + key)
@@ -47,7 +57,7 @@
         if (headers.length > 0) {
             request.headers(headers);
         }
-        return client.sendAsync(request.build(), BodyHandlers.ofString());
+        return request.build();
     }
 
     /** Returns the body of a completion. */
--- a/src/test/java/org/verbenatray/serving/OnceCallsTest.java
+++ b/src/test/java/org/verbenatray/serving/OnceCallsTest.java
@@ -98,6 +98,19 @@
         assertEquals(runs(BODY), 1);
     }
 
+    @Test
+    public void anAnswerThatIsNoTextReachesItsCallerAndARepeatIsToldThatTheCallRan() {
+        byte[] binary = {(byte) 0xff, 0, 1, (byte) 0xfe};
+        service().answerWith(binary);
+        String key = freshKey();
+        HttpResponse<byte[]> answer = caller.sendForBytes(issueUri(0), BODY, "Idempotency-Key", key);
+        assertEquals(answer.statusCode(), 200);
+        assertEquals(answer.body(), binary);
+        HttpResponse<String> repeat = issueLater(1, key, BODY).join();
+        assertEquals(repeat.statusCode(), 409, repeat.body());
+        assertTrue(repeat.body().contains("\"ran\":\"yes\""), repeat.body());
+    }
+
     private String freshKey() {
         return UuidV7.at(System.currentTimeMillis(), random).toString();
     }
@@ -111,7 +124,10 @@
     }
 
     private CompletableFuture<HttpResponse<String>> issueLater(int entry, String key, String body) {
-        String uri = deployment.entries().get(entry).callersAddress() + "/services/registry/certificates";
-        return caller.sendLater("POST", uri, body, "Idempotency-Key", key);
+        return caller.sendLater("POST", issueUri(entry), body, "Idempotency-Key", key);
+    }
+
+    private String issueUri(int entry) {
+        return deployment.entries().get(entry).callersAddress() + "/services/registry/certificates";
     }
 }
