--- a/src/main/java/org/verbenatray/cli/PublishCommand.java
+++ b/src/main/java/org/verbenatray/cli/PublishCommand.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.configuration.ConfigurationFolder;
 import org.verbenatray.configuration.ConfigurationFolderException;
@@ -97,7 +98,7 @@
                     session.refresh(READ_MILLIS);
                     exit.code(print(publisher.publish(), output));
                     lastFailure = "";
-                } catch (IOException | LogUnavailableException | java.util.concurrent.CompletionException e) {
+                } catch (LogUnavailableException | CompletionException e) {
                     String failure = "not published: " + CommandLine.rootOf(e) + "; it is tried again";
                     if (!failure.equals(lastFailure)) {
                         output.err().println(failure);
--- a/src/main/java/org/verbenatray/instance/FolderPublisher.java
+++ b/src/main/java/org/verbenatray/instance/FolderPublisher.java
@@ -62,21 +62,13 @@
         return problem.message() + "; " + problem.remedy();
     }
 
-    /**
-     * Publishes the edits of the folder's author unless another author changed the same files.
-     *
-     * @throws IOException when the publish state cannot be kept in the folder
-     */
-    public PublishResult publish() throws IOException {
+    /** Publishes the edits of the folder's author unless another author changed the same files. */
+    public PublishResult publish() {
         return readAndPublish(false);
     }
 
-    /**
-     * Publishes the folder as it is, also against what other authors changed up to now.
-     *
-     * @throws IOException when the publish state cannot be kept in the folder
-     */
-    public PublishResult overrule() throws IOException {
+    /** Publishes the folder as it is, also against what other authors changed up to now. */
+    public PublishResult overrule() {
         return readAndPublish(true);
     }
 
@@ -98,7 +90,7 @@
                         + copy.map(name -> ", your version is kept as " + name).orElse(""));
             }
             PublishPlan rest = ChangeSets.plan(ConfigurationFolder.read(folder), session.configuration(), plan.next());
-            ConfigurationFolder.writePublishState(folder, rest.next());
+            keep(rest.next(), lines);
             rest.change()
                     .ifPresent(change -> change.files()
                             .forEach(file -> lines.add("not published yet: your edit of " + file.name())));
@@ -110,7 +102,7 @@
     }
 
     /** Publishes the folder as it is now. */
-    private PublishResult readAndPublish(boolean overrule) throws IOException {
+    private PublishResult readAndPublish(boolean overrule) {
         try {
             SortedMap<String, String> files = ConfigurationFolder.readSome(folder);
             MergeResult merged = ConfigurationMerger.merge(files);
@@ -125,12 +117,12 @@
     }
 
     /** Appends the change set of a plan where there is one. */
-    private PublishResult carryOut(SortedMap<String, String> files, PublishPlan plan) throws IOException {
+    private PublishResult carryOut(SortedMap<String, String> files, PublishPlan plan) {
         List<String> lines = new ArrayList<>();
         plan.behind().forEach(divergence -> lines.add("behind: " + divergence.message() + "; " + WAYS_OUT));
         plan.conflicts().forEach(divergence -> lines.add("conflict: " + divergence.message() + "; " + WAYS_OUT));
         if (plan.change().isEmpty()) {
-            ConfigurationFolder.writePublishState(folder, plan.next());
+            keep(plan.next(), lines);
             lines.add("nothing published, in force is offset "
                     + session.configuration().offset());
             return new PublishResult(plan.conflicts().isEmpty() ? Kind.UNCHANGED : Kind.CONFLICT, List.copyOf(lines));
@@ -149,13 +141,23 @@
         }
         rejected = Optional.empty();
         PublishPlan after = ChangeSets.plan(files, session.configuration(), plan.next());
-        ConfigurationFolder.writePublishState(folder, after.next());
         change.files()
                 .forEach(file -> lines.add((file.content().isPresent() ? "published: " : "removed: ") + file.name()));
         lines.add("accepted at offset " + verdict.offset());
+        keep(after.next(), lines);
         return new PublishResult(Kind.ACCEPTED, List.copyOf(lines));
     }
 
+    /** Keeps what the author has seen; a failure is told and does not hide what was published. */
+    private void keep(PublishState next, List<String> lines) {
+        try {
+            ConfigurationFolder.writePublishState(folder, next);
+        } catch (IOException e) {
+            lines.add("the publish state cannot be written to " + folder
+                    + "; give write permission, or the next publish takes edits for conflicts");
+        }
+    }
+
     /** Returns what the author of the folder has seen. */
     private PublishState state(boolean overrule) {
         ConfigurationView view = session.configuration();
--- a/src/main/java/org/verbenatray/instance/ServingWiring.java
+++ b/src/main/java/org/verbenatray/instance/ServingWiring.java
@@ -169,6 +169,7 @@
 
     /** Takes the present capacity of the engines over, now and again after each pause. */
     private void watchCapacity() {
+        logParts.follower().lastReadNanos().ifPresent(at -> runtime.metrics().logAge(runtime.nanos() - at));
         List<EngineView> engines = fleet.view().views(runtime.nanos());
         for (String model : configuration.get().fleet().models().keySet()) {
             admission.onCapacity(model, ModelCapacity.of(model, engines), runtime.nanos());
--- a/src/main/java/org/verbenatray/serving/RefusalKind.java
+++ b/src/main/java/org/verbenatray/serving/RefusalKind.java
@@ -6,8 +6,6 @@
     BAD_REQUEST(400),
     /** The API key is missing or unknown. */
     UNAUTHENTICATED(401),
-    /** The customer may not use what it asked for. */
-    FORBIDDEN(403),
     /** The model, service or call is not configured. */
     NOT_FOUND(404),
     /** The body, a header or the prompt is larger than the bound. */
--- a/src/test/java/org/verbenatray/instance/FolderPublisherTest.java
+++ b/src/test/java/org/verbenatray/instance/FolderPublisherTest.java
@@ -93,6 +93,14 @@
         assertEquals(platform.records().read(0, 1_000).join().next(), end);
     }
 
+    @Test
+    public void whatWasAcceptedIsToldAlsoWhenThePublishStateCannotBeKept() throws IOException {
+        Files.createDirectory(ana.folder().resolve(".published.json.new"));
+        PublishResult result = ana.write("a.yaml", 1).publish();
+        assertEquals(result.kind(), Kind.ACCEPTED);
+        assertTrue(result.lines().get(2).contains("give write permission"), result.toString());
+    }
+
     @Test
     public void aFolderThatIsMissingEmptyOrWrongGetsAnAnswerWithItsRemedy() throws IOException {
         Path missing = ana.folder().resolve("none");
@@ -120,7 +128,7 @@
         assertTrue(watch.hasSettled(failed));
     }
 
-    private static String onlyLineOf(FolderPublisher publisher) throws IOException {
+    private static String onlyLineOf(FolderPublisher publisher) {
         PublishResult result = publisher.publish();
         assertEquals(result.kind(), Kind.INVALID);
         assertEquals(result.lines().size(), 1, result.lines().toString());
