--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -31,6 +31,10 @@
         commands.put("explain", ExplainCommand::new);
         commands.put("dump", DumpCommand::new);
         commands.put("demo", DemoCommand::new);
+        commands.put("bench overhead", BenchOverheadCommand::new);
+        commands.put("bench once", BenchOnceCommand::new);
+        commands.put("bench configuration", BenchConfigurationCommand::new);
+        commands.put("bench control", BenchControlCommand::new);
         commands.put("bench faults", BenchFaultsCommand::new);
         commands.put("standin platform", StandinPlatformCommand::new);
         commands.put("standin engine", StandinEngineCommand::new);
--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -31,6 +31,9 @@
     /** The pause before a barred engine is looked at again in milliseconds. */
     private static final long LOOK_MILLIS = 100;
 
+    /** The time for which an engine that crashed and was not seen again gets no suspect, in milliseconds. */
+    private static final long DOWN_MILLIS = 30_000;
+
     /** The requests that may crash engines. */
     private final SuspectTable table;
 
@@ -87,17 +90,20 @@
         if (prepared != null) {
             return sendAlone(request, fingerprint, emittedTokens, prepared);
         }
-        Quarantine quarantine = table.decide(fingerprint, enginesOfOwn(request.model(), barred), now);
+        List<String> engines = enginesOfOwn(request.model(), barred);
+        Quarantine quarantine = table.decide(fingerprint, engines, now);
         if (quarantine instanceof Quarantine.Refused refused) {
             return new GuardedChoice.Refuse(condemned(refused.comeBackMillis() - now));
         }
+        if (quarantine instanceof Quarantine.Wait && engines.isEmpty()) {
+            return new GuardedChoice.NoEngine();
+        }
         if (quarantine instanceof Quarantine.Wait wait) {
             return new GuardedChoice.Wait(timing.inMillis(Math.max(1, wait.askAgainMillis() - now)));
         }
         if (quarantine instanceof Quarantine.Alone run) {
             table.bar(fingerprint, run.server(), now);
             alone.put(fingerprint, run.server());
-            logQuarantine(request, run.server());
             changed(fingerprint);
             return sendAlone(request, fingerprint, emittedTokens, run.server());
         }
@@ -187,10 +193,10 @@
     private GuardedChoice sendAlone(
             CompletionRequest request, Fingerprint fingerprint, int emittedTokens, String engine) {
         Optional<EngineView> view = fleet.view(engine, timing.ticker().nanos());
-        boolean usable = view.isPresent() && view.get().condition() == EngineCondition.READY;
+        boolean usable = view.isPresent() && view.get().condition() == EngineCondition.READY && !isDown(engine);
         if (!usable) {
             finished(fingerprint, false);
-            return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
+            return new GuardedChoice.NoEngine();
         }
         if (view.get().runningStreams() > 0 || view.get().queuedPrefillTokens() > 0) {
             return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
@@ -198,8 +204,9 @@
         Optional<EngineSlot> slot = chooser.choose(request, emittedTokens, Set.of(), Optional.of(engine));
         if (slot.isEmpty()) {
             finished(fingerprint, false);
-            return new GuardedChoice.Wait(timing.inMillis(LOOK_MILLIS));
+            return new GuardedChoice.NoEngine();
         }
+        logQuarantine(request, fingerprint, engine);
         alone.remove(fingerprint);
         table.started(fingerprint, engine);
         return new GuardedChoice.Send(slot.get());
@@ -214,7 +221,7 @@
                 .filter(view -> view.condition() == EngineCondition.READY && view.role() == EngineRole.BOTH)
                 .filter(view ->
                         view.spec().models().isEmpty() || view.spec().models().contains(model))
-                .filter(view -> !barred.contains(view.name()))
+                .filter(view -> !barred.contains(view.name()) && !isDown(view.name()))
                 .toList();
         List<EngineView> known = usable.stream()
                 .filter(view -> fleet.isDetailed(view.spec().failureDomain()))
@@ -222,6 +229,15 @@
         return (known.isEmpty() ? usable : known).stream().map(EngineView::name).toList();
     }
 
+    /** Returns whether an engine crashed lately and was not seen again since; it would fail whatever is sent to it. */
+    private boolean isDown(String engine) {
+        String incarnation = engine + "@" + fleet.incarnation(engine);
+        long since = timing.clock().millis() - DOWN_MILLIS;
+        return table.entries().stream()
+                .anyMatch(entry ->
+                        entry.lastChangeMillis() > since && entry.crashes().contains(incarnation));
+    }
+
     /** Returns the final answer to a request that crashed engines. */
     private static Refusal condemned(long comeBackMillis) {
         return Refusal.mayHaveRun(
@@ -231,10 +247,11 @@
     }
 
     /** Logs that a suspect runs alone. */
-    private void logQuarantine(CompletionRequest request, String engine) {
+    private void logQuarantine(CompletionRequest request, Fingerprint fingerprint, String engine) {
         context.apply(Event.named("suspect_runs_alone"))
                 .with("request", request.requestId())
                 .with("customer", request.customer())
+                .with("fingerprint", fingerprint.hex())
                 .with("engine", engine)
                 .log(log, Level.WARNING);
     }
