--- a/src/test/java/org/verbenatray/processes/BinaryProcess.java
+++ b/src/test/java/org/verbenatray/processes/BinaryProcess.java
@@ -61,6 +61,16 @@
         process.destroy();
     }
 
+    /** Sends a signal to the process. */
+    void signal(String name) throws IOException, InterruptedException {
+        int code = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
+                .waitFor();
+        if (code != 0) {
+            throw new IOException("kill -" + name + " ended with " + code);
+        }
+    }
+
     /** Kills the process. */
     void kill() {
         process.destroyForcibly();
