load, bench mix and bench plot are commands of the binary

Change: the experiment commands are registered; load drives running instances and judges every answer.

--- a/src/main/java/org/verbenatray/bench/MixCommand.java
+++ b/src/main/java/org/verbenatray/bench/MixCommand.java
@@ -8,12 +8,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.verbenatray.cli.Command;
+import org.verbenatray.cli.CommandOutput;
 
 /** Plays the shifting mix and prints its figures. */
 @Parameters(
         commandNames = "mix",
         commandDescription = "Play shifts of the request mix on a simulated clock and print goodput and role changes.")
-public final class MixCommand {
+public final class MixCommand implements Command {
     /** The exit code of a run that was done. */
     private static final int DONE = 0;
 
@@ -62,10 +64,6 @@
     @Parameter(names = "--json", description = "print JSON lines only, without the table")
     private boolean json;
 
-    /** Whether the usage is asked for. */
-    @Parameter(names = "--help", help = true, description = "show this text")
-    private boolean help;
-
     /** Creates the command. */
     private MixCommand(PrintStream out) {
         this.out = out;
@@ -76,9 +74,9 @@
         return new MixCommand(out);
     }
 
-    /** Returns whether the usage is asked for. */
-    public boolean help() {
-        return help;
+    @Override
+    public int run(CommandOutput output) {
+        return run();
     }
 
     /** Plays the runs and returns the exit code. */
--- a/src/main/java/org/verbenatray/bench/PlotCommand.java
+++ b/src/main/java/org/verbenatray/bench/PlotCommand.java
@@ -16,10 +16,12 @@
 import org.jfree.chart.JFreeChart;
 import org.jfree.data.xy.XYSeries;
 import org.jfree.data.xy.XYSeriesCollection;
+import org.verbenatray.cli.Command;
+import org.verbenatray.cli.CommandOutput;
 
 /** Plots goodput against role changes from the JSON lines of {@link MixCommand}. */
 @Parameters(commandNames = "plot", commandDescription = "Plot goodput against role changes from JSON lines as a PNG.")
-public final class PlotCommand {
+public final class PlotCommand implements Command {
     /** The exit code of a run that was done. */
     private static final int DONE = 0;
 
@@ -57,6 +59,11 @@
         return new PlotCommand(out);
     }
 
+    @Override
+    public int run(CommandOutput target) {
+        return run();
+    }
+
     /** Writes the plot and returns the exit code. */
     public int run() {
         System.setProperty("java.awt.headless", "true");
--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import java.util.logging.Level;
+import org.verbenatray.bench.MixCommand;
+import org.verbenatray.bench.PlotCommand;
 import org.verbenatray.telemetry.KeyValueFormatter;
 import org.verbenatray.telemetry.LastingLogManager;
 
@@ -31,6 +33,9 @@
         commands.put("explain", ExplainCommand::new);
         commands.put("dump", DumpCommand::new);
         commands.put("demo", DemoCommand::new);
+        commands.put("load", LoadCommand::new);
+        commands.put("bench mix", () -> MixCommand.create(System.out));
+        commands.put("bench plot", () -> PlotCommand.create(System.out));
         commands.put("bench overhead", BenchOverheadCommand::new);
         commands.put("bench once", BenchOnceCommand::new);
         commands.put("bench configuration", BenchConfigurationCommand::new);
