Routing sees only the prompts that an engine serves first

Cause: the router counted an engine's whole prompt queue before a check, so checks were refused behind reviews. Change: for a request above the lowest priority the time to process its prompt starts after the running step; the pace still sees the whole queue. The experimental router is removed.

--- a/src/main/java/org/verbenatray/bench/Routers.java
+++ b/src/main/java/org/verbenatray/bench/Routers.java
@@ -16,11 +16,8 @@
     /** The router that scans all pairs and knows that engines honour priorities. */
     static final String LEAST_TIME = "least-time";
 
-    /** The router of the entry instances behind views of the queue by priority. */
-    static final String COST_BY_PRIORITY = "cost-by-priority";
-
     /** The names of the routers. */
-    static final List<String> NAMES = List.of(COST, COST_BY_PRIORITY, LEAST_TIME);
+    static final List<String> NAMES = List.of(COST, LEAST_TIME);
 
     /** Prevents instances. */
     private Routers() {}
@@ -30,7 +27,6 @@
         SplittableRandom random = new SplittableRandom(seed);
         return switch (name) {
             case COST -> CostRouter.create(CostModel.defaults(), prefixIndex, () -> configuration, random::nextLong);
-            case COST_BY_PRIORITY -> PriorityAwareRouter.create(create(COST, prefixIndex, configuration, seed));
             case LEAST_TIME -> new LeastTimeRouter();
             default -> throw new IllegalArgumentException("router " + name + ": use " + String.join(" or ", NAMES));
         };
--- a/src/main/java/org/verbenatray/routing/CostRouter.java
+++ b/src/main/java/org/verbenatray/routing/CostRouter.java
@@ -29,6 +29,9 @@
     /** The configuration in force. */
     private final Supplier<FleetConfiguration> configuration;
 
+    /** Shows the prompts that an engine serves before a request. */
+    private final QueueAhead queueAhead;
+
     /** The source of randomness for sampling large groups. */
     private final LongSupplier random;
 
@@ -38,6 +41,7 @@
         this.costs = costs;
         this.prefixIndex = prefixIndex;
         this.configuration = configuration;
+        this.queueAhead = new QueueAhead(configuration);
         this.random = random;
     }
 
@@ -107,7 +111,7 @@
         for (EngineView engine : engines) {
             int cached = prefixIndex.cachedTokens(engine.name(), request.prefixHashes(), request.promptTokens());
             int uncached = request.promptTokens() - cached;
-            double millis = costs.prefillMillis(engine, uncached);
+            double millis = costs.prefillMillis(queueAhead.seenBy(request.priority(), engine), uncached);
             double othersDelay = costs.prefillDelayMillis(engine, uncached);
             double caution = costs.cautionMillis(engine, request.failureDomain());
             options.add(new PrefillOption(engine, cached, millis, othersDelay, caution));
--- a/src/main/java/org/verbenatray/serving/RoutedChooser.java
+++ b/src/main/java/org/verbenatray/serving/RoutedChooser.java
@@ -230,7 +230,8 @@
 
         @Override
         public long incarnation(String engine) {
-            return engine.equals(firstEngine()) ? incarnation : incarnations.applyAsLong(engine);
+            boolean known = incarnation != 0 && engine.equals(firstEngine());
+            return known ? incarnation : incarnations.applyAsLong(engine);
         }
 
         @Override
