Publish and check print each problem once

Cause: the printed remedy repeated what the message already allows, and the lines on conflicts named the ways out twice. Change: the message alone is printed; the ways out are named in brackets.

--- a/src/main/java/org/verbenatray/cli/CheckCommand.java
+++ b/src/main/java/org/verbenatray/cli/CheckCommand.java
@@ -17,7 +17,7 @@
     @Override
     public int run(CommandOutput output) {
         List<ConfigurationProblem> problems = FolderPublisher.check(Path.of(folder));
-        problems.forEach(problem -> output.err().println(FolderPublisher.text(problem)));
+        problems.forEach(problem -> output.err().println(problem.message()));
         if (!problems.isEmpty()) {
             return ExitCode.FAILED;
         }
--- a/src/main/java/org/verbenatray/instance/FolderPublisher.java
+++ b/src/main/java/org/verbenatray/instance/FolderPublisher.java
@@ -25,7 +25,7 @@
 public final class FolderPublisher {
     /** The ways out of a conflict. */
     private static final String WAYS_OUT =
-            "run publish --take-over to get what is in force into the folder, or publish --overrule to replace it";
+            " (publish --take-over gets what is in force into the folder, publish --overrule replaces it)";
 
     /** The folder. */
     private final Path folder;
@@ -57,11 +57,6 @@
         }
     }
 
-    /** Returns a problem for a terminal: what was found and the remedy. */
-    public static String text(ConfigurationProblem problem) {
-        return problem.message() + "; " + problem.remedy();
-    }
-
     /** Publishes the edits of the folder's author unless another author changed the same files. */
     public PublishResult publish() {
         return readAndPublish(false);
@@ -119,8 +114,8 @@
     /** Appends the change set of a plan where there is one. */
     private PublishResult carryOut(SortedMap<String, String> files, PublishPlan plan) {
         List<String> lines = new ArrayList<>();
-        plan.behind().forEach(divergence -> lines.add("behind: " + divergence.message() + "; " + WAYS_OUT));
-        plan.conflicts().forEach(divergence -> lines.add("conflict: " + divergence.message() + "; " + WAYS_OUT));
+        plan.behind().forEach(divergence -> lines.add("behind: " + divergence.message() + WAYS_OUT));
+        plan.conflicts().forEach(divergence -> lines.add("conflict: " + divergence.message() + WAYS_OUT));
         if (plan.change().isEmpty()) {
             keep(plan.next(), lines);
             lines.add("nothing published, in force is offset "
@@ -167,7 +162,8 @@
     /** Returns the result for a folder that cannot be published. */
     private static PublishResult invalid(List<ConfigurationProblem> problems) {
         return new PublishResult(
-                Kind.INVALID, problems.stream().map(FolderPublisher::text).toList());
+                Kind.INVALID,
+                problems.stream().map(ConfigurationProblem::message).toList());
     }
 
     /** Returns a rejection for a terminal. */
--- a/src/test/java/org/verbenatray/instance/FolderPublisherTest.java
+++ b/src/test/java/org/verbenatray/instance/FolderPublisherTest.java
@@ -108,7 +108,7 @@
         assertTrue(onlyLineOf(ana.publisher()).contains("found no configuration file"));
         Files.writeString(ana.folder().resolve("a.yaml"), "roles: {maxAtOnce: many}\n");
         String line = onlyLineOf(ana.publisher());
-        assertTrue(line.startsWith("a.yaml:1: roles.maxAtOnce: found ") && line.contains("change "), line);
+        assertTrue(line.startsWith("a.yaml:1: roles.maxAtOnce: found \"many\"; allowed: a whole number from 1"), line);
         assertEquals(FolderPublisher.check(missing).size(), 1);
     }
 
