--- a/src/main/java/org/verbenatray/cli/CommandLine.java
+++ b/src/main/java/org/verbenatray/cli/CommandLine.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.function.Supplier;
 import org.verbenatray.settings.EnvironmentDefaults;
@@ -45,8 +46,8 @@
             output.err().println("unknown command " + arguments[0] + "; see " + PROGRAM + " --help");
             return ExitCode.WRONG_USE;
         }
-        String name = String.join(" ", java.util.Arrays.copyOf(arguments, words));
-        return run(name, java.util.Arrays.copyOfRange(arguments, words, arguments.length), output);
+        String name = String.join(" ", Arrays.copyOf(arguments, words));
+        return run(name, Arrays.copyOfRange(arguments, words, arguments.length), output);
     }
 
     /** Runs one command. */
--- a/src/main/java/org/verbenatray/cli/ExplainCommand.java
+++ b/src/main/java/org/verbenatray/cli/ExplainCommand.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.regex.Pattern;
 import org.verbenatray.explain.Explanation;
 import org.verbenatray.log.RecordCodec;
@@ -123,6 +124,6 @@
 
     /** Returns a number with one decimal. */
     private static String tenths(JsonNode number) {
-        return String.format(java.util.Locale.ROOT, "%.1f", number.asDouble());
+        return String.format(Locale.ROOT, "%.1f", number.asDouble());
     }
 }
--- a/src/main/java/org/verbenatray/fleet/PrefixIndex.java
+++ b/src/main/java/org/verbenatray/fleet/PrefixIndex.java
@@ -15,8 +15,8 @@
  * pieces per engine, of which the least recently used are forgotten first.
  */
 public final class PrefixIndex {
-    /** The usual bound on the pieces per engine. */
-    public static final int DEFAULT_PIECES_PER_ENGINE = 1_024;
+    /** The usual bound on the pieces per engine: what a KV cache of about 500,000 tokens can hold. */
+    public static final int DEFAULT_PIECES_PER_ENGINE = 256;
 
     /** The divisor of the hits on an engine whose events had a gap. */
     private static final int DOUBTFUL_DIVISOR = 2;
--- a/src/main/java/org/verbenatray/instance/EntryInstance.java
+++ b/src/main/java/org/verbenatray/instance/EntryInstance.java
@@ -5,6 +5,8 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -12,6 +14,7 @@
 import java.util.stream.Collectors;
 import org.verbenatray.admission.AdmissionRequest;
 import org.verbenatray.configuration.ActiveConfiguration;
+import org.verbenatray.fleet.EngineView;
 import org.verbenatray.fleet.InstanceListEntry;
 import org.verbenatray.peers.PeerIdentity;
 import org.verbenatray.platform.HttpInstanceList;
@@ -209,6 +212,7 @@
                 .section("waiting_requests", serving::waiting)
                 .section("unsettled_calls", serving::unsettledCalls)
                 .section("engines", () -> fleet.view().views(runtime.nanos()))
+                .section("engine_incarnations", this::engineIncarnations)
                 .section("instances", membership::entries)
                 .section("peers", () -> peers.peers())
                 .section(
@@ -220,6 +224,15 @@
                 .section("role_changes", roles::decisions);
     }
 
+    /** Returns the last known incarnation of each known engine, by which its crashes are told apart. */
+    private SortedMap<String, Long> engineIncarnations() {
+        SortedMap<String, Long> incarnations = new TreeMap<>();
+        for (EngineView engine : fleet.view().views(runtime.nanos())) {
+            incarnations.put(engine.name(), fleet.view().incarnation(engine.name()));
+        }
+        return incarnations;
+    }
+
     /** Starts to follow the log, the instance list, the engines and the peers. */
     private void startWork() {
         logParts.follower().onApplied(applied -> configurationChanged());
--- a/src/main/java/org/verbenatray/instance/PeerControl.java
+++ b/src/main/java/org/verbenatray/instance/PeerControl.java
@@ -4,11 +4,13 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.verbenatray.fleet.FleetView;
 import org.verbenatray.log.RecordBody.Snapshot;
 import org.verbenatray.log.RecordCodec;
+import org.verbenatray.log.StoredRecord;
 import org.verbenatray.peers.LinkPlan;
 import org.verbenatray.peers.LinkPlan.PlannedLinks;
 import org.verbenatray.peers.PeerAddress;
@@ -18,6 +20,7 @@
 import org.verbenatray.peers.PeerSettings;
 import org.verbenatray.peers.PeerSnapshot;
 import org.verbenatray.peers.PeerView;
+import org.verbenatray.peers.generated.EngineLoad;
 import org.verbenatray.peers.generated.StateRequest;
 import org.verbenatray.peers.generated.SuspectReport;
 import org.verbenatray.peers.generated.SuspectState;
@@ -163,7 +166,7 @@
     private void exchange() {
         try {
             boolean full = exchanges++ % FULL_EVERY == 0;
-            var changed = full ? concat(loads.takeChanged()) : loads.takeChanged();
+            var changed = full ? withAllTotals(loads.takeChanged()) : loads.takeChanged();
             if (!changed.isEmpty()) {
                 links.sendLoad(changed);
             }
@@ -178,9 +181,8 @@
     }
 
     /** Returns all totals with the changed ones that are zero now. */
-    private List<org.verbenatray.peers.generated.EngineLoad> concat(
-            List<org.verbenatray.peers.generated.EngineLoad> changed) {
-        List<org.verbenatray.peers.generated.EngineLoad> all = new ArrayList<>(changed);
+    private List<EngineLoad> withAllTotals(List<EngineLoad> changed) {
+        List<EngineLoad> all = new ArrayList<>(changed);
         all.addAll(loads.all());
         return all;
     }
@@ -197,7 +199,7 @@
         links.peers().stream()
                 .filter(PeerView::reachable)
                 .filter(peer -> peer.logOffset() >= position)
-                .max(java.util.Comparator.comparingLong(PeerView::logOffset))
+                .max(Comparator.comparingLong(PeerView::logOffset))
                 .ifPresent(peer -> links.requestState(peer.identity().instance(), position, position == 0));
     }
 
@@ -213,7 +215,7 @@
 
     /** Answers a peer that is cut off from the platform. */
     private void answer(PeerIdentity from, StateRequest request) {
-        Optional<List<org.verbenatray.log.StoredRecord>> records = relayed.from(request.getFromOffset());
+        Optional<List<StoredRecord>> records = relayed.from(request.getFromOffset());
         if (records.isPresent() && !request.getSnapshot()) {
             if (!records.get().isEmpty()) {
                 links.sendRecords(from.instance(), records.get());
--- a/src/main/java/org/verbenatray/instance/ServingWiring.java
+++ b/src/main/java/org/verbenatray/instance/ServingWiring.java
@@ -98,7 +98,6 @@
         logParts.follower().onApplied(once::applied);
         logParts.follower().onLeap(position -> once.recheck());
         once.start();
-        admitter.start();
         watchCapacity();
     }
 
--- a/src/main/java/org/verbenatray/load/LoadSummary.java
+++ b/src/main/java/org/verbenatray/load/LoadSummary.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 import org.verbenatray.load.CallResult.Outcome;
@@ -106,7 +107,7 @@
         int sent = kind.outcomes.values().stream().mapToInt(Integer::intValue).sum();
         return String.format(
                 "%-9s %6d %6d %8d %8d %5d %6d %18s %18s%n",
-                name.name().toLowerCase(java.util.Locale.ROOT),
+                name.name().toLowerCase(Locale.ROOT),
                 sent,
                 kind.outcomes.getOrDefault(Outcome.WHOLE, 0),
                 kind.outcomes.getOrDefault(Outcome.NOT_RUN, 0),
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.xnio.ChannelListeners;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -213,7 +214,7 @@
     }
 
     /** Returns a callback that treats a failure as a broken connection. */
-    private ClientCallback<ClientExchange> callback(java.util.function.Consumer<ClientExchange> completed) {
+    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> completed) {
         return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange result) {
--- a/src/main/java/org/verbenatray/serving/IdentifyFilter.java
+++ b/src/main/java/org/verbenatray/serving/IdentifyFilter.java
@@ -3,6 +3,8 @@
 import com.google.common.hash.Hashing;
 import io.undertow.util.Headers;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Supplier;
 import org.verbenatray.configuration.ActiveConfiguration;
@@ -71,10 +73,10 @@
     private record CustomersByKey(ActiveConfiguration source, Map<String, String> names) {
         /** Returns the customers of a configuration. */
         static CustomersByKey of(ActiveConfiguration active) {
-            Map<String, String> names = new java.util.HashMap<>();
+            Map<String, String> names = new HashMap<>();
             active.fleet()
                     .customers()
-                    .forEach((name, spec) -> names.put(spec.keySha256().toLowerCase(java.util.Locale.ROOT), name));
+                    .forEach((name, spec) -> names.put(spec.keySha256().toLowerCase(Locale.ROOT), name));
             return new CustomersByKey(active, Map.copyOf(names));
         }
     }
--- a/src/main/java/org/verbenatray/serving/QueuedAdmitter.java
+++ b/src/main/java/org/verbenatray/serving/QueuedAdmitter.java
@@ -38,6 +38,9 @@
     /** The sources of time. */
     private final Timing timing;
 
+    /** Whether a look at the queue is planned. */
+    private boolean lookPlanned;
+
     /** The waiting requests. */
     private final Map<AdmissionRequest, Waiting> waiting = new IdentityHashMap<>();
 
@@ -50,18 +53,12 @@
         this.timing = timing;
     }
 
-    /** Returns an admitter that looks at its queue after {@link #start()}. */
+    /** Returns an admitter without waiting requests. */
     public static QueuedAdmitter create(
             AdmissionController controller, RoutedChooser chooser, Consumer<AdmissionRequest> arrivals, Timing timing) {
         return new QueuedAdmitter(controller, chooser, arrivals, timing);
     }
 
-    /** Looks at the queue now and again after each pause. */
-    public void start() {
-        releaseWaiting().forEach(Runnable::run);
-        timing.scheduler().runAt(timing.inMillis(LOOK_MILLIS), this::start);
-    }
-
     @Override
     public Cancellation admit(CompletionRequest request, Consumer<Admitted> admitted, Consumer<Refusal> refused) {
         AdmissionRequest wanted = wanted(request);
@@ -80,12 +77,32 @@
                 Ticket ticket = ((Admission.Queued) admission).ticket();
                 waiting.put(wanted, new Waiting(request, ticket, admitted, refused));
                 answers.addAll(releaseWaiting());
+                planLook();
             }
         }
         answers.forEach(Runnable::run);
         return () -> cancel(wanted);
     }
 
+    /** Looks at the queue, and again after a pause while requests wait. */
+    private void look() {
+        List<Runnable> answers;
+        synchronized (this) {
+            lookPlanned = false;
+            answers = releaseWaiting();
+            planLook();
+        }
+        answers.forEach(Runnable::run);
+    }
+
+    /** Plans the next look at the queue while requests wait; the caller holds the lock. */
+    private void planLook() {
+        if (!lookPlanned && !waiting.isEmpty()) {
+            lookPlanned = true;
+            timing.scheduler().runAt(timing.inMillis(LOOK_MILLIS), this::look);
+        }
+    }
+
     /** Returns the number of waiting requests. */
     public synchronized int waitingRequests() {
         return waiting.size();
--- a/src/main/java/org/verbenatray/standin/EngineLoop.java
+++ b/src/main/java/org/verbenatray/standin/EngineLoop.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -40,7 +41,7 @@
     private final EngineModel model;
 
     /** The dispatches by id, the oldest first. */
-    private final Map<String, StreamRecord> records = new java.util.LinkedHashMap<>();
+    private final Map<String, StreamRecord> records = new LinkedHashMap<>();
 
     /** Takes the orders. */
     private final OrderDesk orders;
--- a/src/main/java/org/verbenatray/state/FollowerTimes.java
+++ b/src/main/java/org/verbenatray/state/FollowerTimes.java
@@ -13,7 +13,7 @@
         long pollMillis, long readTimeoutMillis, long firstBackoffMillis, long maxBackoffMillis, int pageRecords) {
     /** Returns values for a platform within a few milliseconds. */
     public static FollowerTimes defaults() {
-        return new FollowerTimes(25, 2_000, 50, 2_000, 1_000);
+        return new FollowerTimes(100, 2_000, 50, 2_000, 1_000);
     }
 
     /** Returns the pause after the given number of failures in a row, in milliseconds. */
--- a/src/test/java/org/verbenatray/serving/EnginesDownTest.java
+++ b/src/test/java/org/verbenatray/serving/EnginesDownTest.java
@@ -41,7 +41,7 @@
     @Test
     public void anInnocentRequestIsNotCondemnedByAnEngineThatIsStillDown() {
         Await.until(() -> deployment.engines().stream()
-                .allMatch(engine -> state().contains("\"incarnation\":" + engine.incarnation())));
+                .allMatch(engine -> state().contains("\"" + engine.name() + "\":" + engine.incarnation())));
         List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
         for (int seed = 0; seed < REQUESTS; seed++) {
             answers.add(send(seed));
