--- a/src/main/java/org/verbenatray/demo/DemoRun.java
+++ b/src/main/java/org/verbenatray/demo/DemoRun.java
@@ -19,6 +19,7 @@
 import org.verbenatray.load.LoadMix;
 import org.verbenatray.load.LoadSummary;
 import org.verbenatray.servers.HttpTransport;
+import org.verbenatray.standin.EngineServer;
 import org.verbenatray.standin.ServiceServer;
 import org.verbenatray.time.Ticker;
 import org.xnio.OptionMap;
@@ -151,6 +152,10 @@
     /** Prints the table and returns whether nothing was lost, doubled or crossed. */
     private boolean report(EmbeddedDeployment deployment) {
         progress.println(summary.table());
+        int roleChanges = deployment.engines().stream()
+                .mapToInt(EngineServer::roleChanges)
+                .sum();
+        progress.println("role changes: " + roleChanges);
         summary.details().forEach(progress::println);
         int most = deployment.services().stream()
                 .mapToInt(ServiceServer::mostRuns)
