A peer that fell silent no longer bars engines for its runs alone

Cause: an instance that was killed during a run alone left its engine barred at its peers for up to five minutes. Ruled out: a shorter bound on runs alone, which long reviews need. Change: the runs of a peer are forgotten with its load when it falls silent; what is known of its suspects stays. The effect on goodput was not measured. Conclusion: a paused peer that comes back may share its engine with others during its run.

--- a/src/main/java/org/verbenatray/instance/PeerControl.java
+++ b/src/main/java/org/verbenatray/instance/PeerControl.java
@@ -257,9 +257,10 @@
         }
     }
 
-    /** Forgets the load of a peer that fell silent. */
+    /** Forgets the load and the runs alone of a peer that fell silent. */
     private void reachable(PeerIdentity peer, boolean isReachable) {
         if (!isReachable) {
+            suspects.forgetRunsOf(peer.instance());
             loads.forget(peer.instance(), timing.ticker().nanos());
         }
     }
--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -149,6 +149,11 @@
         table.merge(digest, timing.clock().millis());
     }
 
+    /** Forgets the runs alone of a peer that fell silent. */
+    public synchronized void forgetRunsOf(String peer) {
+        table.forgetRunsOf(peer);
+    }
+
     /** Returns the entries for the state dump. */
     public synchronized List<SuspectEntry> entries() {
         return table.entries();
--- a/src/main/java/org/verbenatray/suspects/SuspectTable.java
+++ b/src/main/java/org/verbenatray/suspects/SuspectTable.java
@@ -175,6 +175,11 @@
         }
     }
 
+    /** Forgets the runs alone of a peer that fell silent, so that its servers serve others again; its entries stay. */
+    public void forgetRunsOf(String peer) {
+        peers.remove(peer);
+    }
+
     /** Returns the entries for the state dump. */
     public List<SuspectEntry> entries() {
         return List.copyOf(entries.values());
--- a/src/test/java/org/verbenatray/suspects/SuspectTableTest.java
+++ b/src/test/java/org/verbenatray/suspects/SuspectTableTest.java
@@ -42,6 +42,18 @@
         assertTrue(two.barredServers(9).isEmpty());
     }
 
+    @Test
+    public void theServerOfAPeerThatFellSilentServesOthersAgain() {
+        SuspectTable one = crashedOnce("one");
+        SuspectTable two = crashedOnce("two");
+        one.bar(REQUEST, "s2", 5);
+        two.merge(one.digest(), 5);
+        assertEquals(two.barredServers(6), Set.of("s2"));
+        two.forgetRunsOf("one");
+        assertTrue(two.barredServers(6).isEmpty());
+        assertTrue(two.decide(REQUEST, SERVERS, 6) instanceof Quarantine.Alone);
+    }
+
     @Test
     public void twoSuspectsNeverShareAServer() {
         SuspectTable table = crashedOnce("one");
