--- a/src/main/java/org/verbenatray/serving/CompletionHandler.java
+++ b/src/main/java/org/verbenatray/serving/CompletionHandler.java
@@ -10,7 +10,6 @@
 import org.verbenatray.explain.Trace;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.telemetry.Event;
-import org.verbenatray.web.Bodies;
 import org.verbenatray.web.StreamedReply;
 
 /** Serves completion requests: receive, identify, parse, admit, choose, dispatch, relay. */
@@ -40,13 +39,7 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        Bodies.read(
-                exchange,
-                this::serve,
-                broken -> RefusalReply.send(
-                        broken,
-                        Refusal.notRun(
-                                RefusalKind.TOO_LARGE, "the body is larger than the bound or broken; shorten it")));
+        CallerBodies.read(exchange, this::serve);
     }
 
     /** Serves one request. */
--- a/src/main/java/org/verbenatray/serving/ServiceHandler.java
+++ b/src/main/java/org/verbenatray/serving/ServiceHandler.java
@@ -17,7 +17,6 @@
 import org.verbenatray.servers.HttpReply;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.telemetry.Event;
-import org.verbenatray.web.Bodies;
 import org.verbenatray.web.Replies;
 
 /** Serves calls of plain services. */
@@ -57,13 +56,7 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        Bodies.read(
-                exchange,
-                this::serve,
-                broken -> RefusalReply.send(
-                        broken,
-                        Refusal.notRun(
-                                RefusalKind.TOO_LARGE, "the body is larger than the bound or broken; shorten it")));
+        CallerBodies.read(exchange, this::serve);
     }
 
     /** Serves one call. */
