Relay for the users' machines: adapter, routes, directory, plain and engine paths, first thin form

Cause: the product had no transparent relay and no adapter for the users' machines. Change: packages catalog, backends, placement, resilience, relay, instance.Relay*, a small platform/ adapter, the command relay, deploy/system.toml; HttpTransport pools by server start and tells of the moment of sending.

--- a/src/main/java/org/verbenatray/bench/OnceBench.java
+++ b/src/main/java/org/verbenatray/bench/OnceBench.java
@@ -176,7 +176,7 @@
     /** Returns a call of an entry instance under a key of its own. */
     private HttpCall entryCall(int caller) {
         var entries = deployment.entries();
-        return new HttpCall(
+        return HttpCall.create(
                 "POST",
                 URI.create(entries.get(caller % entries.size()).callersAddress()),
                 "/services/registry/certificates",
@@ -188,8 +188,7 @@
                                 .toString(),
                         "Content-Type",
                         "application/json"),
-                body().getBytes(StandardCharsets.UTF_8),
-                false);
+                body().getBytes(StandardCharsets.UTF_8));
     }
 
     /** Returns a body that no other call has. */
--- a/src/main/java/org/verbenatray/bench/OverheadBench.java
+++ b/src/main/java/org/verbenatray/bench/OverheadBench.java
@@ -210,13 +210,12 @@
         long number = calls.incrementAndGet();
         String body = "{\"model\":\"gate-check\",\"prompt\":\"" + prompt(number) + "\",\"max_tokens\":" + tokens
                 + ",\"seed\":" + number + ",\"stream\":" + stream + "}";
-        return new HttpCall(
+        return HttpCall.create(
                 "POST",
                 URI.create(deployment.entries().get(0).callersAddress()),
                 "/v1/completions",
                 Map.of("Authorization", "Bearer " + EmbeddedDeployment.API_KEY, "Content-Type", "application/json"),
-                body.getBytes(StandardCharsets.UTF_8),
-                false);
+                body.getBytes(StandardCharsets.UTF_8));
     }
 
     /** Returns a prompt that no other call has. */
--- a/src/main/java/org/verbenatray/cli/Main.java
+++ b/src/main/java/org/verbenatray/cli/Main.java
@@ -27,6 +27,7 @@
     static Map<String, Supplier<Command>> commands() {
         Map<String, Supplier<Command>> commands = new LinkedHashMap<>();
         commands.put("entry", EntryCommand::new);
+        commands.put("relay", RelayCommand::new);
         commands.put("check", CheckCommand::new);
         commands.put("publish", PublishCommand::new);
         commands.put("history", HistoryCommand::new);
--- /dev/null
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -0,0 +1,309 @@
+package org.verbenatray.instance;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.BackendDirectory;
+import org.verbenatray.catalog.Catalog;
+import org.verbenatray.catalog.CurrentCatalog;
+import org.verbenatray.log.KeyedLog;
+import org.verbenatray.placement.EnginePlanner;
+import org.verbenatray.placement.PlainChooser;
+import org.verbenatray.placement.PrefillSpeed;
+import org.verbenatray.placement.PrefixMemory;
+import org.verbenatray.relay.RelayHandler;
+import org.verbenatray.relay.RelayMetrics;
+import org.verbenatray.relay.RelayParts;
+import org.verbenatray.relay.RelayServer;
+import org.verbenatray.resilience.CrashLedger;
+import org.verbenatray.resilience.RetryBudget;
+import org.verbenatray.state.KeyedFollower;
+import org.verbenatray.telemetry.Event;
+import org.verbenatray.time.Deadline;
+
+/** A relaying instance: follows the routes and the list of servers, and serves callers until it is drained. */
+public final class RelayInstance {
+    /** The time between two rounds of upkeep in milliseconds. */
+    private static final long UPKEEP_MILLIS = 200;
+
+    /** The shortest time between the request to stop and the end, so that no caller comes any more, in milliseconds. */
+    private static final long MIN_DRAIN_MILLIS = 2_500;
+
+    /** The time before the end of the grace in which the process ends on its own, in milliseconds. */
+    private static final long DRAIN_RESERVE_MILLIS = 500;
+
+    /** The time between two looks whether the process may end, in milliseconds. */
+    private static final long DRAIN_LOOK_MILLIS = 50;
+
+    /** The log. */
+    private static final Logger log = System.getLogger(RelayInstance.class.getName());
+
+    /** The settings. */
+    private final RelaySettings settings;
+
+    /** Where the instance learns what it works with. */
+    private final RelaySources sources;
+
+    /** The thread. */
+    private final RelayLoop loop;
+
+    /** The counters. */
+    private final RelayMetrics metrics;
+
+    /** The routes in force. */
+    private final CurrentCatalog catalog;
+
+    /** The backend servers. */
+    private final BackendDirectory directory;
+
+    /** Chooses engines. */
+    private final EnginePlanner planner;
+
+    /** The requests that crash servers. */
+    private final CrashLedger crashes;
+
+    /** The retry budgets by service. */
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+
+    /** Receives callers. */
+    private final RelayHandler handler;
+
+    /** The servers. */
+    private final RelayServer server;
+
+    /** Whether the process is about to end. */
+    private volatile boolean stopping;
+
+    /** Creates and starts an instance. */
+    private RelayInstance(RelaySettings settings, RelaySources sources, RelayLoop loop, RelayMetrics metrics) {
+        this.settings = settings;
+        this.sources = sources;
+        this.loop = loop;
+        this.metrics = metrics;
+        this.catalog = CurrentCatalog.empty(loop.ticker());
+        this.directory = BackendDirectory.empty(loop.ticker(), this::backendEnded);
+        this.crashes = CrashLedger.create(loop.ticker(), this::crashFound);
+        PlainChooser chooser = PlainChooser.create(
+                settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
+        this.planner = EnginePlanner.create(loop.ticker(), PrefixMemory.empty(), PrefillSpeed.unmeasured(), chooser);
+        this.handler = RelayHandler.create(new RelayParts(
+                loop.transport(),
+                loop.thread(),
+                loop.ticker(),
+                sources.dialect(),
+                catalog,
+                directory,
+                chooser,
+                planner,
+                this::budget,
+                crashes,
+                () -> stopping,
+                metrics));
+        this.server = RelayServer.start(
+                loop.worker(),
+                settings.addresses(),
+                handler,
+                this::ready,
+                new RelayServer.Reports(metrics::text, this::state));
+    }
+
+    /** Starts an instance. */
+    public static RelayInstance start(
+            RelaySettings settings, RelaySources sources, RelayLoop loop, RelayMetrics metrics) {
+        RelayInstance instance = new RelayInstance(settings, sources, loop, metrics);
+        loop.thread().execute(instance::follow);
+        Event.named("started")
+                .with("instance", settings.name())
+                .with("domain", settings.domain())
+                .with("callers", settings.addresses().callers())
+                .log(log, Level.INFO);
+        return instance;
+    }
+
+    /** Returns the server for callers. */
+    public RelayServer server() {
+        return server;
+    }
+
+    /** Returns whether the instance takes requests. */
+    public boolean ready() {
+        return !stopping && catalog.get().isPresent() && directory.known();
+    }
+
+    /** Takes nothing new, finishes what is open and returns when the process may end. */
+    public void drain() {
+        stopping = true;
+        long start = loop.ticker().nanos();
+        Event.named("stopping").with("instance", settings.name()).log(log, Level.INFO);
+        Deadline earliest = Deadline.afterMillis(start, MIN_DRAIN_MILLIS);
+        Deadline latest = Deadline.afterMillis(start, settings.graceMillis() - DRAIN_RESERVE_MILLIS);
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        look(earliest, latest, done);
+        done.join();
+        Event.named("stopped")
+                .with("instance", settings.name())
+                .with("open", handler.open())
+                .with("ms", (loop.ticker().nanos() - start) / 1_000_000)
+                .log(log, Level.INFO);
+    }
+
+    /** Stops everything at once. */
+    public void close() {
+        stopping = true;
+        server.close();
+        loop.close();
+    }
+
+    /** Completes the future when nothing is open any more or the time is over. */
+    private void look(Deadline earliest, Deadline latest, CompletableFuture<Void> done) {
+        long now = loop.ticker().nanos();
+        if (latest.passed(now) || earliest.passed(now) && handler.open() == 0) {
+            done.complete(null);
+            return;
+        }
+        loop.scheduler().runAt(Deadline.afterMillis(now, DRAIN_LOOK_MILLIS), () -> look(earliest, latest, done));
+    }
+
+    /** Starts to follow the routes and the servers. */
+    private void follow() {
+        KeyedFollower.start(
+                "routes", sources.routes(), new Routes(), settings.routesPace(), loop.ticker(), loop.scheduler());
+        KeyedFollower.start(
+                "servers", sources.servers(), new Servers(), settings.serversPace(), loop.ticker(), loop.scheduler());
+        upkeep();
+    }
+
+    /** Does what is due from time to time. */
+    private void upkeep() {
+        directory.settle();
+        crashes.forget();
+        loop.scheduler().runAt(Deadline.afterMillis(loop.ticker().nanos(), UPKEEP_MILLIS), this::upkeep);
+    }
+
+    /** Returns the retry budget of a service. */
+    private RetryBudget budget(String service) {
+        return budgets.computeIfAbsent(
+                service,
+                name -> RetryBudget.create(loop.ticker(), settings.retryRatio(), settings.retryWindowMillis()));
+    }
+
+    /** Forgets a start of a server that has ended. */
+    private void backendEnded(Backend backend) {
+        String boot = backend.entry().boot();
+        loop.transport().closeIdle(boot);
+        planner.forget(backend);
+        crashes.ended(boot);
+    }
+
+    /** Tells of a request that crashed a server. */
+    private void crashFound(CrashLedger.Crash crash) {
+        Event.named("crash_found")
+                .with("fingerprint", crash.fingerprint())
+                .with("backend", crash.boot())
+                .log(log, Level.WARNING);
+    }
+
+    /** Returns the state of the process. */
+    private State state() {
+        return new State(
+                settings.name(),
+                ready(),
+                catalog.get().map(Catalog::version).orElse(0L),
+                catalog.get().isPresent() ? catalog.ageMillis() : 0,
+                handler.open(),
+                directory.all().stream().map(RelayInstance::stateOf).toList());
+    }
+
+    /** Returns the state of a backend server. */
+    private static BackendState stateOf(Backend backend) {
+        return new BackendState(
+                backend.entry().boot(),
+                backend.entry().service(),
+                backend.entry().stage().name(),
+                backend.leaving(),
+                backend.open(),
+                backend.failureShare());
+    }
+
+    /** Takes the routes. */
+    private final class Routes implements KeyedFollower.Listener {
+        @Override
+        public void replaced(List<KeyedLog.Entry> entries) {
+            entries.forEach(this::changed);
+        }
+
+        @Override
+        public void changed(KeyedLog.Entry entry) {
+            Optional<Catalog> decoded = sources.routesOf().apply(entry);
+            if (decoded.isPresent() && catalog.offer(decoded.get())) {
+                metrics.catalogVersion(decoded.get().version());
+                Event.named("routes_in_force")
+                        .with("version", decoded.get().version())
+                        .with("routes", decoded.get().routeCount())
+                        .log(log, Level.INFO);
+            }
+        }
+    }
+
+    /** Takes the list of servers. */
+    private final class Servers implements KeyedFollower.Listener {
+        @Override
+        public void replaced(List<KeyedLog.Entry> entries) {
+            directory.replace(entries.stream()
+                    .map(sources.serverOf())
+                    .flatMap(Optional::stream)
+                    .toList());
+        }
+
+        @Override
+        public void changed(KeyedLog.Entry entry) {
+            if (entry.value().isEmpty()) {
+                directory.vanished(entry.key());
+            } else {
+                sources.serverOf().apply(entry).ifPresent(directory::put);
+            }
+        }
+
+        @Override
+        public void unreachable() {
+            directory.listUnreachable();
+        }
+    }
+
+    /**
+     * The state of the process.
+     *
+     * @param instance the name
+     * @param ready whether it takes requests
+     * @param routesVersion the version of the routes, zero for none
+     * @param routesAgeMillis how long they are in force in milliseconds
+     * @param openRequests the requests without a final answer
+     * @param backends the servers
+     */
+    public record State(
+            String instance,
+            boolean ready,
+            long routesVersion,
+            long routesAgeMillis,
+            int openRequests,
+            List<BackendState> backends) {}
+
+    /**
+     * The state of a backend server.
+     *
+     * @param boot its name and start
+     * @param service the service
+     * @param stage what it does
+     * @param leaving whether it takes no new requests
+     * @param open the requests of this instance that it works on
+     * @param failureShare the moving average of failed answers
+     */
+    public record BackendState(
+            String boot, String service, String stage, boolean leaving, int open, double failureShare) {}
+}
--- a/src/main/java/org/verbenatray/load/LoadCaller.java
+++ b/src/main/java/org/verbenatray/load/LoadCaller.java
@@ -48,8 +48,8 @@
         Map<String, String> headers = new HashMap<>(call.headers());
         headers.put("Authorization", "Bearer " + key);
         headers.put("Content-Type", "application/json");
-        HttpCall sent = new HttpCall(
-                "POST", URI.create(address), call.path(), headers, call.body().getBytes(StandardCharsets.UTF_8), false);
+        HttpCall sent = HttpCall.create(
+                "POST", URI.create(address), call.path(), headers, call.body().getBytes(StandardCharsets.UTF_8));
         Answer answer = new Answer(call, transport.ticker());
         Cancellation cancellation = transport.exchange(sent, thread, answer);
         XnioIoThread.Key timer = thread.executeAfter(
--- /dev/null
+++ b/src/main/java/org/verbenatray/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses the backend servers of a request. */
+package org.verbenatray.placement;
--- /dev/null
+++ b/src/main/java/org/verbenatray/platform/CatalogDecoder.java
@@ -0,0 +1,119 @@
+package org.verbenatray.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.verbenatray.catalog.CallKind;
+import org.verbenatray.catalog.CallerLimits;
+import org.verbenatray.catalog.Catalog;
+import org.verbenatray.catalog.EngineLimits;
+import org.verbenatray.catalog.Route;
+import org.verbenatray.catalog.ServiceSpec;
+import org.verbenatray.catalog.WeightedService;
+import org.verbenatray.log.KeyedLog;
+import org.verbenatray.telemetry.Event;
+
+/** Decodes the operator's configuration. */
+final class CatalogDecoder {
+    /** The key of the operator's configuration. */
+    private static final String KEY = "config";
+
+    /** The log. */
+    private static final Logger log = System.getLogger(CatalogDecoder.class.getName());
+
+    /** Reads JSON. */
+    private final ObjectMapper json = new ObjectMapper();
+
+    /** Creates a decoder. */
+    private CatalogDecoder() {}
+
+    /** Returns a decoder. */
+    static CatalogDecoder create() {
+        return new CatalogDecoder();
+    }
+
+    /** Returns the routes in a record, or empty where it holds something else. */
+    Optional<Catalog> decode(KeyedLog.Entry entry) {
+        if (!entry.key().equals(KEY) || entry.value().isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(catalog(json.readTree(entry.value().get())));
+        } catch (IOException | IllegalArgumentException e) {
+            Event.named("routes_malformed").with("why", e.getMessage()).log(log, Level.ERROR);
+            return Optional.empty();
+        }
+    }
+
+    /** Decodes a configuration. */
+    private static Catalog catalog(JsonNode node) {
+        List<Route> routes = new ArrayList<>();
+        node.path("routes").forEach(route -> routes.add(route(route)));
+        List<ServiceSpec> services = new ArrayList<>();
+        node.path("services").forEach(service -> services.add(service(service)));
+        JsonNode limits = node.path("limits");
+        return Catalog.of(
+                node.path("version").asLong(),
+                routes,
+                services,
+                new CallerLimits(
+                        limits.path("maxHeaderBytes").asInt(16_384),
+                        limits.path("maxBodyBytes").asLong(4_194_304),
+                        limits.path("headerTimeoutMs").asLong(10_000),
+                        limits.path("idleTimeoutMs").asLong(60_000)));
+    }
+
+    /** Decodes a route. */
+    private static Route route(JsonNode node) {
+        List<WeightedService> services = new ArrayList<>();
+        for (JsonNode part : node.path("trafficSplit")) {
+            services.add(new WeightedService(
+                    part.path("service").asText(), part.path("weight").asInt()));
+        }
+        if (services.isEmpty()) {
+            services.add(new WeightedService(node.path("service").asText(), 1));
+        }
+        return new Route(
+                node.path("name").asText(),
+                node.path("host").asText().toLowerCase(Locale.ROOT),
+                node.path("pathPrefix").asText(),
+                kind(node.path("kind").asText()),
+                node.path("timeoutMs").asLong(30_000),
+                node.path("targetLatencyMs").asLong(1_000),
+                node.path("priority").asInt(5),
+                List.copyOf(services),
+                Math.max(1, node.path("maxAttempts").asInt(1)),
+                node.path("resumable").asBoolean());
+    }
+
+    /** Decodes what may be repeated; what is not known may not be. */
+    private static CallKind kind(String word) {
+        return switch (word) {
+            case "safe" -> CallKind.SAFE;
+            case "streaming" -> CallKind.STREAMING;
+            default -> CallKind.UNSAFE;
+        };
+    }
+
+    /** Decodes a service. */
+    private static ServiceSpec service(JsonNode node) {
+        JsonNode engine = node.path("engine");
+        Optional<EngineLimits> limits = engine.isObject()
+                ? Optional.of(new EngineLimits(
+                        engine.path("slots").asInt(1),
+                        engine.path("kvTokens").asLong(),
+                        Math.round(1_000 * engine.path("handleTtlS").asDouble())))
+                : Optional.empty();
+        return new ServiceSpec(
+                node.path("name").asText(),
+                node.path("healthPath").asText("/health"),
+                node.path("maxConnections").asInt(64),
+                limits);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/platform/MachineSettings.java
@@ -0,0 +1,64 @@
+package org.verbenatray.platform;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import org.verbenatray.instance.RelaySettings;
+import org.verbenatray.relay.RelayServer.RelayAddresses;
+import org.verbenatray.state.KeyedFollower.Pace;
+
+/**
+ * What the settings file of a machine says, as far as this product uses it.
+ *
+ * @param name the name of the machine
+ * @param domain its failure domain, which the file calls a zone
+ * @param callers the address for callers
+ * @param ready the address for the question whether the machine is ready
+ * @param store the address of the store
+ * @param graceMillis the time between the request to stop and the end of the process
+ * @param leavingMillis the time after which a leaving server may get nothing more
+ * @param routesMillis the time after which new routes must be in force
+ * @param retryRatio the retries per request of all machines together
+ * @param retryWindowMillis the sliding window of that ratio
+ */
+record MachineSettings(
+        String name,
+        String domain,
+        InetSocketAddress callers,
+        InetSocketAddress ready,
+        InetSocketAddress store,
+        long graceMillis,
+        long leavingMillis,
+        long routesMillis,
+        double retryRatio,
+        long retryWindowMillis) {
+    /** The share of the allowed retries that is used; the rest covers what the machines count differently. */
+    private static final double RETRY_SHARE = 0.75;
+
+    /** Reads of the list of servers within the time that a leaving server may still get requests. */
+    private static final long READS_PER_LEAVING = 3;
+
+    /** The share of the time for new routes that one read waits for them, so that a silent one is noticed. */
+    private static final double ROUTES_WAIT = 0.6;
+
+    /** The time between two reads of the routes in milliseconds. */
+    private static final long ROUTES_BETWEEN_MILLIS = 50;
+
+    /** Returns the base URI of the store. */
+    URI storeUri() {
+        return URI.create("http://" + store.getHostString() + ":" + store.getPort());
+    }
+
+    /** Returns the settings of the product. */
+    RelaySettings relay(int metricsPort) {
+        InetSocketAddress metrics = new InetSocketAddress(ready.getHostString(), metricsPort);
+        return new RelaySettings(
+                name,
+                domain,
+                new RelayAddresses(callers, ready, metrics),
+                retryRatio * RETRY_SHARE,
+                retryWindowMillis,
+                graceMillis,
+                new Pace(ROUTES_BETWEEN_MILLIS, (long) (routesMillis * ROUTES_WAIT)),
+                new Pace(leavingMillis / READS_PER_LEAVING, 0));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/platform/PlatformMachine.java
@@ -0,0 +1,35 @@
+package org.verbenatray.platform;
+
+import java.nio.file.Path;
+import org.verbenatray.instance.RelayInstance;
+import org.verbenatray.instance.RelayLoop;
+import org.verbenatray.instance.RelaySources;
+import org.verbenatray.relay.RelayMetrics;
+import org.verbenatray.time.Ticker;
+
+/** Runs the product on a machine of the platform. */
+public final class PlatformMachine {
+    /** The topic that holds the operator's configuration. */
+    private static final String CONFIGURATION_TOPIC = "keyed.op";
+
+    /** The topic in which backend servers list themselves. */
+    private static final String SERVERS_TOPIC = "keyed.servers";
+
+    /** Prevents instances. */
+    private PlatformMachine() {}
+
+    /** Starts a relaying instance by a machine's settings file. */
+    public static RelayInstance start(Path settingsFile, int metricsPort) {
+        MachineSettings settings = SettingsFile.read(settingsFile).settings();
+        RelayLoop loop = RelayLoop.start(Ticker.system());
+        RelayMetrics metrics = RelayMetrics.create();
+        StoreClient store = StoreClient.create(loop, settings.storeUri(), metrics);
+        RelaySources sources = new RelaySources(
+                store.keyed(CONFIGURATION_TOPIC),
+                CatalogDecoder.create()::decode,
+                store.keyed(SERVERS_TOPIC),
+                ServerEntryDecoder.create()::decode,
+                WireDialect.create());
+        return RelayInstance.start(settings.relay(metricsPort), sources, loop, metrics);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/platform/StoreClient.java
@@ -0,0 +1,170 @@
+package org.verbenatray.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.verbenatray.instance.RelayLoop;
+import org.verbenatray.log.HistoryDroppedException;
+import org.verbenatray.log.KeyedLog;
+import org.verbenatray.log.LogUnavailableException;
+import org.verbenatray.relay.RelayMetrics;
+import org.verbenatray.servers.HttpCall;
+import org.verbenatray.servers.HttpReply;
+import org.verbenatray.servers.ServerFailure;
+import org.verbenatray.time.Deadline;
+
+/** The one client of the platform's store. */
+final class StoreClient {
+    /** The time in milliseconds that a call may take beyond the wait that it asks for. */
+    private static final long ANSWER_MILLIS = 900;
+
+    /** The largest answer in bytes. */
+    private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+    /** The size of a page of changes in KB. */
+    private static final int PAGE_KB = 1_024;
+
+    /** The thread and the connections. */
+    private final RelayLoop loop;
+
+    /** The base URI of the store. */
+    private final URI address;
+
+    /** The counters. */
+    private final RelayMetrics metrics;
+
+    /** Reads JSON. */
+    private final ObjectMapper json = new ObjectMapper();
+
+    /** Creates a client. */
+    private StoreClient(RelayLoop loop, URI address, RelayMetrics metrics) {
+        this.loop = loop;
+        this.address = address;
+        this.metrics = metrics;
+    }
+
+    /** Returns a client of the store at an address. */
+    static StoreClient create(RelayLoop loop, URI address, RelayMetrics metrics) {
+        return new StoreClient(loop, address, metrics);
+    }
+
+    /** Returns a keyed topic, whose name says that it is one. */
+    KeyedLog keyed(String topic) {
+        return new KeyedTopic(topic);
+    }
+
+    /** Sends a call and returns its answer of status 200. */
+    private CompletableFuture<HttpReply> call(HttpCall call, String name, long waitMillis) {
+        Deadline deadline = Deadline.afterMillis(loop.ticker().nanos(), waitMillis + ANSWER_MILLIS);
+        return loop.transport()
+                .call(call, loop.thread(), deadline, MAX_ANSWER_BYTES)
+                .handle((reply, failure) -> {
+                    metrics.storeCall(name, failure == null ? String.valueOf(reply.status()) : "failed");
+                    return checked(reply, failure);
+                });
+    }
+
+    /** Returns an answer of status 200 and fails otherwise. */
+    private HttpReply checked(HttpReply reply, Throwable failure) {
+        if (failure != null) {
+            if (failure instanceof ServerFailure known && known.kind() == ServerFailure.Kind.SILENT) {
+                loop.transport().closeIdle(address.getAuthority());
+            }
+            throw new CompletionException(
+                    new LogUnavailableException("the store did not answer: " + failure.getMessage(), failure));
+        }
+        if (reply.status() == 410) {
+            throw new CompletionException(
+                    new HistoryDroppedException("the store dropped the records: " + reply.text()));
+        }
+        if (reply.status() != 200) {
+            throw new CompletionException(
+                    new LogUnavailableException("the store answered with status " + reply.status(), null));
+        }
+        return reply;
+    }
+
+    /** A keyed topic, which has one partition. */
+    private final class KeyedTopic implements KeyedLog {
+        /** The name. */
+        private final String topic;
+
+        /** Creates a topic. */
+        KeyedTopic(String topic) {
+            this.topic = topic;
+        }
+
+        @Override
+        public CompletableFuture<Page> newest(Optional<String> after) {
+            String path = "/log-newest?topic=" + topic + "&part=0"
+                    + after.map(key -> "&after=" + java.net.URLEncoder.encode(key, StandardCharsets.UTF_8))
+                            .orElse("");
+            return call(get(path), "log-newest", 0).thenApply(this::page);
+        }
+
+        @Override
+        public CompletableFuture<List<Entry>> changes(long from, long waitMillis) {
+            String path = "/log-read?topic=" + topic + "&part=0&from=" + from + "&maxKb=" + PAGE_KB
+                    + (waitMillis > 0 ? "&waitMs=" + waitMillis : "");
+            return call(get(path), "log-read", waitMillis).thenApply(reply -> entries(reply.body()));
+        }
+
+        /** Returns a call without a body. */
+        private HttpCall get(String path) {
+            return HttpCall.create("GET", address, path, Map.of(), new byte[0]);
+        }
+
+        /** Decodes a page of newest records. */
+        private Page page(HttpReply reply) {
+            try {
+                JsonNode node = json.readTree(reply.body());
+                List<Entry> entries = new ArrayList<>();
+                for (JsonNode item : node.path("items")) {
+                    entries.add(new Entry(
+                            item.path("key").asText(),
+                            Optional.of(item.path("value").binaryValue())));
+                }
+                return new Page(
+                        entries, node.path("more").asBoolean(), node.path("end").asLong());
+            } catch (IOException e) {
+                throw new CompletionException(new LogUnavailableException("the store's answer is no JSON", e));
+            }
+        }
+
+        /** Decodes records: the end and the first offset, then each record after its length. */
+        private static List<Entry> entries(byte[] body) {
+            ByteBuffer bytes = ByteBuffer.wrap(body);
+            List<Entry> entries = new ArrayList<>();
+            if (bytes.remaining() < 2 * Long.BYTES) {
+                throw new CompletionException(new LogUnavailableException("the store's answer is too short", null));
+            }
+            bytes.position(2 * Long.BYTES);
+            while (bytes.hasRemaining()) {
+                byte[] content = new byte[bytes.getInt()];
+                bytes.get(content);
+                entries.add(entry(content));
+            }
+            return entries;
+        }
+
+        /** Decodes the length of the key, the key and the value. */
+        private static Entry entry(byte[] content) {
+            if (content.length == 0) {
+                return new Entry("", Optional.empty());
+            }
+            int keyLength = Math.min(Byte.toUnsignedInt(content[0]), content.length - 1);
+            String key = new String(content, 1, keyLength, StandardCharsets.UTF_8);
+            byte[] value = java.util.Arrays.copyOfRange(content, 1 + keyLength, content.length);
+            return new Entry(key, value.length == 0 ? Optional.empty() : Optional.of(value));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -0,0 +1,349 @@
+package org.verbenatray.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.verbenatray.backends.Backend;
+import org.verbenatray.catalog.EngineLimits;
+import org.verbenatray.catalog.ServiceSpec;
+import org.verbenatray.placement.EnginePlan;
+import org.verbenatray.placement.PromptShape;
+import org.verbenatray.servers.ConnectionUse;
+import org.verbenatray.time.Deadline;
+import org.xnio.XnioIoThread;
+
+/**
+ * Passes a request for a stream to engines: a long prompt to a prefill engine first, then to a decode engine.
+ *
+ * <p>A stream that may be resumed goes on at another engine after the last event that the caller has.
+ */
+final class GenerationRelay implements ForwardListener {
+    /** When a refused caller may come back, in milliseconds. */
+    private static final long COME_BACK_MILLIS = 400;
+
+    /** The shortest silence in milliseconds after which an engine is left for another. */
+    private static final long MIN_SILENCE_MILLIS = 1_000;
+
+    /** The multiple of the expected time after which an engine that processes a prompt is left for another. */
+    private static final double PREFILL_PATIENCE = 4;
+
+    /** The prefill engines that a prompt is sent to at most. */
+    private static final int MAX_PREFILLS = 2;
+
+    /** What the relay works with. */
+    private final RelayParts parts;
+
+    /** The call. */
+    private final RelayCall call;
+
+    /** The decode engines that were tried. */
+    private final List<Backend> tried = new ArrayList<>();
+
+    /** The prefill engines that were tried. */
+    private final List<Backend> triedPrefills = new ArrayList<>();
+
+    /** The timer of the deadline. */
+    private XnioIoThread.Key timer;
+
+    /** The sending that is open, null without one. */
+    private Forward open;
+
+    /** Where the processed prompt lies, null without one. */
+    private PromptSource source;
+
+    /** When the engine drops the processed prompt. */
+    private Deadline sourceUntil;
+
+    /** The last event that was passed on, null before the first. */
+    private String lastEvent;
+
+    /** Creates a relay. */
+    private GenerationRelay(RelayParts parts, RelayCall call) {
+        this.parts = parts;
+        this.call = call;
+    }
+
+    /** Starts a call. */
+    static void start(RelayParts parts, RelayCall call) {
+        GenerationRelay relay = new GenerationRelay(parts, call);
+        call.reply().whenGone(relay::callerLeft);
+        relay.timer = parts.thread().executeAfter(relay::expired, call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
+        relay.plan();
+    }
+
+    @Override
+    public boolean takesEvents() {
+        return true;
+    }
+
+    @Override
+    public void onEvent(ServerHead head, StreamEvent event) {
+        if (!call.over()) {
+            event.id().ifPresent(id -> lastEvent = id);
+            if (!call.reply().begun()) {
+                started();
+            }
+            call.event(head, event);
+        }
+    }
+
+    @Override
+    public void onOutcome(ForwardOutcome outcome) {
+        Forward ended = open;
+        open = null;
+        call.tried(ended, outcome, true);
+        if (call.over()) {
+            return;
+        }
+        switch (outcome.kind()) {
+            case STREAM_ENDED -> {
+                timer.remove();
+                call.endStream(outcome.head().orElseThrow());
+            }
+            case ANSWERED -> answered(ended, outcome);
+            default -> again(ended, outcome);
+        }
+    }
+
+    /** Decides where the prompt is processed. */
+    private void plan() {
+        if (call.remainingMillis() <= 0) {
+            expired();
+            return;
+        }
+        Optional<PromptShape> prompt = call.request().prompt();
+        if (prompt.isEmpty() || engine().isEmpty()) {
+            decode(Optional.empty());
+            return;
+        }
+        EnginePlan plan = parts.planner().plan(prompt.get(), call.usable(), triedPrefills);
+        if (plan.prefill().isPresent() && triedPrefills.size() < MAX_PREFILLS) {
+            prefill(plan, prompt.get());
+        } else {
+            decode(plan.decode());
+        }
+    }
+
+    /** Sends the prompt to a prefill engine. */
+    private void prefill(EnginePlan plan, PromptShape prompt) {
+        Backend backend = plan.prefill().orElseThrow();
+        triedPrefills.add(backend);
+        Forwarding how = new Forwarding(
+                backend,
+                call.remainingMillis(),
+                call.route().priority(),
+                true,
+                Optional.empty(),
+                Optional.empty(),
+                ConnectionUse.POOLED);
+        long now = parts.ticker().nanos();
+        long silence = (long) Math.max(MIN_SILENCE_MILLIS, PREFILL_PATIENCE * plan.firstTokenMillis());
+        Deadline first = Deadline.afterMillis(now, Math.min(call.remainingMillis(), silence));
+        Patience patience = new Patience(first, MIN_SILENCE_MILLIS, call.deadline());
+        open = Forward.send(
+                parts,
+                call.request(),
+                how,
+                plan.prefillTokens(),
+                patience,
+                new PrefillListener(backend, prompt, plan.prefillTokens(), now));
+    }
+
+    /** Takes a processed prompt. */
+    private void prefilled(Backend backend, String handle) {
+        source = new PromptSource(backend, handle);
+        sourceUntil = Deadline.afterMillis(
+                parts.ticker().nanos(), engine().map(EngineLimits::handleMillis).orElse(0L));
+        decode(Optional.empty());
+    }
+
+    /** Sends the request to the given decode engine, or to the best one. */
+    private void decode(Optional<Backend> preferred) {
+        if (call.remainingMillis() <= 0) {
+            expired();
+            return;
+        }
+        Optional<Backend> chosen = preferred.or(() -> parts.planner().decoder(call.usable(), tried));
+        if (chosen.isEmpty()) {
+            end("no_server");
+            return;
+        }
+        Backend backend = chosen.get();
+        if (source != null && sourceUntil.passed(parts.ticker().nanos())) {
+            source = null;
+        }
+        boolean repeatable = call.route().repeatable();
+        Forwarding how = new Forwarding(
+                backend,
+                call.remainingMillis(),
+                call.route().priority(),
+                false,
+                Optional.ofNullable(source),
+                Optional.ofNullable(lastEvent).or(() -> call.request().resumeAfter()),
+                repeatable ? ConnectionUse.POOLED : ConnectionUse.FRESH);
+        long promptTokens = source == null
+                ? call.request().prompt().map(PromptShape::promptTokens).orElse(0)
+                : 0;
+        open = Forward.send(parts, call.request(), how, promptTokens, patience(repeatable), this);
+    }
+
+    /** Returns how long an engine may be silent. */
+    private Patience patience(boolean repeatable) {
+        if (!repeatable) {
+            return Patience.until(call.deadline());
+        }
+        long millis = Math.max(MIN_SILENCE_MILLIS, 2 * call.route().targetMillis());
+        Deadline first = Deadline.afterMillis(parts.ticker().nanos(), Math.min(millis, call.remainingMillis()));
+        return new Patience(first, millis, call.deadline());
+    }
+
+    /** Notes that an engine runs the request: the processed prompt was taken and stays in its memory. */
+    private void started() {
+        source = null;
+        long cacheTokens = engine().map(EngineLimits::cacheTokens).orElse(0L);
+        call.request().prompt().ifPresent(prompt -> parts.planner().holds(open.backend(), prompt, cacheTokens));
+    }
+
+    /** Passes on an answer that is no stream, or tries another engine after an error. */
+    private void answered(Forward ended, ForwardOutcome outcome) {
+        boolean worthAnother = outcome.status() >= 500 && call.route().repeatable();
+        if (call.reply().begun() || worthAnother) {
+            again(ended, outcome);
+            return;
+        }
+        timer.remove();
+        freeSource();
+        call.answer(outcome);
+    }
+
+    /** Tries another engine, or gives up. */
+    private void again(Forward ended, ForwardOutcome outcome) {
+        tried.add(ended.backend());
+        if (outcome.kind() != ForwardOutcome.Kind.NOT_SENT) {
+            freeSource();
+        }
+        if (call.mayTryAgain()) {
+            decode(Optional.empty());
+            return;
+        }
+        end(outcome.kind().name().toLowerCase(Locale.ROOT));
+    }
+
+    /** Returns what the engines of the service have. */
+    private Optional<EngineLimits> engine() {
+        return parts.catalog()
+                .get()
+                .flatMap(catalog -> catalog.service(call.service()))
+                .flatMap(ServiceSpec::engine);
+    }
+
+    /** Gives up. */
+    private void end(String why) {
+        timer.remove();
+        freeSource();
+        call.giveUp(why, COME_BACK_MILLIS);
+    }
+
+    /** Gives the final answer when the time is over. */
+    private void expired() {
+        if (call.over()) {
+            return;
+        }
+        if (open != null) {
+            boolean runs = open.sent() && source != null || open.sent() && triedPrefills.isEmpty();
+            open.cancel();
+            if (runs || call.reply().begun()) {
+                call.assumeRun();
+            }
+            open = null;
+        }
+        end("timeout");
+    }
+
+    /** Ends everything when the caller has left. */
+    private void callerLeft() {
+        timer.remove();
+        if (open != null) {
+            open.cancel();
+            open = null;
+        }
+        freeSource();
+        call.abandoned();
+    }
+
+    /** Frees a processed prompt that no engine took. */
+    private void freeSource() {
+        if (source != null && (open == null || !open.sent())) {
+            PromptSource freed = source;
+            source = null;
+            parts.transport()
+                    .call(
+                            parts.dialect().free(freed),
+                            parts.thread(),
+                            Deadline.afterMillis(parts.ticker().nanos(), MIN_SILENCE_MILLIS),
+                            1_024)
+                    .exceptionally(failure -> null);
+        }
+    }
+
+    /** Hears of the processing of a prompt. */
+    private final class PrefillListener implements ForwardListener {
+        /** The engine. */
+        private final Backend backend;
+
+        /** The prompt. */
+        private final PromptShape prompt;
+
+        /** The tokens that it was expected to process. */
+        private final int expectedTokens;
+
+        /** When the prompt was sent. */
+        private final long startNanos;
+
+        /** Creates a listener. */
+        PrefillListener(Backend backend, PromptShape prompt, int expectedTokens, long startNanos) {
+            this.backend = backend;
+            this.prompt = prompt;
+            this.expectedTokens = expectedTokens;
+            this.startNanos = startNanos;
+        }
+
+        @Override
+        public boolean takesEvents() {
+            return false;
+        }
+
+        @Override
+        public void onEvent(ServerHead head, StreamEvent event) {
+            throw new IllegalStateException("the answer of a prefill engine has no events");
+        }
+
+        @Override
+        public void onOutcome(ForwardOutcome outcome) {
+            Forward ended = open;
+            open = null;
+            call.tried(ended, outcome, false);
+            if (call.over()) {
+                return;
+            }
+            Optional<String> handle =
+                    outcome.status() == 200 ? parts.dialect().handle(outcome.body()) : Optional.empty();
+            if (outcome.kind() == ForwardOutcome.Kind.ANSWERED && handle.isPresent()) {
+                double millis = (parts.ticker().nanos() - startNanos) / 1e6;
+                long cacheTokens = engine().map(EngineLimits::cacheTokens).orElse(0L);
+                parts.planner().prefilled(backend, prompt, expectedTokens, millis, cacheTokens);
+                call.remark("prefill_ms", Math.round(millis));
+                call.remark("expected_tokens", expectedTokens);
+                prefilled(backend, handle.get());
+                return;
+            }
+            if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT || call.spendRetry()) {
+                plan();
+                return;
+            }
+            end("prefill_" + outcome.kind().name().toLowerCase(Locale.ROOT));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/relay/RelayParts.java
@@ -0,0 +1,43 @@
+package org.verbenatray.relay;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.verbenatray.backends.BackendDirectory;
+import org.verbenatray.catalog.CurrentCatalog;
+import org.verbenatray.placement.EnginePlanner;
+import org.verbenatray.placement.PlainChooser;
+import org.verbenatray.resilience.CrashLedger;
+import org.verbenatray.resilience.RetryBudget;
+import org.verbenatray.servers.HttpTransport;
+import org.verbenatray.time.Ticker;
+import org.xnio.XnioIoThread;
+
+/**
+ * What the relay works with; everything is used on the one thread.
+ *
+ * @param transport the connections to backend servers
+ * @param thread the thread
+ * @param ticker the clock
+ * @param dialect the translation of headers
+ * @param catalog the routes in force
+ * @param directory the backend servers
+ * @param chooser chooses servers of plain services
+ * @param planner chooses engines
+ * @param budgets the retry budget of each service
+ * @param crashes the requests that crash servers
+ * @param stopping whether the process is about to end
+ * @param metrics the counters
+ */
+public record RelayParts(
+        HttpTransport transport,
+        XnioIoThread thread,
+        Ticker ticker,
+        RelayDialect dialect,
+        CurrentCatalog catalog,
+        BackendDirectory directory,
+        PlainChooser chooser,
+        EnginePlanner planner,
+        Function<String, RetryBudget> budgets,
+        CrashLedger crashes,
+        BooleanSupplier stopping,
+        RelayMetrics metrics) {}
--- /dev/null
+++ b/src/main/java/org/verbenatray/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Passes callers' requests to backend servers and their answers back, unchanged and whole. */
+package org.verbenatray.relay;
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -10,9 +10,6 @@
 import io.undertow.util.Protocols;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
-import java.util.Locale;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.xnio.ChannelListeners;
 import org.xnio.XnioIoThread;
@@ -45,6 +42,9 @@
     /** Whether the connection carried an exchange before. */
     private boolean reused;
 
+    /** Whether the whole request was handed to the network. */
+    private boolean flushed;
+
     /** Whether a reply has begun. */
     private boolean replied;
 
@@ -63,12 +63,18 @@
     /** Sends the request on a connection. */
     void start(ClientConnection on, boolean usedBefore) {
         if (over) {
-            transport.release(thread, call.address(), on);
+            transport.release(thread, call.pool(), on);
             return;
         }
         connection = on;
         reused = usedBefore;
         unsent.rewind();
+        flushed = false;
+        listener.onSending();
+        if (over) {
+            transport.release(thread, call.pool(), on);
+            return;
+        }
         on.sendRequest(request(), callback(this::sent));
     }
 
@@ -110,9 +116,11 @@
     private void sent(ClientExchange exchange) {
         exchange.setResponseListener(callback(this::answered));
         StreamSinkChannel channel = exchange.getRequestChannel();
-        if (channel != null) {
-            writeBody(channel);
+        if (channel == null) {
+            flushed = true;
+            return;
         }
+        writeBody(channel);
     }
 
     /** Writes as much of the body as the connection takes. */
@@ -126,10 +134,13 @@
                 }
             }
             channel.shutdownWrites();
-            if (!channel.flush()) {
-                channel.getWriteSetter().set(ChannelListeners.flushingChannelListener(null, (failed, e) -> broken(e)));
-                channel.resumeWrites();
+            if (channel.flush()) {
+                flushed = true;
+                return;
             }
+            channel.getWriteSetter()
+                    .set(ChannelListeners.flushingChannelListener(done -> flushed = true, (failed, e) -> broken(e)));
+            channel.resumeWrites();
         } catch (IOException e) {
             broken(e);
         }
@@ -142,12 +153,9 @@
         }
         replied = true;
         ClientResponse response = exchange.getResponse();
-        Map<String, String> headers = new HashMap<>();
-        response.getResponseHeaders()
-                .forEach(values ->
-                        headers.put(values.getHeaderName().toString().toLowerCase(Locale.ROOT), values.getFirst()));
-        listener.onHead(response.getResponseCode(), headers);
-        boolean keepAlive = !"close".equalsIgnoreCase(headers.get("connection"));
+        listener.onHead(new ReplyHead(response.getResponseCode(), response.getResponseHeaders()));
+        boolean keepAlive =
+                !"close".equalsIgnoreCase(response.getResponseHeaders().getFirst(Headers.CONNECTION));
         readBody(exchange.getResponseChannel(), ByteBuffer.allocate(READ_BUFFER_BYTES), keepAlive);
     }
 
@@ -182,8 +190,8 @@
             return;
         }
         over = true;
-        if (keepAlive && !unsent.hasRemaining()) {
-            transport.release(thread, call.address(), connection);
+        if (keepAlive && flushed) {
+            transport.release(thread, call.pool(), connection);
         } else {
             closeConnection();
         }
@@ -195,7 +203,10 @@
         if (over) {
             return;
         }
-        if (reused && !replied && call.method().equals("GET")) {
+        if (reused
+                && !replied
+                && call.use() == ConnectionUse.POOLED_RESENDING
+                && call.method().equals("GET")) {
             closeConnection();
             connection = null;
             reused = false;
--- a/src/main/java/org/verbenatray/servers/HttpServiceClient.java
+++ b/src/main/java/org/verbenatray/servers/HttpServiceClient.java
@@ -34,13 +34,9 @@
     public CompletableFuture<HttpReply> send(
             String address, ServiceRequest request, boolean fresh, XnioIoThread thread) {
         String dispatch = UUID.randomUUID().toString();
-        HttpCall call = new HttpCall(
-                request.method(),
-                URI.create(address),
-                request.path(),
-                headers(request, dispatch),
-                request.body(),
-                fresh);
+        HttpCall pooled = HttpCall.create(
+                request.method(), URI.create(address), request.path(), headers(request, dispatch), request.body());
+        HttpCall call = fresh ? pooled.onFreshConnection() : pooled;
         return transport
                 .call(call, thread, request.deadline(), MAX_REPLY_BYTES)
                 .thenApply(reply -> checked(reply, dispatch));
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -5,10 +5,10 @@
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import java.io.IOException;
-import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +24,12 @@
     /** The number of idle connections kept per thread and server. */
     private static final int MAX_IDLE = 64;
 
+    /** The time that an idle connection is kept in milliseconds; common servers close theirs after 5 s. */
+    private static final long MAX_IDLE_MILLIS = 4_000;
+
+    /** The time that a new connection may take in milliseconds: far above any round trip between domains. */
+    private static final long CONNECT_MILLIS = 500;
+
     /** The options of every connection. */
     private static final OptionMap CONNECT_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
@@ -37,7 +43,7 @@
     private final Ticker ticker;
 
     /** Idle connections by thread and server, each only touched on its own thread. */
-    private final Map<XnioIoThread, Map<URI, Deque<ClientConnection>>> idle = new HashMap<>();
+    private final Map<XnioIoThread, Map<String, Deque<IdleConnection>>> idle = new HashMap<>();
 
     /** Creates a transport on the threads of a worker. */
     private HttpTransport(XnioWorker worker, ByteBufferPool buffers, Ticker ticker) {
@@ -83,13 +89,24 @@
     }
 
     /** Keeps a connection whose exchange is complete for the next call. */
-    void release(XnioIoThread thread, URI address, ClientConnection connection) {
-        Deque<ClientConnection> connections = idleOf(thread, address);
-        if (connection.isOpen() && connections.size() < MAX_IDLE) {
-            connections.addLast(connection);
-            return;
+    void release(XnioIoThread thread, String pool, ClientConnection connection) {
+        thread.execute(() -> keep(thread, pool, connection));
+    }
+
+    /** Closes the idle connections of a pool on every thread. */
+    public void closeIdle(String pool) {
+        List<XnioIoThread> threads;
+        synchronized (idle) {
+            threads = List.copyOf(idle.keySet());
+        }
+        for (XnioIoThread thread : threads) {
+            thread.execute(() -> {
+                Deque<IdleConnection> connections = ofThread(thread).remove(pool);
+                if (connections != null) {
+                    connections.forEach(kept -> close(kept.connection()));
+                }
+            });
         }
-        close(connection);
     }
 
     /** Closes a connection and ignores what it says. */
@@ -101,15 +118,26 @@
         }
     }
 
+    /** Keeps a connection, one turn of the thread after its exchange, so that stray bytes were seen before. */
+    private void keep(XnioIoThread thread, String pool, ClientConnection connection) {
+        Deque<IdleConnection> connections = idleOf(thread, pool);
+        if (connection.isOpen() && connections.size() < MAX_IDLE) {
+            connections.addLast(new IdleConnection(connection, Deadline.afterMillis(ticker.nanos(), MAX_IDLE_MILLIS)));
+            return;
+        }
+        close(connection);
+    }
+
     /** Starts the exchange on an idle connection or on a new one. */
     private void connect(HttpCall call, XnioIoThread thread, HttpExchange exchange) {
-        if (!call.fresh()) {
-            Deque<ClientConnection> connections = idleOf(thread, call.address());
-            for (ClientConnection next = connections.pollLast(); next != null; next = connections.pollLast()) {
-                if (next.isOpen()) {
-                    exchange.start(next, true);
+        if (call.use() != ConnectionUse.FRESH) {
+            Deque<IdleConnection> connections = idleOf(thread, call.pool());
+            for (IdleConnection next = connections.pollLast(); next != null; next = connections.pollLast()) {
+                if (next.connection().isOpen() && !next.usableUntil().passed(ticker.nanos())) {
+                    exchange.start(next.connection(), true);
                     return;
                 }
+                close(next.connection());
             }
         }
         connectAnew(call, thread, exchange);
@@ -117,16 +145,24 @@
 
     /** Starts the exchange on a new connection. */
     void connectAnew(HttpCall call, XnioIoThread thread, HttpExchange exchange) {
+        XnioIoThread.Key timer = thread.executeAfter(
+                () -> exchange.fail(ServerFailure.create(
+                        ServerFailure.Kind.NOT_CONNECTED,
+                        "no connection to " + call.address() + " within " + CONNECT_MILLIS + " ms")),
+                CONNECT_MILLIS,
+                TimeUnit.MILLISECONDS);
         UndertowClient.getInstance()
                 .connect(
                         new ClientCallback<>() {
                             @Override
                             public void completed(ClientConnection connection) {
+                                timer.remove();
                                 exchange.start(connection, false);
                             }
 
                             @Override
                             public void failed(IOException e) {
+                                timer.remove();
                                 exchange.fail(ServerFailure.create(
                                         ServerFailure.Kind.NOT_CONNECTED,
                                         "cannot connect to " + call.address() + ": " + e.getMessage(),
@@ -139,12 +175,23 @@
                         CONNECT_OPTIONS);
     }
 
-    /** Returns the idle connections of a thread to a server. */
-    private Deque<ClientConnection> idleOf(XnioIoThread thread, URI address) {
-        Map<URI, Deque<ClientConnection>> ofThread;
+    /** Returns the idle connections of a thread in a pool. */
+    private Deque<IdleConnection> idleOf(XnioIoThread thread, String pool) {
+        return ofThread(thread).computeIfAbsent(pool, key -> new ArrayDeque<>());
+    }
+
+    /** Returns the pools of a thread. */
+    private Map<String, Deque<IdleConnection>> ofThread(XnioIoThread thread) {
         synchronized (idle) {
-            ofThread = idle.computeIfAbsent(thread, key -> new HashMap<>());
+            return idle.computeIfAbsent(thread, key -> new HashMap<>());
         }
-        return ofThread.computeIfAbsent(address, key -> new ArrayDeque<>());
     }
+
+    /**
+     * A connection without an exchange.
+     *
+     * @param connection the connection
+     * @param usableUntil when the server may close it for being idle
+     */
+    private record IdleConnection(ClientConnection connection, Deadline usableUntil) {}
 }
--- a/src/main/java/org/verbenatray/settings/SettingsCheck.java
+++ b/src/main/java/org/verbenatray/settings/SettingsCheck.java
@@ -91,6 +91,29 @@
         return smallest;
     }
 
+    /** Returns a number with a fraction in a range. */
+    public double fraction(String flag, String value, double smallest, double largest) {
+        String remedy = "give a number from " + smallest + " to " + largest;
+        if (isMissing(flag, value, remedy)) {
+            return smallest;
+        }
+        try {
+            double number = Double.parseDouble(value);
+            if (number >= smallest && number <= largest) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Reported below like a number out of range.
+        }
+        report(flag, value, remedy);
+        return smallest;
+    }
+
+    /** Returns a text that must not be empty. */
+    public String text(String flag, String value) {
+        return isMissing(flag, value, "give a value") ? "" : value;
+    }
+
     /** Returns one of several words. */
     public <E extends Enum<E>> E choice(String flag, String value, Class<E> type) {
         E[] allowed = type.getEnumConstants();
--- a/src/main/java/org/verbenatray/telemetry/KeyValueFormatter.java
+++ b/src/main/java/org/verbenatray/telemetry/KeyValueFormatter.java
@@ -18,14 +18,26 @@
 
     /** Makes all loggers of this process write to standard error in this format. */
     public static void install(Level level) {
+        Handler console = new ConsoleHandler();
+        console.setFormatter(new KeyValueFormatter());
+        useOnly(console, level);
+    }
+
+    /** Makes all loggers of this process write to standard output in this format, never waiting for it. */
+    public static BoundedLog installBounded(Level level) {
+        BoundedLog bounded = BoundedLog.start(System.out, new KeyValueFormatter());
+        useOnly(bounded, level);
+        return bounded;
+    }
+
+    /** Makes all loggers of this process use one handler. */
+    private static void useOnly(Handler only, Level level) {
         Logger root = Logger.getLogger("");
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        Handler console = new ConsoleHandler();
-        console.setFormatter(new KeyValueFormatter());
-        console.setLevel(level);
-        root.addHandler(console);
+        only.setLevel(level);
+        root.addHandler(only);
         root.setLevel(level);
         Logger.getLogger("org.xnio").setLevel(Level.SEVERE);
         for (String name : QUIET_LOGGERS) {
