Long prompts go to prefill engines only, by the home of their shared part; loads are read; shorter first patience

Cause: every prompt of over 1,024 tokens waited behind long ones at prefill engines, and engines worked on for callers who had left (GONE).

--- a/src/main/java/org/verbenatray/backends/Backend.java
+++ b/src/main/java/org/verbenatray/backends/Backend.java
@@ -1,5 +1,6 @@
 package org.verbenatray.backends;
 
+import java.util.Optional;
 import org.verbenatray.time.Deadline;
 
 /** One start of a backend server as this instance sees it; used on one thread. */
@@ -37,6 +38,15 @@
     /** The moving average of the delay beyond the expected time in milliseconds. */
     private double delayMillis;
 
+    /** The newest load that the engine stated, null before the first. */
+    private LoadReading load;
+
+    /** When the load was read. */
+    private long loadNanos;
+
+    /** The requests of this instance that were sent since the load was read. */
+    private int openedSinceLoad;
+
     /** When the delay was last measured. */
     private long delayNanos;
 
@@ -75,6 +85,7 @@
     /** Counts a request that is sent to the server. */
     public void opened(long promptTokens) {
         open++;
+        openedSinceLoad++;
         openPromptTokens += promptTokens;
     }
 
@@ -84,6 +95,24 @@
         openPromptTokens -= promptTokens;
     }
 
+    /** Takes the load that the engine states. */
+    public void loaded(LoadReading reading, long nowNanos) {
+        load = reading;
+        loadNanos = nowNanos;
+        openedSinceLoad = 0;
+    }
+
+    /** Returns the newest load that the engine stated, unless it is older than the given milliseconds. */
+    public Optional<LoadReading> load(long nowNanos, long maxAgeMillis) {
+        boolean fresh = load != null && (nowNanos - loadNanos) / 1_000_000 <= maxAgeMillis;
+        return fresh ? Optional.of(load) : Optional.empty();
+    }
+
+    /** Returns the requests of this instance that were sent since the load was read. */
+    public int openedSinceLoad() {
+        return openedSinceLoad;
+    }
+
     /** Returns the requests of this instance that it works on. */
     public int open() {
         return open;
--- a/src/main/java/org/verbenatray/catalog/Route.java
+++ b/src/main/java/org/verbenatray/catalog/Route.java
@@ -14,6 +14,7 @@
  * @param priority the rank, zero first
  * @param services the services that take the requests, with their shares
  * @param maxAttempts the number of servers that one request may be sent to
+ * @param gapMillis the longest pause in milliseconds between the events of a stream that is on time
  * @param resumable whether a broken stream may go on at another server
  */
 public record Route(
@@ -26,7 +27,22 @@
         int priority,
         List<WeightedService> services,
         int maxAttempts,
+        long gapMillis,
         boolean resumable) {
+    /** The shortest time in milliseconds after which a caller leaves a stream that shows nothing new. */
+    private static final long MIN_PATIENCE_MILLIS = 2_000;
+
+    /** The multiple of the target after which it leaves. */
+    private static final long PATIENCE_TARGETS = 4;
+
+    /** The multiple of the longest pause after which it leaves. */
+    private static final long PATIENCE_GAPS = 8;
+
+    /** Returns the time in milliseconds after which a caller leaves a stream that shows nothing new. */
+    public long patienceMillis() {
+        return Math.max(MIN_PATIENCE_MILLIS, Math.max(PATIENCE_TARGETS * targetMillis, PATIENCE_GAPS * gapMillis));
+    }
+
     /** Returns whether a request may run more than once. */
     public boolean repeatable() {
         return kind == CallKind.SAFE || kind == CallKind.STREAMING && resumable;
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -17,6 +17,7 @@
 import org.verbenatray.placement.PlainChooser;
 import org.verbenatray.placement.PrefillSpeed;
 import org.verbenatray.placement.PrefixMemory;
+import org.verbenatray.relay.LoadPoller;
 import org.verbenatray.relay.RelayHandler;
 import org.verbenatray.relay.RelayMetrics;
 import org.verbenatray.relay.RelayParts;
@@ -71,6 +72,9 @@
     /** The retry budgets by service. */
     private final Map<String, RetryBudget> budgets = new HashMap<>();
 
+    /** Asks the engines for their load. */
+    private final LoadPoller loads;
+
     /** Receives callers. */
     private final RelayHandler handler;
 
@@ -92,7 +96,7 @@
         PlainChooser chooser = PlainChooser.create(
                 settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
         this.planner = EnginePlanner.create(loop.ticker(), PrefixMemory.empty(), PrefillSpeed.unmeasured(), chooser);
-        this.handler = RelayHandler.create(new RelayParts(
+        RelayParts parts = new RelayParts(
                 loop.transport(),
                 loop.thread(),
                 loop.ticker(),
@@ -104,7 +108,9 @@
                 this::budget,
                 crashes,
                 () -> stopping,
-                metrics));
+                metrics);
+        this.handler = RelayHandler.create(parts);
+        this.loads = LoadPoller.create(parts);
         this.server = RelayServer.start(
                 loop.worker(),
                 settings.addresses(),
@@ -177,6 +183,13 @@
         KeyedFollower.start(
                 "servers", sources.servers(), new Servers(), settings.serversPace(), loop.ticker(), loop.scheduler());
         upkeep();
+        askLoads();
+    }
+
+    /** Asks the engines for their load, one at a time. */
+    private void askLoads() {
+        long wait = loads.ask();
+        loop.scheduler().runAt(Deadline.afterMillis(loop.ticker().nanos(), wait), this::askLoads);
     }
 
     /** Does what is due from time to time. */
--- a/src/main/java/org/verbenatray/placement/EnginePlan.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlan.java
@@ -4,12 +4,11 @@
 import org.verbenatray.backends.Backend;
 
 /**
- * Where a generation runs.
+ * Where a prompt is processed.
  *
- * @param prefill the engine that processes the prompt first; empty where the decode engine does it itself
- * @param prefillTokens the prompt tokens that the first engine is expected to process
- * @param decode the decode engine that processes the prompt itself; empty where any one may be taken
+ * @param engine the engine that processes it; empty where there is none
+ * @param handover whether that engine hands it over to a decode engine
+ * @param tokens the prompt tokens that the engine is expected to process
  * @param firstTokenMillis the expected time to the first token in milliseconds
  */
-public record EnginePlan(
-        Optional<Backend> prefill, int prefillTokens, Optional<Backend> decode, double firstTokenMillis) {}
+public record EnginePlan(Optional<Backend> engine, boolean handover, int tokens, double firstTokenMillis) {}
--- a/src/main/java/org/verbenatray/placement/EnginePlanner.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlanner.java
@@ -1,29 +1,33 @@
 package org.verbenatray.placement;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendStage;
+import org.verbenatray.backends.LoadReading;
 import org.verbenatray.time.Ticker;
 
 /**
- * Decides whether a prompt is processed by a prefill engine first, and by which one.
+ * Decides which engine processes a prompt and which one generates the tokens.
  *
- * <p>Prompts that share a large part go to the same engine, which all instances derive from the part's name alone; an
- * engine that is busier by more than the cost of processing the part again loses the prompt to the next one.
+ * <p>Prompts that share a large part go to the same engine, its home, which all instances derive from the part's name
+ * alone. Decode engines are homes too, so that the memory of the whole fleet keeps shared parts; they process prompts
+ * more slowly and are the home of fewer parts. A home that is busier by more than the cost of processing the part
+ * again loses the prompt to the next engine.
  */
 public final class EnginePlanner {
-    /** The prompt tokens not yet processed from which a prefill engine pays. */
-    private static final int MIN_PREFILL_TOKENS = 1_024;
+    /** The prompt tokens from which a prompt has a home. */
+    private static final int MIN_HOME_TOKENS = 2_048;
 
     /** How many times slower a decode engine processes a prompt. */
     private static final double DECODE_SLOWDOWN = 2;
 
-    /** The share of a prompt's shared part that processing it at another engine than its home costs the others. */
+    /** The share of a prompt's shared part that its home is expected to process, as it may have been dropped. */
+    private static final double HOME_MISS = 0.3;
+
+    /** The share of a shared part whose processing at another engine costs the others that much time later. */
     private static final double DISPLACEMENT = 0.5;
 
     /** The added time in milliseconds of a handover to a decode engine. */
@@ -32,6 +36,27 @@
     /** The added time in milliseconds that a server that fails every answer is thought to take. */
     private static final double FAILING_MILLIS = 2_000;
 
+    /** The tokens of an average prompt before the first was seen. */
+    private static final double ASSUMED_TOKENS = 6_000;
+
+    /** The tokens of an average prompt that a decode engine has waiting. */
+    private static final double SHORT_TOKENS = 500;
+
+    /** The weight of the newest prompt in the average. */
+    private static final double NEWEST = 0.05;
+
+    /** The age in milliseconds beyond which a stated load tells nothing. */
+    private static final long MAX_LOAD_AGE_MILLIS = 3_000;
+
+    /** The runs that the preferred decode engine may have more than the best one. */
+    private static final double AFFINITY_RUNS = 4;
+
+    /** The weight of an open request of this instance against one that an engine states. */
+    private static final double OWN_WEIGHT = 2;
+
+    /** The weight of a request that an engine states. */
+    private static final double STATED_WEIGHT = 0.5;
+
     /** The clock. */
     private final Ticker ticker;
 
@@ -44,6 +69,9 @@
     /** Chooses decode engines. */
     private final PlainChooser chooser;
 
+    /** The average of the tokens that prefill engines process for a prompt. */
+    private double meanTokens = ASSUMED_TOKENS;
+
     /** Creates a planner. */
     private EnginePlanner(Ticker ticker, PrefixMemory memory, PrefillSpeed speed, PlainChooser chooser) {
         this.ticker = ticker;
@@ -57,56 +85,63 @@
         return new EnginePlanner(ticker, memory, speed, chooser);
     }
 
-    /** Returns where the prompt is processed, given the engines of the service and those that were tried. */
+    /** Returns where a prompt is processed, given the engines of the service and those that were tried. */
     public EnginePlan plan(PromptShape prompt, List<Backend> engines, Collection<Backend> tried) {
-        long now = ticker.nanos();
-        List<Backend> decoders = decoders(engines);
-        if (prompt.promptTokens() < MIN_PREFILL_TOKENS && !decoders.isEmpty()) {
-            return new EnginePlan(Optional.empty(), 0, Optional.empty(), 0);
+        if (prompt.promptTokens() < MIN_HOME_TOKENS) {
+            Optional<Backend> decoder = decoder(Optional.empty(), engines, tried);
+            return new EnginePlan(decoder, false, prompt.promptTokens(), 0);
         }
-        Optional<Backend> decoder = decoders.stream()
-                .filter(backend -> !backend.paused(now))
-                .min(Comparator.comparingDouble(backend -> directMillis(prompt, backend)));
-        double direct = decoder.map(backend -> directMillis(prompt, backend)).orElse(Double.MAX_VALUE);
-        List<Backend> ranked = ranked(prompt, PlainChooser.awake(prefillers(engines), now));
-        Backend best = null;
+        long now = ticker.nanos();
+        List<Backend> prefills = PlainChooser.awake(
+                engines.stream().filter(EnginePlanner::isPrefill).toList(), now);
+        List<Backend> ranked =
+                EngineRanking.rank(prompt.affinityKey(), prefills.isEmpty() ? engines : prefills, engine -> 1);
+        EnginePlan best = new EnginePlan(Optional.empty(), false, 0, 0);
         double bestCost = Double.MAX_VALUE;
-        double bestMillis = 0;
         for (int rank = 0; rank < ranked.size(); rank++) {
             Backend candidate = ranked.get(rank);
             if (tried.contains(candidate)) {
                 continue;
             }
-            double millis = prefillMillis(prompt, candidate, now) + HANDOVER_MILLIS;
+            int tokens = expectedTokens(prompt, candidate, rank == 0);
+            double millis = millis(candidate, tokens, now);
             double cost = millis + (rank == 0 ? 0 : DISPLACEMENT * speed.millisFor(prompt.sharedTokens()));
             if (cost < bestCost) {
-                best = candidate;
+                best = new EnginePlan(Optional.of(candidate), isPrefill(candidate), tokens, millis);
                 bestCost = cost;
-                bestMillis = millis;
             }
         }
-        if (best == null || direct < bestMillis) {
-            return new EnginePlan(Optional.empty(), 0, decoder, direct);
-        }
-        return new EnginePlan(Optional.of(best), uncached(prompt, best), Optional.empty(), bestMillis);
+        return best;
     }
 
     /** Returns the decode engine for a prompt among those that were not tried. */
-    public Optional<Backend> decoder(List<Backend> engines, Collection<Backend> tried) {
-        return chooser.choose(decoders(engines), tried, ticker.nanos());
+    public Optional<Backend> decoder(Optional<PromptShape> prompt, List<Backend> engines, Collection<Backend> tried) {
+        long now = ticker.nanos();
+        List<Backend> decoders = engines.stream()
+                .filter(engine -> !isPrefill(engine) && !tried.contains(engine))
+                .toList();
+        Optional<Backend> least = PlainChooser.awake(decoders, now).stream()
+                .min(Comparator.comparingDouble(engine -> runs(engine, now) + chooser.preference(engine, now)));
+        if (least.isEmpty() || prompt.isEmpty() || prompt.get().promptTokens() < MIN_HOME_TOKENS) {
+            return least;
+        }
+        double most = runs(least.get(), now) + AFFINITY_RUNS;
+        return EngineRanking.rank(prompt.get().affinityKey(), decoders, engine -> 1).stream()
+                .filter(engine -> !engine.paused(now) && runs(engine, now) <= most)
+                .findFirst()
+                .or(() -> least);
     }
 
-    /** Notes that an engine has processed a prompt in the given time. */
+    /** Notes that a prefill engine has processed a prompt in the given time. */
     public void prefilled(Backend backend, PromptShape prompt, int expectedTokens, double millis, long cacheTokens) {
-        double expected = speed.millisFor(expectedTokens);
         speed.measured(expectedTokens, millis);
-        backend.delayed(Math.max(0, millis - expected), ticker.nanos());
+        meanTokens += (expectedTokens - meanTokens) * NEWEST;
         memory.processed(backend.entry().boot(), prompt, cacheTokens);
     }
 
     /** Notes that a decode engine holds a prompt, which it processed or took from another engine. */
     public void holds(Backend backend, PromptShape prompt, long cacheTokens) {
-        if (prompt.promptTokens() >= MIN_PREFILL_TOKENS) {
+        if (prompt.promptTokens() >= MIN_HOME_TOKENS) {
             memory.processed(backend.entry().boot(), prompt, cacheTokens);
         }
     }
@@ -116,52 +151,38 @@
         memory.forget(backend.entry().boot());
     }
 
-    /** Returns the tokens that an engine would have to process. */
-    private int uncached(PromptShape prompt, Backend backend) {
-        return Math.max(0, prompt.promptTokens() - memory.cached(backend.entry().boot(), prompt));
-    }
-
-    /** Returns the expected time at a prefill engine in milliseconds. */
-    private double prefillMillis(PromptShape prompt, Backend backend, long now) {
-        return backend.delayMillis(now)
-                + speed.millisFor(backend.openPromptTokens() + uncached(prompt, backend))
-                + FAILING_MILLIS * backend.failureShare();
-    }
-
-    /** Returns the expected time in milliseconds at a decode engine that processes the prompt itself. */
-    private double directMillis(PromptShape prompt, Backend backend) {
-        long tokens = backend.openPromptTokens() + uncached(prompt, backend);
-        return DECODE_SLOWDOWN * speed.millisFor(tokens) + FAILING_MILLIS * backend.failureShare();
+    /** Returns the tokens that an engine is expected to process. */
+    private int expectedTokens(PromptShape prompt, Backend backend, boolean home) {
+        int cached = memory.cached(backend.entry().boot(), prompt);
+        int assumed = home ? (int) ((1 - HOME_MISS) * prompt.sharedTokens()) : 0;
+        return Math.max(0, prompt.promptTokens() - Math.max(cached, assumed));
     }
 
-    /** Returns the engines in the order in which the prompt prefers them, the same at every instance. */
-    private static List<Backend> ranked(PromptShape prompt, List<Backend> engines) {
-        String key = prompt.affinityKey();
-        return engines.stream()
-                .sorted(Comparator.comparingLong(
-                        backend -> -affinity(key, backend.entry().id())))
-                .toList();
-    }
-
-    /** Returns the affinity of a shared part to an engine. */
-    private static long affinity(String key, String engine) {
-        return Hashing.murmur3_128()
-                        .hashString(key + "|" + engine, StandardCharsets.UTF_8)
-                        .asLong()
-                >>> 1;
+    /** Returns the expected time to the first token in milliseconds. */
+    private double millis(Backend backend, int tokens, long now) {
+        double failing = FAILING_MILLIS * backend.failureShare();
+        if (isPrefill(backend)) {
+            double waiting = backend.load(now, MAX_LOAD_AGE_MILLIS)
+                    .map(load -> load.waiting() + load.running() / 2.0 + backend.openedSinceLoad())
+                    .orElse((double) backend.open());
+            return failing + HANDOVER_MILLIS + speed.millisFor(waiting * meanTokens + tokens);
+        }
+        int waiting =
+                backend.load(now, MAX_LOAD_AGE_MILLIS).map(LoadReading::waiting).orElse(0);
+        return failing
+                + DECODE_SLOWDOWN * speed.millisFor(backend.openPromptTokens() + waiting * SHORT_TOKENS + tokens);
     }
 
-    /** Returns the engines that process prompts for others. */
-    private static List<Backend> prefillers(List<Backend> engines) {
-        return engines.stream()
-                .filter(backend -> backend.entry().stage() == BackendStage.PREFILL)
-                .toList();
+    /** Returns the runs of an engine, its own statement corrected by what this instance sent. */
+    private static double runs(Backend backend, long now) {
+        double stated = backend.load(now, MAX_LOAD_AGE_MILLIS)
+                .map(load -> (double) load.running() + load.waiting())
+                .orElse(0.0);
+        return OWN_WEIGHT * backend.open() + STATED_WEIGHT * stated;
     }
 
-    /** Returns the engines that generate tokens. */
-    private static List<Backend> decoders(List<Backend> engines) {
-        return engines.stream()
-                .filter(backend -> backend.entry().stage() != BackendStage.PREFILL)
-                .toList();
+    /** Returns whether an engine processes prompts for others. */
+    private static boolean isPrefill(Backend backend) {
+        return backend.entry().stage() == BackendStage.PREFILL;
     }
 }
--- a/src/main/java/org/verbenatray/placement/PlainChooser.java
+++ b/src/main/java/org/verbenatray/placement/PlainChooser.java
@@ -69,7 +69,12 @@
 
     /** Returns the cost of a server in open requests. */
     private double cost(Backend backend, long nowNanos) {
-        double cost = backend.open() + random.getAsDouble() / 2;
+        return backend.open() + preference(backend, nowNanos);
+    }
+
+    /** Returns what else counts for or against a server, in open requests. */
+    double preference(Backend backend, long nowNanos) {
+        double cost = random.getAsDouble() / 2;
         cost += backend.entry().domain().equals(domain) ? 0 : OTHER_DOMAIN;
         cost += FAILING * backend.failureShare();
         cost += DELAYED_SECOND * backend.delayMillis(nowNanos) / 1_000;
--- a/src/main/java/org/verbenatray/placement/PrefillSpeed.java
+++ b/src/main/java/org/verbenatray/placement/PrefillSpeed.java
@@ -1,18 +1,29 @@
 package org.verbenatray.placement;
 
-/** Learns how many prompt tokens an idle prefill engine processes in a millisecond. */
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Learns how many prompt tokens a prefill engine processes in a millisecond.
+ *
+ * <p>A measurement is too slow where the prompt waited, and too fast where the engine kept a part of it; the median of
+ * many is neither.
+ */
 public final class PrefillSpeed {
-    /** The speed assumed before the first measurement, in tokens per millisecond. */
-    private static final double ASSUMED = 30;
+    /** The speed assumed before enough measurements, in tokens per millisecond. */
+    private static final double ASSUMED = 40;
 
     /** The smallest prompt that tells something of the speed, in tokens. */
-    private static final int MIN_TOKENS = 1_500;
+    private static final int MIN_TOKENS = 3_000;
 
-    /** The share of a faster measurement that is taken over: waiting only ever makes a measurement slower. */
-    private static final double UPWARD = 0.5;
+    /** The measurements before which the assumption holds. */
+    private static final int MIN_SAMPLES = 9;
 
-    /** The share of a slower measurement that is taken over. */
-    private static final double DOWNWARD = 0.01;
+    /** The measurements that are kept. */
+    private static final int MAX_SAMPLES = 41;
+
+    /** The newest measurements in tokens per millisecond. */
+    private final Deque<Double> samples = new ArrayDeque<>();
 
     /** The speed in tokens per millisecond. */
     private double speed = ASSUMED;
@@ -30,12 +41,21 @@
         if (tokens < MIN_TOKENS || millis <= 0) {
             return;
         }
-        double sample = tokens / millis;
-        speed += (sample - speed) * (sample > speed ? UPWARD : DOWNWARD);
+        samples.addLast(tokens / millis);
+        if (samples.size() > MAX_SAMPLES) {
+            samples.removeFirst();
+        }
+        if (samples.size() >= MIN_SAMPLES) {
+            speed = samples.stream()
+                    .sorted()
+                    .skip(samples.size() / 2)
+                    .findFirst()
+                    .orElse(ASSUMED);
+        }
     }
 
     /** Returns the expected time for the given tokens in milliseconds. */
-    public double millisFor(long tokens) {
+    public double millisFor(double tokens) {
         return tokens / speed;
     }
 }
--- a/src/main/java/org/verbenatray/platform/CatalogDecoder.java
+++ b/src/main/java/org/verbenatray/platform/CatalogDecoder.java
@@ -89,6 +89,7 @@
                 node.path("priority").asInt(5),
                 List.copyOf(services),
                 Math.max(1, node.path("maxAttempts").asInt(1)),
+                node.path("targetGapMs").asLong(),
                 node.path("resumable").asBoolean());
     }
 
--- a/src/main/java/org/verbenatray/platform/WireDialect.java
+++ b/src/main/java/org/verbenatray/platform/WireDialect.java
@@ -16,6 +16,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.LoadReading;
 import org.verbenatray.placement.PromptPart;
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.relay.EndToEndHeaders;
@@ -189,6 +191,28 @@
                 .on(ConnectionUse.POOLED, source.holder().entry().boot());
     }
 
+    @Override
+    public HttpCall load(Backend backend) {
+        return HttpCall.create("GET", backend.entry().address(), "/report", Map.of(), new byte[0])
+                .on(ConnectionUse.POOLED, backend.entry().boot());
+    }
+
+    @Override
+    public Optional<LoadReading> load(byte[] body) {
+        try {
+            JsonNode node = json.readTree(body);
+            return Optional.of(new LoadReading(
+                    node.path("waiting").asInt(),
+                    node.path("running").asInt(),
+                    node.path("kvUsed").asLong(),
+                    node.path("kvTotal").asLong(),
+                    node.path("next").asLong()));
+        } catch (IOException e) {
+            Event.named("report_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
+            return Optional.empty();
+        }
+    }
+
     @Override
     public void comeBack(HeaderMap headers, long millis) {
         headers.put(Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", millis / 1_000.0));
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -56,6 +56,9 @@
     /** When the engine drops the processed prompt. */
     private Deadline sourceUntil;
 
+    /** The prompt tokens that a decode engine is expected to process itself. */
+    private int promptTokens;
+
     /** The last event that was passed on, null before the first. */
     private String lastEvent;
 
@@ -119,36 +122,39 @@
             return;
         }
         EnginePlan plan = parts.planner().plan(prompt.get(), call.usable(), triedPrefills);
-        if (plan.prefill().isPresent() && triedPrefills.size() < MAX_PREFILLS) {
+        call.remark("plan_ms", Math.round(plan.firstTokenMillis()));
+        if (plan.handover() && triedPrefills.size() < MAX_PREFILLS) {
             prefill(plan, prompt.get());
+        } else if (plan.handover()) {
+            decode(Optional.empty());
         } else {
-            decode(plan.decode());
+            promptTokens = plan.tokens();
+            decode(plan.engine());
         }
     }
 
     /** Sends the prompt to a prefill engine. */
     private void prefill(EnginePlan plan, PromptShape prompt) {
-        Backend backend = plan.prefill().orElseThrow();
+        Backend backend = plan.engine().orElseThrow();
         triedPrefills.add(backend);
+        long left = call.firstEventDueMillis();
+        if (left <= 0) {
+            end("caller_out_of_patience");
+            return;
+        }
         Forwarding how = new Forwarding(
-                backend,
-                call.remainingMillis(),
-                call.route().priority(),
-                true,
-                Optional.empty(),
-                Optional.empty(),
-                ConnectionUse.POOLED);
+                backend, left, call.route().priority(), true, Optional.empty(), Optional.empty(), ConnectionUse.POOLED);
         long now = parts.ticker().nanos();
         long silence = (long) Math.max(MIN_SILENCE_MILLIS, PREFILL_PATIENCE * plan.firstTokenMillis());
-        Deadline first = Deadline.afterMillis(now, Math.min(call.remainingMillis(), silence));
+        Deadline first = Deadline.afterMillis(now, Math.min(left, silence));
         Patience patience = new Patience(first, MIN_SILENCE_MILLIS, call.deadline());
         open = Forward.send(
                 parts,
                 call.request(),
                 how,
-                plan.prefillTokens(),
+                plan.tokens(),
                 patience,
-                new PrefillListener(backend, prompt, plan.prefillTokens(), now));
+                new PrefillListener(backend, prompt, plan.tokens(), now));
     }
 
     /** Takes a processed prompt. */
@@ -165,7 +171,8 @@
             expired();
             return;
         }
-        Optional<Backend> chosen = preferred.or(() -> parts.planner().decoder(call.usable(), tried));
+        Optional<Backend> chosen =
+                preferred.or(() -> parts.planner().decoder(call.request().prompt(), call.usable(), tried));
         if (chosen.isEmpty()) {
             end("no_server");
             return;
@@ -183,10 +190,7 @@
                 Optional.ofNullable(source),
                 Optional.ofNullable(lastEvent).or(() -> call.request().resumeAfter()),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.FRESH);
-        long promptTokens = source == null
-                ? call.request().prompt().map(PromptShape::promptTokens).orElse(0)
-                : 0;
-        open = Forward.send(parts, call.request(), how, promptTokens, patience(repeatable), this);
+        open = Forward.send(parts, call.request(), how, source == null ? promptTokens : 0, patience(repeatable), this);
     }
 
     /** Returns how long an engine may be silent. */
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -110,6 +110,12 @@
         return deadline.remainingMillis(parts.ticker().nanos());
     }
 
+    /** Returns the time in milliseconds until the caller leaves where no event has come; at most the time left. */
+    long firstEventDueMillis() {
+        long waited = (parts.ticker().nanos() - request.receivedNanos()) / 1_000_000;
+        return Math.min(remainingMillis(), route.patienceMillis() - waited);
+    }
+
     /** Returns the servers of the service that take requests. */
     List<Backend> usable() {
         return parts.directory().usable(service);
--- a/src/main/java/org/verbenatray/relay/RelayDialect.java
+++ b/src/main/java/org/verbenatray/relay/RelayDialect.java
@@ -3,6 +3,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import java.util.Optional;
+import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.LoadReading;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ReplyHead;
 
@@ -23,6 +25,12 @@
     /** Returns the call that frees a processed prompt. */
     HttpCall free(PromptSource source);
 
+    /** Returns the call that asks an engine for its load. */
+    HttpCall load(Backend backend);
+
+    /** Returns the load in the answer of an engine; empty where it is malformed. */
+    Optional<LoadReading> load(byte[] body);
+
     /** Adds to an answer when a caller may come back, in milliseconds. */
     void comeBack(HeaderMap headers, long millis);
 
--- a/src/main/java/org/verbenatray/relay/RelayServer.java
+++ b/src/main/java/org/verbenatray/relay/RelayServer.java
@@ -21,6 +21,9 @@
     /** The time that an idle connection of a caller is kept in milliseconds. */
     private static final int IDLE_MILLIS = 60_000;
 
+    /** The time that open exchanges may take once the servers are closed, in milliseconds. */
+    private static final int SHUTDOWN_MILLIS = 100;
+
     /** The server. */
     private final Undertow server;
 
@@ -59,6 +62,7 @@
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MILLIS)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
+                .setServerOption(UndertowOptions.SHUTDOWN_TIMEOUT, SHUTDOWN_MILLIS)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.DECODE_URL, false)
                 .build();
--- /dev/null
+++ b/src/test/java/org/verbenatray/platform/ScriptedServer.java
@@ -0,0 +1,214 @@
+package org.verbenatray.platform;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A backend server over raw sockets that answers as a script tells it, byte by byte. */
+final class ScriptedServer implements AutoCloseable {
+    /** The socket that takes connections. */
+    private final ServerSocket listener;
+
+    /** What is done with each request. */
+    private volatile Script script;
+
+    /** The requests that came. */
+    private final List<Request> requests = new CopyOnWriteArrayList<>();
+
+    /** The open connections. */
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
+
+    /** The connections that the other side closed. */
+    private final List<Socket> closedByPeer = new CopyOnWriteArrayList<>();
+
+    private ScriptedServer(Script script) throws IOException {
+        this.script = script;
+        this.listener = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
+        Thread acceptor = new Thread(this::accept, "scripted-server");
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    /** Starts a server with a script. */
+    static ScriptedServer start(Script script) throws IOException {
+        return new ScriptedServer(script);
+    }
+
+    /** Replaces the script. */
+    void then(Script newScript) {
+        script = newScript;
+    }
+
+    /** Returns the address. */
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /** Returns the requests that came, without those for health. */
+    List<Request> requests() {
+        return requests;
+    }
+
+    /** Returns the number of connections that were taken. */
+    int connectionCount() {
+        return connections.size();
+    }
+
+    /** Returns the number of connections that the other side closed. */
+    int closedByPeerCount() {
+        return closedByPeer.size();
+    }
+
+    /** Returns whether writing on each connection that the other side closed fails. */
+    boolean cannotWriteToClosed() {
+        for (Socket connection : closedByPeer) {
+            try {
+                connection.getOutputStream().write('x');
+                return false;
+            } catch (IOException e) {
+                // The other side does not read any more either.
+            }
+        }
+        return true;
+    }
+
+    /** Resets all connections and takes no more. */
+    void crash() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.setSoLinger(true, 0);
+            connection.close();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
+    /** Returns a whole answer of a server to a request. */
+    static byte[] answer(Request request, int status, String extraHeaders, String body) {
+        return ("HTTP/1.1 " + status + " Status\r\nRequest-Id: " + request.header("request-id") + "\r\n" + extraHeaders
+                        + "Content-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Returns a whole answer that bears the server's mark. */
+    static byte[] good(Request request, String body) {
+        return answer(request, 200, "Server-Stamp: mark\r\n", body);
+    }
+
+    /** Returns the head of a stream that bears the server's mark. */
+    static byte[] streamHead(Request request) {
+        return ("HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("request-id")
+                        + "\r\nServer-Stamp: mark\r\nContent-Type: text/event-stream\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Returns one chunk with an event. */
+    static byte[] event(int id, String data) {
+        return chunk("id: " + id + "\ndata: " + data + "\n\n");
+    }
+
+    /** Returns one chunk. */
+    static byte[] chunk(String text) {
+        return (Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Returns the chunk that ends a stream. */
+    static byte[] lastChunk() {
+        return "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket connection = listener.accept();
+                connections.add(connection);
+                Thread server = new Thread(() -> serve(connection), "scripted-connection");
+                server.setDaemon(true);
+                server.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket connection) {
+        try {
+            InputStream in = new BufferedInputStream(connection.getInputStream());
+            for (Request request = read(in); request != null; request = read(in)) {
+                requests.add(request);
+                script.serve(request, connection, connection.getOutputStream());
+                connection.getOutputStream().flush();
+            }
+            closedByPeer.add(connection);
+        } catch (IOException e) {
+            closedByPeer.add(connection);
+        }
+    }
+
+    /** Reads one request with its body, or null where the connection ends. */
+    private static Request read(InputStream in) throws IOException {
+        String line = line(in);
+        if (line == null || line.isEmpty()) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>();
+        for (String header = line(in); header != null && !header.isEmpty(); header = line(in)) {
+            int colon = header.indexOf(':');
+            headers.put(
+                    header.substring(0, colon).toLowerCase(Locale.ROOT),
+                    header.substring(colon + 1).trim());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        return new Request(line, headers, new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        for (int next = in.read(); next >= 0; next = in.read()) {
+            if (next == '\n') {
+                return bytes.toString(StandardCharsets.ISO_8859_1).replace("\r", "");
+            }
+            bytes.write(next);
+        }
+        return null;
+    }
+
+    /** What is done with a request. */
+    @FunctionalInterface
+    interface Script {
+        /** Serves a request; a script that returns without an answer leaves the connection open and silent. */
+        void serve(Request request, Socket connection, OutputStream out) throws IOException;
+    }
+
+    /**
+     * A request that came.
+     *
+     * @param line the request line
+     * @param headers the headers by lower-case name
+     * @param body the body
+     */
+    record Request(String line, Map<String, String> headers, String body) {
+        /** Returns a header, or an empty text. */
+        String header(String name) {
+            return headers.getOrDefault(name, "");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/verbenatray/platform/StandInStore.java
@@ -0,0 +1,221 @@
+package org.verbenatray.platform;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.verbenatray.instance.RelayLoop;
+import org.verbenatray.time.Ticker;
+
+/** A small stand-in for the platform's store: keyed topics and plain topics, with faults. */
+final class StandInStore implements AutoCloseable {
+    /** The records by topic. */
+    private final Map<String, Topic> topics = new HashMap<>();
+
+    /** The thread. */
+    private final RelayLoop loop = RelayLoop.start(Ticker.system());
+
+    /** The server. */
+    private final Undertow server;
+
+    /** Writes JSON. */
+    private final ObjectMapper json = new ObjectMapper();
+
+    /** What it does to calls. */
+    private volatile Fault fault = Fault.NONE;
+
+    /** The calls that came. */
+    private volatile int calls;
+
+    private StandInStore() {
+        server = Undertow.builder()
+                .setWorker(loop.worker())
+                .addHttpListener(0, "127.0.0.1", this::handle)
+                .build();
+        server.start();
+    }
+
+    /** Starts a store. */
+    static StandInStore start() {
+        return new StandInStore();
+    }
+
+    /** Returns the address. */
+    String address() {
+        InetSocketAddress bound =
+                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return "127.0.0.1:" + bound.getPort();
+    }
+
+    /** Returns the number of calls that came. */
+    int calls() {
+        return calls;
+    }
+
+    /** Sets what it does to calls from now on. */
+    void fault(Fault newFault) {
+        fault = newFault;
+    }
+
+    /** Writes a record of a keyed topic; a null value drops the key. */
+    synchronized void put(String topic, String key, String value) {
+        Topic target = topic(topic);
+        target.records.add(keyed(key, value));
+        if (value == null) {
+            target.newest.remove(key);
+        } else {
+            target.newest.put(key, value);
+        }
+    }
+
+    /** Drops the history of a topic; the newest record of each key stays. */
+    synchronized void compact(String topic) {
+        topic(topic).first = topic(topic).records.size();
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+        loop.close();
+    }
+
+    private Topic topic(String name) {
+        return topics.computeIfAbsent(name, key -> new Topic());
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        calls++;
+        switch (fault) {
+            case SILENT -> exchange.dispatch(() -> {});
+            case BUSY -> send(exchange, 503, new byte[0]);
+            case RESET -> {
+                try {
+                    exchange.getConnection().close();
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+            default -> serve(exchange, System.nanoTime() + millis(exchange) * 1_000_000L);
+        }
+    }
+
+    private synchronized void serve(HttpServerExchange exchange, long untilNanos) {
+        String call = exchange.getRequestPath();
+        Topic topic = topic(parameter(exchange, "topic", ""));
+        if (call.equals("/log-newest")) {
+            send(exchange, 200, newest(topic));
+        } else if (call.equals("/log-read")) {
+            int from = Integer.parseInt(parameter(exchange, "from", "0"));
+            if (from < topic.first) {
+                send(exchange, 410, ("{\"first\":" + topic.first + "}").getBytes(StandardCharsets.UTF_8));
+            } else if (from >= topic.records.size() && System.nanoTime() < untilNanos) {
+                exchange.dispatch(() -> exchange.getIoThread()
+                        .executeAfter(() -> serve(exchange, untilNanos), 5, TimeUnit.MILLISECONDS));
+            } else {
+                send(exchange, 200, read(topic, from));
+            }
+        } else if (call.equals("/log-append")) {
+            exchange.getRequestReceiver().receiveFullBytes((done, body) -> append(done, topic, body));
+        } else {
+            send(exchange, 404, new byte[0]);
+        }
+    }
+
+    private synchronized void append(HttpServerExchange exchange, Topic topic, byte[] body) {
+        ByteBuffer bytes = ByteBuffer.wrap(body);
+        int offset = topic.records.size();
+        while (bytes.hasRemaining()) {
+            byte[] content = new byte[bytes.getInt()];
+            bytes.get(content);
+            topic.records.add(content);
+        }
+        String answer = "{\"offset\":" + offset + ",\"end\":" + topic.records.size() + "}";
+        send(exchange, 200, answer.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private byte[] newest(Topic topic) {
+        ObjectNode answer = json.createObjectNode();
+        ArrayNode items = answer.putArray("items");
+        topic.newest.forEach(
+                (key, value) -> items.addObject().put("key", key).put("value", value.getBytes(StandardCharsets.UTF_8)));
+        answer.put("more", false).put("end", topic.records.size());
+        return answer.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private byte[] read(Topic topic, int from) {
+        try {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            DataOutputStream out = new DataOutputStream(bytes);
+            out.writeLong(topic.records.size());
+            out.writeLong(topic.first);
+            for (byte[] content : topic.records.subList(Math.min(from, topic.records.size()), topic.records.size())) {
+                out.writeInt(content.length);
+                out.write(content);
+            }
+            return bytes.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static byte[] keyed(String key, String value) {
+        byte[] name = key.getBytes(StandardCharsets.UTF_8);
+        byte[] content = value == null ? new byte[0] : value.getBytes(StandardCharsets.UTF_8);
+        return ByteBuffer.allocate(1 + name.length + content.length)
+                .put((byte) name.length)
+                .put(name)
+                .put(content)
+                .array();
+    }
+
+    private static long millis(HttpServerExchange exchange) {
+        return Long.parseLong(parameter(exchange, "waitMs", "0"));
+    }
+
+    private static String parameter(HttpServerExchange exchange, String name, String fallback) {
+        return exchange.getQueryParameters().containsKey(name)
+                ? exchange.getQueryParameters().get(name).getFirst()
+                : fallback;
+    }
+
+    private static void send(HttpServerExchange exchange, int status, byte[] body) {
+        exchange.setStatusCode(status);
+        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+    }
+
+    /** What the store does to calls. */
+    enum Fault {
+        /** Answers. */
+        NONE,
+        /** Never answers. */
+        SILENT,
+        /** Refuses. */
+        BUSY,
+        /** Closes the connection. */
+        RESET
+    }
+
+    /** The records of a topic. */
+    private static final class Topic {
+        /** All records. */
+        private final List<byte[]> records = new ArrayList<>();
+
+        /** The newest value of each key. */
+        private final Map<String, String> newest = new HashMap<>();
+
+        /** The first offset that is kept. */
+        private int first;
+    }
+}
