Prefill engines fetch the shared part from the decode engine that took it before

Cause: 2.0 million tokens of shared parts were read again, 270 ms each, while a decode engine kept them. Change: a prompt sent to a prefill engine names the decode engine of its affinity to fetch from.

--- a/src/main/java/org/verbenatray/platform/WireDialect.java
+++ b/src/main/java/org/verbenatray/platform/WireDialect.java
@@ -64,6 +64,9 @@
     /** Where the processed prompt lies. */
     private static final String SOURCE = "Kv-Source";
 
+    /** The engine from which the prompt's beginning is fetched. */
+    private static final String FETCH = "Kv-Fetch";
+
     /** A server's mark on its answer: a digest of it. */
     private static final HttpString MARK = new HttpString("Server-Stamp");
 
@@ -140,6 +143,8 @@
         if (how.prefillOnly()) {
             headers.put(STAGE, "prefill");
         }
+        how.fetchFrom()
+                .ifPresent(engine -> headers.put(FETCH, engine.entry().address().getAuthority()));
         how.source()
                 .ifPresent(source ->
                         headers.put(SOURCE, source.holder().entry().address().getAuthority() + "/" + source.handle()));
--- a/src/main/java/org/verbenatray/relay/Forwarding.java
+++ b/src/main/java/org/verbenatray/relay/Forwarding.java
@@ -11,6 +11,7 @@
  * @param budgetMillis the time in milliseconds that the server may work on it
  * @param priority the rank, zero first
  * @param prefillOnly whether the server only processes the prompt
+ * @param fetchFrom the engine from which it first takes what that one keeps of the prompt; empty for none
  * @param source where the processed prompt lies; empty where the server processes it itself
  * @param resumeAfter the last event that the caller has; empty for a whole answer
  * @param use which connection it travels on
@@ -20,6 +21,7 @@
         long budgetMillis,
         int priority,
         boolean prefillOnly,
+        Optional<Backend> fetchFrom,
         Optional<PromptSource> source,
         Optional<String> resumeAfter,
         ConnectionUse use) {}
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -143,7 +143,14 @@
             return;
         }
         Forwarding how = new Forwarding(
-                backend, left, call.route().priority(), true, Optional.empty(), Optional.empty(), ConnectionUse.POOLED);
+                backend,
+                left,
+                call.route().priority(),
+                true,
+                parts.planner().decoder(call.request().prompt(), call.usable(), List.of()),
+                Optional.empty(),
+                Optional.empty(),
+                ConnectionUse.POOLED);
         long now = parts.ticker().nanos();
         long silence = (long) Math.max(MIN_SILENCE_MILLIS, PREFILL_PATIENCE * plan.firstTokenMillis());
         Deadline first = Deadline.afterMillis(now, Math.min(left, silence));
@@ -187,6 +194,7 @@
                 call.remainingMillis(),
                 call.route().priority(),
                 false,
+                Optional.empty(),
                 Optional.ofNullable(source),
                 Optional.ofNullable(lastEvent).or(() -> call.request().resumeAfter()),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.FRESH);
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -124,6 +124,7 @@
                 call.route().priority(),
                 false,
                 Optional.empty(),
+                Optional.empty(),
                 call.request().resumeAfter(),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.FRESH);
         open = Forward.send(parts, call.request(), how, 0, patience(repeatable), this);
