Loads of prefill engines are read just before; prompts that would be late are refused at once; engines tell what they keep

Cause: prefill queues grew to the callers' patience, so that nearly all long prompts were late; what engines keep was guessed. Change: reports of the deciding engines at most 100 ms old before a prompt is placed; cache events once a second; refusal with a time to come back where the first token is expected after 0.85 of the target.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -96,6 +96,8 @@
         PlainChooser chooser = PlainChooser.create(
                 settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
         this.planner = EnginePlanner.create(loop.ticker(), PrefixMemory.empty(), PrefillSpeed.unmeasured(), chooser);
+        this.loads = LoadPoller.create(
+                loop.transport(), loop.thread(), loop.ticker(), sources.dialect(), directory, planner.memory());
         RelayParts parts = new RelayParts(
                 loop.transport(),
                 loop.thread(),
@@ -108,9 +110,9 @@
                 this::budget,
                 crashes,
                 () -> stopping,
-                metrics);
+                metrics,
+                loads);
         this.handler = RelayHandler.create(parts);
-        this.loads = LoadPoller.create(parts);
         this.server = RelayServer.start(
                 loop.worker(),
                 settings.addresses(),
--- a/src/main/java/org/verbenatray/placement/EnginePlanner.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlanner.java
@@ -24,8 +24,8 @@
     /** How many times slower a decode engine processes a prompt. */
     private static final double DECODE_SLOWDOWN = 2;
 
-    /** The share of a prompt's shared part that its home is expected to process, as it may have been dropped. */
-    private static final double HOME_MISS = 0.3;
+    /** The added time in milliseconds of fetching a prompt's beginning from another engine. */
+    private static final double FETCH_MILLIS = 15;
 
     /** The share of a shared part whose processing at another engine costs the others that much time later. */
     private static final double DISPLACEMENT = 0.5;
@@ -57,6 +57,9 @@
     /** The weight of a request that an engine states. */
     private static final double STATED_WEIGHT = 0.5;
 
+    /** The engines whose load is asked for before a prompt is sent. */
+    private static final int MAX_DECIDING = 3;
+
     /** The clock. */
     private final Ticker ticker;
 
@@ -85,29 +88,57 @@
         return new EnginePlanner(ticker, memory, speed, chooser);
     }
 
+    /** Returns what the engines are believed to keep. */
+    public PrefixMemory memory() {
+        return memory;
+    }
+
+    /** Returns the engines whose load decides where a prompt is processed. */
+    public List<Backend> deciding(PromptShape prompt, List<Backend> engines) {
+        if (prompt.promptTokens() < MIN_HOME_TOKENS) {
+            return List.of();
+        }
+        List<Backend> prefills =
+                engines.stream().filter(EnginePlanner::isPrefill).toList();
+        return EngineRanking.rank(prompt.affinityKey(), prefills, engine -> 1).stream()
+                .limit(MAX_DECIDING)
+                .toList();
+    }
+
     /** Returns where a prompt is processed, given the engines of the service and those that were tried. */
     public EnginePlan plan(PromptShape prompt, List<Backend> engines, Collection<Backend> tried) {
         if (prompt.promptTokens() < MIN_HOME_TOKENS) {
             Optional<Backend> decoder = decoder(Optional.empty(), engines, tried);
-            return new EnginePlan(decoder, false, prompt.promptTokens(), 0);
+            return new EnginePlan(decoder, false, Optional.empty(), prompt.promptTokens(), 0);
         }
         long now = ticker.nanos();
-        List<Backend> prefills = PlainChooser.awake(
-                engines.stream().filter(EnginePlanner::isPrefill).toList(), now);
+        List<Backend> awake = PlainChooser.awake(engines, now);
+        List<Backend> prefills = awake.stream().filter(EnginePlanner::isPrefill).toList();
+        Optional<Backend> holder = awake.stream()
+                .filter(engine -> cached(engine, prompt) > 0)
+                .max(Comparator.comparingInt(engine -> cached(engine, prompt)));
+        int held = holder.map(engine -> cached(engine, prompt)).orElse(0);
+        double elsewhere = DISPLACEMENT * speed.millisFor(Math.max(0, prompt.sharedTokens() - held));
         List<Backend> ranked =
-                EngineRanking.rank(prompt.affinityKey(), prefills.isEmpty() ? engines : prefills, engine -> 1);
-        EnginePlan best = new EnginePlan(Optional.empty(), false, 0, 0);
+                EngineRanking.rank(prompt.affinityKey(), prefills.isEmpty() ? awake : prefills, engine -> 1);
+        EnginePlan best = new EnginePlan(Optional.empty(), false, Optional.empty(), 0, 0);
         double bestCost = Double.MAX_VALUE;
         for (int rank = 0; rank < ranked.size(); rank++) {
             Backend candidate = ranked.get(rank);
             if (tried.contains(candidate)) {
                 continue;
             }
-            int tokens = expectedTokens(prompt, candidate, rank == 0);
-            double millis = millis(candidate, tokens, now);
-            double cost = millis + (rank == 0 ? 0 : DISPLACEMENT * speed.millisFor(prompt.sharedTokens()));
+            int own = cached(candidate, prompt);
+            int tokens = prompt.promptTokens() - Math.max(own, held);
+            double millis = millis(candidate, tokens, now) + (own < held ? FETCH_MILLIS : 0);
+            double cost = millis + (rank == 0 ? 0 : elsewhere);
             if (cost < bestCost) {
-                best = new EnginePlan(Optional.of(candidate), isPrefill(candidate), tokens, millis);
+                best = new EnginePlan(
+                        Optional.of(candidate),
+                        isPrefill(candidate),
+                        own < held ? holder : Optional.empty(),
+                        tokens,
+                        millis);
                 bestCost = cost;
             }
         }
@@ -128,21 +159,21 @@
         double most = runs(least.get(), now) + AFFINITY_RUNS;
         return EngineRanking.rank(prompt.get().affinityKey(), decoders, engine -> 1).stream()
                 .filter(engine -> !engine.paused(now) && runs(engine, now) <= most)
-                .findFirst()
+                .max(Comparator.comparingInt(engine -> cached(engine, prompt.get())))
                 .or(() -> least);
     }
 
     /** Notes that a prefill engine has processed a prompt in the given time. */
-    public void prefilled(Backend backend, PromptShape prompt, int expectedTokens, double millis, long cacheTokens) {
+    public void prefilled(Backend backend, PromptShape prompt, int expectedTokens, double millis) {
         speed.measured(expectedTokens, millis);
         meanTokens += (expectedTokens - meanTokens) * NEWEST;
-        memory.processed(backend.entry().boot(), prompt, cacheTokens);
+        memory.processed(backend.entry().boot(), prompt);
     }
 
     /** Notes that a decode engine holds a prompt, which it processed or took from another engine. */
-    public void holds(Backend backend, PromptShape prompt, long cacheTokens) {
+    public void holds(Backend backend, PromptShape prompt) {
         if (prompt.promptTokens() >= MIN_HOME_TOKENS) {
-            memory.processed(backend.entry().boot(), prompt, cacheTokens);
+            memory.processed(backend.entry().boot(), prompt);
         }
     }
 
@@ -151,11 +182,9 @@
         memory.forget(backend.entry().boot());
     }
 
-    /** Returns the tokens that an engine is expected to process. */
-    private int expectedTokens(PromptShape prompt, Backend backend, boolean home) {
-        int cached = memory.cached(backend.entry().boot(), prompt);
-        int assumed = home ? (int) ((1 - HOME_MISS) * prompt.sharedTokens()) : 0;
-        return Math.max(0, prompt.promptTokens() - Math.max(cached, assumed));
+    /** Returns the tokens at the beginning of a prompt that an engine is believed to keep. */
+    private int cached(Backend backend, PromptShape prompt) {
+        return memory.cached(backend.entry().boot(), prompt);
     }
 
     /** Returns the expected time to the first token in milliseconds. */
--- a/src/main/java/org/verbenatray/placement/PrefixMemory.java
+++ b/src/main/java/org/verbenatray/placement/PrefixMemory.java
@@ -2,16 +2,24 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import org.verbenatray.backends.CacheChanges;
 
-/** What this instance believes each engine keeps of the prompts that it sent there; used on one thread. */
+/**
+ * What each engine is believed to keep of prompts: what it tells, late and with gaps, and what this instance sent there
+ * since; used on one thread.
+ */
 public final class PrefixMemory {
-    /** The largest number of prompt beginnings remembered per engine. */
-    private static final int MAX_PER_ENGINE = 512;
+    /** The largest number of parts remembered per engine; the oldest are forgotten. */
+    private static final int MAX_PARTS = 8_192;
 
-    /** The tokens by the chained name of a prompt's beginning, by engine. */
+    /** The tokens of each part by engine. */
     private final Map<String, LinkedHashMap<String, Integer>> byBoot = new HashMap<>();
 
+    /** How far the changes of each engine were read. */
+    private final Map<String, Position> positions = new HashMap<>();
+
     /** Creates an empty memory. */
     private PrefixMemory() {}
 
@@ -20,31 +28,45 @@
         return new PrefixMemory();
     }
 
-    /** Notes that an engine has processed the shared parts of a prompt. */
-    public void processed(String boot, PromptShape prompt, long cacheTokens) {
-        LinkedHashMap<String, Integer> kept = byBoot.computeIfAbsent(boot, key -> new LinkedHashMap<>(64, 0.75f, true));
-        String chain = "";
-        for (PromptPart part : prompt.parts()) {
-            chain = chain + "/" + part.id();
-            kept.put(chain, part.tokens());
+    /** Returns the number from which the changes of an engine are asked for. */
+    public long position(String boot) {
+        Position position = positions.get(boot);
+        return position == null ? 0 : position.next();
+    }
+
+    /** Takes what an engine tells. */
+    public void changed(String boot, CacheChanges changes) {
+        Position known = positions.get(boot);
+        if (changes.gap() || known != null && !known.epoch().equals(changes.epoch())) {
+            byBoot.remove(boot);
+        }
+        positions.put(boot, new Position(changes.epoch(), changes.next()));
+        Map<String, Integer> parts = parts(boot);
+        for (CacheChanges.Change change : changes.changes()) {
+            parts.remove(change.part());
+            if (change.tokens() > 0) {
+                parts.put(change.part(), change.tokens());
+            }
         }
-        trim(kept, cacheTokens);
+    }
+
+    /** Notes that an engine has processed a prompt or taken it from another engine. */
+    public void processed(String boot, PromptShape prompt) {
+        Map<String, Integer> parts = parts(boot);
+        prompt.parts().forEach(part -> parts.put(part.id(), part.tokens()));
     }
 
     /** Returns the tokens at the beginning of a prompt that an engine is believed to keep. */
     public int cached(String boot, PromptShape prompt) {
-        Map<String, Integer> kept = byBoot.get(boot);
-        if (kept == null) {
-            return 0;
-        }
+        Map<String, Integer> parts = byBoot.getOrDefault(boot, new LinkedHashMap<>());
         int tokens = 0;
-        String chain = "";
-        for (PromptPart part : prompt.parts()) {
-            chain = chain + "/" + part.id();
-            if (!kept.containsKey(chain)) {
-                return tokens;
+        List<PromptPart> ordered = prompt.parts();
+        for (PromptPart part : ordered) {
+            int kept = Math.min(part.tokens(), parts.getOrDefault(part.id(), 0));
+            tokens += kept;
+            if (kept < part.tokens()) {
+                break;
             }
-            tokens += part.tokens();
         }
         return tokens;
     }
@@ -52,15 +74,24 @@
     /** Forgets an engine that has ended. */
     public void forget(String boot) {
         byBoot.remove(boot);
+        positions.remove(boot);
     }
 
-    /** Drops the least recently used beginnings beyond the engine's memory. */
-    private static void trim(LinkedHashMap<String, Integer> kept, long cacheTokens) {
-        long total = kept.values().stream().mapToLong(Integer::longValue).sum();
-        var eldest = kept.entrySet().iterator();
-        while (eldest.hasNext() && (total > cacheTokens || kept.size() > MAX_PER_ENGINE)) {
-            total -= eldest.next().getValue();
-            eldest.remove();
-        }
+    /** Returns the parts of an engine. */
+    private Map<String, Integer> parts(String boot) {
+        return byBoot.computeIfAbsent(boot, key -> new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
+                return size() > MAX_PARTS;
+            }
+        });
     }
+
+    /**
+     * How far the changes of an engine were read.
+     *
+     * @param epoch the start of the engine's count
+     * @param next the number of the next change
+     */
+    private record Position(String epoch, long next) {}
 }
--- a/src/main/java/org/verbenatray/platform/WireDialect.java
+++ b/src/main/java/org/verbenatray/platform/WireDialect.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.CacheChanges;
 import org.verbenatray.backends.LoadReading;
 import org.verbenatray.placement.PromptPart;
 import org.verbenatray.placement.PromptShape;
@@ -218,6 +219,33 @@
         }
     }
 
+    @Override
+    public HttpCall cacheChanges(Backend backend, long since) {
+        return HttpCall.create("GET", backend.entry().address(), "/kv-events?since=" + since, Map.of(), new byte[0])
+                .on(ConnectionUse.POOLED, backend.entry().boot());
+    }
+
+    @Override
+    public Optional<CacheChanges> cacheChanges(byte[] body) {
+        try {
+            JsonNode node = json.readTree(body);
+            List<CacheChanges.Change> changes = new ArrayList<>();
+            for (JsonNode event : node.path("events")) {
+                boolean kept = event.path(1).asText().equals("+");
+                changes.add(new CacheChanges.Change(
+                        event.path(3).asText(), kept ? event.path(4).asInt() : 0));
+            }
+            return Optional.of(new CacheChanges(
+                    node.path("epoch").asText(),
+                    node.path("next").asLong(),
+                    node.path("lost").asBoolean(),
+                    changes));
+        } catch (IOException e) {
+            Event.named("cache_changes_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
+            return Optional.empty();
+        }
+    }
+
     @Override
     public void comeBack(HeaderMap headers, long millis) {
         headers.put(Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", millis / 1_000.0));
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -29,6 +29,9 @@
     /** The multiple of the expected time after which an engine that processes a prompt is left for another. */
     private static final double PREFILL_PATIENCE = 4;
 
+    /** The multiple of the target by which the first token must be expected. */
+    private static final double LATEST_TARGETS = 0.85;
+
     /** The prefill engines that a prompt is sent to at most. */
     private static final int MAX_PREFILLS = 2;
 
@@ -121,10 +124,26 @@
             decode(Optional.empty());
             return;
         }
-        EnginePlan plan = parts.planner().plan(prompt.get(), call.usable(), triedPrefills);
+        parts.loads().refresh(parts.planner().deciding(prompt.get(), call.usable()), () -> place(prompt.get()));
+    }
+
+    /** Sends the prompt where it will be processed first, or refuses it where that would be too late. */
+    private void place(PromptShape prompt) {
+        if (call.over()) {
+            return;
+        }
+        EnginePlan plan = parts.planner().plan(prompt, call.usable(), triedPrefills);
+        long waited = call.waitedMillis();
         call.remark("plan_ms", Math.round(plan.firstTokenMillis()));
+        if (plan.handover()
+                && !call.mayHaveRun()
+                && waited + plan.firstTokenMillis()
+                        > LATEST_TARGETS * call.route().targetMillis()) {
+            end("overloaded");
+            return;
+        }
         if (plan.handover() && triedPrefills.size() < MAX_PREFILLS) {
-            prefill(plan, prompt.get());
+            prefill(plan, prompt);
         } else if (plan.handover()) {
             decode(Optional.empty());
         } else {
@@ -147,7 +166,7 @@
                 left,
                 call.route().priority(),
                 true,
-                parts.planner().decoder(call.request().prompt(), call.usable(), List.of()),
+                plan.fetchFrom(),
                 Optional.empty(),
                 Optional.empty(),
                 ConnectionUse.POOLED);
@@ -214,8 +233,7 @@
     /** Notes that an engine runs the request: the processed prompt was taken and stays in its memory. */
     private void started() {
         source = null;
-        long cacheTokens = engine().map(EngineLimits::cacheTokens).orElse(0L);
-        call.request().prompt().ifPresent(prompt -> parts.planner().holds(open.backend(), prompt, cacheTokens));
+        call.request().prompt().ifPresent(prompt -> parts.planner().holds(open.backend(), prompt));
     }
 
     /** Passes on an answer that is no stream, or tries another engine after an error. */
@@ -344,8 +362,7 @@
                     outcome.status() == 200 ? parts.dialect().handle(outcome.body()) : Optional.empty();
             if (outcome.kind() == ForwardOutcome.Kind.ANSWERED && handle.isPresent()) {
                 double millis = (parts.ticker().nanos() - startNanos) / 1e6;
-                long cacheTokens = engine().map(EngineLimits::cacheTokens).orElse(0L);
-                parts.planner().prefilled(backend, prompt, expectedTokens, millis, cacheTokens);
+                parts.planner().prefilled(backend, prompt, expectedTokens, millis);
                 call.remark("prefill_ms", Math.round(millis));
                 call.remark("expected_tokens", expectedTokens);
                 prefilled(backend, handle.get());
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -3,13 +3,23 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
-import org.verbenatray.servers.HttpReply;
+import org.verbenatray.placement.PrefixMemory;
+import org.verbenatray.servers.HttpCall;
+import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
+import org.verbenatray.time.Ticker;
+import org.xnio.XnioIoThread;
 
-/** Asks the engines for their load one after the other, at a rate that does not grow with their number. */
+/** Asks the engines for their load and for what they keep, one by one, at a rate that their number does not raise. */
 public final class LoadPoller {
     /** The time in milliseconds in which each of a few engines is asked once. */
     private static final long ROUND_MILLIS = 1_000;
@@ -20,64 +30,139 @@
     /** The time that an answer may take in milliseconds. */
     private static final long ANSWER_MILLIS = 500;
 
+    /** The age in milliseconds up to which a load needs no refreshing. */
+    private static final long FRESH_MILLIS = 100;
+
+    /** The time in milliseconds that a refresh may take. */
+    private static final long REFRESH_MILLIS = 40;
+
     /** The largest answer in bytes. */
     private static final int MAX_ANSWER_BYTES = 256 * 1024;
 
     /** The log. */
     private static final Logger log = System.getLogger(LoadPoller.class.getName());
 
-    /** What the relay works with. */
-    private final RelayParts parts;
+    /** The connections. */
+    private final HttpTransport transport;
+
+    /** The thread. */
+    private final XnioIoThread thread;
+
+    /** The clock. */
+    private final Ticker ticker;
+
+    /** The translation of calls. */
+    private final RelayDialect dialect;
+
+    /** The backend servers. */
+    private final BackendDirectory directory;
+
+    /** What the engines are believed to keep. */
+    private final PrefixMemory memory;
 
     /** The position in the list of engines. */
     private int next;
 
     /** Creates a poller. */
-    private LoadPoller(RelayParts parts) {
-        this.parts = parts;
+    private LoadPoller(
+            HttpTransport transport,
+            XnioIoThread thread,
+            Ticker ticker,
+            RelayDialect dialect,
+            BackendDirectory directory,
+            PrefixMemory memory) {
+        this.transport = transport;
+        this.thread = thread;
+        this.ticker = ticker;
+        this.dialect = dialect;
+        this.directory = directory;
+        this.memory = memory;
     }
 
     /** Returns a poller. */
-    public static LoadPoller create(RelayParts parts) {
-        return new LoadPoller(parts);
+    public static LoadPoller create(
+            HttpTransport transport,
+            XnioIoThread thread,
+            Ticker ticker,
+            RelayDialect dialect,
+            BackendDirectory directory,
+            PrefixMemory memory) {
+        return new LoadPoller(transport, thread, ticker, dialect, directory, memory);
     }
 
     /** Asks the next engine and returns the time until the one after it in milliseconds. */
     public long ask() {
-        List<Backend> engines = parts.directory().all().stream()
+        List<Backend> engines = directory.all().stream()
                 .filter(backend -> !backend.leaving() && backend.entry().stage() != BackendStage.PLAIN)
                 .toList();
         if (engines.isEmpty()) {
             return ROUND_MILLIS;
         }
         next = (next + 1) % engines.size();
-        ask(engines.get(next));
+        askLoad(engines.get(next));
+        askCache(engines.get(next));
         return Math.max(MIN_BETWEEN_MILLIS, ROUND_MILLIS / engines.size());
     }
 
-    /** Asks an engine. */
-    private void ask(Backend backend) {
-        Deadline deadline = Deadline.afterMillis(parts.ticker().nanos(), ANSWER_MILLIS);
-        parts.transport()
-                .call(parts.dialect().load(backend), parts.thread(), deadline, MAX_ANSWER_BYTES)
-                .whenComplete((reply, failure) -> {
-                    if (failure != null) {
-                        Event.named("load_unknown")
-                                .with("backend", backend.entry().id())
-                                .with("why", failure.getMessage())
-                                .log(log, Level.DEBUG);
-                    } else {
-                        take(backend, reply);
-                    }
-                });
+    /** Asks those of the given engines whose load is not fresh, and goes on when all have answered. */
+    public void refresh(List<Backend> engines, Runnable then) {
+        long now = ticker.nanos();
+        List<Backend> stale = engines.stream()
+                .filter(engine -> engine.load(now, FRESH_MILLIS).isEmpty())
+                .toList();
+        if (stale.isEmpty()) {
+            then.run();
+            return;
+        }
+        AtomicBoolean done = new AtomicBoolean();
+        AtomicInteger missing = new AtomicInteger(stale.size());
+        Runnable once = () -> {
+            if (done.compareAndSet(false, true)) {
+                then.run();
+            }
+        };
+        XnioIoThread.Key timer = thread.executeAfter(once, REFRESH_MILLIS, TimeUnit.MILLISECONDS);
+        for (Backend engine : stale) {
+            askLoad(engine).whenComplete((answered, failure) -> {
+                if (missing.decrementAndGet() == 0) {
+                    timer.remove();
+                    once.run();
+                }
+            });
+        }
     }
 
-    /** Takes the answer of an engine. */
-    private void take(Backend backend, HttpReply reply) {
-        if (reply.status() == 200) {
-            parts.dialect()
-                    .load(reply.body())
-                    .ifPresent(reading -> backend.loaded(reading, parts.ticker().nanos()));
-        }
+    /** Asks an engine for its load. */
+    private CompletableFuture<Void> askLoad(Backend backend) {
+        return send(
+                backend,
+                dialect.load(backend),
+                body -> dialect.load(body).ifPresent(reading -> backend.loaded(reading, ticker.nanos())));
+    }
+
+    /** Asks an engine what changed in its memory. */
+    private void askCache(Backend backend) {
+        String boot = backend.entry().boot();
+        send(
+                backend,
+                dialect.cacheChanges(backend, memory.position(boot)),
+                body -> dialect.cacheChanges(body).ifPresent(changes -> memory.changed(boot, changes)));
+    }
+
+    /** Asks an engine something. */
+    private CompletableFuture<Void> send(Backend backend, HttpCall call, Consumer<byte[]> taker) {
+        Deadline deadline = Deadline.afterMillis(ticker.nanos(), ANSWER_MILLIS);
+        return transport.call(call, thread, deadline, MAX_ANSWER_BYTES).handle((reply, failure) -> {
+            if (failure == null && reply.status() == 200) {
+                taker.accept(reply.body());
+                return null;
+            }
+            Event.named("engine_state_unknown")
+                    .with("backend", backend.entry().id())
+                    .with("asked", call.path())
+                    .with("why", failure == null ? reply.status() : failure.getMessage())
+                    .log(log, Level.DEBUG);
+            return null;
+        });
     }
 }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -112,8 +112,12 @@
 
     /** Returns the time in milliseconds until the caller leaves where no event has come; at most the time left. */
     long firstEventDueMillis() {
-        long waited = (parts.ticker().nanos() - request.receivedNanos()) / 1_000_000;
-        return Math.min(remainingMillis(), route.patienceMillis() - waited);
+        return Math.min(remainingMillis(), route.patienceMillis() - waitedMillis());
+    }
+
+    /** Returns the time since the receipt of the request in milliseconds. */
+    long waitedMillis() {
+        return (parts.ticker().nanos() - request.receivedNanos()) / 1_000_000;
     }
 
     /** Returns the servers of the service that take requests. */
--- a/src/main/java/org/verbenatray/relay/RelayDialect.java
+++ b/src/main/java/org/verbenatray/relay/RelayDialect.java
@@ -4,6 +4,7 @@
 import io.undertow.util.HeaderMap;
 import java.util.Optional;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.CacheChanges;
 import org.verbenatray.backends.LoadReading;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ReplyHead;
@@ -31,6 +32,12 @@
     /** Returns the load in the answer of an engine; empty where it is malformed. */
     Optional<LoadReading> load(byte[] body);
 
+    /** Returns the call that asks an engine what changed in its memory since a number. */
+    HttpCall cacheChanges(Backend backend, long since);
+
+    /** Returns what changed in the answer of an engine; empty where it is malformed. */
+    Optional<CacheChanges> cacheChanges(byte[] body);
+
     /** Adds to an answer when a caller may come back, in milliseconds. */
     void comeBack(HeaderMap headers, long millis);
 
--- a/src/main/java/org/verbenatray/relay/RelayParts.java
+++ b/src/main/java/org/verbenatray/relay/RelayParts.java
@@ -27,6 +27,7 @@
  * @param crashes the requests that crash servers
  * @param stopping whether the process is about to end
  * @param metrics the counters
+ * @param loads asks the engines for their load
  */
 public record RelayParts(
         HttpTransport transport,
@@ -40,4 +41,5 @@
         Function<String, RetryBudget> budgets,
         CrashLedger crashes,
         BooleanSupplier stopping,
-        RelayMetrics metrics) {}
+        RelayMetrics metrics,
+        LoadPoller loads) {}
