--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -15,7 +15,7 @@
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.PlainChooser;
-import org.verbenatray.placement.PrefillSpeed;
+import org.verbenatray.placement.PrefillTiming;
 import org.verbenatray.placement.PrefixMemory;
 import org.verbenatray.relay.LoadPoller;
 import org.verbenatray.relay.RelayHandler;
@@ -95,7 +95,7 @@
         this.crashes = CrashLedger.create(loop.ticker(), this::crashFound);
         PlainChooser chooser = PlainChooser.create(
                 settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
-        this.planner = EnginePlanner.create(loop.ticker(), PrefixMemory.empty(), PrefillSpeed.unmeasured(), chooser);
+        this.planner = EnginePlanner.create(loop.ticker(), PrefixMemory.empty(), PrefillTiming.unmeasured(), chooser);
         this.loads = LoadPoller.create(
                 loop.transport(), loop.thread(), loop.ticker(), sources.dialect(), directory, planner.memory());
         RelayParts parts = new RelayParts(
--- a/src/main/java/org/verbenatray/placement/EnginePlanner.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlanner.java
@@ -30,6 +30,9 @@
     /** The share of a shared part whose processing at another engine costs the others that much time later. */
     private static final double DISPLACEMENT = 0.5;
 
+    /** The wait in milliseconds that another engine must save: stated loads are older than the last few prompts. */
+    private static final double AWAY_MILLIS = 150;
+
     /** The added time in milliseconds of a handover to a decode engine. */
     private static final double HANDOVER_MILLIS = 15;
 
@@ -66,8 +69,8 @@
     /** What the engines are believed to keep. */
     private final PrefixMemory memory;
 
-    /** The speed of prefill engines. */
-    private final PrefillSpeed speed;
+    /** How long prefill engines take. */
+    private final PrefillTiming timing;
 
     /** Chooses decode engines. */
     private final PlainChooser chooser;
@@ -76,16 +79,16 @@
     private double meanTokens = ASSUMED_TOKENS;
 
     /** Creates a planner. */
-    private EnginePlanner(Ticker ticker, PrefixMemory memory, PrefillSpeed speed, PlainChooser chooser) {
+    private EnginePlanner(Ticker ticker, PrefixMemory memory, PrefillTiming timing, PlainChooser chooser) {
         this.ticker = ticker;
         this.memory = memory;
-        this.speed = speed;
+        this.timing = timing;
         this.chooser = chooser;
     }
 
     /** Returns a planner. */
-    public static EnginePlanner create(Ticker ticker, PrefixMemory memory, PrefillSpeed speed, PlainChooser chooser) {
-        return new EnginePlanner(ticker, memory, speed, chooser);
+    public static EnginePlanner create(Ticker ticker, PrefixMemory memory, PrefillTiming timing, PlainChooser chooser) {
+        return new EnginePlanner(ticker, memory, timing, chooser);
     }
 
     /** Returns what the engines are believed to keep. */
@@ -109,7 +112,7 @@
     public EnginePlan plan(PromptShape prompt, List<Backend> engines, Collection<Backend> tried) {
         if (prompt.promptTokens() < MIN_HOME_TOKENS) {
             Optional<Backend> decoder = decoder(Optional.empty(), engines, tried);
-            return new EnginePlan(decoder, false, Optional.empty(), prompt.promptTokens(), 0);
+            return new EnginePlan(decoder, false, Optional.empty(), prompt.promptTokens(), 0, 0);
         }
         long now = ticker.nanos();
         List<Backend> awake = PlainChooser.awake(engines, now);
@@ -118,10 +121,10 @@
                 .filter(engine -> cached(engine, prompt) > 0)
                 .max(Comparator.comparingInt(engine -> cached(engine, prompt)));
         int held = holder.map(engine -> cached(engine, prompt)).orElse(0);
-        double elsewhere = DISPLACEMENT * speed.millisFor(Math.max(0, prompt.sharedTokens() - held));
+        double elsewhere = AWAY_MILLIS + DISPLACEMENT * timing.millisFor(Math.max(0, prompt.sharedTokens() - held));
         List<Backend> ranked =
                 EngineRanking.rank(prompt.affinityKey(), prefills.isEmpty() ? awake : prefills, engine -> 1);
-        EnginePlan best = new EnginePlan(Optional.empty(), false, Optional.empty(), 0, 0);
+        EnginePlan best = new EnginePlan(Optional.empty(), false, Optional.empty(), 0, 0, 0);
         double bestCost = Double.MAX_VALUE;
         for (int rank = 0; rank < ranked.size(); rank++) {
             Backend candidate = ranked.get(rank);
@@ -130,7 +133,8 @@
             }
             int own = cached(candidate, prompt);
             int tokens = prompt.promptTokens() - Math.max(own, held);
-            double millis = millis(candidate, tokens, now) + (own < held ? FETCH_MILLIS : 0);
+            double waiting = waitMillis(candidate, now);
+            double millis = waiting + millis(candidate, tokens) + (own < held ? FETCH_MILLIS : 0);
             double cost = millis + (rank == 0 ? 0 : elsewhere);
             if (cost < bestCost) {
                 best = new EnginePlan(
@@ -138,6 +142,7 @@
                         isPrefill(candidate),
                         own < held ? holder : Optional.empty(),
                         tokens,
+                        waiting,
                         millis);
                 bestCost = cost;
             }
@@ -165,7 +170,7 @@
 
     /** Notes that a prefill engine has processed a prompt in the given time. */
     public void prefilled(Backend backend, PromptShape prompt, int expectedTokens, double millis) {
-        speed.measured(expectedTokens, millis);
+        timing.measured(expectedTokens, millis);
         meanTokens += (expectedTokens - meanTokens) * NEWEST;
         memory.processed(backend.entry().boot(), prompt);
     }
@@ -187,19 +192,24 @@
         return memory.cached(backend.entry().boot(), prompt);
     }
 
-    /** Returns the expected time to the first token in milliseconds. */
-    private double millis(Backend backend, int tokens, long now) {
-        double failing = FAILING_MILLIS * backend.failureShare();
+    /** Returns the expected time that a prompt waits for others at an engine, in milliseconds. */
+    private double waitMillis(Backend backend, long now) {
+        Optional<LoadReading> load = backend.load(now, MAX_LOAD_AGE_MILLIS);
         if (isPrefill(backend)) {
-            double waiting = backend.load(now, MAX_LOAD_AGE_MILLIS)
-                    .map(load -> load.waiting() + load.running() / 2.0 + backend.openedSinceLoad())
+            double waiting = load.map(stated -> stated.waiting() + stated.running() / 2.0 + backend.openedSinceLoad())
                     .orElse((double) backend.open());
-            return failing + HANDOVER_MILLIS + speed.millisFor(waiting * meanTokens + tokens);
+            return timing.millisFor(waiting * meanTokens);
         }
-        int waiting =
-                backend.load(now, MAX_LOAD_AGE_MILLIS).map(LoadReading::waiting).orElse(0);
-        return failing
-                + DECODE_SLOWDOWN * speed.millisFor(backend.openPromptTokens() + waiting * SHORT_TOKENS + tokens);
+        double waiting = load.map(LoadReading::waiting).orElse(0) * SHORT_TOKENS;
+        return DECODE_SLOWDOWN * timing.millisFor(backend.openPromptTokens() + waiting);
+    }
+
+    /** Returns the expected time that an engine takes for a prompt itself, in milliseconds. */
+    private double millis(Backend backend, int tokens) {
+        double failing = FAILING_MILLIS * backend.failureShare() + timing.fixedMillis();
+        return isPrefill(backend)
+                ? failing + HANDOVER_MILLIS + timing.millisFor(tokens)
+                : failing + DECODE_SLOWDOWN * timing.millisFor(tokens);
     }
 
     /** Returns the runs of an engine, its own statement corrected by what this instance sent. */
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -29,8 +29,8 @@
     /** The multiple of the expected time after which an engine that processes a prompt is left for another. */
     private static final double PREFILL_PATIENCE = 4;
 
-    /** The multiple of the target by which the first token must be expected. */
-    private static final double LATEST_TARGETS = 0.85;
+    /** The multiple of the target that a prompt may wait for others; its own size is no reason to refuse it. */
+    private static final double LONGEST_WAIT_TARGETS = 0.6;
 
     /** The prefill engines that a prompt is sent to at most. */
     private static final int MAX_PREFILLS = 2;
@@ -133,12 +133,10 @@
             return;
         }
         EnginePlan plan = parts.planner().plan(prompt, call.usable(), triedPrefills);
-        long waited = call.waitedMillis();
         call.remark("plan_ms", Math.round(plan.firstTokenMillis()));
+        call.remark("wait_ms", Math.round(plan.waitMillis()));
         if (plan.handover()
-                && !call.mayHaveRun()
-                && waited + plan.firstTokenMillis()
-                        > LATEST_TARGETS * call.route().targetMillis()) {
+                && plan.waitMillis() > LONGEST_WAIT_TARGETS * call.route().targetMillis()) {
             end("overloaded");
             return;
         }
