--- a/src/main/java/org/verbenatray/backends/LoadReading.java
+++ b/src/main/java/org/verbenatray/backends/LoadReading.java
@@ -8,5 +8,14 @@
  * @param usedTokens the tokens in memory that can't be dropped
  * @param totalTokens the tokens that fit in memory
  * @param nextTokens the tokens of the first waiting request
+ * @param busy whether it is changing its stage
+ * @param acceptedOrders the orders that it has accepted since its start
  */
-public record LoadReading(int waiting, int running, long usedTokens, long totalTokens, long nextTokens) {}
+public record LoadReading(
+        int waiting,
+        int running,
+        long usedTokens,
+        long totalTokens,
+        long nextTokens,
+        boolean busy,
+        long acceptedOrders) {}
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import org.verbenatray.authority.LogLease;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.catalog.Catalog;
@@ -22,6 +23,7 @@
 import org.verbenatray.relay.RelayMetrics;
 import org.verbenatray.relay.RelayParts;
 import org.verbenatray.relay.RelayServer;
+import org.verbenatray.relay.StageKeeper;
 import org.verbenatray.resilience.CrashLedger;
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.state.KeyedFollower;
@@ -33,6 +35,9 @@
     /** The time between two rounds of upkeep in milliseconds. */
     private static final long UPKEEP_MILLIS = 200;
 
+    /** The time between two looks at the stages of engines in milliseconds. */
+    private static final long STAGES_MILLIS = 500;
+
     /** The shortest time between the request to stop and the end, so that no caller comes any more, in milliseconds. */
     private static final long MIN_DRAIN_MILLIS = 2_500;
 
@@ -72,6 +77,9 @@
     /** The retry budgets by service. */
     private final Map<String, RetryBudget> budgets = new HashMap<>();
 
+    /** What the relay works with. */
+    private final RelayParts parts;
+
     /** Asks the engines for their load. */
     private final LoadPoller loads;
 
@@ -98,7 +106,7 @@
         this.planner = EnginePlanner.create(loop.ticker(), PrefixMemory.empty(), PrefillTiming.unmeasured(), chooser);
         this.loads = LoadPoller.create(
                 loop.transport(), loop.thread(), loop.ticker(), sources.dialect(), directory, planner.memory());
-        RelayParts parts = new RelayParts(
+        this.parts = new RelayParts(
                 loop.transport(),
                 loop.thread(),
                 loop.ticker(),
@@ -184,8 +192,17 @@
                 "routes", sources.routes(), new Routes(), settings.routesPace(), loop.ticker(), loop.scheduler());
         KeyedFollower.start(
                 "servers", sources.servers(), new Servers(), settings.serversPace(), loop.ticker(), loop.scheduler());
+        LogLease lease = LogLease.start(
+                sources.lease(), settings.name(), loop.ticker(), System::currentTimeMillis, loop.scheduler());
         upkeep();
         askLoads();
+        keepStages(StageKeeper.create(parts, settings.name(), lease));
+    }
+
+    /** Changes the stages of engines while this instance holds the lease. */
+    private void keepStages(StageKeeper keeper) {
+        keeper.run();
+        loop.scheduler().runAt(Deadline.afterMillis(loop.ticker().nanos(), STAGES_MILLIS), () -> keepStages(keeper));
     }
 
     /** Asks the engines for their load, one at a time. */
@@ -224,6 +241,13 @@
                 .log(log, Level.WARNING);
     }
 
+    /** Returns the state of the process, read on its thread. */
+    public CompletableFuture<State> inspect() {
+        CompletableFuture<State> result = new CompletableFuture<>();
+        loop.thread().execute(() -> result.complete(state()));
+        return result;
+    }
+
     /** Returns the state of the process. */
     private State state() {
         return new State(
--- a/src/main/java/org/verbenatray/instance/RelaySources.java
+++ b/src/main/java/org/verbenatray/instance/RelaySources.java
@@ -4,6 +4,7 @@
 import java.util.function.Function;
 import org.verbenatray.backends.BackendDirectory.Listing;
 import org.verbenatray.catalog.Catalog;
+import org.verbenatray.log.ConditionalLog;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.relay.RelayDialect;
 
@@ -14,6 +15,7 @@
  * @param routesOf decodes a record of that log; empty for records that hold no valid routes
  * @param servers the log that holds the list of servers
  * @param serverOf decodes a record of that log; empty for records that name no usable server
+ * @param lease the log that holds the lease of those who give orders to engines
  * @param dialect the translation of headers
  */
 public record RelaySources(
@@ -21,4 +23,5 @@
         Function<KeyedLog.Entry, Optional<Catalog>> routesOf,
         KeyedLog servers,
         Function<KeyedLog.Entry, Optional<Listing>> serverOf,
+        ConditionalLog lease,
         RelayDialect dialect) {}
--- a/src/main/java/org/verbenatray/placement/EnginePlanner.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlanner.java
@@ -115,7 +115,7 @@
             return new EnginePlan(decoder, false, Optional.empty(), prompt.promptTokens(), 0, 0);
         }
         long now = ticker.nanos();
-        List<Backend> awake = PlainChooser.awake(engines, now);
+        List<Backend> awake = PlainChooser.awake(settled(engines, now), now);
         List<Backend> prefills = awake.stream().filter(EnginePlanner::isPrefill).toList();
         Optional<Backend> holder = awake.stream()
                 .filter(engine -> cached(engine, prompt) > 0)
@@ -153,7 +153,7 @@
     /** Returns the decode engine for a prompt among those that were not tried. */
     public Optional<Backend> decoder(Optional<PromptShape> prompt, List<Backend> engines, Collection<Backend> tried) {
         long now = ticker.nanos();
-        List<Backend> decoders = engines.stream()
+        List<Backend> decoders = settled(engines, now).stream()
                 .filter(engine -> !isPrefill(engine) && !tried.contains(engine))
                 .toList();
         Optional<Backend> least = PlainChooser.awake(decoders, now).stream()
@@ -212,6 +212,15 @@
                 : failing + DECODE_SLOWDOWN * timing.millisFor(tokens);
     }
 
+    /** Returns the engines that are not changing their stage. */
+    private static List<Backend> settled(List<Backend> engines, long now) {
+        return engines.stream()
+                .filter(engine -> !engine.load(now, MAX_LOAD_AGE_MILLIS)
+                        .map(LoadReading::busy)
+                        .orElse(false))
+                .toList();
+    }
+
     /** Returns the runs of an engine, its own statement corrected by what this instance sent. */
     private static double runs(Backend backend, long now) {
         double stated = backend.load(now, MAX_LOAD_AGE_MILLIS)
--- a/src/main/java/org/verbenatray/platform/PlatformMachine.java
+++ b/src/main/java/org/verbenatray/platform/PlatformMachine.java
@@ -15,6 +15,9 @@
     /** The topic in which backend servers list themselves. */
     private static final String SERVERS_TOPIC = "keyed.servers";
 
+    /** The topic that holds the lease of those who give orders to engines. */
+    private static final String LEASE_TOPIC = "stage-lease";
+
     /** Prevents instances. */
     private PlatformMachine() {}
 
@@ -29,6 +32,7 @@
                 CatalogDecoder.create()::decode,
                 store.keyed(SERVERS_TOPIC),
                 ServerEntryDecoder.create()::decode,
+                store.conditional(LEASE_TOPIC),
                 WireDialect.create());
         return RelayInstance.start(settings.relay(metricsPort), sources, loop, metrics);
     }
--- a/src/main/java/org/verbenatray/platform/StoreClient.java
+++ b/src/main/java/org/verbenatray/platform/StoreClient.java
@@ -10,9 +10,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.verbenatray.instance.RelayLoop;
+import org.verbenatray.log.ConditionalLog;
 import org.verbenatray.log.HistoryDroppedException;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.log.LogUnavailableException;
@@ -33,6 +35,12 @@
     /** The size of a page of changes in KB. */
     private static final int PAGE_KB = 1_024;
 
+    /** The status of a conditional append to a log that ends elsewhere. */
+    private static final int ENDS_ELSEWHERE = 412;
+
+    /** The status of a read of records that were dropped. */
+    private static final int DROPPED = 410;
+
     /** The thread and the connections. */
     private final RelayLoop loop;
 
@@ -62,27 +70,64 @@
         return new KeyedTopic(topic);
     }
 
+    /** Returns a plain topic of one partition. */
+    ConditionalLog conditional(String topic) {
+        return new PlainTopic(topic);
+    }
+
+    /** Returns a call without a body. */
+    private HttpCall get(String path) {
+        return HttpCall.create("GET", address, path, Map.of(), new byte[0]);
+    }
+
+    /** Returns the path that reads records of the one partition of a topic. */
+    private static String readPath(String topic, long from, long waitMillis) {
+        return "/log-read?topic=" + topic + "&part=0&from=" + from + "&maxKb=" + PAGE_KB
+                + (waitMillis > 0 ? "&waitMs=" + waitMillis : "");
+    }
+
+    /** Decodes the contents of records: the end and the first offset, then each content after its length. */
+    private static List<byte[]> contents(byte[] body) {
+        ByteBuffer bytes = ByteBuffer.wrap(body);
+        if (bytes.remaining() < 2 * Long.BYTES) {
+            throw new CompletionException(new LogUnavailableException("the store's answer is too short", null));
+        }
+        bytes.position(2 * Long.BYTES);
+        List<byte[]> contents = new ArrayList<>();
+        while (bytes.hasRemaining()) {
+            byte[] content = new byte[bytes.getInt()];
+            bytes.get(content);
+            contents.add(content);
+        }
+        return contents;
+    }
+
     /** Sends a call and returns its answer of status 200. */
     private CompletableFuture<HttpReply> call(HttpCall call, String name, long waitMillis) {
+        return reply(call, name, waitMillis).thenApply(StoreClient::checked);
+    }
+
+    /** Sends a call and returns its answer whatever its status is. */
+    private CompletableFuture<HttpReply> reply(HttpCall call, String name, long waitMillis) {
         Deadline deadline = Deadline.afterMillis(loop.ticker().nanos(), waitMillis + ANSWER_MILLIS);
         return loop.transport()
                 .call(call, loop.thread(), deadline, MAX_ANSWER_BYTES)
                 .handle((reply, failure) -> {
                     metrics.storeCall(name, failure == null ? String.valueOf(reply.status()) : "failed");
-                    return checked(reply, failure);
+                    if (failure == null) {
+                        return reply;
+                    }
+                    if (failure instanceof ServerFailure known && known.kind() == ServerFailure.Kind.SILENT) {
+                        loop.transport().closeIdle(address.getAuthority());
+                    }
+                    throw new CompletionException(
+                            new LogUnavailableException("the store did not answer: " + failure.getMessage(), failure));
                 });
     }
 
     /** Returns an answer of status 200 and fails otherwise. */
-    private HttpReply checked(HttpReply reply, Throwable failure) {
-        if (failure != null) {
-            if (failure instanceof ServerFailure known && known.kind() == ServerFailure.Kind.SILENT) {
-                loop.transport().closeIdle(address.getAuthority());
-            }
-            throw new CompletionException(
-                    new LogUnavailableException("the store did not answer: " + failure.getMessage(), failure));
-        }
-        if (reply.status() == 410) {
+    private static HttpReply checked(HttpReply reply) {
+        if (reply.status() == DROPPED) {
             throw new CompletionException(
                     new HistoryDroppedException("the store dropped the records: " + reply.text()));
         }
@@ -113,14 +158,10 @@
 
         @Override
         public CompletableFuture<List<Entry>> changes(long from, long waitMillis) {
-            String path = "/log-read?topic=" + topic + "&part=0&from=" + from + "&maxKb=" + PAGE_KB
-                    + (waitMillis > 0 ? "&waitMs=" + waitMillis : "");
-            return call(get(path), "log-read", waitMillis).thenApply(reply -> entries(reply.body()));
-        }
-
-        /** Returns a call without a body. */
-        private HttpCall get(String path) {
-            return HttpCall.create("GET", address, path, Map.of(), new byte[0]);
+            return call(get(readPath(topic, from, waitMillis)), "log-read", waitMillis)
+                    .thenApply(reply -> contents(reply.body()).stream()
+                            .map(KeyedTopic::entry)
+                            .toList());
         }
 
         /** Decodes a page of newest records. */
@@ -140,22 +181,6 @@
             }
         }
 
-        /** Decodes records: the end and the first offset, then each record after its length. */
-        private static List<Entry> entries(byte[] body) {
-            ByteBuffer bytes = ByteBuffer.wrap(body);
-            List<Entry> entries = new ArrayList<>();
-            if (bytes.remaining() < 2 * Long.BYTES) {
-                throw new CompletionException(new LogUnavailableException("the store's answer is too short", null));
-            }
-            bytes.position(2 * Long.BYTES);
-            while (bytes.hasRemaining()) {
-                byte[] content = new byte[bytes.getInt()];
-                bytes.get(content);
-                entries.add(entry(content));
-            }
-            return entries;
-        }
-
         /** Decodes the length of the key, the key and the value. */
         private static Entry entry(byte[] content) {
             if (content.length == 0) {
@@ -167,4 +192,66 @@
             return new Entry(key, value.length == 0 ? Optional.empty() : Optional.of(value));
         }
     }
+
+    /** A plain topic, used in one partition. */
+    private final class PlainTopic implements ConditionalLog {
+        /** The name. */
+        private final String topic;
+
+        /** Creates a topic. */
+        PlainTopic(String topic) {
+            this.topic = topic;
+        }
+
+        @Override
+        public CompletableFuture<OptionalLong> appendAt(long end, byte[] content) {
+            byte[] body = ByteBuffer.allocate(Integer.BYTES + content.length)
+                    .putInt(content.length)
+                    .put(content)
+                    .array();
+            HttpCall call = HttpCall.create(
+                            "POST", address, "/log-append?topic=" + topic + "&part=0&at=" + end, Map.of(), body)
+                    .onFreshConnection();
+            return reply(call, "log-append", 0).thenApply(reply -> appended(reply));
+        }
+
+        @Override
+        public CompletableFuture<Tail> read(long from, long waitMillis) {
+            return reply(get(readPath(topic, from, waitMillis)), "log-read", waitMillis)
+                    .thenCompose(reply -> reply.status() == DROPPED
+                            ? read(firstKept(reply), waitMillis)
+                            : CompletableFuture.completedFuture(tail(checked(reply))));
+        }
+
+        /** Returns the end and the records of an answer. */
+        private Tail tail(HttpReply reply) {
+            return new Tail(ByteBuffer.wrap(reply.body()).getLong(), contents(reply.body()));
+        }
+
+        /** Returns the first offset that is kept. */
+        private long firstKept(HttpReply reply) {
+            try {
+                return json.readTree(reply.body()).path("first").asLong();
+            } catch (IOException e) {
+                throw new CompletionException(new LogUnavailableException("the store's answer is no JSON", e));
+            }
+        }
+
+        /** Returns the offset of an appended record, or empty where the log ended elsewhere. */
+        private OptionalLong appended(HttpReply reply) {
+            if (reply.status() == ENDS_ELSEWHERE) {
+                return OptionalLong.empty();
+            }
+            if (reply.status() != 200) {
+                throw new CompletionException(
+                        new LogUnavailableException("the store answered with status " + reply.status(), null));
+            }
+            try {
+                return OptionalLong.of(
+                        json.readTree(reply.body()).path("offset").asLong());
+            } catch (IOException e) {
+                throw new CompletionException(new LogUnavailableException("the store's answer is no JSON", e));
+            }
+        }
+    }
 }
--- a/src/main/java/org/verbenatray/platform/WireDialect.java
+++ b/src/main/java/org/verbenatray/platform/WireDialect.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -9,6 +10,7 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,6 +19,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.CacheChanges;
 import org.verbenatray.backends.LoadReading;
 import org.verbenatray.placement.PromptPart;
@@ -27,6 +30,7 @@
 import org.verbenatray.relay.RelayDialect;
 import org.verbenatray.relay.RelayRequest;
 import org.verbenatray.relay.ServerHead;
+import org.verbenatray.relay.StageKeeper.StageOrder;
 import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ReplyHead;
@@ -212,7 +216,9 @@
                     node.path("running").asInt(),
                     node.path("kvUsed").asLong(),
                     node.path("kvTotal").asLong(),
-                    node.path("next").asLong()));
+                    node.path("next").asLong(),
+                    node.path("busy").asBoolean(),
+                    node.path("seq").asLong()));
         } catch (IOException e) {
             Event.named("report_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
             return Optional.empty();
@@ -246,6 +252,28 @@
         }
     }
 
+    @Override
+    public HttpCall order(StageOrder order) {
+        ObjectNode body = json.createObjectNode()
+                .put("op", "stage")
+                .put("stage", order.stage() == BackendStage.PREFILL ? "prefill" : "decode")
+                .put("holder", order.holder())
+                .put("fencingToken", order.number())
+                .put("expect", order.acceptedOrders());
+        Map<String, String> headers = Map.of(
+                "Content-Type",
+                "application/json",
+                EXPECTED_SERVER,
+                order.engine().entry().id());
+        return HttpCall.create(
+                        "POST",
+                        order.engine().entry().address(),
+                        "/order",
+                        headers,
+                        body.toString().getBytes(StandardCharsets.UTF_8))
+                .onFreshConnection();
+    }
+
     @Override
     public void comeBack(HeaderMap headers, long millis) {
         headers.put(Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", millis / 1_000.0));
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.resilience.RetryBudget;
@@ -19,6 +20,9 @@
     /** The sendings after which a request is given up even where none of them ran, in addition to the route's. */
     private static final int MAX_REJECTED = 2;
 
+    /** The statuses by which callers understand that a request has not run; no server is believed without saying so. */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
     /** The log. */
     private static final Logger log = System.getLogger(RelayCall.class.getName());
 
@@ -176,6 +180,10 @@
     /** Passes a whole answer of a server on. */
     void answer(ForwardOutcome outcome) {
         ServerHead head = outcome.head().orElseThrow();
+        if (PROMISES.contains(head.status())) {
+            giveUp("unproved_refusal", 0);
+            return;
+        }
         firstByte();
         reply.whole(head.status(), withConnection(head.headers()), outcome.body());
         finish("answered", head.status());
--- a/src/main/java/org/verbenatray/relay/RelayDialect.java
+++ b/src/main/java/org/verbenatray/relay/RelayDialect.java
@@ -38,6 +38,9 @@
     /** Returns what changed in the answer of an engine; empty where it is malformed. */
     Optional<CacheChanges> cacheChanges(byte[] body);
 
+    /** Returns the call that orders an engine to change its stage. */
+    HttpCall order(StageKeeper.StageOrder order);
+
     /** Adds to an answer when a caller may come back, in milliseconds. */
     void comeBack(HeaderMap headers, long millis);
 
