--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -228,7 +228,7 @@
 
     /** Returns how long an engine may be silent. */
     private Patience patience(boolean repeatable) {
-        if (!repeatable) {
+        if (!repeatable || !call.couldTryAgain()) {
             return Patience.until(call.deadline());
         }
         long millis = Math.max(MIN_SILENCE_MILLIS, 2 * call.route().targetMillis());
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -132,7 +132,7 @@
 
     /** Returns how long the server may be silent. */
     private Patience patience(boolean repeatable) {
-        boolean another = repeatable && call.usable().size() > tried.size() + 1 && !call.mayHaveRun();
+        boolean another = repeatable && call.usable().size() > tried.size() + 1 && call.couldTryAgain();
         if (!another) {
             return Patience.until(call.deadline());
         }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -150,6 +150,13 @@
         return arrivals == 0 || spendRetry();
     }
 
+    /** Returns whether yet another server could be tried should the one that is sent to next fall silent. */
+    boolean couldTryAgain() {
+        return possibleRuns + 1 < route.maxAttempts()
+                && arrivals + 1 < route.maxAttempts() + MAX_REJECTED
+                && parts.budgets().apply(service).left() >= 1;
+    }
+
     /** Takes a retry from the budget of the service. */
     boolean spendRetry() {
         RetryBudget budget = parts.budgets().apply(service);
