Requests that crash servers are told to all machines, and a crash is confirmed by a refused connection

Cause: a crash was believed only when the server's entry vanished, 3.6 s later, and no other machine heard of it. Change: a probe after a broken connection; CrashNews through a topic of the store; tests (one counted servers before the ledger had heard of them, one shared its time between methods and never ended: both mended).

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -18,6 +18,7 @@
 import org.verbenatray.placement.PlainChooser;
 import org.verbenatray.placement.PrefillTiming;
 import org.verbenatray.placement.PrefixMemory;
+import org.verbenatray.relay.CrashProbe;
 import org.verbenatray.relay.LoadPoller;
 import org.verbenatray.relay.RelayHandler;
 import org.verbenatray.relay.RelayMetrics;
@@ -25,6 +26,7 @@
 import org.verbenatray.relay.RelayServer;
 import org.verbenatray.relay.StageKeeper;
 import org.verbenatray.resilience.CrashLedger;
+import org.verbenatray.resilience.CrashNews;
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.state.KeyedFollower;
 import org.verbenatray.telemetry.Event;
@@ -89,6 +91,9 @@
     /** The servers. */
     private final RelayServer server;
 
+    /** Tells others of requests that crash servers, null before the start. */
+    private CrashNews news;
+
     /** Whether the process is about to end. */
     private volatile boolean stopping;
 
@@ -119,7 +124,8 @@
                 crashes,
                 () -> stopping,
                 metrics,
-                loads);
+                loads,
+                CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), sources.dialect(), crashes));
         this.handler = RelayHandler.create(parts);
         this.server = RelayServer.start(
                 loop.worker(),
@@ -194,6 +200,7 @@
                 "servers", sources.servers(), new Servers(), settings.serversPace(), loop.ticker(), loop.scheduler());
         LogLease lease = LogLease.start(
                 sources.lease(), settings.name(), loop.ticker(), System::currentTimeMillis, loop.scheduler());
+        news = CrashNews.start(sources.crashes(), crashes, loop.ticker(), loop.scheduler());
         upkeep();
         askLoads();
         keepStages(StageKeeper.create(parts, settings.name(), lease));
@@ -239,6 +246,7 @@
                 .with("fingerprint", crash.fingerprint())
                 .with("backend", crash.boot())
                 .log(log, Level.WARNING);
+        news.tell(crash);
     }
 
     /** Returns the state of the process, read on its thread. */
--- a/src/main/java/org/verbenatray/instance/RelaySources.java
+++ b/src/main/java/org/verbenatray/instance/RelaySources.java
@@ -16,6 +16,7 @@
  * @param servers the log that holds the list of servers
  * @param serverOf decodes a record of that log; empty for records that name no usable server
  * @param lease the log that holds the lease of those who give orders to engines
+ * @param crashes the log in which instances tell of requests that crash servers
  * @param dialect the translation of headers
  */
 public record RelaySources(
@@ -24,4 +25,5 @@
         KeyedLog servers,
         Function<KeyedLog.Entry, Optional<Listing>> serverOf,
         ConditionalLog lease,
+        ConditionalLog crashes,
         RelayDialect dialect) {}
--- a/src/main/java/org/verbenatray/platform/PlatformMachine.java
+++ b/src/main/java/org/verbenatray/platform/PlatformMachine.java
@@ -18,6 +18,9 @@
     /** The topic that holds the lease of those who give orders to engines. */
     private static final String LEASE_TOPIC = "stage-lease";
 
+    /** The topic in which machines tell of requests that crash servers. */
+    private static final String CRASHES_TOPIC = "crashes";
+
     /** Prevents instances. */
     private PlatformMachine() {}
 
@@ -33,6 +36,7 @@
                 store.keyed(SERVERS_TOPIC),
                 ServerEntryDecoder.create()::decode,
                 store.conditional(LEASE_TOPIC),
+                store.conditional(CRASHES_TOPIC),
                 WireDialect.create());
         return RelayInstance.start(settings.relay(metricsPort), sources, loop, metrics);
     }
--- a/src/main/java/org/verbenatray/platform/StoreClient.java
+++ b/src/main/java/org/verbenatray/platform/StoreClient.java
@@ -205,14 +205,23 @@
 
         @Override
         public CompletableFuture<OptionalLong> appendAt(long end, byte[] content) {
+            return reply(append("&at=" + end, content), "log-append", 0).thenApply(this::appended);
+        }
+
+        @Override
+        public CompletableFuture<Void> append(byte[] content) {
+            return call(append("", content), "log-append", 0).thenAccept(reply -> {});
+        }
+
+        /** Returns the call that appends a record, on a new connection so that no old one can lose it. */
+        private HttpCall append(String condition, byte[] content) {
             byte[] body = ByteBuffer.allocate(Integer.BYTES + content.length)
                     .putInt(content.length)
                     .put(content)
                     .array();
-            HttpCall call = HttpCall.create(
-                            "POST", address, "/log-append?topic=" + topic + "&part=0&at=" + end, Map.of(), body)
+            return HttpCall.create(
+                            "POST", address, "/log-append?topic=" + topic + "&part=0" + condition, Map.of(), body)
                     .onFreshConnection();
-            return reply(call, "log-append", 0).thenApply(reply -> appended(reply));
         }
 
         @Override
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -284,6 +284,7 @@
             case BROKEN -> {
                 backend.failed(parts.ticker().nanos());
                 parts.crashes().broke(request.fingerprint(), backend.entry().boot());
+                parts.probe().look(backend);
             }
             case NOT_RUN -> backend.refused(parts.ticker().nanos());
             default -> {
--- a/src/main/java/org/verbenatray/relay/RelayParts.java
+++ b/src/main/java/org/verbenatray/relay/RelayParts.java
@@ -28,6 +28,7 @@
  * @param stopping whether the process is about to end
  * @param metrics the counters
  * @param loads asks the engines for their load
+ * @param probe looks whether servers have crashed
  */
 public record RelayParts(
         HttpTransport transport,
@@ -42,4 +43,5 @@
         CrashLedger crashes,
         BooleanSupplier stopping,
         RelayMetrics metrics,
-        LoadPoller loads) {}
+        LoadPoller loads,
+        CrashProbe probe) {}
--- a/src/test/java/org/verbenatray/authority/LogLeaseTest.java
+++ b/src/test/java/org/verbenatray/authority/LogLeaseTest.java
@@ -5,18 +5,26 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.verbenatray.log.ConditionalLog;
 import org.verbenatray.time.ManualTime;
 
 /** The lease of those who give orders. */
 public final class LogLeaseTest {
-    private final ManualTime time = new ManualTime();
-    private final FakeLog log = new FakeLog();
+    private ManualTime time;
+    private FakeLog log;
 
     /** How far the wall clock is ahead of the monotonic one, in milliseconds. */
     private long wallAhead;
 
+    @BeforeMethod
+    public void begin() {
+        time = new ManualTime();
+        log = new FakeLog();
+        wallAhead = 0;
+    }
+
     @Test
     public void oneOfSeveralHoldsTheLeaseAndItsNumberIsAboveZero() {
         LogLease first = start("a");
@@ -97,6 +105,12 @@
                     return CompletableFuture.completedFuture(OptionalLong.of(end));
                 }
 
+                @Override
+                public CompletableFuture<Void> append(byte[] content) {
+                    records.add(content);
+                    return CompletableFuture.completedFuture(null);
+                }
+
                 @Override
                 public CompletableFuture<Tail> read(long from, long waitMillis) {
                     return CompletableFuture.completedFuture(new Tail(
--- a/src/test/java/org/verbenatray/platform/StandInStore.java
+++ b/src/test/java/org/verbenatray/platform/StandInStore.java
@@ -64,6 +64,11 @@
         return calls;
     }
 
+    /** Returns the number of records of a topic. */
+    synchronized int size(String topic) {
+        return topic(topic).records.size();
+    }
+
     /** Sets what it does to calls from now on. */
     void fault(Fault newFault) {
         fault = newFault;
