--- a/src/main/java/org/verbenatray/platform/PlatformMachine.java
+++ b/src/main/java/org/verbenatray/platform/PlatformMachine.java
@@ -21,12 +21,35 @@
     /** The topic in which machines tell of requests that crash servers. */
     private static final String CRASHES_TOPIC = "crashes";
 
+    /** The settings of an instance that is out of reach of any store. */
+    private static final String ALONE = """
+            nodeName=alone
+            zone=alone
+            listen.front=127.0.0.1:0
+            listen.ready=127.0.0.1:0
+            platform.address=127.0.0.1:1
+            bounds.graceS=1
+            bounds.drainMs=1000
+            bounds.configApplyMs=1000
+            bounds.budgetRatio=0
+            bounds.budgetWindowS=10
+            """;
+
     /** Prevents instances. */
     private PlatformMachine() {}
 
     /** Starts a relaying instance by a machine's settings file. */
     public static RelayInstance start(Path settingsFile, int metricsPort) {
-        MachineSettings settings = SettingsFile.read(settingsFile).settings();
+        return launch(SettingsFile.read(settingsFile).settings(), metricsPort);
+    }
+
+    /** Starts a relaying instance on loopback ports that the system chooses, out of reach of any store. */
+    public static RelayInstance startAlone() {
+        return launch(SettingsFile.parse(ALONE).settings(), 0);
+    }
+
+    /** Starts a relaying instance. */
+    private static RelayInstance launch(MachineSettings settings, int metricsPort) {
         RelayLoop loop = RelayLoop.start(Ticker.system());
         RelayMetrics metrics = RelayMetrics.create();
         StoreClient store = StoreClient.create(loop, settings.storeUri(), metrics);
