A busy engine is not left for its silence; at least half of the engines generate tokens

Change: silence of an engine that states waiting requests is no failure; half of the engines stay decode engines, and one comes back where they are short and fewer than half.

--- a/src/main/java/org/verbenatray/placement/StagePlanner.java
+++ b/src/main/java/org/verbenatray/placement/StagePlanner.java
@@ -22,8 +22,8 @@
     /** The prompts that wait per prefill engine up to which one can be spared. */
     private static final double IDLE_PREFILL = 0.2;
 
-    /** The share of the slots of decode engines from which they are short. */
-    private static final double PRESSED_DECODE = 0.85;
+    /** The share of the slots of decode engines from which they are short; waiting requests count fourfold. */
+    private static final double PRESSED_DECODE = 0.6;
 
     /** The share of the slots of decode engines, at its recent peak, up to which one can be spared. */
     private static final double IDLE_DECODE = 0.25;
@@ -38,7 +38,7 @@
     private static final long FIRST_MILLIS = 6_000;
 
     /** The smallest share of the engines that generate tokens. */
-    private static final double LEAST_DECODE = 0.35;
+    private static final double LEAST_DECODE = 0.5;
 
     /** The weight of the newest value in the averages. */
     private static final double NEWEST = 0.2;
@@ -115,7 +115,8 @@
         if (prefillPressure > PRESSED_PREFILL && decodePeak < IDLE_DECODE && sparesDecode) {
             return idlest(decoders, now).map(engine -> new StageChange(engine, BackendStage.PREFILL));
         }
-        if (decodePressure > PRESSED_DECODE && prefillPressure < IDLE_PREFILL && prefills.size() > 1) {
+        boolean tooFewDecode = decoders.size() < LEAST_DECODE * all || prefillPressure < IDLE_PREFILL;
+        if (decodePressure > PRESSED_DECODE && tooFewDecode && prefills.size() > 1) {
             return idlest(prefills, now).map(engine -> new StageChange(engine, BackendStage.DECODE));
         }
         return Optional.empty();
--- a/src/main/java/org/verbenatray/relay/Forward.java
+++ b/src/main/java/org/verbenatray/relay/Forward.java
@@ -17,6 +17,12 @@
     /** The largest answer that is no stream, in bytes. */
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
+    /** The requests that wait at a busy engine. */
+    private static final int BUSY_WAITING = 2;
+
+    /** The age in milliseconds beyond which a stated load tells nothing. */
+    private static final long MAX_LOAD_AGE_MILLIS = 2_500;
+
     /** What the relay works with. */
     private final RelayParts parts;
 
@@ -209,6 +215,14 @@
         timer = parts.thread().executeAfter(this::look, wait, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns whether the server states that requests wait there: its silence is no sign of a failure. */
+    private boolean isBusy() {
+        return how.backend()
+                .load(parts.ticker().nanos(), MAX_LOAD_AGE_MILLIS)
+                .map(load -> load.waiting() >= BUSY_WAITING)
+                .orElse(false);
+    }
+
     /** Ends the sending after too long a silence. */
     private void look() {
         if (over) {
@@ -218,6 +232,11 @@
             watch();
             return;
         }
+        if (sent && isBusy() && !patience.over(parts.ticker().nanos())) {
+            progress();
+            watch();
+            return;
+        }
         cancellation.cancel();
         parts.transport().closeIdle(how.backend().entry().boot());
         finish(sent ? ForwardOutcome.Kind.SILENT : ForwardOutcome.Kind.NOT_SENT, "no progress in time");
--- a/src/main/java/org/verbenatray/relay/Patience.java
+++ b/src/main/java/org/verbenatray/relay/Patience.java
@@ -10,6 +10,11 @@
  * @param last when the whole answer must have come
  */
 record Patience(Deadline first, long gapMillis, Deadline last) {
+    /** Returns whether nothing may come any more. */
+    boolean over(long nowNanos) {
+        return last.passed(nowNanos);
+    }
+
     /** Returns the patience of a request that waits as long as its caller does. */
     static Patience until(Deadline deadline) {
         return new Patience(deadline, Long.MAX_VALUE / 2_000_000, deadline);
