One decode engine is spared early; refused prompts come back one target later

Change: the time to come back grows by one target; loads are watched for 2.5 s; a decode engine is spared up to 0.4 of the slots at the recent peak, and half of the engines stay decode engines.

--- a/src/main/java/org/verbenatray/placement/StagePlanner.java
+++ b/src/main/java/org/verbenatray/placement/StagePlanner.java
@@ -26,7 +26,7 @@
     private static final double PRESSED_DECODE = 0.6;
 
     /** The share of the slots of decode engines, at its recent peak, up to which one can be spared. */
-    private static final double IDLE_DECODE = 0.25;
+    private static final double IDLE_DECODE = 0.4;
 
     /** The slots that a waiting request counts for: it shows that an engine can't keep up. */
     private static final double WAITING_SLOTS = 4;
@@ -35,7 +35,7 @@
     private static final double PEAK_MILLIS = 10_000;
 
     /** The time for which loads are watched before the first change in milliseconds. */
-    private static final long FIRST_MILLIS = 6_000;
+    private static final long FIRST_MILLIS = 2_500;
 
     /** The smallest share of the engines that generate tokens. */
     private static final double LEAST_DECODE = 0.5;
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -153,7 +153,7 @@
     /** Refuses a prompt that would wait too long, and tells its caller when the wait is expected to be over. */
     private void refuse(EnginePlan plan) {
         double excess = plan.waitMillis() - LONGEST_WAIT_TARGETS * call.route().targetMillis();
-        long comeBack = Math.round(COME_BACK_MILLIS + call.route().targetMillis() + excess);
+        long comeBack = Math.round(COME_BACK_MILLIS + 2 * call.route().targetMillis() + excess);
         timer.remove();
         call.giveUp("overloaded", comeBack);
     }
