--- a/src/main/java/org/verbenatray/placement/StagePlanner.java
+++ b/src/main/java/org/verbenatray/placement/StagePlanner.java
@@ -22,23 +22,14 @@
     /** The prompts that wait per prefill engine up to which one can be spared. */
     private static final double IDLE_PREFILL = 0.2;
 
-    /** The share of the slots of decode engines from which they are short; waiting requests count fourfold. */
-    private static final double PRESSED_DECODE = 0.6;
+    /** The share of the slots of decode engines from which they are short. */
+    private static final double PRESSED_DECODE = 0.85;
 
-    /** The share of the slots of decode engines, at its recent peak, up to which one can be spared. */
-    private static final double IDLE_DECODE = 0.4;
-
-    /** The slots that a waiting request counts for: it shows that an engine can't keep up. */
-    private static final double WAITING_SLOTS = 4;
-
-    /** The time in which the memory of a peak falls to a third, in milliseconds. */
-    private static final double PEAK_MILLIS = 10_000;
-
-    /** The time for which loads are watched before the first change in milliseconds. */
-    private static final long FIRST_MILLIS = 2_500;
+    /** The share of the slots of decode engines up to which one can be spared. */
+    private static final double IDLE_DECODE = 0.3;
 
     /** The smallest share of the engines that generate tokens. */
-    private static final double LEAST_DECODE = 0.5;
+    private static final double LEAST_DECODE = 0.35;
 
     /** The weight of the newest value in the averages. */
     private static final double NEWEST = 0.2;
@@ -58,19 +49,13 @@
     /** The average of the used share of the slots of decode engines. */
     private double decodePressure;
 
-    /** The recent peak of the used share of the slots of decode engines. */
-    private double decodePeak;
-
-    /** When the loads were looked at last. */
-    private long lookedNanos;
-
-    /** When the next change may be made; counted from the first load that shows work. */
-    private Deadline next;
+    /** When the next change may be made. */
+    private Deadline next = new Deadline(0);
 
     /** Creates a planner. */
     private StagePlanner(Ticker ticker) {
         this.ticker = ticker;
-        this.lookedNanos = ticker.nanos();
+        this.next = new Deadline(ticker.nanos());
     }
 
     /** Returns a planner that has seen no load yet. */
@@ -91,16 +76,11 @@
             return Optional.empty();
         }
         prefillPressure += (mean(prefills, LoadReading::waiting, now) - prefillPressure) * NEWEST;
-        double used = mean(decoders, load -> load.running() + WAITING_SLOTS * load.waiting(), now) / slots;
+        double used = mean(decoders, load -> load.running() + load.waiting(), now) / slots;
         decodePressure += (used - decodePressure) * NEWEST;
-        decodePeak = Math.max(used, decodePeak * Math.exp((lookedNanos - now) / 1e6 / PEAK_MILLIS));
-        lookedNanos = now;
-        if (next == null && used > 0) {
-            next = Deadline.afterMillis(now, FIRST_MILLIS);
-        }
         boolean changing = known.stream()
                 .anyMatch(engine -> engine.load(now, MAX_LOAD_AGE_MILLIS).get().busy());
-        if (changing || next == null || !next.passed(now)) {
+        if (changing || !next.passed(now)) {
             return Optional.empty();
         }
         Optional<StageChange> change = change(prefills, decoders, now);
@@ -112,11 +92,10 @@
     private Optional<StageChange> change(List<Backend> prefills, List<Backend> decoders, long now) {
         int all = prefills.size() + decoders.size();
         boolean sparesDecode = decoders.size() - 1 >= Math.max(1, LEAST_DECODE * all);
-        if (prefillPressure > PRESSED_PREFILL && decodePeak < IDLE_DECODE && sparesDecode) {
+        if (prefillPressure > PRESSED_PREFILL && decodePressure < IDLE_DECODE && sparesDecode) {
             return idlest(decoders, now).map(engine -> new StageChange(engine, BackendStage.PREFILL));
         }
-        boolean tooFewDecode = decoders.size() < LEAST_DECODE * all || prefillPressure < IDLE_PREFILL;
-        if (decodePressure > PRESSED_DECODE && tooFewDecode && prefills.size() > 1) {
+        if (decodePressure > PRESSED_DECODE && prefillPressure < IDLE_PREFILL && prefills.size() > 1) {
             return idlest(prefills, now).map(engine -> new StageChange(engine, BackendStage.DECODE));
         }
         return Optional.empty();
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -179,7 +179,7 @@
         long now = parts.ticker().nanos();
         long silence = (long) Math.max(MIN_SILENCE_MILLIS, PREFILL_PATIENCE * plan.firstTokenMillis());
         Deadline first = Deadline.afterMillis(now, Math.min(left, silence));
-        Patience patience = new Patience(first, MIN_SILENCE_MILLIS, call.deadline());
+        Patience patience = new Patience(first, MIN_SILENCE_MILLIS, Deadline.afterMillis(now, left));
         open = Forward.send(
                 parts,
                 call.request(),
