--- a/src/main/java/org/verbenatray/cli/CommandLine.java
+++ b/src/main/java/org/verbenatray/cli/CommandLine.java
@@ -42,6 +42,10 @@
             return arguments.length == 0 ? ExitCode.WRONG_USE : ExitCode.DONE;
         }
         int words = commandWords(arguments);
+        if (words == 0 && isGroup(arguments[0]) && arguments.length == 2 && arguments[1].equals("--help")) {
+            usageOf(arguments[0], output);
+            return ExitCode.DONE;
+        }
         if (words == 0) {
             output.err().println("unknown command " + arguments[0] + "; see " + PROGRAM + " --help");
             return ExitCode.WRONG_USE;
@@ -89,6 +93,19 @@
         return commands.containsKey(arguments[0]) ? 1 : 0;
     }
 
+    /** Returns whether a word begins the names of several commands. */
+    private boolean isGroup(String word) {
+        return commands.keySet().stream().anyMatch(name -> name.startsWith(word + " "));
+    }
+
+    /** Lists the commands whose names begin with a word. */
+    private void usageOf(String group, CommandOutput output) {
+        output.out().println("usage: " + PROGRAM + " " + group + " PART [FLAGS], with the parts:");
+        commands.keySet().stream()
+                .filter(name -> name.startsWith(group + " "))
+                .forEach(name -> output.out().println("  " + name.substring(group.length() + 1)));
+    }
+
     /** Lists the commands. */
     private void usage(CommandOutput output) {
         output.out().println("usage: " + PROGRAM + " COMMAND [FLAGS], with the commands:");
--- a/src/main/java/org/verbenatray/platform/InstanceEntry.java
+++ b/src/main/java/org/verbenatray/fleet/InstanceEntry.java
@@ -1,4 +1,4 @@
-package org.verbenatray.platform;
+package org.verbenatray.fleet;
 
 /**
  * One line of the platform's instance list.
--- a/src/main/java/org/verbenatray/platform/InstanceList.java
+++ b/src/main/java/org/verbenatray/fleet/InstanceList.java
@@ -1,4 +1,4 @@
-package org.verbenatray.platform;
+package org.verbenatray.fleet;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/src/main/java/org/verbenatray/instance/LogSession.java
+++ b/src/main/java/org/verbenatray/instance/LogSession.java
@@ -14,7 +14,7 @@
 import org.verbenatray.log.LogUnavailableException;
 import org.verbenatray.log.RecordBody;
 import org.verbenatray.log.Verdict;
-import org.verbenatray.platform.HttpLogService;
+import org.verbenatray.servers.HttpLogService;
 import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Scheduler;
--- a/src/main/java/org/verbenatray/instance/Membership.java
+++ b/src/main/java/org/verbenatray/instance/Membership.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.verbenatray.platform.HttpInstanceList;
-import org.verbenatray.platform.InstanceEntry;
+import org.verbenatray.fleet.InstanceEntry;
+import org.verbenatray.servers.HttpInstanceList;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Timing;
 
--- a/src/main/java/org/verbenatray/platform/package-info.java
+++ b/src/main/java/org/verbenatray/platform/package-info.java
@@ -1,2 +1,2 @@
-/** HTTP clients for the platform's log service and instance list. */
+/** Translates between the users' platform and the product: its settings file, its store, its headers and messages. */
 package org.verbenatray.platform;
--- a/src/main/java/org/verbenatray/platform/HttpInstanceList.java
+++ b/src/main/java/org/verbenatray/servers/HttpInstanceList.java
@@ -1,13 +1,11 @@
-package org.verbenatray.platform;
+package org.verbenatray.servers;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.verbenatray.fleet.InstanceEntry;
+import org.verbenatray.fleet.InstanceList;
 import org.verbenatray.log.RecordCodec;
-import org.verbenatray.servers.HttpCall;
-import org.verbenatray.servers.HttpReply;
-import org.verbenatray.servers.HttpTransport;
-import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.time.Deadline;
 
 /** The platform's instance list over HTTP and JSON. */
--- a/src/main/java/org/verbenatray/platform/HttpLogService.java
+++ b/src/main/java/org/verbenatray/servers/HttpLogService.java
@@ -1,4 +1,4 @@
-package org.verbenatray.platform;
+package org.verbenatray.servers;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -8,9 +8,6 @@
 import org.verbenatray.log.LogService;
 import org.verbenatray.log.LogUnavailableException;
 import org.verbenatray.log.RecordCodec;
-import org.verbenatray.servers.HttpCall;
-import org.verbenatray.servers.HttpReply;
-import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.time.Deadline;
 
 /** The platform's log service over HTTP and JSON. */
--- a/src/main/java/org/verbenatray/standin/PlatformServer.java
+++ b/src/main/java/org/verbenatray/standin/PlatformServer.java
@@ -11,12 +11,12 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
+import org.verbenatray.fleet.InstanceEntry;
 import org.verbenatray.log.LogService;
 import org.verbenatray.log.RecordCodec;
-import org.verbenatray.platform.HttpInstanceList.Listing;
-import org.verbenatray.platform.HttpLogService.AppendReply;
-import org.verbenatray.platform.HttpLogService.AppendRequest;
-import org.verbenatray.platform.InstanceEntry;
+import org.verbenatray.servers.HttpInstanceList.Listing;
+import org.verbenatray.servers.HttpLogService.AppendReply;
+import org.verbenatray.servers.HttpLogService.AppendRequest;
 import org.verbenatray.web.Bodies;
 import org.verbenatray.web.Replies;
 
--- a/src/test/java/org/verbenatray/cli/CommandLineTest.java
+++ b/src/test/java/org/verbenatray/cli/CommandLineTest.java
@@ -19,6 +19,8 @@
             {"entri", "unknown command entri; see verbenatray --help"},
             {"standin", "unknown command standin"},
             {"check", "FOLDER"},
+            {"check --no-such-flag", "see verbenatray check --help"},
+            {"relay", "--config: missing; give a value"},
             {"entry --nmae a", "see verbenatray entry --help"},
             {"publish folder --author a", "--platform: missing; give a base URI"},
             {"publish folder --platform http://127.0.0.1:1 --author", "see verbenatray publish --help"},
@@ -32,6 +34,16 @@
         };
     }
 
+    @Test
+    public void theHelpOfAGroupListsItsParts() {
+        Run bench = Run.of(Map.of(), "bench --help");
+        assertEquals(bench.code(), ExitCode.DONE, bench.text());
+        assertTrue(bench.text().contains("mix") && bench.text().contains("faults"), bench.text());
+        Run standin = Run.of(Map.of(), "standin --help");
+        assertEquals(standin.code(), ExitCode.DONE, standin.text());
+        assertTrue(standin.text().contains("engine") && standin.text().contains("service"), standin.text());
+    }
+
     @Test(dataProvider = "wrongUses")
     public void aWrongUseNamesItsRemedyAndEndsWithTwo(String line, String expected) {
         Run run = Run.of(Map.of(), line);
