A stopping machine refuses what it could not finish

Change: 2.4 s after the request to stop, new requests are answered 503 with a time to come back and Connection: close.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -43,6 +43,9 @@
     /** The shortest time between the request to stop and the end, so that no caller comes any more, in milliseconds. */
     private static final long MIN_DRAIN_MILLIS = 2_500;
 
+    /** The time after the request to stop in which new requests are still taken in milliseconds. */
+    private static final long ACCEPT_MILLIS = 2_400;
+
     /** The time before the end of the grace in which the process ends on its own, in milliseconds. */
     private static final long DRAIN_RESERVE_MILLIS = 500;
 
@@ -94,6 +97,9 @@
     /** Tells others of requests that crash servers, null before the start. */
     private CrashNews news;
 
+    /** From when on new requests are refused, null before the process is told to stop. */
+    private volatile Deadline refusingFrom;
+
     /** Whether the process is about to end. */
     private volatile boolean stopping;
 
@@ -123,6 +129,7 @@
                 this::budget,
                 crashes,
                 () -> stopping,
+                this::refusing,
                 metrics,
                 loads,
                 CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), sources.dialect(), crashes));
@@ -160,8 +167,9 @@
 
     /** Takes nothing new, finishes what is open and returns when the process may end. */
     public void drain() {
-        stopping = true;
         long start = loop.ticker().nanos();
+        refusingFrom = Deadline.afterMillis(start, ACCEPT_MILLIS);
+        stopping = true;
         Event.named("stopping").with("instance", settings.name()).log(log, Level.INFO);
         Deadline earliest = Deadline.afterMillis(start, MIN_DRAIN_MILLIS);
         Deadline latest = Deadline.afterMillis(start, settings.graceMillis() - DRAIN_RESERVE_MILLIS);
@@ -175,6 +183,12 @@
                 .log(log, Level.INFO);
     }
 
+    /** Returns whether a new request would not be finished before the process ends. */
+    private boolean refusing() {
+        Deadline from = refusingFrom;
+        return from != null && from.passed(loop.ticker().nanos());
+    }
+
     /** Stops everything at once. */
     public void close() {
         stopping = true;
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -28,6 +28,9 @@
     /** When the caller of a request that crashes servers may come back, in milliseconds. */
     private static final long CRASHING_MILLIS = 60_000;
 
+    /** When the caller of an instance that stops may come back, to another one, in milliseconds. */
+    private static final long STOPPING_MILLIS = 50;
+
     /** The log. */
     private static final Logger log = System.getLogger(RelayHandler.class.getName());
 
@@ -58,6 +61,10 @@
         if (parts.stopping().getAsBoolean()) {
             exchange.setPersistent(false);
         }
+        if (parts.refusing().getAsBoolean()) {
+            refuse(exchange, 503, "the instance is stopping", STOPPING_MILLIS);
+            return;
+        }
         if (!isWellFramed(exchange.getRequestHeaders())) {
             refuse(exchange, 400, "the framing of the request is ambiguous; send one length or chunks", 0);
             return;
--- a/src/main/java/org/verbenatray/relay/RelayParts.java
+++ b/src/main/java/org/verbenatray/relay/RelayParts.java
@@ -26,6 +26,7 @@
  * @param budgets the retry budget of each service
  * @param crashes the requests that crash servers
  * @param stopping whether the process is about to end
+ * @param refusing whether new requests would not be finished before the process ends
  * @param metrics the counters
  * @param loads asks the engines for their load
  * @param probe looks whether servers have crashed
@@ -42,6 +43,7 @@
         Function<String, RetryBudget> budgets,
         CrashLedger crashes,
         BooleanSupplier stopping,
+        BooleanSupplier refusing,
         RelayMetrics metrics,
         LoadPoller loads,
         CrashProbe probe) {}
