--- a/src/main/java/org/verbenatray/cli/CommandLine.java
+++ b/src/main/java/org/verbenatray/cli/CommandLine.java
@@ -5,7 +5,9 @@
 import com.beust.jcommander.ParameterException;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.verbenatray.settings.EnvironmentDefaults;
 import org.verbenatray.settings.SettingsException;
 
@@ -65,6 +67,7 @@
                 .defaultProvider(EnvironmentDefaults.of(environment))
                 .build();
         try {
+            refuseUnknown(parser, flags);
             parser.parse(flags);
             if (help.requested) {
                 StringBuilder text = new StringBuilder();
@@ -85,6 +88,18 @@
         }
     }
 
+    /** Fails with a {@link ParameterException} at a flag that the command does not have. */
+    private static void refuseUnknown(JCommander parser, String[] flags) {
+        Set<String> known = parser.getParameters().stream()
+                .flatMap(parameter -> Arrays.stream(parameter.getParameter().names()))
+                .collect(Collectors.toSet());
+        for (String flag : flags) {
+            if (flag.startsWith("--") && !known.contains(flag.split("=", 2)[0])) {
+                throw new ParameterException("unknown flag " + flag);
+            }
+        }
+    }
+
     /** Returns how many words of the arguments name a command, zero for none. */
     private int commandWords(String[] arguments) {
         if (arguments.length > 1 && commands.containsKey(arguments[0] + " " + arguments[1])) {
