--- a/src/main/java/org/verbenatray/cli/CommandLine.java
+++ b/src/main/java/org/verbenatray/cli/CommandLine.java
@@ -5,7 +5,9 @@
 import com.beust.jcommander.ParameterException;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.verbenatray.settings.EnvironmentDefaults;
 import org.verbenatray.settings.SettingsException;
 
@@ -42,6 +44,10 @@
             return arguments.length == 0 ? ExitCode.WRONG_USE : ExitCode.DONE;
         }
         int words = commandWords(arguments);
+        if (words == 0 && isGroup(arguments[0]) && arguments.length == 2 && arguments[1].equals("--help")) {
+            usageOf(arguments[0], output);
+            return ExitCode.DONE;
+        }
         if (words == 0) {
             output.err().println("unknown command " + arguments[0] + "; see " + PROGRAM + " --help");
             return ExitCode.WRONG_USE;
@@ -61,6 +67,7 @@
                 .defaultProvider(EnvironmentDefaults.of(environment))
                 .build();
         try {
+            refuseUnknown(parser, flags);
             parser.parse(flags);
             if (help.requested) {
                 StringBuilder text = new StringBuilder();
@@ -81,6 +88,18 @@
         }
     }
 
+    /** Fails with a {@link ParameterException} at a flag that the command does not have. */
+    private static void refuseUnknown(JCommander parser, String[] flags) {
+        Set<String> known = parser.getParameters().stream()
+                .flatMap(parameter -> Arrays.stream(parameter.getParameter().names()))
+                .collect(Collectors.toSet());
+        for (String flag : flags) {
+            if (flag.startsWith("--") && !known.contains(flag.split("=", 2)[0])) {
+                throw new ParameterException("unknown flag " + flag);
+            }
+        }
+    }
+
     /** Returns how many words of the arguments name a command, zero for none. */
     private int commandWords(String[] arguments) {
         if (arguments.length > 1 && commands.containsKey(arguments[0] + " " + arguments[1])) {
@@ -89,6 +108,19 @@
         return commands.containsKey(arguments[0]) ? 1 : 0;
     }
 
+    /** Returns whether a word begins the names of several commands. */
+    private boolean isGroup(String word) {
+        return commands.keySet().stream().anyMatch(name -> name.startsWith(word + " "));
+    }
+
+    /** Lists the commands whose names begin with a word. */
+    private void usageOf(String group, CommandOutput output) {
+        output.out().println("usage: " + PROGRAM + " " + group + " PART [FLAGS], with the parts:");
+        commands.keySet().stream()
+                .filter(name -> name.startsWith(group + " "))
+                .forEach(name -> output.out().println("  " + name.substring(group.length() + 1)));
+    }
+
     /** Lists the commands. */
     private void usage(CommandOutput output) {
         output.out().println("usage: " + PROGRAM + " COMMAND [FLAGS], with the commands:");
