--- a/src/main/java/org/verbenatray/cli/CommandLine.java
+++ b/src/main/java/org/verbenatray/cli/CommandLine.java
@@ -67,8 +67,8 @@
                 .defaultProvider(EnvironmentDefaults.of(environment))
                 .build();
         try {
-            refuseUnknown(parser, flags);
             parser.parse(flags);
+            refuseUnknown(parser, flags);
             if (help.requested) {
                 StringBuilder text = new StringBuilder();
                 parser.getUsageFormatter().usage(text);
