--- a/src/main/java/org/verbenatray/backends/Backend.java
+++ b/src/main/java/org/verbenatray/backends/Backend.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.verbenatray.time.Deadline;
+import org.verbenatray.work.EngineWork;
 
 /** One start of a backend server as this instance sees it; used on one thread. */
 public final class Backend {
@@ -26,8 +27,11 @@
     /** The requests of this instance that it works on. */
     private int open;
 
-    /** The prompt tokens of this instance's requests that it has yet to process. */
-    private long openPromptTokens;
+    /** The processing of this instance's prompts that is to be on time, in microseconds of a prefill engine. */
+    private long onTimeMicros;
+
+    /** The processing of this instance's deferred prompts in the same unit. */
+    private long deferredMicros;
 
     /** The failures in a row. */
     private int failuresInRow;
@@ -47,9 +51,6 @@
     /** When the load was read. */
     private long loadNanos;
 
-    /** The requests of this instance that were sent since the load was read. */
-    private int openedSinceLoad;
-
     /** When the delay was last measured. */
     private long delayNanos;
 
@@ -85,24 +86,31 @@
         return leaving;
     }
 
-    /** Counts a request that is sent to the server. */
-    public void opened(long promptTokens) {
+    /** Counts a request that is sent to the server, with the processing of its prompt. */
+    public void opened(PromptWork work) {
         open++;
-        openedSinceLoad++;
-        openPromptTokens += promptTokens;
+        add(work, 1);
+    }
+
+    /** Notes that the prompt of an open request was processed. */
+    public void processed(PromptWork work) {
+        add(work, -1);
     }
 
     /** Counts a request that is over. */
-    public void closed(long promptTokens) {
+    public void closed() {
         open--;
-        openPromptTokens -= promptTokens;
+    }
+
+    /** Returns the open work of this instance. */
+    public EngineWork work() {
+        return new EngineWork(onTimeMicros, deferredMicros, open);
     }
 
     /** Takes the load that the engine states. */
     public void loaded(LoadReading reading, long nowNanos) {
         load = reading;
         loadNanos = nowNanos;
-        openedSinceLoad = 0;
     }
 
     /** Returns the newest load that the engine stated, unless it is older than the given milliseconds. */
@@ -111,21 +119,11 @@
         return fresh ? Optional.of(load) : Optional.empty();
     }
 
-    /** Returns the requests of this instance that were sent since the load was read. */
-    public int openedSinceLoad() {
-        return openedSinceLoad;
-    }
-
     /** Returns the requests of this instance that it works on. */
     public int open() {
         return open;
     }
 
-    /** Returns the prompt tokens of this instance's requests that it has yet to process. */
-    public long openPromptTokens() {
-        return openPromptTokens;
-    }
-
     /** Notes an answer that was usable. */
     public void succeeded() {
         failuresInRow = 0;
@@ -172,4 +170,13 @@
         double seconds = (nowNanos - delayNanos) / 1e9;
         return delayMillis * Math.exp(-seconds / 2);
     }
+
+    /** Adds or takes away the processing of a prompt. */
+    private void add(PromptWork work, int sign) {
+        if (work.deferred()) {
+            deferredMicros += sign * work.micros();
+        } else {
+            onTimeMicros += sign * work.micros();
+        }
+    }
 }
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -16,9 +16,10 @@
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.PlainChooser;
-import org.verbenatray.placement.PrefillTiming;
 import org.verbenatray.placement.PrefixMemory;
+import org.verbenatray.placement.PromptTiming;
 import org.verbenatray.relay.CrashProbe;
+import org.verbenatray.relay.FirstAsked;
 import org.verbenatray.relay.LoadPoller;
 import org.verbenatray.relay.RelayHandler;
 import org.verbenatray.relay.RelayMetrics;
@@ -85,6 +86,9 @@
     /** What the relay works with. */
     private final RelayParts parts;
 
+    /** Shares the open work at engines. */
+    private final WorkSharing sharing;
+
     /** Asks the engines for their load. */
     private final LoadPoller loads;
 
@@ -114,7 +118,9 @@
         this.crashes = CrashLedger.create(loop.ticker(), this::crashFound);
         PlainChooser chooser = PlainChooser.create(
                 settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
-        this.planner = EnginePlanner.create(loop.ticker(), PrefixMemory.empty(), PrefillTiming.unmeasured(), chooser);
+        this.sharing = new WorkSharing(settings, loop, directory);
+        this.planner = EnginePlanner.create(
+                loop.ticker(), PrefixMemory.empty(), PromptTiming.unmeasured(), chooser, sharing::others);
         this.loads = LoadPoller.create(
                 loop.transport(), loop.thread(), loop.ticker(), sources.dialect(), directory, planner.memory());
         this.parts = new RelayParts(
@@ -131,7 +137,8 @@
                 () -> stopping,
                 this::refusing,
                 metrics,
-                loads,
+                sharing::changed,
+                FirstAsked.unseen(),
                 CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), sources.dialect(), crashes));
         this.handler = RelayHandler.create(parts);
         this.server = RelayServer.start(
@@ -170,6 +177,7 @@
         long start = loop.ticker().nanos();
         refusingFrom = Deadline.afterMillis(start, ACCEPT_MILLIS);
         stopping = true;
+        loop.thread().execute(sharing::leave);
         Event.named("stopping").with("instance", settings.name()).log(log, Level.INFO);
         Deadline earliest = Deadline.afterMillis(start, MIN_DRAIN_MILLIS);
         Deadline latest = Deadline.afterMillis(start, settings.graceMillis() - DRAIN_RESERVE_MILLIS);
@@ -193,6 +201,7 @@
     public void close() {
         stopping = true;
         server.close();
+        sharing.close();
         loop.close();
     }
 
@@ -215,6 +224,7 @@
         LogLease lease = LogLease.start(
                 sources.lease(), settings.name(), loop.ticker(), System::currentTimeMillis, loop.scheduler());
         news = CrashNews.start(sources.crashes(), crashes, loop.ticker(), loop.scheduler());
+        sharing.start(sources.instances());
         upkeep();
         askLoads();
         keepStages(StageKeeper.create(parts, settings.name(), lease));
--- a/src/main/java/org/verbenatray/instance/RelaySettings.java
+++ b/src/main/java/org/verbenatray/instance/RelaySettings.java
@@ -1,5 +1,6 @@
 package org.verbenatray.instance;
 
+import java.net.InetSocketAddress;
 import org.verbenatray.relay.RelayServer.RelayAddresses;
 import org.verbenatray.state.KeyedFollower.Pace;
 
@@ -9,6 +10,7 @@
  * @param name the name of the instance
  * @param domain its failure domain
  * @param addresses where it listens
+ * @param exchange where it takes other instances' notices of their open work
  * @param retryRatio the retries per request that all instances together may send
  * @param retryWindowMillis the sliding window of that ratio in milliseconds
  * @param graceMillis the time in milliseconds between the request to stop and the end of the process
@@ -19,6 +21,7 @@
         String name,
         String domain,
         RelayAddresses addresses,
+        InetSocketAddress exchange,
         double retryRatio,
         long retryWindowMillis,
         long graceMillis,
--- a/src/main/java/org/verbenatray/instance/RelaySources.java
+++ b/src/main/java/org/verbenatray/instance/RelaySources.java
@@ -15,6 +15,7 @@
  * @param routesOf decodes a record of that log; empty for records that hold no valid routes
  * @param servers the log that holds the list of servers
  * @param serverOf decodes a record of that log; empty for records that name no usable server
+ * @param instances the log in which instances list themselves
  * @param lease the log that holds the lease of those who give orders to engines
  * @param crashes the log in which instances tell of requests that crash servers
  * @param dialect the translation of headers
@@ -24,6 +25,7 @@
         Function<KeyedLog.Entry, Optional<Catalog>> routesOf,
         KeyedLog servers,
         Function<KeyedLog.Entry, Optional<Listing>> serverOf,
+        KeyedLog instances,
         ConditionalLog lease,
         ConditionalLog crashes,
         RelayDialect dialect) {}
--- /dev/null
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -0,0 +1,109 @@
+package org.verbenatray.instance;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.BackendDirectory;
+import org.verbenatray.backends.BackendStage;
+import org.verbenatray.log.KeyedLog;
+import org.verbenatray.work.DatagramPort;
+import org.verbenatray.work.EngineWork;
+import org.verbenatray.work.InstanceRoll;
+import org.verbenatray.work.Neighbours;
+import org.verbenatray.work.SharedWork;
+import org.verbenatray.work.WorkExchange;
+
+/** Shares the open work at engines with the other instances; used on one thread. */
+final class WorkSharing implements AutoCloseable {
+    /** The settings. */
+    private final RelaySettings settings;
+
+    /** The thread. */
+    private final RelayLoop loop;
+
+    /** The backend servers. */
+    private final BackendDirectory directory;
+
+    /** The other instances. */
+    private final Neighbours neighbours;
+
+    /** What they tell. */
+    private final SharedWork shared;
+
+    /** The exchange, null before the start. */
+    private WorkExchange exchange;
+
+    /** The port, null before the start. */
+    private DatagramPort port;
+
+    /** The list of instances, null before the start. */
+    private InstanceRoll roll;
+
+    /** Creates a sharing that is not started. */
+    WorkSharing(RelaySettings settings, RelayLoop loop, BackendDirectory directory) {
+        this.settings = settings;
+        this.loop = loop;
+        this.directory = directory;
+        this.neighbours = Neighbours.of(settings.name());
+        this.shared = SharedWork.create(loop.ticker(), neighbours::weight);
+    }
+
+    /** Starts to tell the other instances, which the given log lists, and to hear of them. */
+    void start(KeyedLog instances) {
+        try {
+            port = DatagramPort.open(loop.worker(), settings.exchange(), datagram -> exchange.received(datagram));
+        } catch (IOException e) {
+            throw new UncheckedIOException(
+                    "cannot listen on " + settings.exchange() + "; check that the port is free", e);
+        }
+        InetSocketAddress address = new InetSocketAddress(settings.exchange().getHostString(), port.number());
+        exchange = WorkExchange.start(
+                new WorkExchange.Self(settings.name(), System.currentTimeMillis(), this::own),
+                neighbours,
+                shared,
+                port::send,
+                loop.ticker(),
+                loop.scheduler());
+        roll = InstanceRoll.start(instances, settings.name(), address, neighbours, loop.ticker(), loop.scheduler());
+    }
+
+    /** Returns the work of the other instances at an engine, by its start. */
+    EngineWork others(String boot) {
+        return shared.others(boot);
+    }
+
+    /** Notes that the work of this instance at a server has changed. */
+    void changed(Backend backend) {
+        if (exchange != null && backend.entry().stage() != BackendStage.PLAIN) {
+            exchange.changed(backend.entry().boot());
+        }
+    }
+
+    /** Takes this instance off the list. */
+    void leave() {
+        if (roll != null) {
+            roll.leave();
+        }
+    }
+
+    @Override
+    public void close() {
+        if (port != null) {
+            port.close();
+        }
+    }
+
+    /** Returns the work of this instance at each engine where it has some. */
+    private Map<String, EngineWork> own() {
+        Map<String, EngineWork> work = new LinkedHashMap<>();
+        for (Backend backend : directory.all()) {
+            if (backend.entry().stage() != BackendStage.PLAIN && !backend.work().equals(EngineWork.NONE)) {
+                work.put(backend.entry().boot(), backend.work());
+            }
+        }
+        return work;
+    }
+}
--- a/src/main/java/org/verbenatray/log/KeyedLog.java
+++ b/src/main/java/org/verbenatray/log/KeyedLog.java
@@ -17,6 +17,9 @@
      */
     CompletableFuture<List<Entry>> changes(long from, long waitMillis);
 
+    /** Writes the newest record of a key, or drops the key. A failure leaves open whether that was done. */
+    CompletableFuture<Void> put(String key, Optional<byte[]> value);
+
     /**
      * A record.
      *
--- a/src/main/java/org/verbenatray/placement/EnginePlanner.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlanner.java
@@ -4,65 +4,53 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.LoadReading;
+import org.verbenatray.backends.PromptWork;
 import org.verbenatray.time.Ticker;
+import org.verbenatray.work.EngineWork;
 
 /**
- * Decides which engine processes a prompt and which one generates the tokens.
+ * Decides which engine processes a prompt and which one generates the tokens, by the expected time to the first token.
  *
- * <p>Prompts that share a large part go to the same engine, its home, which all instances derive from the part's name
- * alone. Decode engines are homes too, so that the memory of the whole fleet keeps shared parts; they process prompts
- * more slowly and are the home of fewer parts. A home that is busier by more than the cost of processing the part
- * again loses the prompt to the next engine.
+ * <p>A short prompt may be processed by a prefill engine, which hands it over, or by a decode engine itself; a long one
+ * would keep a decode engine from all others. The open work of all instances at each engine decides. Among engines that
+ * are about as fast, the ones that keep the beginning of the prompt come first, then its home, which all instances
+ * derive from the name of its largest shared part.
  */
 public final class EnginePlanner {
-    /** The prompt tokens from which a prompt has a home. */
+    /** The prompt tokens from which it matters where the beginning of a prompt is kept. */
     private static final int MIN_HOME_TOKENS = 2_048;
 
-    /** How many times slower a decode engine processes a prompt. */
-    private static final double DECODE_SLOWDOWN = 2;
+    /** The tokens that another engine must keep in addition to be asked for them. */
+    private static final int MIN_FETCH_TOKENS = 512;
+
+    /** How many times longer a decode engine is busy with a prompt than a prefill engine. */
+    private static final double DECODE_SLOWDOWN = 2.5;
+
+    /** The delay in milliseconds that each open request of a decode engine adds to a new one. */
+    private static final double RUN_MILLIS = 2;
 
     /** The added time in milliseconds of fetching a prompt's beginning from another engine. */
     private static final double FETCH_MILLIS = 15;
 
-    /** The share of a shared part whose processing at another engine costs the others that much time later. */
-    private static final double DISPLACEMENT = 0.5;
-
-    /** The wait in milliseconds that another engine must save: stated loads are older than the last few prompts. */
-    private static final double AWAY_MILLIS = 150;
+    /** The time in milliseconds that must be saved by processing a prompt away from home. */
+    private static final double AWAY_MILLIS = 20;
 
     /** The added time in milliseconds of a handover to a decode engine. */
-    private static final double HANDOVER_MILLIS = 15;
+    private static final double HANDOVER_MILLIS = 30;
 
     /** The added time in milliseconds that a server that fails every answer is thought to take. */
     private static final double FAILING_MILLIS = 2_000;
 
-    /** The tokens of an average prompt before the first was seen. */
-    private static final double ASSUMED_TOKENS = 6_000;
-
-    /** The tokens of an average prompt that a decode engine has waiting. */
-    private static final double SHORT_TOKENS = 500;
-
-    /** The weight of the newest prompt in the average. */
-    private static final double NEWEST = 0.05;
-
     /** The age in milliseconds beyond which a stated load tells nothing. */
     private static final long MAX_LOAD_AGE_MILLIS = 3_000;
 
     /** The runs that the preferred decode engine may have more than the best one. */
     private static final double AFFINITY_RUNS = 4;
 
-    /** The weight of an open request of this instance against one that an engine states. */
-    private static final double OWN_WEIGHT = 2;
-
-    /** The weight of a request that an engine states. */
-    private static final double STATED_WEIGHT = 0.5;
-
-    /** The engines whose load is asked for before a prompt is sent. */
-    private static final int MAX_DECIDING = 3;
-
     /** The clock. */
     private final Ticker ticker;
 
@@ -70,25 +58,36 @@
     private final PrefixMemory memory;
 
     /** How long prefill engines take. */
-    private final PrefillTiming timing;
+    private final PromptTiming timing;
 
     /** Chooses decode engines. */
     private final PlainChooser chooser;
 
-    /** The average of the tokens that prefill engines process for a prompt. */
-    private double meanTokens = ASSUMED_TOKENS;
+    /** The open work of the other instances at an engine, by its start. */
+    private final Function<String, EngineWork> others;
 
     /** Creates a planner. */
-    private EnginePlanner(Ticker ticker, PrefixMemory memory, PrefillTiming timing, PlainChooser chooser) {
+    private EnginePlanner(
+            Ticker ticker,
+            PrefixMemory memory,
+            PromptTiming timing,
+            PlainChooser chooser,
+            Function<String, EngineWork> others) {
         this.ticker = ticker;
         this.memory = memory;
         this.timing = timing;
         this.chooser = chooser;
+        this.others = others;
     }
 
-    /** Returns a planner. */
-    public static EnginePlanner create(Ticker ticker, PrefixMemory memory, PrefillTiming timing, PlainChooser chooser) {
-        return new EnginePlanner(ticker, memory, timing, chooser);
+    /** Returns a planner that learns the open work of other instances from the given function. */
+    public static EnginePlanner create(
+            Ticker ticker,
+            PrefixMemory memory,
+            PromptTiming timing,
+            PlainChooser chooser,
+            Function<String, EngineWork> others) {
+        return new EnginePlanner(ticker, memory, timing, chooser, others);
     }
 
     /** Returns what the engines are believed to keep. */
@@ -96,54 +95,33 @@
         return memory;
     }
 
-    /** Returns the engines whose load decides where a prompt is processed. */
-    public List<Backend> deciding(PromptShape prompt, List<Backend> engines) {
-        if (prompt.promptTokens() < MIN_HOME_TOKENS) {
-            return List.of();
-        }
-        List<Backend> prefills =
-                engines.stream().filter(EnginePlanner::isPrefill).toList();
-        return EngineRanking.rank(prompt.affinityKey(), prefills, engine -> 1).stream()
-                .limit(MAX_DECIDING)
-                .toList();
-    }
-
     /** Returns where a prompt is processed, given the engines of the service and those that were tried. */
-    public EnginePlan plan(PromptShape prompt, List<Backend> engines, Collection<Backend> tried) {
-        if (prompt.promptTokens() < MIN_HOME_TOKENS) {
-            Optional<Backend> decoder = decoder(Optional.empty(), engines, tried);
-            return new EnginePlan(decoder, false, Optional.empty(), prompt.promptTokens(), 0, 0);
-        }
+    public EnginePlan plan(PromptShape prompt, List<Backend> engines, Collection<Backend> tried, boolean deferred) {
         long now = ticker.nanos();
-        List<Backend> awake = PlainChooser.awake(settled(engines, now), now);
-        List<Backend> prefills = awake.stream().filter(EnginePlanner::isPrefill).toList();
-        Optional<Backend> holder = awake.stream()
-                .filter(engine -> cached(engine, prompt) > 0)
-                .max(Comparator.comparingInt(engine -> cached(engine, prompt)));
-        int held = holder.map(engine -> cached(engine, prompt)).orElse(0);
-        double elsewhere = AWAY_MILLIS + DISPLACEMENT * timing.millisFor(Math.max(0, prompt.sharedTokens() - held));
-        List<Backend> ranked =
-                EngineRanking.rank(prompt.affinityKey(), prefills.isEmpty() ? awake : prefills, engine -> 1);
-        EnginePlan best = new EnginePlan(Optional.empty(), false, Optional.empty(), 0, 0, 0);
+        List<Backend> candidates = PlainChooser.awake(settled(engines, now), now).stream()
+                .filter(engine -> !tried.contains(engine))
+                .toList();
+        boolean decodes = candidates.stream().anyMatch(engine -> !isPrefill(engine));
+        boolean prefills = candidates.stream().anyMatch(EnginePlanner::isPrefill);
+        Optional<Backend> holder = holder(prompt, candidates);
+        Optional<Backend> home = home(prompt, candidates);
+        EnginePlan best = EnginePlan.none();
         double bestCost = Double.MAX_VALUE;
-        for (int rank = 0; rank < ranked.size(); rank++) {
-            Backend candidate = ranked.get(rank);
-            if (tried.contains(candidate)) {
+        for (Backend candidate : candidates) {
+            if (isPrefill(candidate) ? !decodes : prefills && prompt.promptTokens() >= MIN_HOME_TOKENS) {
                 continue;
             }
-            int own = cached(candidate, prompt);
-            int tokens = prompt.promptTokens() - Math.max(own, held);
-            double waiting = waitMillis(candidate, now);
-            double millis = waiting + millis(candidate, tokens) + (own < held ? FETCH_MILLIS : 0);
-            double cost = millis + (rank == 0 ? 0 : elsewhere);
+            EnginePlan plan = at(candidate, holder, prompt, deferred);
+            boolean away = home.isPresent()
+                    && home.get() != candidate
+                    && holder.filter(candidate::equals).isEmpty();
+            double cost = plan.firstTokenMillis()
+                    + FAILING_MILLIS * candidate.failureShare()
+                    + candidate.delayMillis(now)
+                    + (away ? AWAY_MILLIS : 0)
+                    + chooser.preference(candidate, now);
             if (cost < bestCost) {
-                best = new EnginePlan(
-                        Optional.of(candidate),
-                        isPrefill(candidate),
-                        own < held ? holder : Optional.empty(),
-                        tokens,
-                        waiting,
-                        millis);
+                best = plan;
                 bestCost = cost;
             }
         }
@@ -157,25 +135,31 @@
                 .filter(engine -> !isPrefill(engine) && !tried.contains(engine))
                 .toList();
         Optional<Backend> least = PlainChooser.awake(decoders, now).stream()
-                .min(Comparator.comparingDouble(engine -> runs(engine, now) + chooser.preference(engine, now)));
+                .min(Comparator.comparingDouble(engine -> work(engine).runs() + chooser.preference(engine, now)));
         if (least.isEmpty() || prompt.isEmpty() || prompt.get().promptTokens() < MIN_HOME_TOKENS) {
             return least;
         }
-        double most = runs(least.get(), now) + AFFINITY_RUNS;
+        double most = work(least.get()).runs() + AFFINITY_RUNS;
         return EngineRanking.rank(prompt.get().affinityKey(), decoders, engine -> 1).stream()
-                .filter(engine -> !engine.paused(now) && runs(engine, now) <= most)
+                .filter(engine -> !engine.paused(now) && work(engine).runs() <= most)
                 .max(Comparator.comparingInt(engine -> cached(engine, prompt.get())))
                 .or(() -> least);
     }
 
-    /** Notes that a prefill engine has processed a prompt in the given time. */
-    public void prefilled(Backend backend, PromptShape prompt, int expectedTokens, double millis) {
-        timing.measured(expectedTokens, millis);
-        meanTokens += (expectedTokens - meanTokens) * NEWEST;
-        memory.processed(backend.entry().boot(), prompt);
+    /** Notes how long an engine took to process a prompt. */
+    public void processed(EnginePlan plan, PromptShape prompt, double millis) {
+        Backend engine = plan.engine().orElseThrow();
+        if (plan.handover()
+                && plan.waitMillis() == 0
+                && work(engine).ahead(true) == 0
+                && plan.fetchFrom().isEmpty()) {
+            timing.measured(plan.keptTokens(), prompt.promptTokens() - plan.keptTokens(), millis);
+        }
+        engine.delayed(Math.max(0, millis - plan.firstTokenMillis()), ticker.nanos());
+        holds(engine, prompt);
     }
 
-    /** Notes that a decode engine holds a prompt, which it processed or took from another engine. */
+    /** Notes that an engine holds a prompt, which it processed or took from another engine. */
     public void holds(Backend backend, PromptShape prompt) {
         if (prompt.promptTokens() >= MIN_HOME_TOKENS) {
             memory.processed(backend.entry().boot(), prompt);
@@ -187,29 +171,61 @@
         memory.forget(backend.entry().boot());
     }
 
-    /** Returns the tokens at the beginning of a prompt that an engine is believed to keep. */
-    private int cached(Backend backend, PromptShape prompt) {
-        return memory.cached(backend.entry().boot(), prompt);
+    /** Returns the plan to process a prompt at one engine. */
+    private EnginePlan at(Backend engine, Optional<Backend> holder, PromptShape prompt, boolean deferred) {
+        int own = cached(engine, prompt);
+        int held = holder.map(other -> cached(other, prompt)).orElse(0);
+        boolean fetches = held - own >= MIN_FETCH_TOKENS;
+        int kept = fetches ? held : own;
+        double busy = timing.busyMillis(kept, prompt.promptTokens() - kept);
+        EngineWork work = work(engine);
+        double waiting = work.ahead(deferred) / 1_000.0;
+        double added = timing.latencyMillis() + (fetches ? FETCH_MILLIS : 0);
+        if (isPrefill(engine)) {
+            added += busy + HANDOVER_MILLIS;
+        } else {
+            waiting = DECODE_SLOWDOWN * waiting + RUN_MILLIS * work.runs();
+            added += DECODE_SLOWDOWN * busy;
+        }
+        return new EnginePlan(
+                Optional.of(engine),
+                isPrefill(engine),
+                fetches ? holder : Optional.empty(),
+                kept,
+                new PromptWork(Math.round(1_000 * busy), deferred),
+                waiting,
+                waiting + added);
     }
 
-    /** Returns the expected time that a prompt waits for others at an engine, in milliseconds. */
-    private double waitMillis(Backend backend, long now) {
-        Optional<LoadReading> load = backend.load(now, MAX_LOAD_AGE_MILLIS);
-        if (isPrefill(backend)) {
-            double waiting = load.map(stated -> stated.waiting() + stated.running() / 2.0 + backend.openedSinceLoad())
-                    .orElse((double) backend.open());
-            return timing.millisFor(waiting * meanTokens);
+    /** Returns the engine that keeps most of a long prompt's beginning. */
+    private Optional<Backend> holder(PromptShape prompt, List<Backend> engines) {
+        if (prompt.promptTokens() < MIN_HOME_TOKENS) {
+            return Optional.empty();
         }
-        double waiting = load.map(LoadReading::waiting).orElse(0) * SHORT_TOKENS;
-        return DECODE_SLOWDOWN * timing.millisFor(backend.openPromptTokens() + waiting);
+        return engines.stream()
+                .filter(engine -> cached(engine, prompt) > 0)
+                .max(Comparator.comparingInt(engine -> cached(engine, prompt)));
     }
 
-    /** Returns the expected time that an engine takes for a prompt itself, in milliseconds. */
-    private double millis(Backend backend, int tokens) {
-        double failing = FAILING_MILLIS * backend.failureShare() + timing.fixedMillis();
-        return isPrefill(backend)
-                ? failing + HANDOVER_MILLIS + timing.millisFor(tokens)
-                : failing + DECODE_SLOWDOWN * timing.millisFor(tokens);
+    /** Returns the home of a long prompt: a prefill engine where there is one. */
+    private static Optional<Backend> home(PromptShape prompt, List<Backend> engines) {
+        if (prompt.promptTokens() < MIN_HOME_TOKENS) {
+            return Optional.empty();
+        }
+        List<Backend> prefills =
+                engines.stream().filter(EnginePlanner::isPrefill).toList();
+        return EngineRanking.rank(prompt.affinityKey(), prefills.isEmpty() ? engines : prefills, engine -> 1).stream()
+                .findFirst();
+    }
+
+    /** Returns the open work of all instances at an engine. */
+    private EngineWork work(Backend engine) {
+        return engine.work().plus(others.apply(engine.entry().boot()));
+    }
+
+    /** Returns the tokens at the beginning of a prompt that an engine is believed to keep. */
+    private int cached(Backend backend, PromptShape prompt) {
+        return memory.cached(backend.entry().boot(), prompt);
     }
 
     /** Returns the engines that are not changing their stage. */
@@ -221,14 +237,6 @@
                 .toList();
     }
 
-    /** Returns the runs of an engine, its own statement corrected by what this instance sent. */
-    private static double runs(Backend backend, long now) {
-        double stated = backend.load(now, MAX_LOAD_AGE_MILLIS)
-                .map(load -> (double) load.running() + load.waiting())
-                .orElse(0.0);
-        return OWN_WEIGHT * backend.open() + STATED_WEIGHT * stated;
-    }
-
     /** Returns whether an engine processes prompts for others. */
     private static boolean isPrefill(Backend backend) {
         return backend.entry().stage() == BackendStage.PREFILL;
--- a/src/main/java/org/verbenatray/platform/MachineSettings.java
+++ b/src/main/java/org/verbenatray/platform/MachineSettings.java
@@ -13,6 +13,7 @@
  * @param domain its failure domain, which the file calls a zone
  * @param callers the address for callers
  * @param ready the address for the question whether the machine is ready
+ * @param exchange the address for the other machines of the system
  * @param store the address of the store
  * @param graceMillis the time between the request to stop and the end of the process
  * @param leavingMillis the time after which a leaving server may get nothing more
@@ -25,6 +26,7 @@
         String domain,
         InetSocketAddress callers,
         InetSocketAddress ready,
+        InetSocketAddress exchange,
         InetSocketAddress store,
         long graceMillis,
         long leavingMillis,
@@ -55,6 +57,7 @@
                 name,
                 domain,
                 new RelayAddresses(callers, ready, metrics),
+                exchange,
                 retryRatio * RETRY_SHARE,
                 retryWindowMillis,
                 graceMillis,
--- a/src/main/java/org/verbenatray/platform/PlatformMachine.java
+++ b/src/main/java/org/verbenatray/platform/PlatformMachine.java
@@ -15,6 +15,9 @@
     /** The topic in which backend servers list themselves. */
     private static final String SERVERS_TOPIC = "keyed.servers";
 
+    /** The topic in which the machines of the system list themselves. */
+    private static final String INSTANCES_TOPIC = "keyed.instances";
+
     /** The topic that holds the lease of those who give orders to engines. */
     private static final String LEASE_TOPIC = "stage-lease";
 
@@ -27,6 +30,7 @@
             zone=alone
             listen.front=127.0.0.1:0
             listen.ready=127.0.0.1:0
+            internalPorts=0,0
             platform.address=127.0.0.1:1
             bounds.graceS=1
             bounds.drainMs=1000
@@ -58,6 +62,7 @@
                 CatalogDecoder.create()::decode,
                 store.keyed(SERVERS_TOPIC),
                 ServerEntryDecoder.create()::decode,
+                store.keyed(INSTANCES_TOPIC),
                 store.conditional(LEASE_TOPIC),
                 store.conditional(CRASHES_TOPIC),
                 WireDialect.create());
--- a/src/main/java/org/verbenatray/platform/SettingsFile.java
+++ b/src/main/java/org/verbenatray/platform/SettingsFile.java
@@ -48,6 +48,7 @@
                 check.name("zone", values.get("zone")),
                 check.address("listen.front", values.get("listen.front")),
                 check.address("listen.ready", values.get("listen.ready")),
+                check.address("internalPorts", exchange()),
                 check.address("platform.address", values.get("platform.address")),
                 check.number("bounds.graceS", whole("bounds.graceS"), 1, 3_600) * 1_000,
                 check.number("bounds.drainMs", whole("bounds.drainMs"), 100, 600_000),
@@ -58,6 +59,16 @@
         return settings;
     }
 
+    /** Returns the address of the machine's first port for the other machines of the system. */
+    private String exchange() {
+        String callers = values.get("listen.front");
+        String ports = values.get("internalPorts");
+        if (callers == null || ports == null || callers.lastIndexOf(':') < 0) {
+            return null;
+        }
+        return callers.substring(0, callers.lastIndexOf(':') + 1) + ports.split(",", 2)[0].strip();
+    }
+
     /** Returns a value as a whole number where it is written as a fraction. */
     private String whole(String key) {
         String value = values.get(key);
--- a/src/main/java/org/verbenatray/platform/StoreClient.java
+++ b/src/main/java/org/verbenatray/platform/StoreClient.java
@@ -86,6 +86,16 @@
                 + (waitMillis > 0 ? "&waitMs=" + waitMillis : "");
     }
 
+    /** Returns the call that appends a record, on a new connection so that no old one can lose it. */
+    private HttpCall appendCall(String topic, String condition, byte[] content) {
+        byte[] body = ByteBuffer.allocate(Integer.BYTES + content.length)
+                .putInt(content.length)
+                .put(content)
+                .array();
+        return HttpCall.create("POST", address, "/log-append?topic=" + topic + "&part=0" + condition, Map.of(), body)
+                .onFreshConnection();
+    }
+
     /** Decodes the contents of records: the end and the first offset, then each content after its length. */
     private static List<byte[]> contents(byte[] body) {
         ByteBuffer bytes = ByteBuffer.wrap(body);
@@ -164,6 +174,18 @@
                             .toList());
         }
 
+        @Override
+        public CompletableFuture<Void> put(String key, Optional<byte[]> value) {
+            byte[] name = key.getBytes(StandardCharsets.UTF_8);
+            byte[] content = value.orElse(new byte[0]);
+            byte[] record = ByteBuffer.allocate(1 + name.length + content.length)
+                    .put((byte) name.length)
+                    .put(name)
+                    .put(content)
+                    .array();
+            return call(appendCall(topic, "", record), "log-append", 0).thenAccept(reply -> {});
+        }
+
         /** Decodes a page of newest records. */
         private Page page(HttpReply reply) {
             try {
@@ -205,23 +227,13 @@
 
         @Override
         public CompletableFuture<OptionalLong> appendAt(long end, byte[] content) {
-            return reply(append("&at=" + end, content), "log-append", 0).thenApply(this::appended);
+            return reply(appendCall(topic, "&at=" + end, content), "log-append", 0)
+                    .thenApply(this::appended);
         }
 
         @Override
         public CompletableFuture<Void> append(byte[] content) {
-            return call(append("", content), "log-append", 0).thenAccept(reply -> {});
-        }
-
-        /** Returns the call that appends a record, on a new connection so that no old one can lose it. */
-        private HttpCall append(String condition, byte[] content) {
-            byte[] body = ByteBuffer.allocate(Integer.BYTES + content.length)
-                    .putInt(content.length)
-                    .put(content)
-                    .array();
-            return HttpCall.create(
-                            "POST", address, "/log-append?topic=" + topic + "&part=0" + condition, Map.of(), body)
-                    .onFreshConnection();
+            return call(appendCall(topic, "", content), "log-append", 0).thenAccept(reply -> {});
         }
 
         @Override
--- a/src/main/java/org/verbenatray/relay/Forward.java
+++ b/src/main/java/org/verbenatray/relay/Forward.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.PromptWork;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.servers.ReplyHead;
 import org.verbenatray.servers.ReplyListener;
@@ -32,8 +33,8 @@
     /** How it is sent. */
     private final Forwarding how;
 
-    /** The prompt tokens that the server is expected to process. */
-    private final long promptTokens;
+    /** The processing of the prompt that the server has before it. */
+    private final PromptWork work;
 
     /** The bounds on silence. */
     private final Patience patience;
@@ -62,6 +63,9 @@
     /** Whether the request may have reached the server. */
     private boolean sent;
 
+    /** Whether the prompt counts as processed. */
+    private boolean processed;
+
     /** Whether the outcome was told. */
     private boolean over;
 
@@ -70,13 +74,13 @@
             RelayParts parts,
             RelayRequest request,
             Forwarding how,
-            long promptTokens,
+            PromptWork work,
             Patience patience,
             ForwardListener listener) {
         this.parts = parts;
         this.request = request;
         this.how = how;
-        this.promptTokens = promptTokens;
+        this.work = work;
         this.patience = patience;
         this.listener = listener;
     }
@@ -86,13 +90,14 @@
             RelayParts parts,
             RelayRequest request,
             Forwarding how,
-            long promptTokens,
+            PromptWork work,
             Patience patience,
             ForwardListener listener) {
-        Forward forward = new Forward(parts, request, how, promptTokens, patience, listener);
+        Forward forward = new Forward(parts, request, how, work, patience, listener);
         forward.silentAt = patience.first();
         forward.watch();
-        how.backend().opened(promptTokens);
+        how.backend().opened(work);
+        parts.workChanged().accept(how.backend());
         forward.cancellation =
                 parts.transport().exchange(parts.dialect().forward(request, how), parts.thread(), forward);
         return forward;
@@ -141,6 +146,7 @@
         if (isStream()) {
             splitter.feed(piece, event -> {
                 if (!over) {
+                    processed();
                     listener.onEvent(head, event);
                 }
             });
@@ -198,12 +204,23 @@
     /** Stops the accounts of this sending. */
     private void close() {
         over = true;
-        how.backend().closed(promptTokens);
+        processed();
+        how.backend().closed();
+        parts.workChanged().accept(how.backend());
         if (timer != null) {
             timer.remove();
         }
     }
 
+    /** Notes once that the prompt was processed. */
+    private void processed() {
+        if (!processed) {
+            processed = true;
+            how.backend().processed(work);
+            parts.workChanged().accept(how.backend());
+        }
+    }
+
     /** Notes that something came. */
     private void progress() {
         silentAt = patience.after(parts.ticker().nanos());
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.PromptWork;
 import org.verbenatray.catalog.EngineLimits;
 import org.verbenatray.catalog.ServiceSpec;
 import org.verbenatray.placement.EnginePlan;
@@ -20,17 +21,20 @@
  * <p>A stream that may be resumed goes on at another engine after the last event that the caller has.
  */
 final class GenerationRelay implements ForwardListener {
-    /** When a refused caller may come back, in milliseconds. */
+    /** When a caller that no engine can serve may come back, in milliseconds. */
     private static final long COME_BACK_MILLIS = 400;
 
+    /** The time in milliseconds in which engines must have caught up before a refused caller comes back. */
+    private static final long CATCH_UP_MILLIS = 1_000;
+
     /** The shortest silence in milliseconds after which an engine is left for another. */
     private static final long MIN_SILENCE_MILLIS = 1_000;
 
     /** The multiple of the expected time after which an engine that processes a prompt is left for another. */
     private static final double PREFILL_PATIENCE = 4;
 
-    /** The multiple of the target that a prompt may wait for others; its own size is no reason to refuse it. */
-    private static final double LONGEST_WAIT_TARGETS = 0.6;
+    /** The share of the caller's patience within which the first token of a deferred prompt is expected. */
+    private static final double DEFERRED_SHARE = 0.7;
 
     /** The prefill engines that a prompt is sent to at most. */
     private static final int MAX_PREFILLS = 2;
@@ -59,8 +63,11 @@
     /** When the engine drops the processed prompt. */
     private Deadline sourceUntil;
 
-    /** The prompt tokens that a decode engine is expected to process itself. */
-    private int promptTokens;
+    /** Where the prompt is processed, null before that was decided. */
+    private EnginePlan plan;
+
+    /** When the request was last sent to an engine, in nanoseconds of the ticker. */
+    private long sentNanos;
 
     /** The last event that was passed on, null before the first. */
     private String lastEvent;
@@ -124,42 +131,34 @@
             decode(Optional.empty());
             return;
         }
-        parts.loads().refresh(parts.planner().deciding(prompt.get(), call.usable()), () -> place(prompt.get()));
+        place(prompt.get());
     }
 
     /** Sends the prompt where it will be processed first, or refuses it where that would be too late. */
     private void place(PromptShape prompt) {
-        if (call.over()) {
-            return;
+        long waited = call.waitedMillis();
+        plan = parts.planner().plan(prompt, call.usable(), triedPrefills, false);
+        boolean late = call.firstAskedMillisAgo() + waited + plan.firstTokenMillis()
+                > call.route().targetMillis();
+        if (late && triedPrefills.isEmpty()) {
+            plan = parts.planner().plan(prompt, call.usable(), triedPrefills, true);
         }
-        EnginePlan plan = parts.planner().plan(prompt, call.usable(), triedPrefills);
         call.remark("plan_ms", Math.round(plan.firstTokenMillis()));
         call.remark("wait_ms", Math.round(plan.waitMillis()));
-        if (plan.handover()
-                && plan.waitMillis() > LONGEST_WAIT_TARGETS * call.route().targetMillis()) {
-            refuse(plan);
-            return;
-        }
-        if (plan.handover() && triedPrefills.size() < MAX_PREFILLS) {
-            prefill(plan, prompt);
-        } else if (plan.handover()) {
-            decode(Optional.empty());
+        call.remark("deferred", plan.work().deferred());
+        double excess = waited + plan.firstTokenMillis() - DEFERRED_SHARE * call.firstEventLimitMillis();
+        if (plan.work().deferred() && excess > 0) {
+            timer.remove();
+            call.giveUp("overloaded", Math.round(CATCH_UP_MILLIS + excess));
+        } else if (plan.handover() && triedPrefills.size() < MAX_PREFILLS) {
+            prefill(prompt);
         } else {
-            promptTokens = plan.tokens();
-            decode(plan.engine());
+            decode(plan.handover() ? Optional.empty() : plan.engine());
         }
     }
 
-    /** Refuses a prompt that would wait too long, and tells its caller when the wait is expected to be over. */
-    private void refuse(EnginePlan plan) {
-        double excess = plan.waitMillis() - LONGEST_WAIT_TARGETS * call.route().targetMillis();
-        long comeBack = Math.round(COME_BACK_MILLIS + 2 * call.route().targetMillis() + excess);
-        timer.remove();
-        call.giveUp("overloaded", comeBack);
-    }
-
     /** Sends the prompt to a prefill engine. */
-    private void prefill(EnginePlan plan, PromptShape prompt) {
+    private void prefill(PromptShape prompt) {
         Backend backend = plan.engine().orElseThrow();
         triedPrefills.add(backend);
         long left = call.firstEventDueMillis();
@@ -170,23 +169,18 @@
         Forwarding how = new Forwarding(
                 backend,
                 left,
-                Rank.onTime(call.route().priority()),
+                rank(),
                 true,
                 plan.fetchFrom(),
                 Optional.empty(),
                 Optional.empty(),
                 ConnectionUse.POOLED);
         long now = parts.ticker().nanos();
+        sentNanos = now;
         long silence = (long) Math.max(MIN_SILENCE_MILLIS, PREFILL_PATIENCE * plan.firstTokenMillis());
         Deadline first = Deadline.afterMillis(now, Math.min(left, silence));
         Patience patience = new Patience(first, MIN_SILENCE_MILLIS, Deadline.afterMillis(now, left));
-        open = Forward.send(
-                parts,
-                call.request(),
-                how,
-                plan.tokens(),
-                patience,
-                new PrefillListener(backend, prompt, plan.tokens(), now));
+        open = Forward.send(parts, call.request(), how, plan.work(), patience, new PrefillListener(backend, prompt));
     }
 
     /** Takes a processed prompt. */
@@ -217,13 +211,21 @@
         Forwarding how = new Forwarding(
                 backend,
                 call.remainingMillis(),
-                source == null ? Rank.onTime(call.route().priority()) : Rank.handedOver(),
+                source == null ? rank() : Rank.handedOver(),
                 false,
                 Optional.empty(),
                 Optional.ofNullable(source),
                 Optional.ofNullable(lastEvent).or(() -> call.request().resumeAfter()),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.FRESH);
-        open = Forward.send(parts, call.request(), how, source == null ? promptTokens : 0, patience(repeatable), this);
+        sentNanos = parts.ticker().nanos();
+        PromptWork work = source == null && plan != null ? plan.work() : PromptWork.NONE;
+        open = Forward.send(parts, call.request(), how, work, patience(repeatable), this);
+    }
+
+    /** Returns the rank of a prompt that an engine has to process. */
+    private int rank() {
+        int priority = call.route().priority();
+        return plan != null && plan.work().deferred() ? Rank.deferred(priority) : Rank.onTime(priority);
     }
 
     /** Returns how long an engine may be silent. */
@@ -238,8 +240,22 @@
 
     /** Notes that an engine runs the request: the processed prompt was taken and stays in its memory. */
     private void started() {
+        Backend backend = open.backend();
+        call.request().prompt().ifPresent(prompt -> {
+            if (source == null
+                    && plan != null
+                    && plan.engine().filter(backend::equals).isPresent()) {
+                parts.planner().processed(plan, prompt, millisSinceSent());
+            } else {
+                parts.planner().holds(backend, prompt);
+            }
+        });
         source = null;
-        call.request().prompt().ifPresent(prompt -> parts.planner().holds(open.backend(), prompt));
+    }
+
+    /** Returns the time since the request was last sent to an engine in milliseconds. */
+    private double millisSinceSent() {
+        return (parts.ticker().nanos() - sentNanos) / 1e6;
     }
 
     /** Passes on an answer that is no stream, or tries another engine after an error. */
@@ -332,18 +348,10 @@
         /** The prompt. */
         private final PromptShape prompt;
 
-        /** The tokens that it was expected to process. */
-        private final int expectedTokens;
-
-        /** When the prompt was sent. */
-        private final long startNanos;
-
         /** Creates a listener. */
-        PrefillListener(Backend backend, PromptShape prompt, int expectedTokens, long startNanos) {
+        PrefillListener(Backend backend, PromptShape prompt) {
             this.backend = backend;
             this.prompt = prompt;
-            this.expectedTokens = expectedTokens;
-            this.startNanos = startNanos;
         }
 
         @Override
@@ -367,10 +375,9 @@
             Optional<String> handle =
                     outcome.status() == 200 ? parts.dialect().handle(outcome.body()) : Optional.empty();
             if (outcome.kind() == ForwardOutcome.Kind.ANSWERED && handle.isPresent()) {
-                double millis = (parts.ticker().nanos() - startNanos) / 1e6;
-                parts.planner().prefilled(backend, prompt, expectedTokens, millis);
-                call.remark("prefill_ms", Math.round(millis));
-                call.remark("expected_tokens", expectedTokens);
+                call.remark("prefill_ms", Math.round(millisSinceSent()));
+                call.remark("tokens", prompt.promptTokens() - plan.keptTokens());
+                parts.planner().processed(plan, prompt, millisSinceSent());
                 prefilled(backend, handle.get());
                 return;
             }
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -3,10 +3,6 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -30,12 +26,6 @@
     /** The time that an answer may take in milliseconds. */
     private static final long ANSWER_MILLIS = 500;
 
-    /** The age in milliseconds up to which a load needs no refreshing. */
-    private static final long FRESH_MILLIS = 100;
-
-    /** The time in milliseconds that a refresh may take. */
-    private static final long REFRESH_MILLIS = 40;
-
     /** The largest answer in bytes. */
     private static final int MAX_ANSWER_BYTES = 256 * 1024;
 
@@ -104,37 +94,9 @@
         return Math.max(MIN_BETWEEN_MILLIS, ROUND_MILLIS / engines.size());
     }
 
-    /** Asks those of the given engines whose load is not fresh, and goes on when all have answered. */
-    public void refresh(List<Backend> engines, Runnable then) {
-        long now = ticker.nanos();
-        List<Backend> stale = engines.stream()
-                .filter(engine -> engine.load(now, FRESH_MILLIS).isEmpty())
-                .toList();
-        if (stale.isEmpty()) {
-            then.run();
-            return;
-        }
-        AtomicBoolean done = new AtomicBoolean();
-        AtomicInteger missing = new AtomicInteger(stale.size());
-        Runnable once = () -> {
-            if (done.compareAndSet(false, true)) {
-                then.run();
-            }
-        };
-        XnioIoThread.Key timer = thread.executeAfter(once, REFRESH_MILLIS, TimeUnit.MILLISECONDS);
-        for (Backend engine : stale) {
-            askLoad(engine).whenComplete((answered, failure) -> {
-                if (missing.decrementAndGet() == 0) {
-                    timer.remove();
-                    once.run();
-                }
-            });
-        }
-    }
-
     /** Asks an engine for its load. */
-    private CompletableFuture<Void> askLoad(Backend backend) {
-        return send(
+    private void askLoad(Backend backend) {
+        send(
                 backend,
                 dialect.load(backend),
                 body -> dialect.load(body).ifPresent(reading -> backend.loaded(reading, ticker.nanos())));
@@ -150,19 +112,18 @@
     }
 
     /** Asks an engine something. */
-    private CompletableFuture<Void> send(Backend backend, HttpCall call, Consumer<byte[]> taker) {
+    private void send(Backend backend, HttpCall call, Consumer<byte[]> taker) {
         Deadline deadline = Deadline.afterMillis(ticker.nanos(), ANSWER_MILLIS);
-        return transport.call(call, thread, deadline, MAX_ANSWER_BYTES).handle((reply, failure) -> {
+        transport.call(call, thread, deadline, MAX_ANSWER_BYTES).whenComplete((reply, failure) -> {
             if (failure == null && reply.status() == 200) {
                 taker.accept(reply.body());
-                return null;
+                return;
             }
             Event.named("engine_state_unknown")
                     .with("backend", backend.entry().id())
                     .with("asked", call.path())
                     .with("why", failure == null ? reply.status() : failure.getMessage())
                     .log(log, Level.DEBUG);
-            return null;
         });
     }
 }
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendStage;
+import org.verbenatray.backends.PromptWork;
 import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.time.Deadline;
 import org.xnio.XnioIoThread;
@@ -127,7 +128,7 @@
                 Optional.empty(),
                 call.request().resumeAfter(),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.FRESH);
-        open = Forward.send(parts, call.request(), how, 0, patience(repeatable), this);
+        open = Forward.send(parts, call.request(), how, PromptWork.NONE, patience(repeatable), this);
     }
 
     /** Returns how long the server may be silent. */
--- a/src/main/java/org/verbenatray/relay/Rank.java
+++ b/src/main/java/org/verbenatray/relay/Rank.java
@@ -8,6 +8,9 @@
     /** The last rank of requests that can be on time. */
     private static final int LAST_ON_TIME = 4;
 
+    /** The last rank that engines know. */
+    private static final int LAST = 9;
+
     /** Prevents instances. */
     private Rank() {}
 
@@ -20,4 +23,9 @@
     static int onTime(int priority) {
         return Math.min(LAST_ON_TIME, HANDED_OVER + 1 + priority);
     }
+
+    /** Returns the rank of a request that is late whatever is done, given the priority of its route. */
+    static int deferred(int priority) {
+        return Math.min(LAST, LAST_ON_TIME + 1 + priority);
+    }
 }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -47,6 +47,9 @@
     /** The answer. */
     private final CallerReply reply;
 
+    /** The estimated time in milliseconds between the caller's first attempt and this one. */
+    private final double firstAskedMillisAgo;
+
     /** What is done once at the end. */
     private final Runnable onOver;
 
@@ -81,6 +84,9 @@
         this.service = route.serviceFor(request.id().hashCode());
         this.deadline = deadline;
         this.reply = reply;
+        this.firstAskedMillisAgo = request.deadline()
+                .map(due -> parts.firstAsked().millisAgo(route.name(), due.remainingMillis(request.receivedNanos())))
+                .orElse(0.0);
         this.onOver = onOver;
     }
 
@@ -119,6 +125,16 @@
         return Math.min(remainingMillis(), route.patienceMillis() - waitedMillis());
     }
 
+    /** Returns the time in milliseconds from the receipt of the request until the caller leaves without an event. */
+    long firstEventLimitMillis() {
+        return Math.min(remainingMillis() + waitedMillis(), route.patienceMillis());
+    }
+
+    /** Returns the estimated time in milliseconds between the caller's first attempt and this one. */
+    double firstAskedMillisAgo() {
+        return firstAskedMillisAgo;
+    }
+
     /** Returns the time since the receipt of the request in milliseconds. */
     long waitedMillis() {
         return (parts.ticker().nanos() - request.receivedNanos()) / 1_000_000;
--- a/src/main/java/org/verbenatray/relay/RelayParts.java
+++ b/src/main/java/org/verbenatray/relay/RelayParts.java
@@ -1,7 +1,9 @@
 package org.verbenatray.relay;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Function;
+import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.catalog.CurrentCatalog;
 import org.verbenatray.placement.EnginePlanner;
@@ -28,7 +30,8 @@
  * @param stopping whether the process is about to end
  * @param refusing whether new requests would not be finished before the process ends
  * @param metrics the counters
- * @param loads asks the engines for their load
+ * @param workChanged hears of each server at which the open work of this instance has changed
+ * @param firstAsked estimates how long ago callers first asked
  * @param probe looks whether servers have crashed
  */
 public record RelayParts(
@@ -45,5 +48,6 @@
         BooleanSupplier stopping,
         BooleanSupplier refusing,
         RelayMetrics metrics,
-        LoadPoller loads,
+        Consumer<Backend> workChanged,
+        FirstAsked firstAsked,
         CrashProbe probe) {}
--- /dev/null
+++ b/src/main/java/org/verbenatray/work/WorkNotice.java
@@ -0,0 +1,13 @@
+package org.verbenatray.work;
+
+import java.util.Map;
+
+/**
+ * What one instance tells others of its open work: totals, so that a later notice makes up for a lost one.
+ *
+ * @param instance the name of the sender
+ * @param start a number that grows with each start of the sender's process
+ * @param sequence the number of the notice since that start
+ * @param engines the work at each engine that changed or is to be confirmed, by the start of the engine
+ */
+public record WorkNotice(String instance, long start, long sequence, Map<String, EngineWork> engines) {}
--- a/src/test/java/org/verbenatray/platform/MachineFixture.java
+++ b/src/test/java/org/verbenatray/platform/MachineFixture.java
@@ -56,7 +56,9 @@
 
     /** Returns the text of a settings file. */
     static String settings(String store) {
-        return "nodeName=m1\nzone=z1\nlisten.front=127.0.0.1:0\nlisten.ready=127.0.0.1:0\nplatform.address=" + store
+        return "nodeName=m1\nzone=z1\nlisten.front=127.0.0.1:0\nlisten.ready=127.0.0.1:0\n"
+                + "internalPorts=0,0\nplatform.address="
+                + store
                 + "\nbounds.graceS=8\nbounds.drainMs=300\nbounds.configApplyMs=2000\nbounds.budgetRatio=4\n"
                 + "bounds.budgetWindowS=10\nunknown.key=1\n";
     }
--- a/src/test/java/org/verbenatray/platform/StandInStore.java
+++ b/src/test/java/org/verbenatray/platform/StandInStore.java
@@ -145,11 +145,24 @@
             byte[] content = new byte[bytes.getInt()];
             bytes.get(content);
             topic.records.add(content);
+            if (parameter(exchange, "topic", "").startsWith("keyed.")) {
+                keep(topic, content);
+            }
         }
         String answer = "{\"offset\":" + offset + ",\"end\":" + topic.records.size() + "}";
         send(exchange, 200, answer.getBytes(StandardCharsets.UTF_8));
     }
 
+    private static void keep(Topic topic, byte[] content) {
+        String key = new String(content, 1, content[0], StandardCharsets.UTF_8);
+        String value = new String(content, 1 + content[0], content.length - 1 - content[0], StandardCharsets.UTF_8);
+        if (value.isEmpty()) {
+            topic.newest.remove(key);
+        } else {
+            topic.newest.put(key, value);
+        }
+    }
+
     private byte[] newest(Topic topic) {
         ObjectNode answer = json.createObjectNode();
         ArrayNode items = answer.putArray("items");
--- /dev/null
+++ b/src/test/java/org/verbenatray/work/WorkNoticeCodecTest.java
@@ -0,0 +1,37 @@
+package org.verbenatray.work;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.AlphaChars;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.Size;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/** The bytes of notices. */
+public final class WorkNoticeCodecTest {
+    @Property(tries = 200, seed = "42")
+    void aNoticeIsReadAsItWasWritten(
+            @ForAll @AlphaChars String instance,
+            @ForAll @LongRange(min = 0) long start,
+            @ForAll @Size(max = 20) List<@LongRange(min = 0) Long> micros)
+            throws IOException {
+        Map<String, EngineWork> engines = IntStream.range(0, micros.size())
+                .boxed()
+                .collect(Collectors.toMap(index -> "e" + index, index -> new EngineWork(micros.get(index), index, 3)));
+        WorkNotice notice = new WorkNotice(instance, start, 7, engines);
+        Assert.assertEquals(WorkNoticeCodec.decode(WorkNoticeCodec.encode(notice)), notice);
+    }
+
+    @Test
+    public void aCutNoticeIsRefused() {
+        byte[] whole = WorkNoticeCodec.encode(new WorkNotice("a", 1, 2, Map.of("e1", new EngineWork(1, 2, 3))));
+        byte[] cut = java.util.Arrays.copyOf(whole, whole.length - 1);
+        Assert.assertThrows(IOException.class, () -> WorkNoticeCodec.decode(cut));
+    }
+}
