--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -25,6 +25,7 @@
 import org.verbenatray.relay.RelayMetrics;
 import org.verbenatray.relay.RelayParts;
 import org.verbenatray.relay.RelayServer;
+import org.verbenatray.relay.SizeShares;
 import org.verbenatray.relay.StageKeeper;
 import org.verbenatray.resilience.CrashLedger;
 import org.verbenatray.resilience.CrashNews;
@@ -118,9 +119,10 @@
         this.crashes = CrashLedger.create(loop.ticker(), this::crashFound);
         PlainChooser chooser = PlainChooser.create(
                 settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
-        this.sharing = new WorkSharing(settings, loop, directory);
+        PrefixMemory memory = PrefixMemory.empty();
+        this.sharing = new WorkSharing(settings, loop, directory, memory);
         this.planner = EnginePlanner.create(
-                loop.ticker(), PrefixMemory.empty(), PromptTiming.unmeasured(), chooser, sharing::others);
+                loop.ticker(), memory, PromptTiming.unmeasured(), chooser, sharing::others, sharing::keeps);
         this.loads = LoadPoller.create(
                 loop.transport(), loop.thread(), loop.ticker(), sources.dialect(), directory, planner.memory());
         this.parts = new RelayParts(
@@ -139,6 +141,7 @@
                 metrics,
                 sharing::changed,
                 FirstAsked.unseen(),
+                SizeShares.unseen(),
                 CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), sources.dialect(), crashes));
         this.handler = RelayHandler.create(parts);
         this.server = RelayServer.start(
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -9,9 +9,12 @@
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.log.KeyedLog;
+import org.verbenatray.placement.PrefixMemory;
+import org.verbenatray.placement.PromptShape;
 import org.verbenatray.work.DatagramPort;
 import org.verbenatray.work.EngineWork;
 import org.verbenatray.work.InstanceRoll;
+import org.verbenatray.work.KeptParts;
 import org.verbenatray.work.Neighbours;
 import org.verbenatray.work.SharedWork;
 import org.verbenatray.work.WorkExchange;
@@ -33,6 +36,9 @@
     /** What they tell. */
     private final SharedWork shared;
 
+    /** What engines are believed to keep. */
+    private final PrefixMemory memory;
+
     /** The exchange, null before the start. */
     private WorkExchange exchange;
 
@@ -43,10 +49,11 @@
     private InstanceRoll roll;
 
     /** Creates a sharing that is not started. */
-    WorkSharing(RelaySettings settings, RelayLoop loop, BackendDirectory directory) {
+    WorkSharing(RelaySettings settings, RelayLoop loop, BackendDirectory directory, PrefixMemory memory) {
         this.settings = settings;
         this.loop = loop;
         this.directory = directory;
+        this.memory = memory;
         this.neighbours = Neighbours.of(settings.name());
         this.shared = SharedWork.create(loop.ticker(), neighbours::weight);
     }
@@ -54,7 +61,7 @@
     /** Starts to tell the other instances, which the given log lists, and to hear of them. */
     void start(KeyedLog instances) {
         try {
-            port = DatagramPort.open(loop.worker(), settings.exchange(), datagram -> exchange.received(datagram));
+            port = DatagramPort.open(loop.worker(), settings.exchange(), this::received);
         } catch (IOException e) {
             throw new UncheckedIOException(
                     "cannot listen on " + settings.exchange() + "; check that the port is free", e);
@@ -82,6 +89,15 @@
         }
     }
 
+    /** Notes that an engine was given a prompt and keeps it from now on. */
+    void keeps(Backend backend, PromptShape prompt) {
+        if (exchange != null) {
+            Map<String, Integer> tokens = new LinkedHashMap<>();
+            prompt.parts().forEach(part -> tokens.put(part.id(), part.tokens()));
+            exchange.keeps(new KeptParts(backend.entry().boot(), tokens));
+        }
+    }
+
     /** Takes this instance off the list. */
     void leave() {
         if (roll != null) {
@@ -96,6 +112,11 @@
         }
     }
 
+    /** Takes a datagram of another instance. */
+    private void received(byte[] datagram) {
+        exchange.received(datagram).forEach(kept -> memory.told(kept.boot(), kept.tokens()));
+    }
+
     /** Returns the work of this instance at each engine where it has some. */
     private Map<String, EngineWork> own() {
         Map<String, EngineWork> work = new LinkedHashMap<>();
--- a/src/main/java/org/verbenatray/placement/EnginePlanner.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlanner.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendStage;
@@ -66,28 +67,34 @@
     /** The open work of the other instances at an engine, by its start. */
     private final Function<String, EngineWork> others;
 
+    /** Hears of each prompt that an engine was given and keeps. */
+    private final BiConsumer<Backend, PromptShape> onHolds;
+
     /** Creates a planner. */
     private EnginePlanner(
             Ticker ticker,
             PrefixMemory memory,
             PromptTiming timing,
             PlainChooser chooser,
-            Function<String, EngineWork> others) {
+            Function<String, EngineWork> others,
+            BiConsumer<Backend, PromptShape> onHolds) {
         this.ticker = ticker;
         this.memory = memory;
         this.timing = timing;
         this.chooser = chooser;
         this.others = others;
+        this.onHolds = onHolds;
     }
 
-    /** Returns a planner that learns the open work of other instances from the given function. */
+    /** Returns a planner that learns the open work of other instances, and tells of prompts that engines were given. */
     public static EnginePlanner create(
             Ticker ticker,
             PrefixMemory memory,
             PromptTiming timing,
             PlainChooser chooser,
-            Function<String, EngineWork> others) {
-        return new EnginePlanner(ticker, memory, timing, chooser, others);
+            Function<String, EngineWork> others,
+            BiConsumer<Backend, PromptShape> onHolds) {
+        return new EnginePlanner(ticker, memory, timing, chooser, others, onHolds);
     }
 
     /** Returns what the engines are believed to keep. */
@@ -159,10 +166,11 @@
         holds(engine, prompt);
     }
 
-    /** Notes that an engine holds a prompt, which it processed or took from another engine. */
+    /** Notes that an engine holds a prompt, which it was given to process or took from another engine. */
     public void holds(Backend backend, PromptShape prompt) {
-        if (prompt.promptTokens() >= MIN_HOME_TOKENS) {
+        if (prompt.promptTokens() >= MIN_HOME_TOKENS && cached(backend, prompt) < prompt.promptTokens()) {
             memory.processed(backend.entry().boot(), prompt);
+            onHolds.accept(backend, prompt);
         }
     }
 
--- a/src/main/java/org/verbenatray/placement/PrefixMemory.java
+++ b/src/main/java/org/verbenatray/placement/PrefixMemory.java
@@ -56,6 +56,11 @@
         prompt.parts().forEach(part -> parts.put(part.id(), part.tokens()));
     }
 
+    /** Takes the news of another instance that an engine was given parts of a prompt. */
+    public void told(String boot, Map<String, Integer> tokens) {
+        parts(boot).putAll(tokens);
+    }
+
     /** Returns the tokens at the beginning of a prompt that an engine is believed to keep. */
     public int cached(String boot, PromptShape prompt) {
         Map<String, Integer> parts = byBoot.getOrDefault(boot, new LinkedHashMap<>());
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -25,7 +25,7 @@
     private static final long COME_BACK_MILLIS = 400;
 
     /** The time in milliseconds in which engines must have caught up before a refused caller comes back. */
-    private static final long CATCH_UP_MILLIS = 1_000;
+    private static final long CATCH_UP_MILLIS = 2_000;
 
     /** The shortest silence in milliseconds after which an engine is left for another. */
     private static final long MIN_SILENCE_MILLIS = 1_000;
@@ -36,6 +36,9 @@
     /** The share of the caller's patience within which the first token of a deferred prompt is expected. */
     private static final double DEFERRED_SHARE = 0.7;
 
+    /** The share of the target from which on the own processing of a prompt makes it a large one. */
+    private static final double LARGE_SHARE = 0.5;
+
     /** The prefill engines that a prompt is sent to at most. */
     private static final int MAX_PREFILLS = 2;
 
@@ -136,18 +139,17 @@
 
     /** Sends the prompt where it will be processed first, or refuses it where that would be too late. */
     private void place(PromptShape prompt) {
-        long waited = call.waitedMillis();
+        double waited = call.waitedMillis();
         plan = parts.planner().plan(prompt, call.usable(), triedPrefills, false);
-        boolean late = call.firstAskedMillisAgo() + waited + plan.firstTokenMillis()
-                > call.route().targetMillis();
-        if (late && triedPrefills.isEmpty()) {
+        boolean deferred = triedPrefills.isEmpty() && !isInTurn(waited);
+        if (deferred) {
             plan = parts.planner().plan(prompt, call.usable(), triedPrefills, true);
         }
         call.remark("plan_ms", Math.round(plan.firstTokenMillis()));
         call.remark("wait_ms", Math.round(plan.waitMillis()));
-        call.remark("deferred", plan.work().deferred());
+        call.remark("deferred", deferred);
         double excess = waited + plan.firstTokenMillis() - DEFERRED_SHARE * call.firstEventLimitMillis();
-        if (plan.work().deferred() && excess > 0) {
+        if (deferred && excess > 0) {
             timer.remove();
             call.giveUp("overloaded", Math.round(CATCH_UP_MILLIS + excess));
         } else if (plan.handover() && triedPrefills.size() < MAX_PREFILLS) {
@@ -157,6 +159,18 @@
         }
     }
 
+    /** Returns whether the prompt is taken up in turn: it can be on time, or large prompts would fall behind. */
+    private boolean isInTurn(double waitedMillis) {
+        double target = call.route().targetMillis();
+        boolean onTime = call.firstAskedMillisAgo() + waitedMillis + plan.firstTokenMillis() <= target;
+        boolean large = plan.firstTokenMillis() - plan.waitMillis() > LARGE_SHARE * target;
+        if (large) {
+            return parts.sizes().takesLarge(onTime);
+        }
+        parts.sizes().other(onTime);
+        return onTime;
+    }
+
     /** Sends the prompt to a prefill engine. */
     private void prefill(PromptShape prompt) {
         Backend backend = plan.engine().orElseThrow();
@@ -180,6 +194,7 @@
         long silence = (long) Math.max(MIN_SILENCE_MILLIS, PREFILL_PATIENCE * plan.firstTokenMillis());
         Deadline first = Deadline.afterMillis(now, Math.min(left, silence));
         Patience patience = new Patience(first, MIN_SILENCE_MILLIS, Deadline.afterMillis(now, left));
+        parts.planner().holds(backend, prompt);
         open = Forward.send(parts, call.request(), how, plan.work(), patience, new PrefillListener(backend, prompt));
     }
 
@@ -225,7 +240,10 @@
     /** Returns the rank of a prompt that an engine has to process. */
     private int rank() {
         int priority = call.route().priority();
-        return plan != null && plan.work().deferred() ? Rank.deferred(priority) : Rank.onTime(priority);
+        if (plan == null || !plan.work().deferred()) {
+            return Rank.inTurn(priority);
+        }
+        return call.firstAskedMillisAgo() > 0 ? Rank.repeated() : Rank.deferred(priority);
     }
 
     /** Returns how long an engine may be silent. */
--- a/src/main/java/org/verbenatray/relay/RelayParts.java
+++ b/src/main/java/org/verbenatray/relay/RelayParts.java
@@ -32,6 +32,7 @@
  * @param metrics the counters
  * @param workChanged hears of each server at which the open work of this instance has changed
  * @param firstAsked estimates how long ago callers first asked
+ * @param sizes decides when large prompts are taken up in turn
  * @param probe looks whether servers have crashed
  */
 public record RelayParts(
@@ -50,4 +51,5 @@
         RelayMetrics metrics,
         Consumer<Backend> workChanged,
         FirstAsked firstAsked,
+        SizeShares sizes,
         CrashProbe probe) {}
--- a/src/main/java/org/verbenatray/work/WorkExchange.java
+++ b/src/main/java/org/verbenatray/work/WorkExchange.java
@@ -4,8 +4,10 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -24,7 +26,10 @@
     private static final long CONFIRM_MILLIS = 300;
 
     /** The largest number of engines in one notice, so that it fits a packet. */
-    private static final int MAX_ENGINES = 20;
+    private static final int MAX_ENGINES = 16;
+
+    /** The largest number of prompts in one notice, so that it fits a packet; more are left to the engines to tell. */
+    private static final int MAX_PROMPTS = 6;
 
     /** The log. */
     private static final Logger log = System.getLogger(WorkExchange.class.getName());
@@ -56,6 +61,9 @@
     /** The engines whose work has changed since the last notice. */
     private final Set<String> changed = new LinkedHashSet<>();
 
+    /** The parts of prompts that engines were given since the last notice. */
+    private final List<KeptParts> kept = new ArrayList<>();
+
     /** The number of the next notice. */
     private long sequence;
 
@@ -102,12 +110,22 @@
         }
     }
 
-    /** Takes a datagram of another instance. */
-    public void received(byte[] datagram) {
+    /** Notes parts of a prompt that an engine keeps from now on; told with the next change of its work. */
+    public void keeps(KeptParts parts) {
+        if (kept.size() < MAX_PROMPTS) {
+            kept.add(parts);
+        }
+    }
+
+    /** Takes a datagram of another instance and returns the parts that it says engines keep. */
+    public List<KeptParts> received(byte[] datagram) {
         try {
-            shared.take(WorkNoticeCodec.decode(datagram));
+            WorkNotice notice = WorkNoticeCodec.decode(datagram);
+            shared.take(notice);
+            return notice.kept();
         } catch (IOException e) {
             Event.named("work_notice_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
+            return List.of();
         }
     }
 
@@ -145,7 +163,9 @@
 
     /** Sends one notice. */
     private void send(Map<String, EngineWork> engines) {
-        byte[] datagram = WorkNoticeCodec.encode(new WorkNotice(instance, start, sequence++, engines));
+        byte[] datagram =
+                WorkNoticeCodec.encode(new WorkNotice(instance, start, sequence++, engines, List.copyOf(kept)));
+        kept.clear();
         neighbours.sharing().forEach(address -> sender.accept(address, datagram));
     }
 
--- a/src/main/java/org/verbenatray/work/WorkNoticeCodec.java
+++ b/src/main/java/org/verbenatray/work/WorkNoticeCodec.java
@@ -6,7 +6,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** Encodes notices as protobuf messages; fields that are not known are skipped. */
@@ -23,6 +25,15 @@
     /** The field of an engine, a message of its own. */
     private static final int ENGINE = 4;
 
+    /** The field of parts that an engine keeps, a message of its own. */
+    private static final int KEPT = 5;
+
+    /** The field of a part's name. */
+    private static final int PART = 2;
+
+    /** The field of a part's tokens, which follows its name. */
+    private static final int TOKENS = 3;
+
     /** The field of the engine's start. */
     private static final int BOOT = 1;
 
@@ -49,6 +60,9 @@
             for (Map.Entry<String, EngineWork> engine : notice.engines().entrySet()) {
                 out.writeByteArray(ENGINE, encodeEngine(engine.getKey(), engine.getValue()));
             }
+            for (KeptParts kept : notice.kept()) {
+                out.writeByteArray(KEPT, encodeKept(kept));
+            }
             out.flush();
             return bytes.toByteArray();
         } catch (IOException e) {
@@ -63,16 +77,18 @@
         long start = 0;
         long sequence = 0;
         Map<String, EngineWork> engines = new LinkedHashMap<>();
+        List<KeptParts> kept = new ArrayList<>();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case INSTANCE -> instance = in.readString();
                 case START -> start = in.readUInt64();
                 case SEQUENCE -> sequence = in.readUInt64();
                 case ENGINE -> decodeEngine(in.readByteArray(), engines);
+                case KEPT -> kept.add(decodeKept(in.readByteArray()));
                 default -> in.skipField(tag);
             }
         }
-        return new WorkNotice(instance, start, sequence, engines);
+        return new WorkNotice(instance, start, sequence, engines, kept);
     }
 
     /** Returns the bytes of the work at one engine. */
@@ -105,4 +121,34 @@
         }
         engines.put(boot, new EngineWork(onTime, deferred, runs));
     }
+
+    /** Returns the bytes of parts that an engine keeps. */
+    private static byte[] encodeKept(KeptParts kept) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        out.writeString(BOOT, kept.boot());
+        for (Map.Entry<String, Integer> part : kept.tokens().entrySet()) {
+            out.writeString(PART, part.getKey());
+            out.writeUInt32(TOKENS, part.getValue());
+        }
+        out.flush();
+        return bytes.toByteArray();
+    }
+
+    /** Returns the parts in some bytes. */
+    private static KeptParts decodeKept(byte[] bytes) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(bytes);
+        String boot = "";
+        String part = "";
+        Map<String, Integer> tokens = new LinkedHashMap<>();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case BOOT -> boot = in.readString();
+                case PART -> part = in.readString();
+                case TOKENS -> tokens.put(part, in.readUInt32());
+                default -> in.skipField(tag);
+            }
+        }
+        return new KeptParts(boot, tokens);
+    }
 }
--- a/src/test/java/org/verbenatray/placement/EnginePlannerTest.java
+++ b/src/test/java/org/verbenatray/placement/EnginePlannerTest.java
@@ -1,6 +1,7 @@
 package org.verbenatray.placement;
 
 import java.net.URI;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,8 @@
 
     private Map<String, EngineWork> others;
 
+    private List<Backend> told;
+
     private EnginePlanner planner;
 
     private Backend prefillOne;
@@ -40,6 +43,7 @@
     public void start() {
         time = new ManualTime();
         others = new HashMap<>();
+        told = new ArrayList<>();
         prefillOne = engine("p1", BackendStage.PREFILL);
         prefillTwo = engine("p2", BackendStage.PREFILL);
         decodeOne = engine("d1", BackendStage.DECODE);
@@ -50,7 +54,8 @@
                 PrefixMemory.empty(),
                 PromptTiming.unmeasured(),
                 PlainChooser.create("z1", () -> 0),
-                boot -> others.getOrDefault(boot, EngineWork.NONE));
+                boot -> others.getOrDefault(boot, EngineWork.NONE),
+                (engine, prompt) -> told.add(engine));
     }
 
     @Test
@@ -114,6 +119,14 @@
         Assert.assertSame(plan(LONG, false).engine().orElseThrow(), home);
     }
 
+    @Test
+    public void othersAreToldOnceOfAPromptThatAnEngineKeeps() {
+        planner.holds(prefillOne, LONG);
+        planner.holds(prefillOne, LONG);
+        planner.holds(prefillOne, SHORT);
+        Assert.assertEquals(told, List.of(prefillOne));
+    }
+
     @Test
     public void onlyADeferredPromptWaitsForDeferredWork() {
         engines.forEach(engine -> others.put(engine.entry().boot(), new EngineWork(0, 900_000, 1)));
--- a/src/test/java/org/verbenatray/work/SharedWorkTest.java
+++ b/src/test/java/org/verbenatray/work/SharedWorkTest.java
@@ -1,5 +1,6 @@
 package org.verbenatray.work;
 
+import java.util.List;
 import java.util.Map;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
@@ -58,6 +59,6 @@
     }
 
     private static WorkNotice notice(String instance, long start, long sequence, EngineWork work) {
-        return new WorkNotice(instance, start, sequence, Map.of("e1", work));
+        return new WorkNotice(instance, start, sequence, Map.of("e1", work), List.of());
     }
 }
--- a/src/test/java/org/verbenatray/work/WorkExchangeTest.java
+++ b/src/test/java/org/verbenatray/work/WorkExchangeTest.java
@@ -20,6 +20,8 @@
 
     private List<byte[]> lost;
 
+    private List<KeptParts> keptParts;
+
     private boolean losing;
 
     @BeforeMethod
@@ -28,6 +30,7 @@
         heard = SharedWork.create(time, () -> 1);
         own = new HashMap<>();
         lost = new ArrayList<>();
+        keptParts = new ArrayList<>();
         losing = false;
     }
 
@@ -69,6 +72,18 @@
         Assert.assertEquals(heard.others("e1").runs(), 1);
     }
 
+    @Test
+    public void thePartsThatAnEngineWasGivenAreToldWithItsWork() {
+        WorkExchange exchange = exchange();
+        exchange.keeps(new KeptParts("e1", Map.of("ab", 100)));
+        own.put("e1", new EngineWork(10, 0, 1));
+        exchange.changed("e1");
+        time.advanceMillis(5);
+        exchange.changed("e1");
+        time.advanceMillis(5);
+        Assert.assertEquals(keptParts, List.of(new KeptParts("e1", Map.of("ab", 100))));
+    }
+
     @Test
     public void bytesThatAreNoNoticeAreDropped() {
         WorkExchange exchange = exchange();
@@ -95,7 +110,7 @@
                     if (losing) {
                         lost.add(datagram);
                     } else {
-                        other.received(datagram);
+                        keptParts.addAll(other.received(datagram));
                     }
                 },
                 time,
--- a/src/test/java/org/verbenatray/work/WorkNoticeCodecTest.java
+++ b/src/test/java/org/verbenatray/work/WorkNoticeCodecTest.java
@@ -24,13 +24,15 @@
         Map<String, EngineWork> engines = IntStream.range(0, micros.size())
                 .boxed()
                 .collect(Collectors.toMap(index -> "e" + index, index -> new EngineWork(micros.get(index), index, 3)));
-        WorkNotice notice = new WorkNotice(instance, start, 7, engines);
+        WorkNotice notice = new WorkNotice(
+                instance, start, 7, engines, List.of(new KeptParts("e1", Map.of("ab", 13_000, "cd", 40))));
         Assert.assertEquals(WorkNoticeCodec.decode(WorkNoticeCodec.encode(notice)), notice);
     }
 
     @Test
     public void aCutNoticeIsRefused() {
-        byte[] whole = WorkNoticeCodec.encode(new WorkNotice("a", 1, 2, Map.of("e1", new EngineWork(1, 2, 3))));
+        byte[] whole =
+                WorkNoticeCodec.encode(new WorkNotice("a", 1, 2, Map.of("e1", new EngineWork(1, 2, 3)), List.of()));
         byte[] cut = java.util.Arrays.copyOf(whole, whole.length - 1);
         Assert.assertThrows(IOException.class, () -> WorkNoticeCodec.decode(cut));
     }
