An instance that is cut off turns callers away; each failure domain keeps a decode engine

Change: an engine that can't be connected to or does not answer its poll is passed over until it answers one. An instance that reaches neither the list of servers nor half of the engines is not ready and closes callers' connections after their answers, so that they come to another failure domain. A request for which only engines out of reach remain is refused at once. StagePlanner leaves each domain one decode engine.

--- a/src/main/java/org/verbenatray/backends/Backend.java
+++ b/src/main/java/org/verbenatray/backends/Backend.java
@@ -51,6 +51,9 @@
     /** When the load was read. */
     private long loadNanos;
 
+    /** Whether the last attempt to reach it failed. */
+    private boolean unreachable;
+
     /** When the delay was last measured. */
     private long delayNanos;
 
@@ -151,7 +154,22 @@
 
     /** Returns whether the server is passed over after failures. */
     public boolean paused(long nowNanos) {
-        return pausedUntil != null && !pausedUntil.passed(nowNanos);
+        return unreachable || pausedUntil != null && !pausedUntil.passed(nowNanos);
+    }
+
+    /** Notes that the server answered. */
+    public void reached() {
+        unreachable = false;
+    }
+
+    /** Notes that the server could not be reached; it is passed over until it answers again. */
+    public void missed() {
+        unreachable = true;
+    }
+
+    /** Returns whether the last attempt to reach the server failed. */
+    public boolean unreachable() {
+        return unreachable;
     }
 
     /** Returns the moving average of failed answers, 0 to 1. */
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -75,6 +75,9 @@
     /** The backend servers. */
     private final BackendDirectory directory;
 
+    /** Knows whether this instance is cut off. */
+    private final Reach reach;
+
     /** Chooses engines. */
     private final EnginePlanner planner;
 
@@ -116,6 +119,7 @@
         this.metrics = metrics;
         this.catalog = CurrentCatalog.empty(loop.ticker());
         this.directory = BackendDirectory.empty(loop.ticker(), this::backendEnded);
+        this.reach = Reach.of(loop.ticker(), directory);
         this.crashes = CrashLedger.create(loop.ticker(), this::crashFound);
         PlainChooser chooser = PlainChooser.create(
                 settings.domain(), () -> ThreadLocalRandom.current().nextDouble());
@@ -137,6 +141,7 @@
                 this::budget,
                 crashes,
                 () -> stopping,
+                () -> stopping || reach.cutOff(),
                 this::refusing,
                 metrics,
                 sharing::changed,
@@ -172,7 +177,7 @@
 
     /** Returns whether the instance takes requests. */
     public boolean ready() {
-        return !stopping && catalog.get().isPresent() && directory.known();
+        return !stopping && catalog.get().isPresent() && directory.known() && !reach.cutOff();
     }
 
     /** Takes nothing new, finishes what is open and returns when the process may end. */
@@ -248,6 +253,7 @@
     /** Does what is due from time to time. */
     private void upkeep() {
         directory.settle();
+        reach.look();
         crashes.forget();
         loop.scheduler().runAt(Deadline.afterMillis(loop.ticker().nanos(), UPKEEP_MILLIS), this::upkeep);
     }
@@ -344,9 +350,15 @@
             }
         }
 
+        @Override
+        public void current() {
+            reach.listRead();
+        }
+
         @Override
         public void unreachable() {
             directory.listUnreachable();
+            reach.listLost();
         }
     }
 
--- a/src/main/java/org/verbenatray/placement/StagePlanner.java
+++ b/src/main/java/org/verbenatray/placement/StagePlanner.java
@@ -93,7 +93,10 @@
         int all = prefills.size() + decoders.size();
         boolean sparesDecode = decoders.size() - 1 >= Math.max(1, LEAST_DECODE * all);
         if (prefillPressure > PRESSED_PREFILL && decodePressure < IDLE_DECODE && sparesDecode) {
-            return idlest(decoders, now).map(engine -> new StageChange(engine, BackendStage.PREFILL));
+            List<Backend> spared = decoders.stream()
+                    .filter(engine -> hasSibling(engine, decoders))
+                    .toList();
+            return idlest(spared, now).map(engine -> new StageChange(engine, BackendStage.PREFILL));
         }
         if (decodePressure > PRESSED_DECODE && prefillPressure < IDLE_PREFILL && prefills.size() > 1) {
             return idlest(prefills, now).map(engine -> new StageChange(engine, BackendStage.DECODE));
@@ -101,6 +104,13 @@
         return Optional.empty();
     }
 
+    /** Returns whether a failure domain keeps a decode engine without the given one, for when it is cut off. */
+    private static boolean hasSibling(Backend engine, List<Backend> decoders) {
+        return decoders.stream()
+                .anyMatch(other -> other != engine
+                        && other.entry().domain().equals(engine.entry().domain()));
+    }
+
     /** Returns the engine with the least to finish. */
     private static Optional<Backend> idlest(List<Backend> engines, long now) {
         return engines.stream().min(Comparator.comparingInt(engine -> {
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -174,6 +174,10 @@
     /** Sends the prompt to a prefill engine. */
     private void prefill(PromptShape prompt) {
         Backend backend = plan.engine().orElseThrow();
+        if (backend.unreachable()) {
+            end("no_server_in_reach");
+            return;
+        }
         triedPrefills.add(backend);
         long left = call.firstEventDueMillis();
         if (left <= 0) {
@@ -219,6 +223,10 @@
             return;
         }
         Backend backend = chosen.get();
+        if (backend.unreachable()) {
+            end("no_server_in_reach");
+            return;
+        }
         if (source != null && sourceUntil.passed(parts.ticker().nanos())) {
             source = null;
         }
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -10,6 +10,7 @@
 import org.verbenatray.placement.PrefixMemory;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.HttpTransport;
+import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
@@ -115,6 +116,7 @@
     private void send(Backend backend, HttpCall call, Consumer<byte[]> taker) {
         Deadline deadline = Deadline.afterMillis(ticker.nanos(), ANSWER_MILLIS);
         transport.call(call, thread, deadline, MAX_ANSWER_BYTES).whenComplete((reply, failure) -> {
+            noteReach(backend, failure);
             if (failure == null && reply.status() == 200) {
                 taker.accept(reply.body());
                 return;
@@ -126,4 +128,14 @@
                     .log(log, Level.DEBUG);
         });
     }
+
+    /** Notes whether an engine could be reached; a connection that it resets says nothing of that. */
+    private static void noteReach(Backend backend, Throwable failure) {
+        if (failure == null) {
+            backend.reached();
+        } else if (failure instanceof ServerFailure known
+                && (known.kind() == ServerFailure.Kind.NOT_CONNECTED || known.kind() == ServerFailure.Kind.SILENT)) {
+            backend.missed();
+        }
+    }
 }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.BackendStage;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.telemetry.Event;
@@ -272,9 +273,9 @@
         return withConnection(result);
     }
 
-    /** Returns headers that tell the caller to close its connection where the process is about to end. */
+    /** Returns headers that tell the caller to close its connection where another instance serves it better. */
     private Map<String, String> withConnection(Map<String, String> headers) {
-        if (!parts.stopping().getAsBoolean()) {
+        if (!parts.turningAway().getAsBoolean()) {
             return headers;
         }
         Map<String, String> result = new HashMap<>(headers);
@@ -296,7 +297,13 @@
         }
         parts.metrics().forwarded(service, outcome.kind().name());
         switch (outcome.kind()) {
-            case NOT_SENT, SILENT -> backend.failed(parts.ticker().nanos());
+            case NOT_SENT -> {
+                backend.failed(parts.ticker().nanos());
+                if (backend.entry().stage() != BackendStage.PLAIN) {
+                    backend.missed();
+                }
+            }
+            case SILENT -> backend.failed(parts.ticker().nanos());
             case BROKEN -> {
                 backend.failed(parts.ticker().nanos());
                 parts.crashes().broke(request.fingerprint(), backend.entry().boot());
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -58,7 +58,7 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long received = parts.ticker().nanos();
-        if (parts.stopping().getAsBoolean()) {
+        if (parts.turningAway().getAsBoolean()) {
             exchange.setPersistent(false);
         }
         if (parts.refusing().getAsBoolean()) {
--- a/src/main/java/org/verbenatray/relay/RelayParts.java
+++ b/src/main/java/org/verbenatray/relay/RelayParts.java
@@ -28,6 +28,7 @@
  * @param budgets the retry budget of each service
  * @param crashes the requests that crash servers
  * @param stopping whether the process is about to end
+ * @param turningAway whether callers are better served by another instance
  * @param refusing whether new requests would not be finished before the process ends
  * @param metrics the counters
  * @param workChanged hears of each server at which the open work of this instance has changed
@@ -47,6 +48,7 @@
         Function<String, RetryBudget> budgets,
         CrashLedger crashes,
         BooleanSupplier stopping,
+        BooleanSupplier turningAway,
         BooleanSupplier refusing,
         RelayMetrics metrics,
         Consumer<Backend> workChanged,
--- a/src/test/java/org/verbenatray/placement/StagePlannerTest.java
+++ b/src/test/java/org/verbenatray/placement/StagePlannerTest.java
@@ -43,6 +43,22 @@
                 .isEmpty());
     }
 
+    @Test
+    public void theLastDecodeEngineOfAFailureDomainStays() {
+        List<Backend> engines = new ArrayList<>(engines(2, 4));
+        Backend lonely = Backend.of(new BackendEntry(
+                "lonely", "engines", URI.create("http://127.0.0.1:1"), "z9", BackendStage.DECODE, false, 64, 1));
+        engines.add(lonely);
+        StagePlanner planner = StagePlanner.create(time);
+        for (int round = 0; round < 20; round++) {
+            time.advanceMillis(500);
+            state(engines, load(4, 1, false), load(0, 5, false));
+            lonely.loaded(load(0, 0, false), time.nanos());
+            Optional<StageChange> change = planner.plan(engines, 64);
+            Assert.assertTrue(change.isEmpty() || change.get().engine() != lonely);
+        }
+    }
+
     @Test
     public void nothingChangesOnAStaleView() {
         List<Backend> engines = engines(2, 4);
