--- a/src/main/java/org/verbenatray/cli/RelayCommand.java
+++ b/src/main/java/org/verbenatray/cli/RelayCommand.java
@@ -8,7 +8,6 @@
 import java.util.logging.Level;
 import org.verbenatray.instance.RelayInstance;
 import org.verbenatray.platform.PlatformMachine;
-import org.verbenatray.settings.HangupSignal;
 import org.verbenatray.settings.SettingsCheck;
 import org.verbenatray.telemetry.KeyValueFormatter;
 
@@ -42,7 +41,6 @@
         int port = (int) check.number("--metrics-port", metricsPort, 0, 65_535);
         String path = check.text("--config", config);
         check.finish();
-        HangupSignal.install();
         RelayInstance instance = PlatformMachine.start(Path.of(path), port);
         return Processes.untilStopped(instance::drain);
     }
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -58,7 +58,7 @@
     private static final Logger log = System.getLogger(RelayInstance.class.getName());
 
     /** The settings. */
-    private final RelaySettings settings;
+    private volatile RelaySettings settings;
 
     /** Where the instance learns what it works with. */
     private final RelaySources sources;
@@ -180,6 +180,26 @@
         return !stopping && catalog.get().isPresent() && directory.known() && !reach.cutOff();
     }
 
+    /** Goes over to other settings; a change of the name or of an address waits for the next start. */
+    public void adopt(RelaySettings newer) {
+        loop.thread().execute(() -> {
+            if (!settings.adapts(newer)) {
+                Event.named("settings_kept")
+                        .with("why", "the name or an address has changed; restart the process")
+                        .log(log, Level.WARNING);
+                return;
+            }
+            settings = newer;
+            budgets.values().forEach(budget -> budget.allow(newer.ownRetryRatio(), newer.retryWindowMillis()));
+            Event.named("settings_in_force")
+                    .with("retry_ratio", newer.retryRatio())
+                    .with("grace_ms", newer.graceMillis())
+                    .with("leaving_ms", newer.leavingMillis())
+                    .with("routes_ms", newer.routesMillis())
+                    .log(log, Level.INFO);
+        });
+    }
+
     /** Takes nothing new, finishes what is open and returns when the process may end. */
     public void drain() {
         long start = loop.ticker().nanos();
@@ -226,9 +246,14 @@
     /** Starts to follow the routes and the servers. */
     private void follow() {
         KeyedFollower.start(
-                "routes", sources.routes(), new Routes(), settings.routesPace(), loop.ticker(), loop.scheduler());
+                "routes", sources.routes(), new Routes(), () -> settings.routesPace(), loop.ticker(), loop.scheduler());
         KeyedFollower.start(
-                "servers", sources.servers(), new Servers(), settings.serversPace(), loop.ticker(), loop.scheduler());
+                "servers",
+                sources.servers(),
+                new Servers(),
+                () -> settings.serversPace(),
+                loop.ticker(),
+                loop.scheduler());
         LogLease lease = LogLease.start(
                 sources.lease(), settings.name(), loop.ticker(), System::currentTimeMillis, loop.scheduler());
         news = CrashNews.start(sources.crashes(), crashes, loop.ticker(), loop.scheduler());
@@ -262,7 +287,7 @@
     private RetryBudget budget(String service) {
         return budgets.computeIfAbsent(
                 service,
-                name -> RetryBudget.create(loop.ticker(), settings.retryRatio(), settings.retryWindowMillis()));
+                name -> RetryBudget.create(loop.ticker(), settings.ownRetryRatio(), settings.retryWindowMillis()));
     }
 
     /** Forgets a start of a server that has ended. */
@@ -296,6 +321,7 @@
                 ready(),
                 catalog.get().map(Catalog::version).orElse(0L),
                 catalog.get().isPresent() ? catalog.ageMillis() : 0,
+                settings.graceMillis(),
                 handler.open(),
                 directory.all().stream().map(RelayInstance::stateOf).toList());
     }
@@ -369,6 +395,7 @@
      * @param ready whether it takes requests
      * @param routesVersion the version of the routes, zero for none
      * @param routesAgeMillis how long they are in force in milliseconds
+     * @param graceMillis the time that it takes to stop at most, in milliseconds
      * @param openRequests the requests without a final answer
      * @param backends the servers
      */
@@ -377,6 +404,7 @@
             boolean ready,
             long routesVersion,
             long routesAgeMillis,
+            long graceMillis,
             int openRequests,
             List<BackendState> backends) {}
 
--- a/src/main/java/org/verbenatray/platform/MachineSettings.java
+++ b/src/main/java/org/verbenatray/platform/MachineSettings.java
@@ -4,7 +4,6 @@
 import java.net.URI;
 import org.verbenatray.instance.RelaySettings;
 import org.verbenatray.relay.RelayServer.RelayAddresses;
-import org.verbenatray.state.KeyedFollower.Pace;
 
 /**
  * What the settings file of a machine says, as far as this product uses it.
@@ -33,18 +32,6 @@
         long routesMillis,
         double retryRatio,
         long retryWindowMillis) {
-    /** The share of the allowed retries that is used; the rest covers what the machines count differently. */
-    private static final double RETRY_SHARE = 0.75;
-
-    /** Reads of the list of servers within the time that a leaving server may still get requests. */
-    private static final long READS_PER_LEAVING = 3;
-
-    /** The share of the time for new routes that one read waits for them, so that a silent one is noticed. */
-    private static final double ROUTES_WAIT = 0.6;
-
-    /** The time between two reads of the routes in milliseconds. */
-    private static final long ROUTES_BETWEEN_MILLIS = 50;
-
     /** Returns the base URI of the store. */
     URI storeUri() {
         return URI.create("http://" + store.getHostString() + ":" + store.getPort());
@@ -58,10 +45,10 @@
                 domain,
                 new RelayAddresses(callers, ready, metrics),
                 exchange,
-                retryRatio * RETRY_SHARE,
+                retryRatio,
                 retryWindowMillis,
                 graceMillis,
-                new Pace(ROUTES_BETWEEN_MILLIS, (long) (routesMillis * ROUTES_WAIT)),
-                new Pace(leavingMillis / READS_PER_LEAVING, 0));
+                leavingMillis,
+                routesMillis);
     }
 }
--- a/src/main/java/org/verbenatray/platform/PlatformMachine.java
+++ b/src/main/java/org/verbenatray/platform/PlatformMachine.java
@@ -1,10 +1,16 @@
 package org.verbenatray.platform;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.nio.file.Path;
 import org.verbenatray.instance.RelayInstance;
 import org.verbenatray.instance.RelayLoop;
 import org.verbenatray.instance.RelaySources;
 import org.verbenatray.relay.RelayMetrics;
+import org.verbenatray.settings.FileWatch;
+import org.verbenatray.settings.HangupSignal;
+import org.verbenatray.settings.SettingsException;
+import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Ticker;
 
 /** Runs the product on a machine of the platform. */
@@ -39,22 +45,30 @@
             bounds.budgetWindowS=10
             """;
 
+    /** The log. */
+    private static final Logger log = System.getLogger(PlatformMachine.class.getName());
+
     /** Prevents instances. */
     private PlatformMachine() {}
 
-    /** Starts a relaying instance by a machine's settings file. */
+    /** Starts a relaying instance by a machine's settings file, whose changes it follows. */
     public static RelayInstance start(Path settingsFile, int metricsPort) {
-        return launch(SettingsFile.read(settingsFile).settings(), metricsPort);
+        String text = SettingsFile.read(settingsFile);
+        RelayLoop loop = RelayLoop.start(Ticker.system());
+        RelayInstance instance = launch(SettingsFile.parse(text).settings(), metricsPort, loop);
+        FileWatch watch = FileWatch.start(
+                settingsFile, text, changed -> adopt(instance, changed, metricsPort), loop.ticker(), loop.scheduler());
+        HangupSignal.install(watch::look);
+        return instance;
     }
 
     /** Starts a relaying instance on loopback ports that the system chooses, out of reach of any store. */
     public static RelayInstance startAlone() {
-        return launch(SettingsFile.parse(ALONE).settings(), 0);
+        return launch(SettingsFile.parse(ALONE).settings(), 0, RelayLoop.start(Ticker.system()));
     }
 
     /** Starts a relaying instance. */
-    private static RelayInstance launch(MachineSettings settings, int metricsPort) {
-        RelayLoop loop = RelayLoop.start(Ticker.system());
+    private static RelayInstance launch(MachineSettings settings, int metricsPort, RelayLoop loop) {
         RelayMetrics metrics = RelayMetrics.create();
         StoreClient store = StoreClient.create(loop, settings.storeUri(), metrics);
         RelaySources sources = new RelaySources(
@@ -68,4 +82,13 @@
                 WireDialect.create());
         return RelayInstance.start(settings.relay(metricsPort), sources, loop, metrics);
     }
+
+    /** Hands changed settings to an instance, which keeps the former ones where something in them is wrong. */
+    static void adopt(RelayInstance instance, String text, int metricsPort) {
+        try {
+            instance.adopt(SettingsFile.parse(text).settings().relay(metricsPort));
+        } catch (SettingsException e) {
+            Event.named("settings_refused").with("why", e.getMessage()).log(log, Level.ERROR);
+        }
+    }
 }
--- a/src/main/java/org/verbenatray/platform/SettingsFile.java
+++ b/src/main/java/org/verbenatray/platform/SettingsFile.java
@@ -19,10 +19,10 @@
         this.values = values;
     }
 
-    /** Reads a file. */
-    static SettingsFile read(Path path) {
+    /** Returns the text of a file. */
+    static String read(Path path) {
         try {
-            return parse(Files.readString(path, StandardCharsets.UTF_8));
+            return Files.readString(path, StandardCharsets.UTF_8);
         } catch (IOException e) {
             throw new UncheckedIOException("cannot read the settings file " + path + "; check that it is there", e);
         }
--- a/src/main/java/org/verbenatray/resilience/RetryBudget.java
+++ b/src/main/java/org/verbenatray/resilience/RetryBudget.java
@@ -15,10 +15,10 @@
     private final Ticker ticker;
 
     /** Retries per request. */
-    private final double ratio;
+    private double ratio;
 
     /** The window in nanoseconds. */
-    private final long windowNanos;
+    private long windowNanos;
 
     /** When the requests of the window came. */
     private final Deque<Long> requests = new ArrayDeque<>();
@@ -38,6 +38,12 @@
         return new RetryBudget(ticker, ratio, windowMillis);
     }
 
+    /** Changes the retries per request and the sliding window in milliseconds; what was counted stays counted. */
+    public void allow(double newRatio, long newWindowMillis) {
+        ratio = newRatio;
+        windowNanos = newWindowMillis * 1_000_000;
+    }
+
     /** Counts a request of a caller. */
     public void earn() {
         forget();
--- a/src/main/java/org/verbenatray/settings/HangupSignal.java
+++ b/src/main/java/org/verbenatray/settings/HangupSignal.java
@@ -14,13 +14,18 @@
     /** Prevents instances. */
     private HangupSignal() {}
 
-    /** Keeps the process alive at SIGHUP; the JDK's signal classes are reached by reflection as they are not public. */
-    public static void install() {
+    /**
+     * Keeps the process alive at SIGHUP and runs an action then; the JDK's signal classes are reached by reflection as
+     * they are not public.
+     */
+    public static void install(Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object heard = Proxy.newProxyInstance(
-                    handler.getClassLoader(), new Class<?>[] {handler}, (proxy, method, arguments) -> hear(method));
+                    handler.getClassLoader(),
+                    new Class<?>[] {handler},
+                    (proxy, method, arguments) -> hear(method, action));
             Object hangup = signal.getConstructor(String.class).newInstance("HUP");
             signal.getMethod("handle", signal, handler).invoke(null, hangup, heard);
         } catch (ReflectiveOperationException e) {
@@ -28,10 +33,11 @@
         }
     }
 
-    /** Notes the signal. */
-    private static Object hear(Method method) {
+    /** Notes the signal and runs the action. */
+    private static Object hear(Method method, Runnable action) {
         if (method.getName().equals("handle")) {
             Event.named("reload").with("why", "hangup").log(log, Level.INFO);
+            action.run();
         }
         return null;
     }
--- a/src/main/java/org/verbenatray/state/KeyedFollower.java
+++ b/src/main/java/org/verbenatray/state/KeyedFollower.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
 import org.verbenatray.log.HistoryDroppedException;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.telemetry.Event;
@@ -34,8 +35,8 @@
     /** What hears of the records. */
     private final Listener listener;
 
-    /** How often it is read. */
-    private final Pace pace;
+    /** How often it is read; asked before each read. */
+    private final Supplier<Pace> pace;
 
     /** The clock. */
     private final Ticker ticker;
@@ -54,7 +55,7 @@
 
     /** Creates a follower. */
     private KeyedFollower(
-            String name, KeyedLog source, Listener listener, Pace pace, Ticker ticker, Scheduler scheduler) {
+            String name, KeyedLog source, Listener listener, Supplier<Pace> pace, Ticker ticker, Scheduler scheduler) {
         this.name = name;
         this.source = source;
         this.listener = listener;
@@ -65,7 +66,7 @@
 
     /** Starts to follow a keyed log. */
     public static KeyedFollower start(
-            String name, KeyedLog source, Listener listener, Pace pace, Ticker ticker, Scheduler scheduler) {
+            String name, KeyedLog source, Listener listener, Supplier<Pace> pace, Ticker ticker, Scheduler scheduler) {
         KeyedFollower follower = new KeyedFollower(name, source, listener, pace, ticker, scheduler);
         follower.list(Optional.empty(), new ArrayList<>());
         return follower;
@@ -96,7 +97,7 @@
                 return;
             }
             listener.replaced(sofar);
-            scheduler.runAt(Deadline.afterMillis(ticker.nanos(), pace.betweenMillis()), this::read);
+            scheduler.runAt(Deadline.afterMillis(ticker.nanos(), pace.get().betweenMillis()), this::read);
         });
     }
 
@@ -105,8 +106,8 @@
         if (stopped) {
             return;
         }
-        Deadline again = Deadline.afterMillis(ticker.nanos(), pace.betweenMillis());
-        source.changes(next, pace.waitMillis()).whenComplete((entries, failure) -> {
+        Deadline again = Deadline.afterMillis(ticker.nanos(), pace.get().betweenMillis());
+        source.changes(next, pace.get().waitMillis()).whenComplete((entries, failure) -> {
             if (failure != null) {
                 failed(failure, this::read);
                 return;
--- a/src/main/java/org/verbenatray/work/InstanceRoll.java
+++ b/src/main/java/org/verbenatray/work/InstanceRoll.java
@@ -73,7 +73,7 @@
             Scheduler scheduler) {
         InstanceRoll roll = new InstanceRoll(source, self, address, neighbours, ticker, scheduler);
         roll.enter();
-        KeyedFollower.start("instances", source, roll, PACE, ticker, scheduler);
+        KeyedFollower.start("instances", source, roll, () -> PACE, ticker, scheduler);
         return roll;
     }
 
--- a/src/test/java/org/verbenatray/resilience/RetryBudgetTest.java
+++ b/src/test/java/org/verbenatray/resilience/RetryBudgetTest.java
@@ -6,6 +6,18 @@
 
 /** The budget of retries. */
 public final class RetryBudgetTest {
+    @Test
+    public void aChangedRatioHoldsForWhatWasCountedBefore() {
+        RetryBudget budget = RetryBudget.create(new ManualTime(), 0, 10_000);
+        for (int request = 0; request < 10; request++) {
+            budget.earn();
+        }
+        Assert.assertFalse(budget.spend());
+        budget.allow(0.1, 10_000);
+        Assert.assertTrue(budget.spend());
+        Assert.assertFalse(budget.spend());
+    }
+
     @Test
     public void aFifthOfTheRequestsOfTheWindowMayBeRetried() {
         RetryBudget budget = RetryBudget.create(new ManualTime(), 0.2, 10_000);
