--- a/src/main/java/org/verbenatray/backends/Backend.java
+++ b/src/main/java/org/verbenatray/backends/Backend.java
@@ -1,8 +1,8 @@
 package org.verbenatray.backends;
 
 import java.util.Optional;
+import org.verbenatray.openwork.EngineWork;
 import org.verbenatray.time.Deadline;
-import org.verbenatray.work.EngineWork;
 
 /** One start of a backend server as this instance sees it; used on one thread. */
 public final class Backend {
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -9,15 +9,15 @@
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.log.KeyedLog;
+import org.verbenatray.openwork.DatagramPort;
+import org.verbenatray.openwork.EngineWork;
+import org.verbenatray.openwork.InstanceRoll;
+import org.verbenatray.openwork.KeptParts;
+import org.verbenatray.openwork.Neighbours;
+import org.verbenatray.openwork.SharedWork;
+import org.verbenatray.openwork.WorkExchange;
 import org.verbenatray.placement.PrefixMemory;
 import org.verbenatray.placement.PromptShape;
-import org.verbenatray.work.DatagramPort;
-import org.verbenatray.work.EngineWork;
-import org.verbenatray.work.InstanceRoll;
-import org.verbenatray.work.KeptParts;
-import org.verbenatray.work.Neighbours;
-import org.verbenatray.work.SharedWork;
-import org.verbenatray.work.WorkExchange;
 
 /** Shares the open work at engines with the other instances; used on one thread. */
 final class WorkSharing implements AutoCloseable {
--- a/src/main/java/org/verbenatray/work/EngineWork.java
+++ b/src/main/java/org/verbenatray/openwork/EngineWork.java
@@ -1,4 +1,4 @@
-package org.verbenatray.work;
+package org.verbenatray.openwork;
 
 /**
  * The open work at one engine.
--- a/src/main/java/org/verbenatray/work/InstanceRoll.java
+++ b/src/main/java/org/verbenatray/openwork/InstanceRoll.java
@@ -1,4 +1,4 @@
-package org.verbenatray.work;
+package org.verbenatray.openwork;
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
--- a/src/main/java/org/verbenatray/work/Neighbours.java
+++ b/src/main/java/org/verbenatray/openwork/Neighbours.java
@@ -1,4 +1,4 @@
-package org.verbenatray.work;
+package org.verbenatray.openwork;
 
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
--- a/src/main/java/org/verbenatray/work/SharedWork.java
+++ b/src/main/java/org/verbenatray/openwork/SharedWork.java
@@ -1,4 +1,4 @@
-package org.verbenatray.work;
+package org.verbenatray.openwork;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/org/verbenatray/work/WorkExchange.java
+++ b/src/main/java/org/verbenatray/openwork/WorkExchange.java
@@ -1,4 +1,4 @@
-package org.verbenatray.work;
+package org.verbenatray.openwork;
 
 import java.io.IOException;
 import java.lang.System.Logger;
--- a/src/main/java/org/verbenatray/work/WorkNoticeCodec.java
+++ b/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
@@ -1,4 +1,4 @@
-package org.verbenatray.work;
+package org.verbenatray.openwork;
 
 import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.CodedOutputStream;
--- a/src/main/java/org/verbenatray/placement/EnginePlanner.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlanner.java
@@ -10,8 +10,8 @@
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.LoadReading;
 import org.verbenatray.backends.PromptWork;
+import org.verbenatray.openwork.EngineWork;
 import org.verbenatray.time.Ticker;
-import org.verbenatray.work.EngineWork;
 
 /**
  * Decides which engine processes a prompt and which one generates the tokens, by the expected time to the first token.
--- a/src/test/java/org/verbenatray/work/NeighboursTest.java
+++ b/src/test/java/org/verbenatray/openwork/NeighboursTest.java
@@ -1,4 +1,4 @@
-package org.verbenatray.work;
+package org.verbenatray.openwork;
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
--- a/src/test/java/org/verbenatray/placement/EnginePlannerTest.java
+++ b/src/test/java/org/verbenatray/placement/EnginePlannerTest.java
@@ -12,8 +12,8 @@
 import org.verbenatray.backends.BackendEntry;
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.PromptWork;
+import org.verbenatray.openwork.EngineWork;
 import org.verbenatray.time.ManualTime;
-import org.verbenatray.work.EngineWork;
 
 /** Where prompts are processed. */
 public final class EnginePlannerTest {
