--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -33,8 +33,11 @@
     /** The multiple of the expected time after which an engine that processes a prompt is left for another. */
     private static final double PREFILL_PATIENCE = 4;
 
-    /** The share of the caller's patience within which the first token of a deferred prompt is expected. */
-    private static final double DEFERRED_SHARE = 0.7;
+    /** The share of the caller's patience that a deferred prompt may be expected to wait: others overtake it. */
+    private static final double WAITING_SHARE = 0.27;
+
+    /** The share of the caller's patience within which its first token must be expected. */
+    private static final double FIRST_TOKEN_SHARE = 0.9;
 
     /** The share of the target from which on the own processing of a prompt makes it a large one. */
     private static final double LARGE_SHARE = 0.5;
@@ -148,7 +151,7 @@
         call.remark("plan_ms", Math.round(plan.firstTokenMillis()));
         call.remark("wait_ms", Math.round(plan.waitMillis()));
         call.remark("deferred", deferred);
-        double excess = waited + plan.firstTokenMillis() - DEFERRED_SHARE * call.firstEventLimitMillis();
+        double excess = excessMillis(waited);
         if (deferred && excess > 0) {
             timer.remove();
             call.giveUp("overloaded", Math.round(CATCH_UP_MILLIS + excess));
@@ -159,6 +162,14 @@
         }
     }
 
+    /** Returns by how many milliseconds a deferred prompt would come too late; not above zero where it would not. */
+    private double excessMillis(double waitedMillis) {
+        double limit = call.firstEventLimitMillis();
+        return waitedMillis
+                + Math.max(
+                        plan.waitMillis() - WAITING_SHARE * limit, plan.firstTokenMillis() - FIRST_TOKEN_SHARE * limit);
+    }
+
     /** Returns whether the prompt is taken up in turn: it can be on time, or large prompts would fall behind. */
     private boolean isInTurn(double waitedMillis) {
         double target = call.route().targetMillis();
