Prompts are fetched only from engines that have processed them

Change: PrefixMemory tells what an engine was given from what it has processed; a prompt may follow the first to its engine but not fetch from it. Notices say which of the two they tell of. A test of the planner shows it.

--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -89,12 +89,12 @@
         }
     }
 
-    /** Notes that an engine was given a prompt and keeps it from now on. */
-    void keeps(Backend backend, PromptShape prompt) {
+    /** Notes that an engine was given a prompt or has processed it. */
+    void keeps(Backend backend, PromptShape prompt, boolean processed) {
         if (exchange != null) {
             Map<String, Integer> tokens = new LinkedHashMap<>();
             prompt.parts().forEach(part -> tokens.put(part.id(), part.tokens()));
-            exchange.keeps(new KeptParts(backend.entry().boot(), tokens));
+            exchange.keeps(new KeptParts(backend.entry().boot(), processed, tokens));
         }
     }
 
@@ -114,7 +114,7 @@
 
     /** Takes a datagram of another instance. */
     private void received(byte[] datagram) {
-        exchange.received(datagram).forEach(kept -> memory.told(kept.boot(), kept.tokens()));
+        exchange.received(datagram).forEach(kept -> memory.told(kept.boot(), kept.processed(), kept.tokens()));
     }
 
     /** Returns the work of this instance at each engine where it has some. */
--- a/src/main/java/org/verbenatray/openwork/WorkExchange.java
+++ b/src/main/java/org/verbenatray/openwork/WorkExchange.java
@@ -110,7 +110,7 @@
         }
     }
 
-    /** Notes parts of a prompt that an engine keeps from now on; told with the next change of its work. */
+    /** Notes parts of a prompt that an engine was given or has processed; told with the next change of its work. */
     public void keeps(KeptParts parts) {
         if (kept.size() < MAX_PROMPTS) {
             kept.add(parts);
--- a/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
+++ b/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
@@ -34,6 +34,9 @@
     /** The field of a part's tokens, which follows its name. */
     private static final int TOKENS = 3;
 
+    /** The field that says whether the engine has processed the parts. */
+    private static final int PROCESSED = 4;
+
     /** The field of the engine's start. */
     private static final int BOOT = 1;
 
@@ -127,6 +130,7 @@
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         CodedOutputStream out = CodedOutputStream.newInstance(bytes);
         out.writeString(BOOT, kept.boot());
+        out.writeBool(PROCESSED, kept.processed());
         for (Map.Entry<String, Integer> part : kept.tokens().entrySet()) {
             out.writeString(PART, part.getKey());
             out.writeUInt32(TOKENS, part.getValue());
@@ -140,15 +144,17 @@
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         String boot = "";
         String part = "";
+        boolean processed = false;
         Map<String, Integer> tokens = new LinkedHashMap<>();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case BOOT -> boot = in.readString();
                 case PART -> part = in.readString();
+                case PROCESSED -> processed = in.readBool();
                 case TOKENS -> tokens.put(part, in.readUInt32());
                 default -> in.skipField(tag);
             }
         }
-        return new KeptParts(boot, tokens);
+        return new KeptParts(boot, processed, tokens);
     }
 }
--- a/src/main/java/org/verbenatray/placement/EnginePlanner.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlanner.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendStage;
@@ -67,8 +66,8 @@
     /** The open work of the other instances at an engine, by its start. */
     private final Function<String, EngineWork> others;
 
-    /** Hears of each prompt that an engine was given and keeps. */
-    private final BiConsumer<Backend, PromptShape> onHolds;
+    /** Hears of each prompt that an engine was given or has processed. */
+    private final PromptNews news;
 
     /** Creates a planner. */
     private EnginePlanner(
@@ -77,13 +76,13 @@
             PromptTiming timing,
             PlainChooser chooser,
             Function<String, EngineWork> others,
-            BiConsumer<Backend, PromptShape> onHolds) {
+            PromptNews news) {
         this.ticker = ticker;
         this.memory = memory;
         this.timing = timing;
         this.chooser = chooser;
         this.others = others;
-        this.onHolds = onHolds;
+        this.news = news;
     }
 
     /** Returns a planner that learns the open work of other instances, and tells of prompts that engines were given. */
@@ -93,8 +92,8 @@
             PromptTiming timing,
             PlainChooser chooser,
             Function<String, EngineWork> others,
-            BiConsumer<Backend, PromptShape> onHolds) {
-        return new EnginePlanner(ticker, memory, timing, chooser, others, onHolds);
+            PromptNews news) {
+        return new EnginePlanner(ticker, memory, timing, chooser, others, news);
     }
 
     /** Returns what the engines are believed to keep. */
@@ -166,11 +165,19 @@
         holds(engine, prompt);
     }
 
-    /** Notes that an engine holds a prompt, which it was given to process or took from another engine. */
+    /** Notes that an engine was given a prompt to process. */
+    public void given(Backend backend, PromptShape prompt) {
+        if (prompt.promptTokens() >= MIN_HOME_TOKENS && expected(backend, prompt) < prompt.promptTokens()) {
+            memory.given(backend.entry().boot(), prompt);
+            news.tell(backend, prompt, false);
+        }
+    }
+
+    /** Notes that an engine holds a prompt, which it processed or took from another engine. */
     public void holds(Backend backend, PromptShape prompt) {
         if (prompt.promptTokens() >= MIN_HOME_TOKENS && cached(backend, prompt) < prompt.promptTokens()) {
             memory.processed(backend.entry().boot(), prompt);
-            onHolds.accept(backend, prompt);
+            news.tell(backend, prompt, true);
         }
     }
 
@@ -181,7 +188,7 @@
 
     /** Returns the plan to process a prompt at one engine. */
     private EnginePlan at(Backend engine, Optional<Backend> holder, PromptShape prompt, boolean deferred) {
-        int own = cached(engine, prompt);
+        int own = expected(engine, prompt);
         int held = holder.map(other -> cached(other, prompt)).orElse(0);
         boolean fetches = held - own >= MIN_FETCH_TOKENS;
         int kept = fetches ? held : own;
@@ -236,6 +243,11 @@
         return memory.cached(backend.entry().boot(), prompt);
     }
 
+    /** Returns the tokens at the beginning of a prompt that an engine keeps by the time that it comes to the prompt. */
+    private int expected(Backend backend, PromptShape prompt) {
+        return memory.expected(backend.entry().boot(), prompt);
+    }
+
     /** Returns the engines that are not changing their stage. */
     private static List<Backend> settled(List<Backend> engines, long now) {
         return engines.stream()
--- a/src/main/java/org/verbenatray/placement/PrefixMemory.java
+++ b/src/main/java/org/verbenatray/placement/PrefixMemory.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import org.verbenatray.backends.CacheChanges;
 
@@ -17,6 +16,9 @@
     /** The tokens of each part by engine. */
     private final Map<String, LinkedHashMap<String, Integer>> byBoot = new HashMap<>();
 
+    /** The tokens of each part that an engine was given and may not have processed yet, by engine. */
+    private final Map<String, LinkedHashMap<String, Integer>> given = new HashMap<>();
+
     /** How far the changes of each engine were read. */
     private final Map<String, Position> positions = new HashMap<>();
 
@@ -39,35 +41,67 @@
         Position known = positions.get(boot);
         if (changes.gap() || known != null && !known.epoch().equals(changes.epoch())) {
             byBoot.remove(boot);
+            given.remove(boot);
         }
         positions.put(boot, new Position(changes.epoch(), changes.next()));
         Map<String, Integer> parts = parts(boot);
+        Map<String, Integer> waiting = given.getOrDefault(boot, new LinkedHashMap<>());
         for (CacheChanges.Change change : changes.changes()) {
             parts.remove(change.part());
+            waiting.remove(change.part());
             if (change.tokens() > 0) {
                 parts.put(change.part(), change.tokens());
             }
         }
     }
 
+    /** Notes that an engine was given a prompt, which it keeps once it has processed it. */
+    public void given(String boot, PromptShape prompt) {
+        Map<String, Integer> parts = partsOf(given, boot);
+        prompt.parts().forEach(part -> parts.put(part.id(), part.tokens()));
+    }
+
     /** Notes that an engine has processed a prompt or taken it from another engine. */
     public void processed(String boot, PromptShape prompt) {
+        Map<String, Integer> waiting = given.getOrDefault(boot, new LinkedHashMap<>());
         Map<String, Integer> parts = parts(boot);
-        prompt.parts().forEach(part -> parts.put(part.id(), part.tokens()));
+        prompt.parts().forEach(part -> {
+            parts.put(part.id(), part.tokens());
+            waiting.remove(part.id());
+        });
     }
 
-    /** Takes the news of another instance that an engine was given parts of a prompt. */
-    public void told(String boot, Map<String, Integer> tokens) {
-        parts(boot).putAll(tokens);
+    /** Takes the news of another instance that an engine was given parts of a prompt, or has processed them. */
+    public void told(String boot, boolean processed, Map<String, Integer> tokens) {
+        partsOf(processed ? byBoot : given, boot).putAll(tokens);
     }
 
-    /** Returns the tokens at the beginning of a prompt that an engine is believed to keep. */
+    /** Returns the tokens at the beginning of a prompt that an engine is believed to keep and hand to others. */
     public int cached(String boot, PromptShape prompt) {
-        Map<String, Integer> parts = byBoot.getOrDefault(boot, new LinkedHashMap<>());
+        return leading(prompt, byBoot.getOrDefault(boot, new LinkedHashMap<>()), Map.of());
+    }
+
+    /** Returns the tokens at the beginning of a prompt that an engine keeps by the time that it comes to the prompt. */
+    public int expected(String boot, PromptShape prompt) {
+        return leading(
+                prompt,
+                byBoot.getOrDefault(boot, new LinkedHashMap<>()),
+                given.getOrDefault(boot, new LinkedHashMap<>()));
+    }
+
+    /** Forgets an engine that has ended. */
+    public void forget(String boot) {
+        byBoot.remove(boot);
+        given.remove(boot);
+        positions.remove(boot);
+    }
+
+    /** Returns the tokens at the beginning of a prompt that are among some parts or others. */
+    private static int leading(PromptShape prompt, Map<String, Integer> some, Map<String, Integer> others) {
         int tokens = 0;
-        List<PromptPart> ordered = prompt.parts();
-        for (PromptPart part : ordered) {
-            int kept = Math.min(part.tokens(), parts.getOrDefault(part.id(), 0));
+        for (PromptPart part : prompt.parts()) {
+            int known = Math.max(some.getOrDefault(part.id(), 0), others.getOrDefault(part.id(), 0));
+            int kept = Math.min(part.tokens(), known);
             tokens += kept;
             if (kept < part.tokens()) {
                 break;
@@ -76,15 +110,14 @@
         return tokens;
     }
 
-    /** Forgets an engine that has ended. */
-    public void forget(String boot) {
-        byBoot.remove(boot);
-        positions.remove(boot);
+    /** Returns the parts that an engine keeps. */
+    private Map<String, Integer> parts(String boot) {
+        return partsOf(byBoot, boot);
     }
 
-    /** Returns the parts of an engine. */
-    private Map<String, Integer> parts(String boot) {
-        return byBoot.computeIfAbsent(boot, key -> new LinkedHashMap<>() {
+    /** Returns the parts of an engine in a map by engine. */
+    private static Map<String, Integer> partsOf(Map<String, LinkedHashMap<String, Integer>> map, String boot) {
+        return map.computeIfAbsent(boot, key -> new LinkedHashMap<>() {
             @Override
             protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
                 return size() > MAX_PARTS;
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -209,7 +209,7 @@
         long silence = (long) Math.max(MIN_SILENCE_MILLIS, PREFILL_PATIENCE * plan.firstTokenMillis());
         Deadline first = Deadline.afterMillis(now, Math.min(left, silence));
         Patience patience = new Patience(first, MIN_SILENCE_MILLIS, Deadline.afterMillis(now, left));
-        parts.planner().holds(backend, prompt);
+        parts.planner().given(backend, prompt);
         open = Forward.send(parts, call.request(), how, plan.work(), patience, new PrefillListener(backend, prompt));
     }
 
--- a/src/test/java/org/verbenatray/openwork/WorkExchangeTest.java
+++ b/src/test/java/org/verbenatray/openwork/WorkExchangeTest.java
@@ -75,13 +75,13 @@
     @Test
     public void thePartsThatAnEngineWasGivenAreToldWithItsWork() {
         WorkExchange exchange = exchange();
-        exchange.keeps(new KeptParts("e1", Map.of("ab", 100)));
+        exchange.keeps(new KeptParts("e1", false, Map.of("ab", 100)));
         own.put("e1", new EngineWork(10, 0, 1));
         exchange.changed("e1");
         time.advanceMillis(5);
         exchange.changed("e1");
         time.advanceMillis(5);
-        Assert.assertEquals(keptParts, List.of(new KeptParts("e1", Map.of("ab", 100))));
+        Assert.assertEquals(keptParts, List.of(new KeptParts("e1", false, Map.of("ab", 100))));
     }
 
     @Test
--- a/src/test/java/org/verbenatray/openwork/WorkNoticeCodecTest.java
+++ b/src/test/java/org/verbenatray/openwork/WorkNoticeCodecTest.java
@@ -25,7 +25,7 @@
                 .boxed()
                 .collect(Collectors.toMap(index -> "e" + index, index -> new EngineWork(micros.get(index), index, 3)));
         WorkNotice notice = new WorkNotice(
-                instance, start, 7, engines, List.of(new KeptParts("e1", Map.of("ab", 13_000, "cd", 40))));
+                instance, start, 7, engines, List.of(new KeptParts("e1", true, Map.of("ab", 13_000, "cd", 40))));
         Assert.assertEquals(WorkNoticeCodec.decode(WorkNoticeCodec.encode(notice)), notice);
     }
 
--- a/src/test/java/org/verbenatray/placement/EnginePlannerTest.java
+++ b/src/test/java/org/verbenatray/placement/EnginePlannerTest.java
@@ -55,7 +55,7 @@
                 PromptTiming.unmeasured(),
                 PlainChooser.create("z1", () -> 0),
                 boot -> others.getOrDefault(boot, EngineWork.NONE),
-                (engine, prompt) -> told.add(engine));
+                (engine, prompt, processed) -> told.add(engine));
     }
 
     @Test
@@ -127,6 +127,20 @@
         Assert.assertEquals(told, List.of(prefillOne));
     }
 
+    @Test
+    public void aPromptThatWaitsAtAnEngineIsNotFetchedFromItButFollowedThere() {
+        planner.given(prefillOne, LONG);
+        others.put(prefillOne.entry().boot(), new EngineWork(30_000, 0, 1));
+        EnginePlan there = plan(prompt("l", 12_000, 2_000), false);
+        Assert.assertSame(there.engine().orElseThrow(), prefillOne);
+        Assert.assertEquals(there.keptTokens(), 12_000);
+        others.put(prefillOne.entry().boot(), new EngineWork(2_000_000, 0, 8));
+        EnginePlan away = plan(prompt("l", 12_000, 2_000), false);
+        Assert.assertSame(away.engine().orElseThrow(), prefillTwo);
+        Assert.assertTrue(away.fetchFrom().isEmpty());
+        Assert.assertEquals(away.keptTokens(), 0);
+    }
+
     @Test
     public void onlyADeferredPromptWaitsForDeferredWork() {
         engines.forEach(engine -> others.put(engine.entry().boot(), new EngineWork(0, 900_000, 1)));
