Instances that are gone leave the list of instances

Cause: an instance that was killed stayed listed for good; in a fleet above twelve such entries would take the places of living neighbours and raise their weight. Change: instances enter themselves again each minute and are taken off after 200 s without it. An instance whose port for the others is taken goes on without sharing and says so, where it stopped following the store before.

--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -1,7 +1,8 @@
 package org.verbenatray.instance;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -18,9 +19,13 @@
 import org.verbenatray.openwork.WorkExchange;
 import org.verbenatray.placement.PrefixMemory;
 import org.verbenatray.placement.PromptShape;
+import org.verbenatray.telemetry.Event;
 
 /** Shares the open work at engines with the other instances; used on one thread. */
 final class WorkSharing implements AutoCloseable {
+    /** The log. */
+    private static final Logger log = System.getLogger(WorkSharing.class.getName());
+
     /** The settings. */
     private final RelaySettings settings;
 
@@ -58,13 +63,20 @@
         this.shared = SharedWork.create(loop.ticker(), neighbours::weight);
     }
 
-    /** Starts to tell the other instances, which the given log lists, and to hear of them. */
+    /**
+     * Starts to tell the other instances, which the given log lists, and to hear of them. Without a free port the
+     * instance goes on by its own work and what engines state.
+     */
     void start(KeyedLog instances) {
         try {
             port = DatagramPort.open(loop.worker(), settings.exchange(), this::received);
         } catch (IOException e) {
-            throw new UncheckedIOException(
-                    "cannot listen on " + settings.exchange() + "; check that the port is free", e);
+            Event.named("work_not_shared")
+                    .with("address", settings.exchange())
+                    .with("why", e.getMessage())
+                    .with("remedy", "check that no other process has the port")
+                    .log(log, Level.ERROR);
+            return;
         }
         InetSocketAddress address = new InetSocketAddress(settings.exchange().getHostString(), port.number());
         exchange = WorkExchange.start(
--- a/src/main/java/org/verbenatray/openwork/InstanceRoll.java
+++ b/src/main/java/org/verbenatray/openwork/InstanceRoll.java
@@ -23,6 +23,12 @@
     /** The wait after a failed entry in milliseconds. */
     private static final long RETRY_MILLIS = 1_000;
 
+    /** The time between two entries of an instance in milliseconds. */
+    private static final long RENEW_MILLIS = 60_000;
+
+    /** The time in milliseconds after which an instance that has not entered itself again is taken off the list. */
+    private static final long KEPT_MILLIS = 200_000;
+
     /** The log. */
     private static final Logger log = System.getLogger(InstanceRoll.class.getName());
 
@@ -44,6 +50,9 @@
     /** Runs delayed tasks. */
     private final Scheduler scheduler;
 
+    /** Until when each instance must have entered itself again. */
+    private final Map<String, Deadline> due = new HashMap<>();
+
     /** Whether the instance is about to leave. */
     private boolean leaving;
 
@@ -80,12 +89,7 @@
     /** Takes this instance off the list. */
     public void leave() {
         leaving = true;
-        source.put(self, Optional.empty()).exceptionally(failure -> {
-            Event.named("instance_not_delisted")
-                    .with("why", failure.getMessage())
-                    .log(log, Level.INFO);
-            return null;
-        });
+        drop(self);
     }
 
     @Override
@@ -93,21 +97,61 @@
         Map<String, InetSocketAddress> instances = new HashMap<>();
         entries.forEach(entry -> addressOf(entry).ifPresent(at -> instances.put(entry.key(), at)));
         neighbours.replace(instances);
+        due.keySet().retainAll(instances.keySet());
+        instances.keySet().forEach(this::entered);
     }
 
     @Override
     public void changed(KeyedLog.Entry entry) {
-        addressOf(entry).ifPresentOrElse(at -> neighbours.put(entry.key(), at), () -> neighbours.remove(entry.key()));
+        Optional<InetSocketAddress> at = addressOf(entry);
+        if (at.isPresent()) {
+            neighbours.put(entry.key(), at.get());
+            entered(entry.key());
+        } else {
+            neighbours.remove(entry.key());
+            due.remove(entry.key());
+        }
     }
 
-    /** Writes the address of this instance, again after a failure. */
+    /** Writes the address of this instance, again after a while or, sooner, after a failure. */
     private void enter() {
         if (leaving) {
             return;
         }
+        dropLate();
         String text = address.getHostString() + ":" + address.getPort();
-        source.put(self, Optional.of(text.getBytes(StandardCharsets.UTF_8))).exceptionally(failure -> {
-            scheduler.runAt(Deadline.afterMillis(ticker.nanos(), RETRY_MILLIS), this::enter);
+        source.put(self, Optional.of(text.getBytes(StandardCharsets.UTF_8))).whenComplete((done, failure) -> {
+            long wait = failure == null ? RENEW_MILLIS : RETRY_MILLIS;
+            scheduler.runAt(Deadline.afterMillis(ticker.nanos(), wait), this::enter);
+        });
+    }
+
+    /** Notes that an instance has entered itself. */
+    private void entered(String instance) {
+        due.put(instance, Deadline.afterMillis(ticker.nanos(), KEPT_MILLIS));
+    }
+
+    /** Takes those off the list that have not entered themselves again in time. */
+    private void dropLate() {
+        List<String> late = due.entrySet().stream()
+                .filter(each ->
+                        each.getValue().passed(ticker.nanos()) && !each.getKey().equals(self))
+                .map(Map.Entry::getKey)
+                .toList();
+        for (String instance : late) {
+            due.remove(instance);
+            neighbours.remove(instance);
+            drop(instance);
+        }
+    }
+
+    /** Drops an instance from the list; one that is missed there is dropped by the next to notice. */
+    private void drop(String instance) {
+        source.put(instance, Optional.empty()).exceptionally(failure -> {
+            Event.named("instance_not_delisted")
+                    .with("instance", instance)
+                    .with("why", failure.getMessage())
+                    .log(log, Level.INFO);
             return null;
         });
     }
