A stopping instance gives up the lease of engines

The lease was never told of the stop. Change: the drain stops the lease. StoppingTest fails without it (two records in the lease's topic instead of one).

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -102,6 +102,9 @@
     /** The servers. */
     private final RelayServer server;
 
+    /** The lease of those who give orders to engines, null before the start. */
+    private LogLease lease;
+
     /** Tells others of requests that crash servers, null before the start. */
     private CrashNews news;
 
@@ -205,7 +208,7 @@
         long start = loop.ticker().nanos();
         refusingFrom = Deadline.afterMillis(start, ACCEPT_MILLIS);
         stopping = true;
-        loop.thread().execute(sharing::leave);
+        loop.thread().execute(this::leave);
         Event.named("stopping").with("instance", settings.name()).log(log, Level.INFO);
         Deadline earliest = Deadline.afterMillis(start, MIN_DRAIN_MILLIS);
         Deadline latest = Deadline.afterMillis(start, settings.graceMillis() - DRAIN_RESERVE_MILLIS);
@@ -219,6 +222,14 @@
                 .log(log, Level.INFO);
     }
 
+    /** Gives up what this instance does for others. */
+    private void leave() {
+        sharing.leave();
+        if (lease != null) {
+            lease.stop();
+        }
+    }
+
     /** Returns whether a new request would not be finished before the process ends. */
     private boolean refusing() {
         Deadline from = refusingFrom;
@@ -254,7 +265,7 @@
                 () -> settings.serversPace(),
                 loop.ticker(),
                 loop.scheduler());
-        LogLease lease = LogLease.start(
+        lease = LogLease.start(
                 sources.lease(), settings.name(), loop.ticker(), System::currentTimeMillis, loop.scheduler());
         news = CrashNews.start(sources.crashes(), crashes, loop.ticker(), loop.scheduler());
         sharing.start(sources.instances());
--- a/src/test/java/org/verbenatray/platform/StoppingTest.java
+++ b/src/test/java/org/verbenatray/platform/StoppingTest.java
@@ -3,6 +3,7 @@
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 import org.verbenatray.platform.MachineFixture.Listed;
@@ -42,6 +43,18 @@
         }
     }
 
+    @Test
+    public void aStoppingMachineDoesNotKeepTheLeaseOfEngines() throws Exception {
+        try (StandInStore store = StandInStore.start();
+                MachineFixture machine = MachineFixture.on(store)) {
+            machine.await(() -> store.size("stage-lease") == 1);
+            long renewalIsPast = System.nanoTime() + TimeUnit.SECONDS.toNanos(4);
+            machine.instance().drain();
+            machine.await(() -> System.nanoTime() - renewalIsPast > 0);
+            Assert.assertEquals(store.size("stage-lease"), 1);
+        }
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
