Log the fingerprint and the known ends of a request under which a server ended

Now answer carries fingerprint and crashes where an end is known, crash_found and crash_heard carry the count, and the reader logs log_unreachable and log_reachable once per outage. No decision changes.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -324,6 +324,7 @@
         Event.named("crash_found")
                 .with("fingerprint", crash.fingerprint())
                 .with("backend", crash.boot())
+                .with("crashes", crashes.crashCount(crash.fingerprint()))
                 .log(log, Level.WARNING);
         crashExchange.publish(crash);
     }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -344,6 +344,10 @@
         if (firstByteNanos > 0) {
             event.with("first_ms", (firstByteNanos - request.receivedNanos()) / 1_000_000);
         }
+        int crashes = context.crashLedger().crashCount(request.fingerprint());
+        if (crashes > 0) {
+            event.with("fingerprint", request.fingerprint()).with("crashes", crashes);
+        }
         event.with("left_ms", deadline.remainingMillis(now))
                 .with("tried", logFields.toString().trim());
         event.log(log, Level.INFO);
--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -31,6 +31,9 @@
     private final Scheduler scheduler;
     private long nextOffset;
 
+    /** Whether the last read succeeded. */
+    private boolean reachable = true;
+
     private CrashExchange(ConditionalLog sharedLog, CrashLedger ledger, Ticker ticker, Scheduler scheduler) {
         this.sharedLog = sharedLog;
         this.ledger = ledger;
@@ -65,6 +68,7 @@
     /** Reads and applies new records, then schedules the next read. */
     private void read() {
         sharedLog.read(nextOffset, READ_TIMEOUT_MILLIS).whenComplete((tail, failure) -> {
+            logReachability(failure);
             if (failure != null) {
                 runLater(RETRY_DELAY_MILLIS, this::read);
                 return;
@@ -82,10 +86,26 @@
             Event.named("crash_heard")
                     .with("fingerprint", fields[0])
                     .with("backend", fields[1])
+                    .with("crashes", ledger.crashCount(fields[0]))
                     .log(log, Level.INFO);
         }
     }
 
+    /** Logs the begin and the end of a time in which the records cannot be read. */
+    private void logReachability(Throwable failure) {
+        if (reachable == (failure == null)) {
+            return;
+        }
+        reachable = failure == null;
+        Event event = Event.named(reachable ? "log_reachable" : "log_unreachable")
+                .with("log", "crashes")
+                .with("next", nextOffset);
+        if (!reachable) {
+            event.with("why", failure.getMessage());
+        }
+        event.log(log, reachable ? Level.INFO : Level.WARNING);
+    }
+
     private void runLater(long delayMillis, Runnable task) {
         scheduler.runAt(Deadline.afterMillis(ticker.nanos(), delayMillis), task);
     }
--- a/src/main/java/org/verbenatray/resilience/CrashLedger.java
+++ b/src/main/java/org/verbenatray/resilience/CrashLedger.java
@@ -76,8 +76,13 @@
 
     /** Returns whether a request has crashed so many servers that it must not run again. */
     public boolean isBlocked(String fingerprint) {
+        return crashCount(fingerprint) >= CRASHES_TO_BLOCK;
+    }
+
+    /** Returns the number of servers that a request has crashed, as far as it is known here. */
+    public int crashCount(String fingerprint) {
         CrashHistory history = crashesByFingerprint.get(fingerprint);
-        return history != null && history.boots.size() >= CRASHES_TO_BLOCK;
+        return history == null ? 0 : history.boots.size();
     }
 
     /** Removes expired suspicions and crashes. */
