Tests that fail: a request under which three servers ended is sent on

The store stand-in listens on several ports, so that it can be away for one instance only. No decision changes.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -344,6 +344,8 @@
                 catalog.get().isPresent() ? catalog.ageMillis() : 0,
                 settings.graceMillis(),
                 handler.openRequests(),
+                sharing.peerCount(),
+                crashes.crashCounts(),
                 directory.all().stream().map(RelayInstance::stateOf).toList());
     }
 
@@ -417,6 +419,8 @@
      * @param routesAgeMillis the time for which they have been in force, in milliseconds
      * @param graceMillis the grace period for stopping, in milliseconds
      * @param openRequests the number of requests without a final response
+     * @param peers the number of instances with which it exchanges its open work
+     * @param crashes the number of servers that ended under a request, by the fingerprint of the request
      * @param backends the backend servers
      */
     public record State(
@@ -426,6 +430,8 @@
             long routesAgeMillis,
             long graceMillis,
             int openRequests,
+            int peers,
+            Map<String, Integer> crashes,
             List<BackendState> backends) {}
 
     /**
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -97,6 +97,11 @@
         return remoteWork.workAt(boot);
     }
 
+    /** Returns the number of instances with which this one exchanges its work. */
+    int peerCount() {
+        return exchangePeers.selectedAddresses().size();
+    }
+
     /** Records that the work of this instance at a backend server has changed. */
     void onWorkChanged(Backend backend) {
         if (exchange != null && backend.entry().stage() != BackendStage.PLAIN) {
--- a/src/main/java/org/verbenatray/resilience/CrashLedger.java
+++ b/src/main/java/org/verbenatray/resilience/CrashLedger.java
@@ -85,6 +85,13 @@
         return history == null ? 0 : history.boots.size();
     }
 
+    /** Returns the number of servers that each request has crashed, by fingerprint. */
+    public Map<String, Integer> crashCounts() {
+        Map<String, Integer> counts = new HashMap<>();
+        crashesByFingerprint.forEach((fingerprint, history) -> counts.put(fingerprint, history.boots.size()));
+        return counts;
+    }
+
     /** Removes expired suspicions and crashes. */
     public void removeExpired() {
         long now = ticker.nanos();
--- a/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
@@ -2,43 +2,217 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.verbenatray.instance.RelayInstance;
+import org.verbenatray.platform.FakeStore.Fault;
 import org.verbenatray.platform.RelayFixture.ServerListing;
+import org.verbenatray.platform.ScriptedServer.Script;
 
-/** A request that crashes every server that runs it and is sent again and again. */
+/** A request that ends every server that runs it and is sent again and again, at any instance. */
 public final class CrashingRequestTest {
+    private static final int SERVERS = 8;
+
+    private FakeStore store;
+    private List<ScriptedServer> servers;
+    private List<RelayInstance> instances;
+    private int requestNumber;
+
+    @BeforeMethod
+    public void startServers() throws Exception {
+        store = FakeStore.startOnPorts(3);
+        servers = new ArrayList<>();
+        instances = new ArrayList<>();
+        requestNumber = 0;
+        for (int number = 0; number < SERVERS; number++) {
+            servers.add(ScriptedServer.start((request, connection, out) -> {}));
+        }
+        store.put("keyed.op", "config", RelayFixture.configurationJson(1));
+        list(SERVERS);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        instances.forEach(RelayInstance::close);
+        for (ScriptedServer server : servers) {
+            server.close();
+        }
+        store.close();
+    }
+
     @Test
     public void afterThreeCrashesTheRequestIsRejectedAndReachesNoServer() throws Exception {
-        List<ScriptedServer> servers = new ArrayList<>();
-        ServerListing[] listings = new ServerListing[5];
-        for (int number = 0; number < listings.length; number++) {
-            ScriptedServer server = ScriptedServer.start((request, connection, out) -> {});
-            server.setScript((request, connection, out) -> server.crash());
-            servers.add(server);
-            listings[number] = ServerListing.plain("s" + number, server);
-        }
-        try (RelayFixture relay = RelayFixture.startReady(listings)) {
-            String response = "";
-            for (int round = 0; round < 20 && !response.contains("crashes_servers"); round++) {
-                response = relay.exchange(RelayFixture.postRequest("/unsafe/x", "id" + round, "", "poison"));
-                relay.await(() -> relay.store().recordCount("crashes") == crashedServers(servers));
+        crashOnArrival();
+        startInstances(1);
+        sendUntilRejected(0, "/unsafe/x");
+        Assert.assertEquals(serversReached(), 3);
+        String other = send(0, "/unsafe/x", "fine");
+        Assert.assertFalse(other.contains("crashes_servers"), other);
+    }
+
+    /** Servers that went dark under a request were not counted against it. */
+    @Test
+    public void aRequestUnderWhichThreeServersWentDarkIsRejected() throws Exception {
+        startInstances(1);
+        for (int round = 0; round < 3; round++) {
+            long reachedBefore = serversReached();
+            CompletableFuture<String> response = sendAsync(0, "/unsafe/x", "poison", 300);
+            RelayFixture.waitUntil(() -> serversReached() > reachedBefore);
+            delistReachedServers();
+            Assert.assertTrue(response.get().startsWith("HTTP/1.1 504"), response.get());
+        }
+        String response = send(0, "/unsafe/x", "poison");
+        Assert.assertTrue(response.contains("crashes_servers"), response);
+    }
+
+    /** What an instance found while the store was away was dropped and told to nobody. */
+    @Test
+    public void endsFoundWhileTheStoreIsAwayAreKnownToOtherInstances() throws Exception {
+        crashOnArrival();
+        startInstances(2);
+        awaitPeers();
+        store.setFault(Fault.BUSY);
+        sendUntilRejected(0, "/unsafe/x");
+        long reached = serversReached();
+        RelayFixture.waitUntil(() -> crashesKnown(1) == 3);
+        String response = send(1, "/unsafe/x", "poison");
+        Assert.assertTrue(response.contains("crashes_servers"), response);
+        Assert.assertEquals(serversReached(), reached);
+    }
+
+    /** An instance that started after the ends had left the log's history let the request through again. */
+    @Test
+    public void anInstanceThatStartsAfterTheThirdEndRejectsTheRequest() throws Exception {
+        crashOnArrival();
+        startInstances(1);
+        sendUntilRejected(0, "/unsafe/x");
+        RelayFixture.waitUntil(() -> store.recordCount("crashes") + store.recordCount("keyed.crashes") >= 3);
+        store.compact("crashes");
+        store.compact("keyed.crashes");
+        instances.get(0).close();
+        instances.add(RelayFixture.startInstance(store.address(1), "m2"));
+        RelayFixture.waitUntil(instances.get(1)::isReady);
+        String response = send(1, "/unsafe/x", "poison");
+        Assert.assertTrue(response.contains("crashes_servers"), response);
+    }
+
+    /** The block was looked at on receipt only, so a request that was under way was sent on. */
+    @Test
+    public void aRequestThatIsUnderWayIsNotSentAgainAfterTheThirdEnd() throws Exception {
+        String patient =
+                RelayFixture.configurationJson(1).replace("\"targetLatencyMs\":400", "\"targetLatencyMs\":1500");
+        store.put("keyed.op", "config", patient);
+        startInstances(1);
+        CompletableFuture<String> underWay = sendAsync(0, "/safe/x", "poison", 3_000);
+        RelayFixture.waitUntil(() -> serversReached() == 1);
+        ScriptedServer first = servers.stream()
+                .filter(CrashingRequestTest::isReached)
+                .findFirst()
+                .orElseThrow();
+        crashOnArrival();
+        sendUntilRejected(0, "/safe/x");
+        long reached = serversReached();
+        first.crash();
+        Assert.assertTrue(underWay.get().contains("crashes_servers"), underWay.get());
+        Assert.assertEquals(serversReached(), reached);
+    }
+
+    private void startInstances(int count) throws Exception {
+        for (int number = 0; number < count; number++) {
+            instances.add(RelayFixture.startInstance(store.address(number), "m" + number));
+        }
+        for (RelayInstance instance : instances) {
+            RelayFixture.waitUntil(instance::isReady);
+        }
+    }
+
+    /** Waits until the instances have listed themselves and read the list. */
+    private void awaitPeers() throws Exception {
+        RelayFixture.waitUntil(() -> store.recordCount("keyed.instances") >= instances.size());
+        for (RelayInstance instance : instances) {
+            RelayFixture.waitUntil(() -> instance.readState().get().peers() == instances.size() - 1);
+        }
+    }
+
+    private void list(int count) {
+        for (int number = 0; number < count; number++) {
+            ServerListing listing = ServerListing.plain("s" + number, servers.get(number));
+            store.put("keyed.servers", listing.id(), listing.entryJson("ready", 1));
+        }
+    }
+
+    private void delistReachedServers() throws Exception {
+        for (int number = 0; number < SERVERS; number++) {
+            if (isReached(servers.get(number))) {
+                store.put("keyed.servers", "s" + number, null);
             }
-            Assert.assertTrue(response.startsWith("HTTP/1.1 503") && response.contains("crashes_servers"), response);
-            Assert.assertEquals(crashedServers(servers), 3);
-            String other = relay.exchange(RelayFixture.postRequest("/unsafe/x", "other", "", "fine"));
-            Assert.assertFalse(other.contains("crashes_servers"), other);
-        } finally {
-            for (ScriptedServer server : servers) {
-                server.close();
+        }
+        long left = SERVERS - serversReached();
+        RelayFixture.waitUntil(
+                () -> instances.get(0).readState().get().backends().size() == left);
+    }
+
+    /** Makes each server crash when the request arrives. */
+    private void crashOnArrival() {
+        for (ScriptedServer server : servers) {
+            Script script = (request, connection, out) -> {
+                if (request.body().equals("poison")) {
+                    server.crash();
+                }
+            };
+            server.setScript(script);
+        }
+    }
+
+    /** Sends the crashing request again and again, each time after the instance has noticed the crash before. */
+    private void sendUntilRejected(int instance, String path) throws Exception {
+        for (int round = 0; round < 20; round++) {
+            if (send(instance, path, "poison").contains("crashes_servers")) {
+                return;
             }
+            RelayFixture.waitUntil(() -> crashesKnown(instance) >= Math.min(3, crashedServers()));
         }
+        Assert.fail("the request was not rejected");
+    }
+
+    private int crashesKnown(int instance) throws Exception {
+        return instances.get(instance).readState().get().crashes().values().stream()
+                .mapToInt(Integer::intValue)
+                .sum();
+    }
+
+    private CompletableFuture<String> sendAsync(int instance, String path, String body, long timeoutMillis) {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return send(instance, path, body, timeoutMillis);
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    private String send(int instance, String path, String body) throws Exception {
+        return send(instance, path, body, 3_000);
+    }
+
+    private String send(int instance, String path, String body, long timeoutMillis) throws Exception {
+        String request = RelayFixture.postRequest(path, "id" + requestNumber++, "", body);
+        return RelayFixture.exchange(
+                instances.get(instance), request.replace("Deadline-Ms: 3000", "Deadline-Ms: " + timeoutMillis));
+    }
+
+    private long serversReached() {
+        return servers.stream().filter(CrashingRequestTest::isReached).count();
+    }
+
+    private long crashedServers() {
+        return servers.stream().filter(ScriptedServer::crashed).count();
     }
 
-    private static long crashedServers(List<ScriptedServer> servers) {
-        return servers.stream()
-                .filter(server -> server.requests().stream()
-                        .anyMatch(request -> request.body().equals("poison")))
-                .count();
+    private static boolean isReached(ScriptedServer server) {
+        return server.requests().stream().anyMatch(request -> request.body().equals("poison"));
     }
 }
--- a/src/test/java/org/verbenatray/platform/FakeStore.java
+++ b/src/test/java/org/verbenatray/platform/FakeStore.java
@@ -15,11 +15,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.instance.EventLoop;
 import org.verbenatray.time.Ticker;
 
-/** An in-memory HTTP server that behaves like the platform's store, with keyed and plain topics and faults. */
+/**
+ * An in-memory HTTP server that behaves like the platform's store, with keyed and plain topics and faults.
+ *
+ * <p>It listens on one or more ports, so that a fault can apply to some of its clients only.
+ */
 final class FakeStore implements AutoCloseable {
     private final Map<String, Topic> topics = new HashMap<>();
 
@@ -29,30 +34,46 @@
 
     private final ObjectMapper json = new ObjectMapper();
 
-    /** The fault that applies to all calls. */
-    private volatile Fault fault = Fault.NONE;
+    /** The fault that applies to the calls at each port; ports without a fault are absent. */
+    private final Map<Integer, Fault> faults = new ConcurrentHashMap<>();
+
+    /** The maximum number of records that a plain topic retains. */
+    private volatile int retainedRecords = Integer.MAX_VALUE;
 
     /** The number of calls received. */
     private volatile int callCount;
 
-    private FakeStore() {
-        server = Undertow.builder()
-                .setWorker(loop.worker())
-                .addHttpListener(0, "127.0.0.1", this::handle)
-                .build();
+    private FakeStore(int ports) {
+        Undertow.Builder builder = Undertow.builder().setWorker(loop.worker());
+        for (int port = 0; port < ports; port++) {
+            builder.addHttpListener(0, "127.0.0.1", this::handle);
+        }
+        server = builder.build();
         server.start();
     }
 
     /** Starts an empty store on a port chosen by the OS. */
     static FakeStore start() {
-        return new FakeStore();
+        return new FakeStore(1);
+    }
+
+    /** Starts an empty store on the given number of ports. */
+    static FakeStore startOnPorts(int ports) {
+        return new FakeStore(ports);
     }
 
-    /** Returns the address as host:port. */
+    /** Returns the address of the first port as host:port. */
     String address() {
-        InetSocketAddress bound =
-                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
-        return "127.0.0.1:" + bound.getPort();
+        return address(0);
+    }
+
+    /** Returns the address of the given port, counted from zero, as host:port. */
+    String address(int index) {
+        return "127.0.0.1:" + portNumber(index);
+    }
+
+    private int portNumber(int index) {
+        return ((InetSocketAddress) server.getListenerInfo().get(index).getAddress()).getPort();
     }
 
     /** Returns the number of calls received so far. */
@@ -65,9 +86,21 @@
         return topic(topic).records.size();
     }
 
-    /** Sets the fault that applies to calls from now on. */
+    /** Sets the fault that applies to all calls from now on. */
     void setFault(Fault newFault) {
-        fault = newFault;
+        for (int index = 0; index < server.getListenerInfo().size(); index++) {
+            setFault(index, newFault);
+        }
+    }
+
+    /** Sets the fault that applies to calls at the given port, counted from zero, from now on. */
+    void setFault(int index, Fault newFault) {
+        faults.put(portNumber(index), newFault);
+    }
+
+    /** Makes plain topics drop all but their newest records. */
+    void retainOnly(int records) {
+        retainedRecords = records;
     }
 
     /** Appends a record to a keyed topic; a null value deletes the key. */
@@ -98,7 +131,10 @@
 
     private void handle(HttpServerExchange exchange) {
         callCount++;
-        switch (fault) {
+        int port = exchange.getConnection()
+                .getLocalAddress(InetSocketAddress.class)
+                .getPort();
+        switch (faults.getOrDefault(port, Fault.NONE)) {
             case NO_RESPONSE -> exchange.dispatch(() -> {});
             case BUSY -> send(exchange, 503, new byte[0]);
             case RESET -> {
@@ -145,6 +181,9 @@
                 updateNewest(topic, content);
             }
         }
+        if (!parameter(exchange, "topic", "").startsWith("keyed.")) {
+            topic.firstOffset = Math.max(topic.firstOffset, topic.records.size() - retainedRecords);
+        }
         String response = "{\"offset\":" + offset + ",\"end\":" + topic.records.size() + "}";
         send(exchange, 200, response.getBytes(StandardCharsets.UTF_8));
     }
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -34,11 +34,16 @@
 
     /** Starts an instance with the given store, which is closed with the fixture. */
     static RelayFixture start(FakeStore store) throws IOException {
+        return new RelayFixture(store, startInstance(store.address(), "m1"));
+    }
+
+    /** Starts an instance with the given name that reaches the store at an address. */
+    static RelayInstance startInstance(String storeAddress, String name) throws IOException {
         Path settings = Files.createTempFile("machine", ".conf");
-        Files.writeString(settings, settingsText(store.address()));
+        Files.writeString(settings, settingsText(storeAddress).replace("nodeName=m1", "nodeName=" + name));
         RelayInstance instance = RelayLauncher.start(settings, 0);
         Files.delete(settings);
-        return new RelayFixture(store, instance);
+        return instance;
     }
 
     /** Starts an instance with routes and the given servers, and waits until it is ready. */
@@ -104,8 +109,12 @@
 
     /** Opens a connection to the callers' port. */
     Socket connect() throws IOException {
-        Socket socket =
-                new Socket("127.0.0.1", instance.server().callersAddress().getPort());
+        return connect(instance);
+    }
+
+    /** Opens a connection to the callers' port of an instance. */
+    static Socket connect(RelayInstance to) throws IOException {
+        Socket socket = new Socket("127.0.0.1", to.server().callersAddress().getPort());
         socket.setSoTimeout((int) TimeUnit.NANOSECONDS.toMillis(AWAIT_TIMEOUT_NANOS));
         return socket;
     }
@@ -129,7 +138,12 @@
 
     /** Sends one request on a new connection and returns the bytes of its response. */
     String exchange(String request) throws IOException {
-        try (Socket socket = connect()) {
+        return exchange(instance, request);
+    }
+
+    /** Sends one request on a new connection to an instance and returns the bytes of its response. */
+    static String exchange(RelayInstance to, String request) throws IOException {
+        try (Socket socket = connect(to)) {
             send(socket, request);
             return readResponse(new BufferedInputStream(socket.getInputStream()));
         }
@@ -169,11 +183,20 @@
 
     /** Waits until a condition holds; fails after the default timeout. */
     void await(Callable<Boolean> condition) throws Exception {
-        await(condition, TimeUnit.NANOSECONDS.toSeconds(AWAIT_TIMEOUT_NANOS));
+        waitUntil(condition);
     }
 
     /** Waits until a condition holds; fails after the given time in seconds. */
     void await(Callable<Boolean> condition, long seconds) throws Exception {
+        waitUntil(condition, seconds);
+    }
+
+    /** Waits until a condition holds; fails after the default timeout. */
+    static void waitUntil(Callable<Boolean> condition) throws Exception {
+        waitUntil(condition, TimeUnit.NANOSECONDS.toSeconds(AWAIT_TIMEOUT_NANOS));
+    }
+
+    private static void waitUntil(Callable<Boolean> condition, long seconds) throws Exception {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
         while (!condition.call()) {
             Assert.assertTrue(System.nanoTime() < until, "the condition did not become true in time");
--- a/src/test/java/org/verbenatray/platform/ScriptedServer.java
+++ b/src/test/java/org/verbenatray/platform/ScriptedServer.java
@@ -5,7 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -25,14 +25,18 @@
     /** The requests received, in order. */
     private final List<Request> requests = new CopyOnWriteArrayList<>();
 
+    private volatile boolean crashed;
+
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
     /** The connections that the peer closed. */
     private final List<Socket> closedByPeer = new CopyOnWriteArrayList<>();
 
-    private ScriptedServer(Script script) throws IOException {
+    private ScriptedServer(Script script, int port) throws IOException {
         this.script = script;
-        this.listener = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
+        this.listener = new ServerSocket();
+        this.listener.setReuseAddress(true);
+        this.listener.bind(new InetSocketAddress("127.0.0.1", port), 100);
         Thread acceptor = new Thread(this::accept, "scripted-server");
         acceptor.setDaemon(true);
         acceptor.start();
@@ -40,7 +44,12 @@
 
     /** Starts a server on a port chosen by the OS. */
     static ScriptedServer start(Script script) throws IOException {
-        return new ScriptedServer(script);
+        return new ScriptedServer(script, 0);
+    }
+
+    /** Starts a server on the port of one that has ended. */
+    static ScriptedServer startAt(int port, Script script) throws IOException {
+        return new ScriptedServer(script, port);
     }
 
     /** Replaces the script for the requests from now on. */
@@ -50,7 +59,12 @@
 
     /** Returns the address as host:port. */
     String address() {
-        return "127.0.0.1:" + listener.getLocalPort();
+        return "127.0.0.1:" + port();
+    }
+
+    /** Returns the port. */
+    int port() {
+        return listener.getLocalPort();
     }
 
     /** Returns the requests received so far, in order. */
@@ -81,8 +95,14 @@
         return true;
     }
 
+    /** Returns whether the server has crashed. */
+    boolean crashed() {
+        return crashed;
+    }
+
     /** Resets all connections and accepts no more. */
     void crash() throws IOException {
+        crashed = true;
         listener.close();
         for (Socket connection : connections) {
             connection.setSoLinger(true, 0);
