Count a server that goes dark under a request as ended by it

Callers saw their own and others' requests fail at one server after another: a request under which servers went dark was sent on without end. Cause: only a broken connection made a request a suspect. A run that was given up for silence, or cancelled before any byte of a response, left no trace, so the end of its server, which the list tells after three heartbeats, found nobody. The probe ran after broken connections only, took a connect time-out (500 ms) for a slow answer, since it waited 400 ms, and was dropped within 500 ms of the last. An end that was known before the break found no suspect either.

Ruled out: the fingerprint (a repeat has the same).

Now ServerRuns attributes ends: a run counts once it is lost (broken, silent, cancelled unanswered) and its boot has ended, in either order, within 12 s: three heartbeats and an outage of the list. A complete response takes the news of an end back. The probe follows silence too, waits longer than a connection may take, and is postponed instead of dropped. A server whose entry said that it leaves is no crash when it goes.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -28,9 +28,11 @@
 import org.verbenatray.relay.RelayMetrics;
 import org.verbenatray.relay.RelayServer;
 import org.verbenatray.relay.StageController;
+import org.verbenatray.resilience.Crash;
 import org.verbenatray.resilience.CrashExchange;
 import org.verbenatray.resilience.CrashLedger;
 import org.verbenatray.resilience.RetryBudget;
+import org.verbenatray.resilience.ServerRuns;
 import org.verbenatray.state.KeyedFollower;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
@@ -78,6 +80,8 @@
 
     private final CrashLedger crashes;
 
+    private final ServerRuns serverRuns;
+
     /** The retry budgets by service. */
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
@@ -111,19 +115,14 @@
         this.catalog = CurrentCatalog.empty(loop.ticker());
         this.directory = BackendDirectory.empty(loop.ticker(), this::onBackendEnded);
         this.cutOffDetector = CutOffDetector.of(loop.ticker(), directory);
-        this.crashes = CrashLedger.create(loop.ticker(), this::onCrashFound);
+        this.crashes = CrashLedger.empty(loop.ticker());
+        this.serverRuns = ServerRuns.create(loop.ticker(), this::onCrashFound);
         RelayDialect dialect = platform.dialect();
         LeastLoadedChooser chooser = LeastLoadedChooser.create(
                 settings.failureDomain(), () -> ThreadLocalRandom.current().nextDouble());
         PrefixCacheIndex prefixCacheIndex = PrefixCacheIndex.empty();
         this.sharing = new WorkSharing(settings, loop, directory, prefixCacheIndex);
-        this.planner = EnginePlanner.create(
-                loop.ticker(),
-                prefixCacheIndex,
-                PrefillTimeModel.untrained(),
-                chooser,
-                sharing::remoteWork,
-                sharing::recordPrompt);
+        this.planner = createPlanner(chooser, prefixCacheIndex);
         this.loadPoller = LoadPoller.create(
                 loop.transport(), loop.thread(), loop.ticker(), dialect, directory, planner.prefixCacheIndex());
         this.context = new RelayContext(
@@ -137,6 +136,7 @@
                 planner,
                 this::retryBudget,
                 crashes,
+                serverRuns,
                 () -> stopping,
                 () -> stopping || cutOffDetector.isCutOff(),
                 this::isRejectingNewRequests,
@@ -144,7 +144,7 @@
                 sharing::onWorkChanged,
                 FirstAttemptEstimator.create(),
                 LargePromptShare.create(),
-                CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, crashes));
+                CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns));
         this.handler = RelayHandler.create(context);
         this.server = RelayServer.start(
                 loop.worker(),
@@ -167,6 +167,16 @@
         return instance;
     }
 
+    private EnginePlanner createPlanner(LeastLoadedChooser chooser, PrefixCacheIndex prefixCacheIndex) {
+        return EnginePlanner.create(
+                loop.ticker(),
+                prefixCacheIndex,
+                PrefillTimeModel.untrained(),
+                chooser,
+                sharing::remoteWork,
+                sharing::recordPrompt);
+    }
+
     /** Returns the server for callers. */
     public RelayServer server() {
         return server;
@@ -300,6 +310,7 @@
         directory.removeExpired();
         cutOffDetector.update();
         crashes.removeExpired();
+        serverRuns.removeExpired();
         loop.scheduler()
                 .runAt(Deadline.afterMillis(loop.ticker().nanos(), MAINTENANCE_INTERVAL_MILLIS), this::runMaintenance);
     }
@@ -316,11 +327,16 @@
         String boot = backend.entry().bootId();
         loop.transport().closeIdleConnections(boot);
         planner.removeEngine(backend);
-        crashes.recordServerEnd(boot);
+        if (!backend.entry().leaving()) {
+            serverRuns.recordEnd(boot);
+        }
     }
 
-    /** Logs and publishes a request that crashes servers. */
-    private void onCrashFound(CrashLedger.Crash crash) {
+    /** Records, logs and publishes the end of a server under a request. */
+    private void onCrashFound(Crash crash) {
+        if (!crashes.recordCrash(crash)) {
+            return;
+        }
         Event.named("crash_found")
                 .with("fingerprint", crash.fingerprint())
                 .with("backend", crash.boot())
--- a/src/main/java/org/verbenatray/relay/CrashProbe.java
+++ b/src/main/java/org/verbenatray/relay/CrashProbe.java
@@ -1,9 +1,12 @@
 package org.verbenatray.relay;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.verbenatray.backends.Backend;
-import org.verbenatray.resilience.CrashLedger;
+import org.verbenatray.resilience.ServerRuns;
 import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.time.Deadline;
@@ -11,11 +14,12 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Detects crashed servers: connects anew to a server whose connection broke, and reports it to the {@link CrashLedger}
- * as ended if it refuses the connection.
+ * Detects ended servers: connects anew to a server that has not responded to a request, and reports it to
+ * {@link ServerRuns} as ended if it cannot be connected to.
  */
 public final class CrashProbe {
-    private static final long RESPONSE_TIMEOUT_MILLIS = 400;
+    /** Longer than the connect timeout, so that a server that does not accept connections is told from a slow one. */
+    private static final long RESPONSE_TIMEOUT_MILLIS = 800;
 
     /** Minimum time between two probes of the same boot of a server. */
     private static final long MIN_INTERVAL_MILLIS = 500;
@@ -26,36 +30,49 @@
     private final XnioIoThread thread;
     private final Ticker ticker;
     private final RelayDialect dialect;
-    private final CrashLedger ledger;
+    private final ServerRuns runs;
 
     /** When each boot of a server may be probed again. */
     private final Map<String, Deadline> pausedUntil = new HashMap<>();
 
+    /** The boots that are probed again at the end of their pause. */
+    private final Set<String> postponed = new HashSet<>();
+
     private CrashProbe(
-            HttpTransport transport, XnioIoThread thread, Ticker ticker, RelayDialect dialect, CrashLedger ledger) {
+            HttpTransport transport, XnioIoThread thread, Ticker ticker, RelayDialect dialect, ServerRuns runs) {
         this.transport = transport;
         this.thread = thread;
         this.ticker = ticker;
         this.dialect = dialect;
-        this.ledger = ledger;
+        this.runs = runs;
     }
 
     /** Creates a probe that runs on the given thread. */
     public static CrashProbe create(
-            HttpTransport transport, XnioIoThread thread, Ticker ticker, RelayDialect dialect, CrashLedger ledger) {
-        return new CrashProbe(transport, thread, ticker, dialect, ledger);
+            HttpTransport transport, XnioIoThread thread, Ticker ticker, RelayDialect dialect, ServerRuns runs) {
+        return new CrashProbe(transport, thread, ticker, dialect, runs);
     }
 
-    /**
-     * Probes a server whose connection has just broken, unless the same boot of it was probed within the last 500 ms.
-     */
+    /** Probes a server that has not responded, at the end of its pause if it was probed within the last 500 ms. */
     void probe(Backend backend) {
         long now = ticker.nanos();
         String boot = backend.entry().bootId();
         pausedUntil.values().removeIf(until -> until.hasPassed(now));
-        if (pausedUntil.containsKey(boot)) {
-            return;
+        Deadline pause = pausedUntil.get(boot);
+        if (pause == null) {
+            probeNow(backend, now);
+        } else if (postponed.add(boot)) {
+            thread.executeAfter(() -> probePostponed(backend), pause.remainingMillis(now) + 1, TimeUnit.MILLISECONDS);
         }
+    }
+
+    private void probePostponed(Backend backend) {
+        postponed.remove(backend.entry().bootId());
+        probe(backend);
+    }
+
+    private void probeNow(Backend backend, long now) {
+        String boot = backend.entry().bootId();
         pausedUntil.put(boot, Deadline.afterMillis(now, MIN_INTERVAL_MILLIS));
         transport
                 .call(
@@ -64,10 +81,10 @@
                         Deadline.afterMillis(now, RESPONSE_TIMEOUT_MILLIS),
                         MAX_RESPONSE_BYTES)
                 .whenComplete((response, failure) -> {
-                    boolean refused =
+                    boolean notConnected =
                             failure instanceof ServerFailure known && known.kind() == ServerFailure.Kind.NOT_CONNECTED;
-                    if (refused) {
-                        ledger.recordServerEnd(boot);
+                    if (notConnected) {
+                        runs.recordEnd(boot);
                     }
                 });
     }
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -28,7 +28,7 @@
     private static final long MAX_LOAD_AGE_MILLIS = 2_500;
 
     private final RelayContext context;
-    private final RelayRequest request;
+    private final RelayCall call;
     private final ForwardOptions options;
 
     /** The prefill work that this attempt adds to the server. */
@@ -64,13 +64,13 @@
 
     private ForwardAttempt(
             RelayContext context,
-            RelayRequest request,
+            RelayCall call,
             ForwardOptions options,
             PrefillWork work,
             ResponseTimeouts timeouts,
             ForwardListener listener) {
         this.context = context;
-        this.request = request;
+        this.call = call;
         this.options = options;
         this.work = work;
         this.timeouts = timeouts;
@@ -80,18 +80,18 @@
     /** Sends a request to the server named in the options and starts the timeouts. */
     static ForwardAttempt send(
             RelayContext context,
-            RelayRequest request,
+            RelayCall call,
             ForwardOptions options,
             PrefillWork work,
             ResponseTimeouts timeouts,
             ForwardListener listener) {
-        ForwardAttempt attempt = new ForwardAttempt(context, request, options, work, timeouts, listener);
+        ForwardAttempt attempt = new ForwardAttempt(context, call, options, work, timeouts, listener);
         attempt.progressDeadline = timeouts.firstByteDeadline();
         attempt.scheduleProgressCheck();
         options.backend().addRequest(work);
         context.onWorkChanged().accept(options.backend());
-        attempt.cancellation =
-                context.transport().exchange(context.dialect().forward(request, options), context.thread(), attempt);
+        attempt.cancellation = context.transport()
+                .exchange(context.dialect().forward(call.request(), options), context.thread(), attempt);
         return attempt;
     }
 
@@ -110,6 +110,9 @@
         if (!closed) {
             close();
             cancellation.cancel();
+            if (sendingStarted && head == null) {
+                recordLost();
+            }
         }
     }
 
@@ -120,7 +123,7 @@
 
     @Override
     public void onHead(ResponseHead responseHead) {
-        head = context.dialect().parseHead(request, responseHead);
+        head = context.dialect().parseHead(call.request(), responseHead);
         recordProgress();
         if (!head.matchesRequestId()) {
             rejectResponse("the response carries the id of another request");
@@ -190,9 +193,19 @@
             return;
         }
         close();
+        switch (kind) {
+            case BROKEN, SILENT -> recordLost();
+            case NOT_SENT -> {}
+            default -> context.serverRuns().recordAlive(backend().entry().bootId());
+        }
         listener.onOutcome(new ForwardOutcome(kind, detail, Optional.ofNullable(head), body.toByteArray()));
     }
 
+    /** Records that the server was sent the request and gave no response. */
+    private void recordLost() {
+        context.serverRuns().recordLost(call.fingerprint(), backend().entry().bootId());
+    }
+
     /** Updates the open-work counts of the server and stops the timer. */
     private void close() {
         closed = true;
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -220,7 +220,7 @@
                 firstByteDeadline, MIN_SILENCE_TIMEOUT_MILLIS, Deadline.afterMillis(now, remainingMillis));
         context.planner().recordAssigned(backend, prompt);
         attempt = ForwardAttempt.send(
-                context, call.request(), options, plan.work(), timeouts, new PrefillListener(backend, prompt));
+                context, call, options, plan.work(), timeouts, new PrefillListener(backend, prompt));
     }
 
     /** Goes on to the decode engine after a successful prefill. */
@@ -265,7 +265,7 @@
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.NEW);
         sentNanos = context.ticker().nanos();
         PrefillWork work = prefilledPrompt == null && plan != null ? plan.work() : PrefillWork.NONE;
-        attempt = ForwardAttempt.send(context, call.request(), options, work, timeouts(repeatable), this);
+        attempt = ForwardAttempt.send(context, call, options, work, timeouts(repeatable), this);
     }
 
     /** Returns the priority of a request that an engine has to prefill. */
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -123,7 +123,7 @@
                 Optional.empty(),
                 call.request().lastEventId(),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.NEW);
-        attempt = ForwardAttempt.send(context, call.request(), options, PrefillWork.NONE, timeouts(repeatable), this);
+        attempt = ForwardAttempt.send(context, call, options, PrefillWork.NONE, timeouts(repeatable), this);
     }
 
     /** Returns the timeouts of the server; short ones only if another server could be tried. */
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -39,6 +39,10 @@
     private final String service;
     private final Deadline deadline;
     private final CallerResponse response;
+
+    /** Identifies the request in all its repeats. */
+    private final String fingerprint;
+
     private final double millisSinceFirstAttempt;
 
     /** Runs once, after the final response. */
@@ -74,6 +78,7 @@
         this.service = route.serviceFor(request.id().hashCode());
         this.deadline = deadline;
         this.response = response;
+        this.fingerprint = request.fingerprint();
         this.millisSinceFirstAttempt = request.deadline()
                 .map(callerDeadline -> context.firstAttempts()
                         .recordAndEstimateMillis(route.name(), callerDeadline.remainingMillis(request.receivedNanos())))
@@ -86,6 +91,11 @@
         return request;
     }
 
+    /** Returns the fingerprint of the request, which its repeats share. */
+    String fingerprint() {
+        return fingerprint;
+    }
+
     /** Returns the route. */
     Route route() {
         return route;
@@ -306,12 +316,8 @@
                     backend.markUnreachable();
                 }
             }
-            case SILENT -> backend.recordFailure(context.ticker().nanos());
-            case BROKEN -> {
+            case SILENT, BROKEN -> {
                 backend.recordFailure(context.ticker().nanos());
-                context.crashLedger()
-                        .recordBrokenConnection(
-                                request.fingerprint(), backend.entry().bootId());
                 context.crashProbe().probe(backend);
             }
             case NOT_RUN -> backend.recordRejection(context.ticker().nanos());
@@ -344,9 +350,9 @@
         if (firstByteNanos > 0) {
             event.with("first_ms", (firstByteNanos - request.receivedNanos()) / 1_000_000);
         }
-        int crashes = context.crashLedger().crashCount(request.fingerprint());
+        int crashes = context.crashLedger().crashCount(fingerprint);
         if (crashes > 0) {
-            event.with("fingerprint", request.fingerprint()).with("crashes", crashes);
+            event.with("fingerprint", fingerprint).with("crashes", crashes);
         }
         event.with("left_ms", deadline.remainingMillis(now))
                 .with("tried", logFields.toString().trim());
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -10,6 +10,7 @@
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.resilience.CrashLedger;
 import org.verbenatray.resilience.RetryBudget;
+import org.verbenatray.resilience.ServerRuns;
 import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.time.Ticker;
 import org.xnio.XnioIoThread;
@@ -27,6 +28,7 @@
  * @param planner chooses engines
  * @param retryBudgets the retry budget of each service, by service name
  * @param crashLedger the requests that crash servers
+ * @param serverRuns attributes ended servers to requests
  * @param stopping whether the process is shutting down
  * @param closingConnections whether callers should close their connections, as another instance serves them better
  * @param rejectingRequests whether new requests are rejected, as they would not finish before the process ends
@@ -47,6 +49,7 @@
         EnginePlanner planner,
         Function<String, RetryBudget> retryBudgets,
         CrashLedger crashLedger,
+        ServerRuns serverRuns,
         BooleanSupplier stopping,
         BooleanSupplier closingConnections,
         BooleanSupplier rejectingRequests,
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -126,7 +126,7 @@
         RelayCall call = new RelayCall(
                 context, request, route, catalog.version(), deadline, CallerResponse.to(exchange), this::callFinished);
         context.retryBudgets().apply(call.service()).recordRequest();
-        if (context.crashLedger().isBlocked(request.fingerprint())) {
+        if (context.crashLedger().isBlocked(call.fingerprint())) {
             call.giveUp("crashes_servers", CRASHING_RETRY_AFTER_MILLIS);
         } else if (route.kind() == RouteKind.STREAMING) {
             GenerationRelay.start(context, call);
--- /dev/null
+++ b/src/main/java/org/verbenatray/resilience/Crash.java
@@ -0,0 +1,9 @@
+package org.verbenatray.resilience;
+
+/**
+ * The end of a server process while it was running a request.
+ *
+ * @param fingerprint the fingerprint of the request
+ * @param boot the boot id of the server, which names one run of its process
+ */
+public record Crash(String fingerprint, String boot) {}
--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -4,7 +4,6 @@
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import org.verbenatray.log.ConditionalLog;
-import org.verbenatray.resilience.CrashLedger.Crash;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Scheduler;
--- /dev/null
+++ b/src/test/java/org/verbenatray/resilience/ServerRunsTest.java
@@ -0,0 +1,73 @@
+package org.verbenatray.resilience;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.verbenatray.time.ManualTime;
+
+/** Tests for {@link ServerRuns}. */
+public final class ServerRunsTest {
+    private ManualTime time;
+    private List<Crash> found;
+    private ServerRuns runs;
+
+    @BeforeMethod
+    public void start() {
+        time = new ManualTime();
+        found = new ArrayList<>();
+        runs = ServerRuns.create(time, found::add);
+    }
+
+    @Test
+    public void aServerThatEndsAfterARunWasLostCounts() {
+        runs.recordLost("bad", "s@1");
+        Assert.assertEquals(found, List.of());
+        runs.recordEnd("s@1");
+        Assert.assertEquals(found, List.of(new Crash("bad", "s@1")));
+    }
+
+    /** An end that was known before the connection broke was not counted. */
+    @Test
+    public void aRunThatIsLostAfterItsServerEndedCounts() {
+        runs.recordEnd("s@1");
+        runs.recordLost("bad", "s@1");
+        Assert.assertEquals(found, List.of(new Crash("bad", "s@1")));
+    }
+
+    @Test
+    public void runsLostAtServersThatKeepRunningDoNotCount() {
+        for (int server = 0; server < 9; server++) {
+            runs.recordLost("innocent", "live" + server + "@1");
+        }
+        Assert.assertEquals(found, List.of());
+    }
+
+    @Test
+    public void aServerThatEndsLongAfterTheRunWasLostDoesNotCount() {
+        runs.recordLost("late", "s@1");
+        time.advanceMillis(60_000);
+        runs.recordEnd("s@1");
+        Assert.assertEquals(found, List.of());
+    }
+
+    @Test
+    public void aServerThatRespondsAfterItWasTakenForEndedLives() {
+        runs.recordEnd("s@1");
+        runs.recordAlive("s@1");
+        runs.recordLost("innocent", "s@1");
+        Assert.assertEquals(found, List.of());
+    }
+
+    @Test
+    public void whatCanNoLongerBeAttributedIsRemoved() {
+        runs.recordLost("late", "s@1");
+        runs.recordEnd("t@1");
+        time.advanceMillis(60_000);
+        runs.removeExpired();
+        runs.recordEnd("s@1");
+        runs.recordLost("other", "t@1");
+        Assert.assertEquals(found, List.of());
+    }
+}
