Tell other instances of crashes directly, not through the store alone

While the store was away, each instance knew only the ends that it had found itself, so a request could end three servers per instance, and went on after the return until the instances knew. Cause: the store was the one channel, though instances exchange datagrams anyway.

Now the notices of open work, sent each 300 ms to at most 12 peers, carry up to 8 crashes in one of their own: those that the store is not known to hold, until it does, and for 1.5 s those of requests with two or more, as an instance alone may be cut off from the store. Who hears of one tells it on, so it passes through a large fleet in a few rounds; per instance that is bounded by 12 peers.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -304,7 +304,7 @@
                 () -> ThreadLocalRandom.current().nextDouble(),
                 loop.ticker(),
                 loop.scheduler());
-        sharing.start(platform.instances());
+        sharing.start(platform.instances(), crashExchange);
         runMaintenance();
         pollLoads();
         runStageController(StageController.create(context, settings.name(), lease));
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -19,6 +19,7 @@
 import org.verbenatray.openwork.WorkExchange;
 import org.verbenatray.placement.PrefixCacheIndex;
 import org.verbenatray.placement.PromptShape;
+import org.verbenatray.resilience.CrashExchange;
 import org.verbenatray.telemetry.Event;
 
 /**
@@ -45,6 +46,9 @@
     /** Null before the start and when no port could be opened. */
     private WorkExchange exchange;
 
+    /** The crashes that instances tell one another while the log lacks them, null before the start. */
+    private CrashExchange crashExchange;
+
     /** Null before the start and when it could not be opened. */
     private DatagramPort port;
 
@@ -65,10 +69,11 @@
     }
 
     /**
-     * Starts to exchange work with the other instances, which the given log lists. If the port cannot be opened, an
-     * error is logged and the instance places requests by its own work and the load that engines report.
+     * Starts to exchange work and crashes with the other instances, which the given log lists. If the port cannot be
+     * opened, an error is logged and the instance places requests by its own work and the load that engines report.
      */
-    void start(KeyedLog instances) {
+    void start(KeyedLog instances, CrashExchange crashes) {
+        crashExchange = crashes;
         try {
             port = DatagramPort.open(loop.worker(), settings.workExchangeAddress(), this::onDatagram);
         } catch (IOException e) {
@@ -82,7 +87,8 @@
         InetSocketAddress address =
                 new InetSocketAddress(settings.workExchangeAddress().getHostString(), port.portNumber());
         exchange = WorkExchange.start(
-                new WorkExchange.LocalInstance(settings.name(), System.currentTimeMillis(), this::ownWork),
+                new WorkExchange.LocalInstance(
+                        settings.name(), System.currentTimeMillis(), this::ownWork, crashes::toTell),
                 exchangePeers,
                 remoteWork,
                 port::send,
@@ -134,9 +140,12 @@
 
     /** Processes a datagram of another instance. */
     private void onDatagram(byte[] datagram) {
-        exchange.receive(datagram)
-                .forEach(placement -> prefixCacheIndex.recordReported(
-                        placement.bootId(), placement.processed(), placement.blockTokens()));
+        exchange.receive(datagram).ifPresent(notice -> {
+            notice.placements()
+                    .forEach(placement -> prefixCacheIndex.recordReported(
+                            placement.bootId(), placement.processed(), placement.blockTokens()));
+            notice.crashes().forEach(crashExchange::receive);
+        });
     }
 
     /** Returns the work of this instance by engine boot, without engines where it has none. */
--- a/src/main/java/org/verbenatray/openwork/WorkExchange.java
+++ b/src/main/java/org/verbenatray/openwork/WorkExchange.java
@@ -9,9 +9,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import org.verbenatray.resilience.Crash;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Scheduler;
@@ -32,6 +34,9 @@
     /** The maximum number of engines in one notice, so that it fits a packet. */
     private static final int MAX_ENGINES = 16;
 
+    /** The maximum number of crashes in one notice, so that it fits a packet. */
+    private static final int MAX_CRASHES = 8;
+
     /** The maximum number of prompts in one notice, so that it fits a packet; others are reported by the engines. */
     private static final int MAX_PROMPTS = 6;
 
@@ -50,6 +55,9 @@
     /** Supplies the work of this instance by boot id, for engines where it is not zero. */
     private final Supplier<Map<String, EngineWork>> localWork;
 
+    /** Supplies the crashes to tell the peers, most important first. */
+    private final Supplier<List<Crash>> crashesToTell;
+
     private final BiConsumer<InetSocketAddress, byte[]> sender;
 
     private final Ticker ticker;
@@ -78,6 +86,7 @@
         this.instance = self.instance();
         this.incarnation = self.incarnation();
         this.localWork = self.work();
+        this.crashesToTell = self.crashes();
         this.peers = peers;
         this.remoteWork = remoteWork;
         this.sender = sender;
@@ -115,18 +124,18 @@
     }
 
     /**
-     * Applies the notice in a received datagram and returns its placements.
+     * Applies the work in a received datagram and returns its notice.
      *
      * <p>A malformed datagram is logged and dropped.
      */
-    public List<PromptPlacement> receive(byte[] datagram) {
+    public Optional<WorkNotice> receive(byte[] datagram) {
         try {
             WorkNotice notice = WorkNoticeCodec.decode(datagram);
             remoteWork.apply(notice);
-            return notice.placements();
+            return Optional.of(notice);
         } catch (IOException e) {
             Event.named("work_notice_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
-            return List.of();
+            return Optional.empty();
         }
     }
 
@@ -140,9 +149,16 @@
         sendAll(updates);
     }
 
-    /** Sends all work, removes the expired work of the peers and schedules the next confirmation. */
+    /**
+     * Sends all work and the crashes to tell, removes the expired work of the peers and schedules the next
+     * confirmation.
+     */
     private void confirm() {
         sendAll(localWork.get());
+        List<Crash> crashes = crashesToTell.get();
+        if (!crashes.isEmpty()) {
+            send(Map.of(), crashes.subList(0, Math.min(MAX_CRASHES, crashes.size())));
+        }
         remoteWork.removeExpired();
         scheduler.runAt(Deadline.afterMillis(ticker.nanos(), CONFIRMATION_INTERVAL_MILLIS), this::confirm);
     }
@@ -153,19 +169,19 @@
         engines.forEach((bootId, work) -> {
             batch.put(bootId, work);
             if (batch.size() == MAX_ENGINES) {
-                send(batch);
+                send(batch, List.of());
                 batch.clear();
             }
         });
         if (!batch.isEmpty()) {
-            send(batch);
+            send(batch, List.of());
         }
     }
 
     /** Sends one notice to all peers. */
-    private void send(Map<String, EngineWork> engines) {
+    private void send(Map<String, EngineWork> engines, List<Crash> crashes) {
         byte[] datagram = WorkNoticeCodec.encode(
-                new WorkNotice(instance, incarnation, sequence++, engines, List.copyOf(placements)));
+                new WorkNotice(instance, incarnation, sequence++, engines, List.copyOf(placements), crashes));
         placements.clear();
         peers.selectedAddresses().forEach(address -> sender.accept(address, datagram));
     }
@@ -176,6 +192,8 @@
      * @param instance the name of the instance
      * @param incarnation a number that increases with each start of its process
      * @param work supplies its work by the boot id of the engine, for engines where it is not zero
+     * @param crashes supplies the crashes to tell the peers, most important first
      */
-    public record LocalInstance(String instance, long incarnation, Supplier<Map<String, EngineWork>> work) {}
+    public record LocalInstance(
+            String instance, long incarnation, Supplier<Map<String, EngineWork>> work, Supplier<List<Crash>> crashes) {}
 }
--- a/src/main/java/org/verbenatray/openwork/WorkNotice.java
+++ b/src/main/java/org/verbenatray/openwork/WorkNotice.java
@@ -2,9 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import org.verbenatray.resilience.Crash;
 
 /**
- * A notice of the open work of one instance, sent to its peers.
+ * A notice of the open work of one instance, and of crashes that servers suffered, sent to its peers.
  *
  * <p>It holds totals instead of differences, so that a later notice makes up for a lost one.
  *
@@ -13,10 +14,12 @@
  * @param sequence the sequence number of the notice within the incarnation
  * @param workByEngine the total work at each engine that has changed or is confirmed, by the boot id of the engine
  * @param placements the prompts that engines were assigned or have processed since the previous notice
+ * @param crashes crashes that the receiver may not learn from the log in time
  */
 public record WorkNotice(
         String instance,
         long incarnation,
         long sequence,
         Map<String, EngineWork> workByEngine,
-        List<PromptPlacement> placements) {}
+        List<PromptPlacement> placements,
+        List<Crash> crashes) {}
--- a/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
+++ b/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.verbenatray.resilience.Crash;
 
 /** Encodes and decodes notices as protobuf messages; unknown fields are skipped. */
 final class WorkNoticeCodec {
@@ -25,6 +26,12 @@
     /** A nested message with one placement. */
     private static final int PLACEMENT = 5;
 
+    /** A nested message with one crash. */
+    private static final int CRASH = 6;
+
+    /** The fingerprint of the request, in a crash. */
+    private static final int FINGERPRINT = 2;
+
     /** The id of a block, in a placement. */
     private static final int BLOCK_ID = 2;
 
@@ -34,7 +41,7 @@
     /** True if the engine has processed the prompt, in a placement. */
     private static final int PROCESSED = 4;
 
-    /** The boot id of the engine, in both nested messages. */
+    /** The boot id of the server, in all nested messages. */
     private static final int BOOT_ID = 1;
 
     /** The work that is not deferred, in the work at an engine. */
@@ -62,6 +69,9 @@
             for (PromptPlacement placement : notice.placements()) {
                 out.writeByteArray(PLACEMENT, encodePlacement(placement));
             }
+            for (Crash crash : notice.crashes()) {
+                out.writeByteArray(CRASH, encodeCrash(crash));
+            }
             out.flush();
             return bytes.toByteArray();
         } catch (IOException e) {
@@ -81,6 +91,7 @@
         long sequence = 0;
         Map<String, EngineWork> engines = new LinkedHashMap<>();
         List<PromptPlacement> placements = new ArrayList<>();
+        List<Crash> crashes = new ArrayList<>();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case INSTANCE -> instance = in.readString();
@@ -88,10 +99,11 @@
                 case SEQUENCE -> sequence = in.readUInt64();
                 case ENGINE -> decodeEngine(in.readByteArray(), engines);
                 case PLACEMENT -> placements.add(decodePlacement(in.readByteArray()));
+                case CRASH -> crashes.add(decodeCrash(in.readByteArray()));
                 default -> in.skipField(tag);
             }
         }
-        return new WorkNotice(instance, incarnation, sequence, engines, placements);
+        return new WorkNotice(instance, incarnation, sequence, engines, placements, crashes);
     }
 
     /** Encodes the work at one engine. */
@@ -125,6 +137,29 @@
         engines.put(bootId, new EngineWork(regularMicros, deferredMicros, openRequests));
     }
 
+    private static byte[] encodeCrash(Crash crash) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        out.writeString(BOOT_ID, crash.boot());
+        out.writeString(FINGERPRINT, crash.fingerprint());
+        out.flush();
+        return bytes.toByteArray();
+    }
+
+    private static Crash decodeCrash(byte[] bytes) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(bytes);
+        String boot = "";
+        String fingerprint = "";
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case BOOT_ID -> boot = in.readString();
+                case FINGERPRINT -> fingerprint = in.readString();
+                default -> in.skipField(tag);
+            }
+        }
+        return new Crash(fingerprint, boot);
+    }
+
     /** Encodes one placement. */
     private static byte[] encodePlacement(PromptPlacement placement) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,7 +21,8 @@
 
 /**
  * Shares crashes among instances through a keyed log, which keeps them for instances that start later: one record per
- * crash, whose key is the fingerprint and the boot id.
+ * crash, whose key is the fingerprint and the boot id. While the log lacks a crash, instances tell it one another
+ * directly.
  *
  * <p>A crash that the log does not hold is written until it does: by its finder at once, by others that know it after a
  * random delay, so that few of them write. Writing a crash twice is harmless. Not thread-safe: all calls come from one
@@ -40,6 +42,9 @@
     /** Longest delay after which an instance deletes an expired record. */
     private static final long MAX_DELETION_DELAY_MILLIS = 30_000;
 
+    /** The time for which a crash is told directly even if the log holds it; some datagrams are lost. */
+    private static final long TELLING_MILLIS = 1_500;
+
     private static final int MAX_BATCH = 500;
 
     private static final char KEY_SEPARATOR = ' ';
@@ -60,6 +65,9 @@
     /** When each crash that the log is not known to hold is written next. */
     private final Map<Crash, Deadline> unwritten = new HashMap<>();
 
+    /** Until when each crash that has become known lately is told directly. */
+    private final Map<Crash, Deadline> recent = new HashMap<>();
+
     /** When each expired crash that the log still holds is deleted. */
     private final Map<Crash, Deadline> deletions = new HashMap<>();
 
@@ -90,9 +98,34 @@
 
     /** Writes a crash that this instance has found with the next batch, again and again until the log has it. */
     public void publish(Crash crash) {
+        tellForSomeTime(crash);
         unwritten.put(crash, new Deadline(ticker.nanos()));
     }
 
+    /** Takes a crash that another instance tells directly. */
+    public void receive(Crash crash) {
+        if (ledger.recordCrash(crash)) {
+            recordHeard(crash);
+            unwritten.put(crash, randomDelay(MAX_FOREIGN_DELAY_MILLIS));
+        }
+    }
+
+    /**
+     * Returns the crashes to tell other instances directly, those of requests with most crashes first: the ones that
+     * the log is not known to hold, and recent ones of requests with several crashes, as some instances may not reach
+     * the log.
+     */
+    public List<Crash> toTell() {
+        long now = ticker.nanos();
+        recent.values().removeIf(until -> until.hasPassed(now));
+        return Stream.concat(
+                        unwritten.keySet().stream(),
+                        recent.keySet().stream().filter(crash -> ledger.crashCount(crash.fingerprint()) > 1))
+                .distinct()
+                .sorted(Comparator.comparingInt(crash -> -ledger.crashCount(crash.fingerprint())))
+                .toList();
+    }
+
     /** Deletes the records of crashes that the ledger has forgotten. */
     public void onForgotten(Collection<Crash> crashes) {
         crashes.forEach(crash -> {
@@ -124,11 +157,7 @@
         if (entry.value().isEmpty()) {
             deletions.remove(crash.get());
         } else if (ledger.recordCrash(crash.get())) {
-            Event.named("crash_heard")
-                    .with("fingerprint", crash.get().fingerprint())
-                    .with("backend", crash.get().boot())
-                    .with("crashes", ledger.crashCount(crash.get().fingerprint()))
-                    .log(log, Level.INFO);
+            recordHeard(crash.get());
         }
     }
 
@@ -173,6 +202,19 @@
         return due;
     }
 
+    private void recordHeard(Crash crash) {
+        tellForSomeTime(crash);
+        Event.named("crash_heard")
+                .with("fingerprint", crash.fingerprint())
+                .with("backend", crash.boot())
+                .with("crashes", ledger.crashCount(crash.fingerprint()))
+                .log(log, Level.INFO);
+    }
+
+    private void tellForSomeTime(Crash crash) {
+        recent.put(crash, Deadline.afterMillis(ticker.nanos(), TELLING_MILLIS));
+    }
+
     private Deadline randomDelay(long maxMillis) {
         return Deadline.afterMillis(ticker.nanos(), (long) (random.getAsDouble() * maxMillis));
     }
--- a/src/test/java/org/verbenatray/openwork/WorkExchangeTest.java
+++ b/src/test/java/org/verbenatray/openwork/WorkExchangeTest.java
@@ -8,29 +8,34 @@
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.verbenatray.resilience.Crash;
 import org.verbenatray.time.ManualTime;
 
 /** Tests the exchange of open work between two instances over a channel that may lose datagrams. */
 public final class WorkExchangeTest {
     private ManualTime time;
 
-    private RemoteWork received;
+    private RemoteWork remoteWork;
 
     private Map<String, EngineWork> localWork;
 
     private List<byte[]> droppedDatagrams;
 
-    private List<PromptPlacement> placements;
+    /** The notices that the peer has received. */
+    private List<WorkNotice> received;
+
+    private List<Crash> crashes;
 
     private boolean dropDatagrams;
 
     @BeforeMethod
     public void start() {
         time = new ManualTime();
-        received = RemoteWork.create(time, () -> 1);
+        remoteWork = RemoteWork.create(time, () -> 1);
         localWork = new HashMap<>();
         droppedDatagrams = new ArrayList<>();
-        placements = new ArrayList<>();
+        received = new ArrayList<>();
+        crashes = new ArrayList<>();
         dropDatagrams = false;
     }
 
@@ -42,8 +47,8 @@
         exchange.markChanged("e1");
         exchange.markChanged("e2");
         time.advanceMillis(5);
-        Assert.assertEquals(received.workAt("e1").regularMicros(), 10);
-        Assert.assertEquals(received.workAt("e2").regularMicros(), 20);
+        Assert.assertEquals(remoteWork.workAt("e1").regularMicros(), 10);
+        Assert.assertEquals(remoteWork.workAt("e2").regularMicros(), 20);
     }
 
     @Test
@@ -55,7 +60,7 @@
         localWork.clear();
         exchange.markChanged("e1");
         time.advanceMillis(5);
-        Assert.assertEquals(received.workAt("e1"), EngineWork.NONE);
+        Assert.assertEquals(remoteWork.workAt("e1"), EngineWork.NONE);
     }
 
     @Test
@@ -65,11 +70,11 @@
         localWork.put("e1", new EngineWork(10, 0, 1));
         exchange.markChanged("e1");
         time.advanceMillis(5);
-        Assert.assertEquals(received.workAt("e1"), EngineWork.NONE);
+        Assert.assertEquals(remoteWork.workAt("e1"), EngineWork.NONE);
         Assert.assertFalse(droppedDatagrams.isEmpty());
         dropDatagrams = false;
         time.advanceMillis(300);
-        Assert.assertEquals(received.workAt("e1").openRequests(), 1);
+        Assert.assertEquals(remoteWork.workAt("e1").openRequests(), 1);
     }
 
     @Test
@@ -81,36 +86,54 @@
         time.advanceMillis(5);
         exchange.markChanged("e1");
         time.advanceMillis(5);
+        List<PromptPlacement> placements = received.stream()
+                .flatMap(notice -> notice.placements().stream())
+                .toList();
         Assert.assertEquals(placements, List.of(new PromptPlacement("e1", false, Map.of("ab", 100))));
     }
 
+    @Test
+    public void crashesAreToldAgainUntilTheLogHasThem() {
+        exchange();
+        crashes.add(new Crash("bad", "s@1"));
+        dropDatagrams = true;
+        time.advanceMillis(1_000);
+        dropDatagrams = false;
+        time.advanceMillis(300);
+        Assert.assertEquals(received.get(received.size() - 1).crashes(), crashes);
+        crashes.clear();
+        received.clear();
+        time.advanceMillis(1_000);
+        Assert.assertEquals(received, List.of());
+    }
+
     @Test
     public void aMalformedDatagramIsDropped() {
         WorkExchange exchange = exchange();
         exchange.receive(new byte[] {(byte) 0xff, 1, 2});
-        Assert.assertEquals(received.workAt("e1"), EngineWork.NONE);
+        Assert.assertEquals(remoteWork.workAt("e1"), EngineWork.NONE);
     }
 
-    /** Starts an exchange whose only peer adds the work it receives to {@link #received}. */
+    /** Starts an exchange whose only peer adds the work it receives to {@link #remoteWork}. */
     private WorkExchange exchange() {
         ExchangePeers peers = ExchangePeers.of("self");
         peers.put("other", new InetSocketAddress("127.0.0.1", 1));
         WorkExchange other = WorkExchange.start(
-                new WorkExchange.LocalInstance("other", 1, Map::of),
+                new WorkExchange.LocalInstance("other", 1, Map::of, List::of),
                 ExchangePeers.of("other"),
-                received,
+                remoteWork,
                 (to, datagram) -> {},
                 time,
                 (when, task) -> {});
         return WorkExchange.start(
-                new WorkExchange.LocalInstance("self", 1, () -> localWork),
+                new WorkExchange.LocalInstance("self", 1, () -> localWork, () -> crashes),
                 peers,
                 RemoteWork.create(time, () -> 1),
                 (to, datagram) -> {
                     if (dropDatagrams) {
                         droppedDatagrams.add(datagram);
                     } else {
-                        placements.addAll(other.receive(datagram));
+                        other.receive(datagram).ifPresent(received::add);
                     }
                 },
                 time,
--- a/src/test/java/org/verbenatray/openwork/WorkNoticeCodecTest.java
+++ b/src/test/java/org/verbenatray/openwork/WorkNoticeCodecTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.constraints.Size;
 import org.testng.Assert;
 import org.testng.annotations.Test;
+import org.verbenatray.resilience.Crash;
 
 /** Tests the encoding of notices. */
 public final class WorkNoticeCodecTest {
@@ -30,14 +31,15 @@
                 incarnation,
                 7,
                 engines,
-                List.of(new PromptPlacement("e1", true, Map.of("ab", 13_000, "cd", 40))));
+                List.of(new PromptPlacement("e1", true, Map.of("ab", 13_000, "cd", 40))),
+                List.of(new Crash("f", "s@1"), new Crash("g", "s@2")));
         Assert.assertEquals(WorkNoticeCodec.decode(WorkNoticeCodec.encode(notice)), notice);
     }
 
     @Test
     public void aTruncatedNoticeIsRejected() {
-        byte[] whole =
-                WorkNoticeCodec.encode(new WorkNotice("a", 1, 2, Map.of("e1", new EngineWork(1, 2, 3)), List.of()));
+        byte[] whole = WorkNoticeCodec.encode(
+                new WorkNotice("a", 1, 2, Map.of("e1", new EngineWork(1, 2, 3)), List.of(), List.of()));
         byte[] truncated = Arrays.copyOf(whole, whole.length - 1);
         Assert.assertThrows(IOException.class, () -> WorkNoticeCodec.decode(truncated));
     }
--- a/src/test/java/org/verbenatray/resilience/CrashExchangeTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashExchangeTest.java
@@ -58,6 +58,33 @@
         Assert.assertEquals(later.ledger.crashCount("bad"), 1);
     }
 
+    /** Without the log, an instance told nobody what it had found. */
+    @Test
+    public void aCrashThatIsToldDirectlyIsKnownBeforeTheLogReturnsAndWrittenAfter() {
+        log.setDown(true);
+        finder.find(CRASH);
+        finder.exchange.toTell().forEach(other.exchange::receive);
+        Assert.assertEquals(other.ledger.crashCount("bad"), 1);
+        Assert.assertEquals(other.exchange.toTell().size(), 1);
+        finder.exchange.onForgotten(finder.ledger.crashes());
+        log.setDown(false);
+        time.advanceMillis(6_000);
+        Assert.assertEquals(log.keyCount(), 1);
+        Assert.assertEquals(other.exchange.toTell().size(), 0);
+    }
+
+    /** An instance that cannot reach the log went on alone while the others had the records. */
+    @Test
+    public void recentCrashesOfARequestThatEndedSeveralServersAreToldThoughTheLogHasThem() {
+        finder.find(CRASH);
+        finder.find(new Crash("bad", "t@1"));
+        finder.find(new Crash("once", "t@1"));
+        time.advanceMillis(200);
+        Assert.assertEquals(finder.exchange.toTell().size(), 2);
+        time.advanceMillis(2_000);
+        Assert.assertEquals(finder.exchange.toTell().size(), 0);
+    }
+
     @Test
     public void crashesThatTheLogHasLostAreWrittenAgain() {
         finder.find(CRASH);
