Look at the block of a crashing request at each sending, not on receipt only

A request that was received before the third end, and waited, was deferred or was about to be sent again, ended a further server. Cause: the ledger was asked once, in RelayHandler; a call lasts up to 8 s, longer than the news takes.

Now RelayCall.send is the one place where a caller's request is sent, prefill, decode and plain alike, and refuses there. The check on receipt stays as a use of the same rule, so that a blocked request is rejected before anything is planned for it.

--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -218,9 +218,21 @@
         Deadline firstByteDeadline = Deadline.afterMillis(now, Math.min(remainingMillis, silenceMillis));
         ResponseTimeouts timeouts = new ResponseTimeouts(
                 firstByteDeadline, MIN_SILENCE_TIMEOUT_MILLIS, Deadline.afterMillis(now, remainingMillis));
-        context.planner().recordAssigned(backend, prompt);
-        attempt = ForwardAttempt.send(
-                context, call, options, plan.work(), timeouts, new PrefillListener(backend, prompt));
+        if (send(options, plan.work(), timeouts, new PrefillListener(backend, prompt))) {
+            context.planner().recordAssigned(backend, prompt);
+        }
+    }
+
+    /** Sends the request and returns true, or gives up if it must not be sent any more. */
+    private boolean send(
+            ForwardOptions options, PrefillWork work, ResponseTimeouts timeouts, ForwardListener listener) {
+        attempt = call.send(options, work, timeouts, listener).orElse(null);
+        if (attempt == null) {
+            deadlineTimer.remove();
+            releasePrefilledPrompt();
+            call.giveUpCrashing();
+        }
+        return attempt != null;
     }
 
     /** Goes on to the decode engine after a successful prefill. */
@@ -265,7 +277,7 @@
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.NEW);
         sentNanos = context.ticker().nanos();
         PrefillWork work = prefilledPrompt == null && plan != null ? plan.work() : PrefillWork.NONE;
-        attempt = ForwardAttempt.send(context, call, options, work, timeouts(repeatable), this);
+        send(options, work, timeouts(repeatable), this);
     }
 
     /** Returns the priority of a request that an engine has to prefill. */
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -123,7 +123,12 @@
                 Optional.empty(),
                 call.request().lastEventId(),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.NEW);
-        attempt = ForwardAttempt.send(context, call, options, PrefillWork.NONE, timeouts(repeatable), this);
+        attempt =
+                call.send(options, PrefillWork.NONE, timeouts(repeatable), this).orElse(null);
+        if (attempt == null) {
+            deadlineTimer.remove();
+            Optional.ofNullable(errorResponse).ifPresentOrElse(call::relayResponse, call::giveUpCrashing);
+        }
     }
 
     /** Returns the timeouts of the server; short ones only if another server could be tried. */
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendStage;
+import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.telemetry.Event;
@@ -30,6 +31,9 @@
      */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
+    /** Retry-after time of requests that crash servers. */
+    private static final long CRASHING_RETRY_AFTER_MILLIS = 60_000;
+
     private static final Logger log = System.getLogger(RelayCall.class.getName());
 
     private final RelayContext context;
@@ -147,6 +151,27 @@
         return (context.ticker().nanos() - request.receivedNanos()) / 1_000_000;
     }
 
+    /**
+     * Sends the request to the server named in the options. Returns the attempt, or empty if the request must not be
+     * sent any more because it crashes servers. Every sending of a caller's request passes here.
+     */
+    Optional<ForwardAttempt> send(
+            ForwardOptions options, PrefillWork work, ResponseTimeouts timeouts, ForwardListener listener) {
+        return crashesServers()
+                ? Optional.empty()
+                : Optional.of(ForwardAttempt.send(context, this, options, work, timeouts, listener));
+    }
+
+    /** Returns whether the request has crashed so many servers that it must not be sent to another. */
+    boolean crashesServers() {
+        return context.crashLedger().isBlocked(fingerprint);
+    }
+
+    /** Gives up because the request crashes servers. */
+    void giveUpCrashing() {
+        giveUp("crashes_servers", CRASHING_RETRY_AFTER_MILLIS);
+    }
+
     /** Returns the servers of the service that accept requests. */
     List<Backend> usableBackends() {
         return context.directory().usable(service);
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -25,9 +25,6 @@
     /** Retry-after time while no routes are known. */
     private static final long NO_ROUTES_RETRY_AFTER_MILLIS = 500;
 
-    /** Retry-after time of requests that crash servers. */
-    private static final long CRASHING_RETRY_AFTER_MILLIS = 60_000;
-
     /** Retry-after time while this instance stops; short, since the retry goes to another instance. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
 
@@ -126,8 +123,8 @@
         RelayCall call = new RelayCall(
                 context, request, route, catalog.version(), deadline, CallerResponse.to(exchange), this::callFinished);
         context.retryBudgets().apply(call.service()).recordRequest();
-        if (context.crashLedger().isBlocked(call.fingerprint())) {
-            call.giveUp("crashes_servers", CRASHING_RETRY_AFTER_MILLIS);
+        if (call.crashesServers()) {
+            call.giveUpCrashing();
         } else if (route.kind() == RouteKind.STREAMING) {
             GenerationRelay.start(context, call);
         } else {
