Clear a request that has run to its end, and hold its first crash record back for a second

A request that was merely there when servers went down stayed counted against for two minutes, and each server that crashed with sixty requests in flight cost sixty records in the store. A request that ends each server that runs it never completes, so a 2xx response that is whole clears its fingerprint: at this instance at once, at the others through the deletion of its records. An error response does not, as a failing server may give one without running the request; nor does a finished prefill.

The first crash of a fingerprint is written after a second instead of at once, by which time most innocent requests have run elsewhere and nothing needs writing. The third crash is known as fast as before: records of requests with two or more are not held back.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -122,7 +122,7 @@
         this.directory = BackendDirectory.empty(loop.ticker(), this::onBackendEnded);
         this.cutOffDetector = CutOffDetector.of(loop.ticker(), directory);
         this.crashesDue = Deadline.afterMillis(loop.ticker().nanos(), MAX_CRASHES_WAIT_MILLIS);
-        this.crashes = CrashLedger.empty(loop.ticker());
+        this.crashes = CrashLedger.create(loop.ticker(), cleared -> crashExchange.onCleared(cleared));
         this.serverRuns = ServerRuns.create(loop.ticker(), this::onCrashFound);
         RelayDialect dialect = platform.dialect();
         LeastLoadedChooser chooser = LeastLoadedChooser.create(
@@ -329,7 +329,7 @@
     private void runMaintenance() {
         directory.removeExpired();
         cutOffDetector.update();
-        crashExchange.onForgotten(crashes.removeExpired());
+        crashExchange.onExpired(crashes.removeExpired());
         serverRuns.removeExpired();
         loop.scheduler()
                 .runAt(Deadline.afterMillis(loop.ticker().nanos(), MAINTENANCE_INTERVAL_MILLIS), this::runMaintenance);
--- a/src/main/java/org/verbenatray/relay/ForwardOutcome.java
+++ b/src/main/java/org/verbenatray/relay/ForwardOutcome.java
@@ -34,6 +34,11 @@
         return new ForwardOutcome(kind, detail, Optional.empty(), new byte[0]);
     }
 
+    /** Returns whether the server has run the request to its end with success. */
+    boolean isSuccess() {
+        return (kind == Kind.ANSWERED || kind == Kind.STREAM_ENDED) && status() < 300;
+    }
+
     /** Returns the HTTP status of the response; zero if there is none. */
     int status() {
         return head.map(ServerResponseHead::status).orElse(0);
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -228,6 +228,9 @@
         if (countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN) {
             possibleRuns++;
         }
+        if (countsAsRun && outcome.isSuccess()) {
+            context.crashLedger().recordSuccess(fingerprint);
+        }
     }
 
     /** Adds a field to the log line of the final response. */
--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -36,6 +36,8 @@
 
     private static final long RETRY_DELAY_MILLIS = 700;
 
+    private static final long FIRST_CRASH_DELAY_MILLIS = 1_000;
+
     /** Longest delay after which an instance writes a crash that another one has found. */
     private static final long MAX_FOREIGN_DELAY_MILLIS = 4_000;
 
@@ -65,6 +67,9 @@
     /** When each crash that the log is not known to hold is written next. */
     private final Map<Crash, Deadline> unwritten = new HashMap<>();
 
+    /** The crashes of which a write was attempted, so that the log may hold them. */
+    private final Set<Crash> attempted = new HashSet<>();
+
     /** Until when each crash that has become known lately is told directly. */
     private final Map<Crash, Deadline> recent = new HashMap<>();
 
@@ -96,10 +101,14 @@
         return loaded;
     }
 
-    /** Writes a crash that this instance has found with the next batch, again and again until the log has it. */
+    /**
+     * Writes a crash that this instance has found, again and again until the log has it. The first crash of a request
+     * is held back for a second, as most requests that lose their server are innocent and soon run elsewhere.
+     */
     public void publish(Crash crash) {
         tellForSomeTime(crash);
-        unwritten.put(crash, new Deadline(ticker.nanos()));
+        boolean first = ledger.crashCount(crash.fingerprint()) == 1;
+        unwritten.put(crash, Deadline.afterMillis(ticker.nanos(), first ? FIRST_CRASH_DELAY_MILLIS : 0));
     }
 
     /** Takes a crash that another instance tells directly. */
@@ -112,26 +121,36 @@
 
     /**
      * Returns the crashes to tell other instances directly, those of requests with most crashes first: the ones that
-     * the log is not known to hold, and recent ones of requests with several crashes, as some instances may not reach
-     * the log.
+     * could not be written to the log, and recent ones of requests with several crashes, as some instances may not
+     * reach the log.
      */
     public List<Crash> toTell() {
         long now = ticker.nanos();
         recent.values().removeIf(until -> until.hasPassed(now));
         return Stream.concat(
-                        unwritten.keySet().stream(),
+                        attempted.stream(),
                         recent.keySet().stream().filter(crash -> ledger.crashCount(crash.fingerprint()) > 1))
                 .distinct()
                 .sorted(Comparator.comparingInt(crash -> -ledger.crashCount(crash.fingerprint())))
                 .toList();
     }
 
-    /** Deletes the records of crashes that the ledger has forgotten. */
-    public void onForgotten(Collection<Crash> crashes) {
-        crashes.forEach(crash -> {
-            unwritten.remove(crash);
-            deletions.put(crash, randomDelay(MAX_DELETION_DELAY_MILLIS));
-        });
+    /** Deletes the records of crashes that have expired, after a random delay, so that few instances do so. */
+    public void onExpired(Collection<Crash> crashes) {
+        crashes.forEach(crash -> delete(crash, randomDelay(MAX_DELETION_DELAY_MILLIS)));
+    }
+
+    /** Deletes the records of a request that this instance has cleared. */
+    public void onCleared(Collection<Crash> crashes) {
+        crashes.forEach(crash -> delete(crash, new Deadline(ticker.nanos())));
+    }
+
+    private void delete(Crash crash, Deadline when) {
+        recent.remove(crash);
+        boolean neverWritten = unwritten.remove(crash) != null && !attempted.remove(crash);
+        if (!neverWritten) {
+            deletions.put(crash, when);
+        }
     }
 
     @Override
@@ -153,9 +172,10 @@
         if (crash.isEmpty()) {
             return;
         }
-        unwritten.remove(crash.get());
+        recordWritten(crash.get());
         if (entry.value().isEmpty()) {
             deletions.remove(crash.get());
+            ledger.forget(crash.get());
         } else if (ledger.recordCrash(crash.get())) {
             recordHeard(crash.get());
         }
@@ -169,6 +189,7 @@
 
     private void writeDue() {
         List<Crash> toWrite = takeDue(unwritten);
+        attempted.addAll(toWrite);
         List<Crash> toDelete = takeDue(deletions);
         if (toWrite.isEmpty() && toDelete.isEmpty()) {
             return;
@@ -179,7 +200,7 @@
                 .toList();
         records.putAll(entries).whenComplete((done, failure) -> {
             if (failure == null) {
-                toWrite.forEach(unwritten::remove);
+                toWrite.forEach(this::recordWritten);
                 toDelete.forEach(deletions::remove);
                 return;
             }
@@ -211,6 +232,11 @@
                 .log(log, Level.INFO);
     }
 
+    private void recordWritten(Crash crash) {
+        unwritten.remove(crash);
+        attempted.remove(crash);
+    }
+
     private void tellForSomeTime(Crash crash) {
         recent.put(crash, Deadline.afterMillis(ticker.nanos(), TELLING_MILLIS));
     }
--- a/src/main/java/org/verbenatray/resilience/CrashLedger.java
+++ b/src/main/java/org/verbenatray/resilience/CrashLedger.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
 
@@ -23,13 +24,17 @@
 
     private final Map<String, CrashHistory> crashesByFingerprint = new HashMap<>();
 
-    private CrashLedger(Ticker ticker) {
+    /** Receives the crashes of each request that has run to its end. */
+    private final Consumer<List<Crash>> onCleared;
+
+    private CrashLedger(Ticker ticker, Consumer<List<Crash>> onCleared) {
         this.ticker = ticker;
+        this.onCleared = onCleared;
     }
 
-    /** Creates an empty ledger. */
-    public static CrashLedger empty(Ticker ticker) {
-        return new CrashLedger(ticker);
+    /** Creates an empty ledger that passes the crashes of each cleared request to the consumer. */
+    public static CrashLedger create(Ticker ticker, Consumer<List<Crash>> onCleared) {
+        return new CrashLedger(ticker, onCleared);
     }
 
     /** Records a crash that this or another instance has detected; returns false if it was known. */
@@ -39,6 +44,23 @@
         return history.boots.add(crash.boot());
     }
 
+    /** Records that a server has run a request to its end: what crashed others was not this request. */
+    public void recordSuccess(String fingerprint) {
+        if (crashesByFingerprint.containsKey(fingerprint)) {
+            List<Crash> cleared = crashesOf(List.of(fingerprint));
+            crashesByFingerprint.remove(fingerprint);
+            onCleared.accept(cleared);
+        }
+    }
+
+    /** Forgets a crash that another instance has cleared. */
+    public void forget(Crash crash) {
+        CrashHistory history = crashesByFingerprint.get(crash.fingerprint());
+        if (history != null && history.boots.remove(crash.boot()) && history.boots.isEmpty()) {
+            crashesByFingerprint.remove(crash.fingerprint());
+        }
+    }
+
     /** Returns whether a request has crashed so many servers that it must not be sent to another. */
     public boolean isBlocked(String fingerprint) {
         return crashCount(fingerprint) >= CRASHES_TO_BLOCK;
