Take a server that does not answer the probe for ended, without waiting for its entry

Cause: only a refused or timed-out connection counted, not a connection on which nothing came within 800 ms.

Evidence: CrashingRequestTest.aServerThatHangsUnderARequestCountsBeforeItsEntryExpires, red before (no crash known within 20 s), green now.

An overloaded server may be taken for ended by this: its next complete response takes that back, and a request counted wrongly is cleared when it has run. It is blocked only after three such servers and no run to the end in between.

--- a/src/main/java/org/verbenatray/relay/CrashProbe.java
+++ b/src/main/java/org/verbenatray/relay/CrashProbe.java
@@ -15,7 +15,7 @@
 
 /**
  * Detects ended servers: connects anew to a server that has not responded to a request, and reports it to
- * {@link ServerRuns} as ended if it cannot be connected to.
+ * {@link ServerRuns} as ended if it does not respond to that either.
  */
 public final class CrashProbe {
     /** Longer than the connect timeout, so that a server that does not accept connections is told from a slow one. */
@@ -24,6 +24,10 @@
     /** Minimum time between two probes of the same boot of a server. */
     private static final long MIN_INTERVAL_MILLIS = 500;
 
+    /** The failures of a probe that a running server does not cause. */
+    private static final Set<ServerFailure.Kind> UNRESPONSIVE =
+            Set.of(ServerFailure.Kind.NOT_CONNECTED, ServerFailure.Kind.TIMED_OUT);
+
     private static final int MAX_RESPONSE_BYTES = 64 * 1024;
 
     private final HttpTransport transport;
@@ -81,9 +85,7 @@
                         Deadline.afterMillis(now, RESPONSE_TIMEOUT_MILLIS),
                         MAX_RESPONSE_BYTES)
                 .whenComplete((response, failure) -> {
-                    boolean notConnected =
-                            failure instanceof ServerFailure known && known.kind() == ServerFailure.Kind.NOT_CONNECTED;
-                    if (notConnected) {
+                    if (failure instanceof ServerFailure known && UNRESPONSIVE.contains(known.kind())) {
                         runs.recordEnd(boot);
                     }
                 });
--- a/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
@@ -68,6 +68,18 @@
         Assert.assertTrue(response.contains("crashes_servers"), response);
     }
 
+    /** The end of a server that hangs was known only when its entry expired. */
+    @Test
+    public void aServerThatHangsUnderARequestCountsBeforeItsEntryExpires() throws Exception {
+        startInstances(1);
+        for (int round = 1; round <= 3; round++) {
+            int ended = round;
+            send(0, "/unsafe/x", "poison", 300);
+            RelayFixture.waitUntil(() -> crashesKnown(0) == ended);
+        }
+        Assert.assertTrue(send(0, "/unsafe/x", "poison").contains("crashes_servers"));
+    }
+
     /** What an instance found while the store was away was dropped and told to nobody. */
     @Test
     public void endsFoundWhileTheStoreIsAwayAreKnownToOtherInstances() throws Exception {
