Relate a lost run to the end of its server within 6 s instead of 12

Cause: with 12 s, a request whose caller had left at 6.3 s was blamed for a server that crashed at 17.0 s, and so came to three. The list tells an end after three heartbeats and one read, 4.3 s; while it is away the probe tells. So 6 s suffice.

Test: ServerRunsTest.aServerThatEndsLongAfterTheRunWasLostDoesNotCount, its time brought from 60 s down to 10 s.

--- a/src/main/java/org/verbenatray/resilience/ServerRuns.java
+++ b/src/main/java/org/verbenatray/resilience/ServerRuns.java
@@ -18,7 +18,7 @@
      * Longest time between the loss of a run and the news that its server has ended; the list tells the end of a silent
      * server only after several heartbeat intervals.
      */
-    private static final long RELATED_MILLIS = 12_000;
+    private static final long RELATED_MILLIS = 6_000;
 
     private final Ticker ticker;
 
--- a/src/test/java/org/verbenatray/resilience/ServerRunsTest.java
+++ b/src/test/java/org/verbenatray/resilience/ServerRunsTest.java
@@ -44,10 +44,11 @@
         Assert.assertEquals(found, List.of());
     }
 
+    /** A request whose caller had left was blamed for the end of its server ten seconds later. */
     @Test
     public void aServerThatEndsLongAfterTheRunWasLostDoesNotCount() {
         runs.recordLost("late", "s@1");
-        time.advanceMillis(60_000);
+        time.advanceMillis(10_000);
         runs.recordEnd("s@1");
         Assert.assertEquals(found, List.of());
     }
