Check a server early that is silent under a request which has crashed others

Cause: the probe follows the end of an attempt, and the attempt of a request that may run once waits for its deadline.

Evidence: CrashingRequestTest.aServerThatHangsUnderASuspectCountsWhileTheRequestIsOpen, red before (no second crash within 20 s), green now.

Now a request with at least one known crash has its server probed after 1 s without a response. Requests without a crash cost nothing more.

--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -24,6 +24,9 @@
     /** Number of queued requests from which on an engine counts as busy. */
     private static final int BUSY_QUEUE_LENGTH = 2;
 
+    /** Time after which the server is checked if it has not responded to a request that has crashed others. */
+    private static final long SUSPECT_CHECK_MILLIS = 1_000;
+
     /** Age beyond which a load report is ignored. */
     private static final long MAX_LOAD_AGE_MILLIS = 2_500;
 
@@ -47,6 +50,9 @@
     /** Timer of the next progress check. */
     private XnioIoThread.Key timer;
 
+    /** Timer of the early check of the server, null for requests that have crashed none. */
+    private XnioIoThread.Key suspectTimer;
+
     /** When the next bytes of the response are due. */
     private Deadline progressDeadline;
 
@@ -90,6 +96,7 @@
         attempt.scheduleProgressCheck();
         options.backend().addRequest(work);
         context.onWorkChanged().accept(options.backend());
+        attempt.scheduleSuspectCheck();
         attempt.cancellation = context.transport()
                 .exchange(context.dialect().forward(call.request(), options), context.thread(), attempt);
         return attempt;
@@ -215,6 +222,9 @@
         if (timer != null) {
             timer.remove();
         }
+        if (suspectTimer != null) {
+            suspectTimer.remove();
+        }
     }
 
     /** Removes the prefill work from the counts of the server, once. */
@@ -237,6 +247,22 @@
         timer = context.thread().executeAfter(this::checkProgress, wait, TimeUnit.MILLISECONDS);
     }
 
+    /** Schedules an early check of the server if the request may crash it. */
+    private void scheduleSuspectCheck() {
+        if (context.crashLedger().crashCount(call.fingerprint()) > 0) {
+            suspectTimer =
+                    context.thread().executeAfter(this::checkSuspect, SUSPECT_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Probes a server that has given no response to a request that may crash it, without waiting for its deadline. */
+    private void checkSuspect() {
+        if (!closed && sendingStarted && head == null) {
+            recordLost();
+            context.crashProbe().probe(backend());
+        }
+    }
+
     /** Returns whether the server reports queued requests: its silence is then no sign of a failure. */
     private boolean isBusy() {
         return options.backend()
--- a/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
@@ -80,6 +80,21 @@
         Assert.assertTrue(send(0, "/unsafe/x", "poison").contains("crashes_servers"));
     }
 
+    /** A hanging server was checked only at the deadline of the request, more than 3 s after it went dark. */
+    @Test
+    public void aServerThatHangsUnderASuspectCountsWhileTheRequestIsOpen() throws Exception {
+        String patient = RelayFixture.configurationJson(1).replace("\"timeoutMs\":4000", "\"timeoutMs\":30000");
+        store.put("keyed.op", "config", patient);
+        startInstances(1);
+        crashOnArrival();
+        send(0, "/unsafe/x", "poison");
+        RelayFixture.waitUntil(() -> crashesKnown(0) == 1);
+        servers.forEach(server -> server.setScript((request, connection, out) -> {}));
+        CompletableFuture<String> open = sendAsync(0, "/unsafe/x", "poison", 30_000);
+        RelayFixture.waitUntil(() -> crashesKnown(0) == 2);
+        Assert.assertFalse(open.isDone());
+    }
+
     /** What an instance found while the store was away was dropped and told to nobody. */
     @Test
     public void endsFoundWhileTheStoreIsAwayAreKnownToOtherInstances() throws Exception {
