Recognise a crashing request by its path without the query

Test: RelayRequestTest.aRepeatWithAnotherQueryHasTheSameFingerprint, red before (the hash took the target).

--- a/src/main/java/org/verbenatray/relay/RelayRequest.java
+++ b/src/main/java/org/verbenatray/relay/RelayRequest.java
@@ -38,12 +38,12 @@
         Optional<String> lastEventId) {
     private static final HashFunction HASH = Hashing.murmur3_128();
 
-    /** Returns a hash of the caller, the target and the body, by which retries of one request are recognized. */
+    /** Returns a hash of the caller, the path and the body, by which retries of one request are recognized. */
     public String fingerprint() {
         return HASH.newHasher()
                 .putString(caller, StandardCharsets.UTF_8)
                 .putByte((byte) 0)
-                .putString(target, StandardCharsets.UTF_8)
+                .putString(path(), StandardCharsets.UTF_8)
                 .putByte((byte) 0)
                 .putBytes(body)
                 .hash()
