Keep a request on probation after its block, and tell it when the block ends

Two minutes after its last crash everything known of a request was forgotten, so it could crash three more servers, again and again; and its caller was told to come back after 60 s, when it was still blocked. Now the block lasts 120 s from the last crash, the count is kept for 600 s, in which one more crash blocks again, and Retry-After is what is left of the block. A crash that is heard again does not prolong it.

Test: CrashLedgerTest.oneMoreCrashAfterTheBlockBlocksAgain; before, the count was gone after 120 s (by reading: RETENTION_MILLIS).

--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -31,9 +31,6 @@
      */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
-    /** Retry-after time of requests that crash servers. */
-    private static final long CRASHING_RETRY_AFTER_MILLIS = 60_000;
-
     private static final Logger log = System.getLogger(RelayCall.class.getName());
 
     private final RelayContext context;
@@ -164,12 +161,17 @@
 
     /** Returns whether the request has crashed so many servers that it must not be sent to another. */
     boolean crashesServers() {
-        return context.crashLedger().isBlocked(fingerprint);
+        return context.crashLedger().blockedUntil(fingerprint).isPresent();
     }
 
     /** Gives up because the request crashes servers. */
     void giveUpCrashing() {
-        giveUp("crashes_servers", CRASHING_RETRY_AFTER_MILLIS);
+        long now = context.ticker().nanos();
+        long blockedMillis = context.crashLedger()
+                .blockedUntil(fingerprint)
+                .map(end -> end.remainingMillis(now))
+                .orElse(0L);
+        giveUp("crashes_servers", blockedMillis);
     }
 
     /** Returns the servers of the service that accept requests. */
--- a/src/main/java/org/verbenatray/resilience/CrashLedger.java
+++ b/src/main/java/org/verbenatray/resilience/CrashLedger.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.verbenatray.time.Deadline;
@@ -17,8 +18,11 @@
 public final class CrashLedger {
     private static final int CRASHES_TO_BLOCK = 3;
 
-    /** Time since its last crash after which the crashes of a request are forgotten. */
-    private static final long RETENTION_MILLIS = 120_000;
+    /** Time since its last crash for which a request is blocked. */
+    private static final long BLOCK_MILLIS = 120_000;
+
+    /** Time since its last crash after which the crashes of a request are forgotten. Until then one more blocks it. */
+    private static final long RETENTION_MILLIS = 600_000;
 
     private final Ticker ticker;
 
@@ -40,8 +44,12 @@
     /** Records a crash that this or another instance has detected; returns false if it was known. */
     public boolean recordCrash(Crash crash) {
         CrashHistory history = crashesByFingerprint.computeIfAbsent(crash.fingerprint(), key -> new CrashHistory());
-        history.expiry = Deadline.afterMillis(ticker.nanos(), RETENTION_MILLIS);
-        return history.boots.add(crash.boot());
+        boolean isNew = history.boots.add(crash.boot());
+        if (isNew) {
+            history.blockEnd = Deadline.afterMillis(ticker.nanos(), BLOCK_MILLIS);
+            history.expiry = Deadline.afterMillis(ticker.nanos(), RETENTION_MILLIS);
+        }
+        return isNew;
     }
 
     /** Records that a server has run a request to its end: what crashed others was not this request. */
@@ -61,9 +69,12 @@
         }
     }
 
-    /** Returns whether a request has crashed so many servers that it must not be sent to another. */
-    public boolean isBlocked(String fingerprint) {
-        return crashCount(fingerprint) >= CRASHES_TO_BLOCK;
+    /** Returns until when a request must not be sent because it has crashed servers; empty if it may be sent. */
+    public Optional<Deadline> blockedUntil(String fingerprint) {
+        return crashCount(fingerprint) < CRASHES_TO_BLOCK
+                ? Optional.empty()
+                : Optional.of(crashesByFingerprint.get(fingerprint).blockEnd)
+                        .filter(end -> !end.hasPassed(ticker.nanos()));
     }
 
     /** Returns the number of servers that a request has crashed, as far as it is known here. */
@@ -107,6 +118,8 @@
     private static final class CrashHistory {
         private final Set<String> boots = new HashSet<>();
 
+        private Deadline blockEnd;
+
         private Deadline expiry;
     }
 }
--- a/src/test/java/org/verbenatray/resilience/CrashExchangeTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashExchangeTest.java
@@ -121,7 +121,7 @@
         finder.find(CRASH);
         time.advanceMillis(1_200);
         int writes = log.writes();
-        for (int second = 0; second < 200; second++) {
+        for (int second = 0; second < 700; second++) {
             time.advanceMillis(1_000);
             finder.exchange.onExpired(finder.ledger.removeExpired());
             other.exchange.onExpired(other.ledger.removeExpired());
--- a/src/test/java/org/verbenatray/resilience/CrashLedgerTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashLedgerTest.java
@@ -12,10 +12,10 @@
     @Test
     public void aRequestThatCrashedThreeServersIsBlocked() {
         for (int server = 0; server < 3; server++) {
-            Assert.assertFalse(ledger.isBlocked("bad"));
+            Assert.assertFalse(isBlocked("bad"));
             ledger.recordCrash(new Crash("bad", "s" + server + "@1"));
         }
-        Assert.assertTrue(ledger.isBlocked("bad"));
+        Assert.assertTrue(isBlocked("bad"));
         Assert.assertEquals(ledger.crashCount("bad"), 3);
     }
 
@@ -24,9 +24,9 @@
         Assert.assertTrue(ledger.recordCrash(new Crash("told", "a@1")));
         Assert.assertFalse(ledger.recordCrash(new Crash("told", "a@1")));
         ledger.recordCrash(new Crash("told", "b@1"));
-        Assert.assertFalse(ledger.isBlocked("told"));
+        Assert.assertFalse(isBlocked("told"));
         ledger.recordCrash(new Crash("told", "c@1"));
-        Assert.assertTrue(ledger.isBlocked("told"));
+        Assert.assertTrue(isBlocked("told"));
     }
 
     /** A request that was merely there when servers went down was counted against for two minutes. */
@@ -39,6 +39,19 @@
         Assert.assertEquals(ledger.crashCount("innocent"), 1);
     }
 
+    /** Two minutes after its third crash, a request could crash three more servers. */
+    @Test
+    public void oneMoreCrashAfterTheBlockBlocksAgain() {
+        for (int server = 0; server < 3; server++) {
+            ledger.recordCrash(new Crash("bad", "s" + server + "@1"));
+        }
+        time.advanceMillis(130_000);
+        ledger.removeExpired();
+        Assert.assertFalse(isBlocked("bad"));
+        ledger.recordCrash(new Crash("bad", "s3@1"));
+        Assert.assertTrue(isBlocked("bad"));
+    }
+
     @Test
     public void crashesExpire() {
         for (int server = 0; server < 3; server++) {
@@ -46,6 +59,10 @@
         }
         time.advanceMillis(600_000);
         ledger.removeExpired();
-        Assert.assertFalse(ledger.isBlocked("old"));
+        Assert.assertFalse(isBlocked("old"));
+    }
+
+    private boolean isBlocked(String fingerprint) {
+        return ledger.blockedUntil(fingerprint).isPresent();
     }
 }
