Say 504, not 503, at the deadline of a request that a decode engine has

A caller could be told that its request has not run while a decode engine was running it. Cause: GenerationRelay.handleDeadline inferred from the prompt's state whether the attempt under way was a prefill, and after a failed or expired prefill it took a decode attempt for one. The attempt itself knows. Seen only where the deadline timer fires before the attempt's own, both due in the same millisecond.

Evidence: StreamRelayTest.aRequestThatADecodeEngineHasAtTheDeadlineIsNotCalledNotRunAfterAFailedPrefill with 16 requests, red before (503 for a request that the engine had), green now; with a single request the test was green before too, by the order of the two timers.

--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -112,6 +112,11 @@
         return sendingStarted;
     }
 
+    /** Returns whether the server only does the prefill, so that the request does not run there. */
+    boolean prefillOnly() {
+        return options.prefillOnly();
+    }
+
     /** Cancels the attempt without reporting an outcome; a request that is not yet sent is never sent. */
     void cancel() {
         if (!closed) {
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -367,10 +367,8 @@
             return;
         }
         if (attempt != null) {
-            boolean mayRun = attempt.sendingStarted() && prefilledPrompt != null
-                    || attempt.sendingStarted() && triedPrefillEngines.isEmpty();
             attempt.cancel();
-            if (mayRun || call.response().started()) {
+            if (attempt.sendingStarted() && !attempt.prefillOnly()) {
                 call.recordPossibleRun();
             }
             attempt = null;
--- a/src/test/java/org/verbenatray/platform/StreamRelayTest.java
+++ b/src/test/java/org/verbenatray/platform/StreamRelayTest.java
@@ -1,6 +1,11 @@
 package org.verbenatray.platform;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -121,6 +126,41 @@
         }
     }
 
+    /** After a failed prefill, a decode engine that had the request at the deadline was taken not to have run it. */
+    @Test
+    public void aRequestThatADecodeEngineHasAtTheDeadlineIsNotCalledNotRunAfterAFailedPrefill() throws Exception {
+        Script failing = (request, connection, out) -> out.write(ScriptedServer.response(request, 500, "", ""));
+        Script silent = (request, connection, out) -> {};
+        try (ScriptedServer prefill = ScriptedServer.start(failing);
+                ScriptedServer decode = ScriptedServer.start(silent);
+                RelayFixture relay = RelayFixture.startReady(
+                        ServerListing.engine("e1", "prefill", prefill), ServerListing.engine("e2", "decode", decode))) {
+            Map<String, String> responses = IntStream.range(0, 16)
+                    .mapToObj(number -> "id" + number)
+                    .parallel()
+                    .collect(Collectors.toConcurrentMap(id -> id, id -> exchangeWithin(relay, id, 1_500)));
+            Assert.assertFalse(postedIds(decode).isEmpty());
+            postedIds(decode)
+                    .forEach(id -> Assert.assertTrue(responses.get(id).startsWith("HTTP/1.1 504"), responses.get(id)));
+        }
+    }
+
+    private static String exchangeWithin(RelayFixture relay, String id, long timeoutMillis) {
+        String request = RelayFixture.postRequest("/stream/x", id, LONG, "p");
+        try {
+            return relay.exchange(request.replace("Deadline-Ms: 3000", "Deadline-Ms: " + timeoutMillis));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static List<String> postedIds(ScriptedServer engine) {
+        return engine.requests().stream()
+                .filter(request -> request.line().startsWith("POST"))
+                .map(request -> request.header("request-id"))
+                .toList();
+    }
+
     /** Returns a script that sends a complete stream of two events. */
     private static Script completeStream() {
         return (request, connection, out) -> {
