Look at generation requests only in the test of the false 503

The test of the commit before also counted the order that changes an engine's stage, which is a POST without a request id, and so failed by itself.

--- a/src/test/java/org/verbenatray/platform/StreamRelayTest.java
+++ b/src/test/java/org/verbenatray/platform/StreamRelayTest.java
@@ -156,7 +156,7 @@
 
     private static List<String> postedIds(ScriptedServer engine) {
         return engine.requests().stream()
-                .filter(request -> request.line().startsWith("POST"))
+                .filter(request -> request.line().startsWith("POST /stream"))
                 .map(request -> request.header("request-id"))
                 .toList();
     }
