Do not count dispatches that reach no running engine, and wait for one

A caller whose request lost its engine through no fault of its own was told SERVER_FAILED after 1.3 to 2.3 s while the engines took 2 s to restart (KNOWN-RED, EnginesDownTest). Cause: dispatches to engines that were still down, refused or broken off at once, used up the four dispatches before the wait for an engine began.

Now DispatchLimit, taken out of StreamRelay, leaves out dispatches that could not connect and those to an engine that is known to have crashed and was not seen again; they take no retry of the throttle either. The wait of 5 s and the deadline bound them.

--- a/src/main/java/org/verbenatray/serving/StreamRelay.java
+++ b/src/main/java/org/verbenatray/serving/StreamRelay.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
-import java.util.function.BooleanSupplier;
 import org.verbenatray.explain.Trace;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.servers.EngineChunk;
@@ -51,9 +50,6 @@
     /** The I/O thread of the request. */
     private final XnioIoThread thread;
 
-    /** Takes one retry from the retry throttle; returns false when it allows none. */
-    private final BooleanSupplier tryAcquireRetry;
-
     private final Metrics metrics;
     private final StreamRelayTrace trace;
 
@@ -94,7 +90,7 @@
     /** The end of the wait for an available engine, empty while the request does not wait. */
     private Optional<Deadline> engineWaitDeadline = Optional.empty();
 
-    private int dispatchCount;
+    private final DispatchLimit limit;
 
     /** The number of relayed tokens from which on a crash of the engine is probably not caused by this request. */
     private int progressThreshold;
@@ -124,7 +120,7 @@
         this.settings = context.settings();
         this.timers = context.timers();
         this.ticker = context.ticker();
-        this.tryAcquireRetry = context.tryAcquireRetry();
+        this.limit = DispatchLimit.create(settings.maxDispatches(), context.tryAcquireRetry());
         this.metrics = context.metrics();
         this.sink = sink;
         this.trace = new StreamRelayTrace(trace);
@@ -153,7 +149,7 @@
 
     /** Returns the number of dispatches so far. */
     int dispatchCount() {
-        return dispatchCount;
+        return limit.dispatchCount();
     }
 
     /** Dispatches the request, or the rest of it, or sets a timer where it has to wait. */
@@ -166,6 +162,7 @@
         if (decision instanceof DispatchDecision.Send send) {
             dispatchTo(send.dispatch());
         } else if (decision instanceof DispatchDecision.Wait wait) {
+            engineWaitDeadline = Optional.empty();
             trace.recordHeldBack();
             timer.cancel();
             timer = timers.at(thread, wait.retryAt(), this::dispatchWhenAllowed);
@@ -178,10 +175,8 @@
 
     /** Dispatches the request, or the rest of it, to the chosen engine. */
     private void dispatchTo(EngineDispatch chosen) {
-        engineWaitDeadline = Optional.empty();
         engineDispatch = chosen;
-        dispatchCount++;
-        trace.recordDispatch(dispatchCount, chosen, emittedTokens);
+        trace.recordDispatch(limit.recordDispatch(guard.isDown(firstEngine())), chosen, emittedTokens);
         progressThreshold = emittedTokens + PROGRESS_TOKENS;
         dispatchId = UUID.randomUUID().toString();
         GenerateRequest generate = new GenerateRequest(
@@ -201,9 +196,8 @@
     /** Sends a dispatch to the prefill engine if there is one, otherwise to the engine that runs all of it. */
     private void send(GenerateRequest generate) {
         Listener listener = new Listener(++connectionNumber);
-        Optional<String> prefillEngine = engineDispatch.prefillEngine();
-        engine = prefillEngine.orElse(engineDispatch.engine());
-        if (prefillEngine.isPresent()) {
+        engine = firstEngine();
+        if (engineDispatch.prefillEngine().isPresent()) {
             engineAddress = engineDispatch.prefillAddress();
             engineCall = engineClient.prefill(engineAddress, generate, thread, listener);
         } else {
@@ -212,6 +206,11 @@
         }
     }
 
+    /** Returns the engine to which the current dispatch is sent first. */
+    private String firstEngine() {
+        return engineDispatch.prefillEngine().orElse(engineDispatch.engine());
+    }
+
     /** Hands the KV cache of the prompt over to the decode engine. */
     private void importKv(String kv) {
         String prefillAddress = engineAddress;
@@ -238,6 +237,7 @@
             return;
         }
         mayHaveRun = true;
+        engineWaitDeadline = Optional.empty();
         lastProgressNanos = ticker.nanos();
         if (chunk.offset() > emittedTokens) {
             metrics.recordDroppedChunk("gap");
@@ -351,8 +351,7 @@
         engineCall.cancel();
         releasePrefill();
         engineDispatch.onFailure(engine, failure);
-        boolean neverRan = failure.kind() == ServerFailure.Kind.LEAVING || failure.kind() == ServerFailure.Kind.FULL;
-        if (dispatchCount >= settings.maxDispatches() || !(neverRan || tryAcquireRetry.getAsBoolean())) {
+        if (!limit.tryReserveAnother(failure.kind())) {
             fail(StreamRelayRefusals.serversFailed(failure, mayHaveRun));
             return;
         }
--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -247,7 +247,7 @@
      * Returns whether an engine crashed recently and has not been seen with a new incarnation; any request sent to it
      * would fail.
      */
-    private boolean isDown(String engine) {
+    synchronized boolean isDown(String engine) {
         String incarnation = engine + "@" + fleet.incarnation(engine);
         long since = timing.clock().millis() - DOWN_MILLIS;
         return table.entries().stream()
