Let an instance's own reservation for an isolated run expire

An engine that an instance had reserved for a suspect whose end was never recorded got no other work from it for good: only the reservations of peers were compared with their time.

Test: SuspectTableTest.anOwnReservationExpires, red before (s2 still reserved), green now.

--- a/src/main/java/org/verbenatray/suspects/SuspectTable.java
+++ b/src/main/java/org/verbenatray/suspects/SuspectTable.java
@@ -218,12 +218,10 @@
         return entry.blockedUntilMillis();
     }
 
-    /** Returns the isolated runs of this instance and the unexpired ones of its peerDigests. */
+    /** Returns the isolated runs of this instance and of its peers that have not expired. */
     private Stream<IsolatedRun> activeIsolatedRuns(long nowMillis) {
-        Stream<IsolatedRun> others = peerDigests.values().stream()
-                .flatMap(peer -> peer.isolatedRuns().stream())
-                .filter(run -> nowMillis < run.untilMillis());
-        return Stream.concat(isolatedRuns.values().stream(), others);
+        Stream<IsolatedRun> others = peerDigests.values().stream().flatMap(peer -> peer.isolatedRuns().stream());
+        return Stream.concat(isolatedRuns.values().stream(), others).filter(run -> nowMillis < run.untilMillis());
     }
 
     /** Returns the rendezvous hash of a fingerprint and a server; all instances prefer the server with the greatest. */
--- a/src/test/java/org/verbenatray/suspects/SuspectTableTest.java
+++ b/src/test/java/org/verbenatray/suspects/SuspectTableTest.java
@@ -51,6 +51,15 @@
         assertTrue(two.decide(REQUEST, SERVERS, 6) instanceof QuarantineDecision.RunIsolated);
     }
 
+    /** Only the reservations of peers expired, not an instance's own. */
+    @Test
+    public void anOwnReservationExpires() {
+        SuspectTable table = crashedOnce("one");
+        table.reserve(REQUEST, "s2", 5);
+        assertEquals(table.reservedServers(504), Set.of("s2"));
+        assertTrue(table.reservedServers(505).isEmpty());
+    }
+
     @Test
     public void twoSuspectsNeverShareAServer() {
         SuspectTable table = crashedOnce("one");
