Log a failing write of crash records once, not each time

Found while reading the change: each retry within an outage of the store left a line, up to ten a second and instance. Now one line tells the first failure of a row. No decision changes.

--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -78,6 +78,9 @@
 
     private volatile boolean loaded;
 
+    /** Whether the last write succeeded; limits the log to one line for consecutive failures. */
+    private boolean writable = true;
+
     private CrashExchange(
             KeyedLog records, CrashLedger ledger, DoubleSupplier random, Ticker ticker, Scheduler scheduler) {
         this.records = records;
@@ -202,16 +205,17 @@
             if (failure == null) {
                 toWrite.forEach(this::recordWritten);
                 toDelete.forEach(deletions::remove);
-                return;
+            } else if (writable) {
+                Event.named("crash_not_written")
+                        .with("crashes", toWrite.size())
+                        .with("why", failure.getMessage())
+                        .log(log, Level.WARNING);
             }
-            Event.named("crash_not_written")
-                    .with("crashes", toWrite.size())
-                    .with("why", failure.getMessage())
-                    .log(log, Level.INFO);
+            writable = failure == null;
         });
     }
 
-    /** Returns the crashes that are due, and postpones them to the next attempt in case that this one fails. */
+    /** Returns the crashes that are due, at most one batch, and postpones them to the next attempt in case that this one fails. */
     private List<Crash> takeDue(Map<Crash, Deadline> pending) {
         long now = ticker.nanos();
         List<Crash> due = pending.entrySet().stream()
