--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -215,7 +215,7 @@
         });
     }
 
-    /** Returns the crashes that are due, at most one batch, and postpones them to the next attempt in case that this one fails. */
+    /** Returns the crashes that are due, at most one batch, and postpones them in case that this attempt fails. */
     private List<Crash> takeDue(Map<Crash, Deadline> pending) {
         long now = ticker.nanos();
         List<Crash> due = pending.entrySet().stream()
