--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -366,14 +366,14 @@
     }
 
     /** Reads the state of the process on its event loop. */
-    public CompletableFuture<State> readState() {
-        CompletableFuture<State> result = new CompletableFuture<>();
+    public CompletableFuture<RelayInstanceState> readState() {
+        CompletableFuture<RelayInstanceState> result = new CompletableFuture<>();
         loop.thread().execute(() -> result.complete(state()));
         return result;
     }
 
-    private State state() {
-        return new State(
+    private RelayInstanceState state() {
+        return new RelayInstanceState(
                 settings.name(),
                 isReady(),
                 catalog.get().map(Catalog::version).orElse(0L),
@@ -382,17 +382,9 @@
                 handler.openRequests(),
                 sharing.peerCount(),
                 crashes.crashCounts(),
-                directory.all().stream().map(RelayInstance::stateOf).toList());
-    }
-
-    private static BackendState stateOf(Backend backend) {
-        return new BackendState(
-                backend.entry().bootId(),
-                backend.entry().service(),
-                backend.entry().stage().name(),
-                backend.leaving(),
-                backend.openRequests(),
-                backend.failureRate());
+                directory.all().stream()
+                        .map(RelayInstanceState.BackendState::of)
+                        .toList());
     }
 
     /** Applies changed routes. */
@@ -445,41 +437,4 @@
             cutOffDetector.onListUnreachable();
         }
     }
-
-    /**
-     * The state of the process.
-     *
-     * @param instance the name of the instance
-     * @param ready whether it accepts requests
-     * @param routesVersion the version of the routes in force, zero for none
-     * @param routesAgeMillis the time for which they have been in force, in milliseconds
-     * @param graceMillis the grace period for stopping, in milliseconds
-     * @param openRequests the number of requests without a final response
-     * @param peers the number of instances with which it exchanges its open work
-     * @param crashes the number of servers that ended under a request, by the fingerprint of the request
-     * @param backends the backend servers
-     */
-    public record State(
-            String instance,
-            boolean ready,
-            long routesVersion,
-            long routesAgeMillis,
-            long graceMillis,
-            int openRequests,
-            int peers,
-            Map<String, Integer> crashes,
-            List<BackendState> backends) {}
-
-    /**
-     * The state of a backend server.
-     *
-     * @param boot the id of one start of the server
-     * @param service the service
-     * @param stage the stage of generation that it serves, or PLAIN
-     * @param leaving whether it accepts no new requests
-     * @param open the number of open requests that this instance sent to it
-     * @param failureShare the moving average of the share of failed responses
-     */
-    public record BackendState(
-            String boot, String service, String stage, boolean leaving, int open, double failureShare) {}
 }
