Tell how each request that was read whole has ended

The logs could not tell the hypotheses apart: a request that never ends left no line, status=0 did not say which side ended a stream, and a connection that we closed ourselves (1 MiB of backlog) was logged as caller_left.

Each request that was read whole now ends in exactly one of six ways (RequestEnd), which stands in its line, in two counters that must agree with the gauge of open requests, in the state dump and in the line of the stop. No decision changes.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -242,7 +242,8 @@
         done.join();
         Event.named("stopped")
                 .with("instance", settings.name())
-                .with("open", handler.openRequests())
+                .with("open", handler.counts().open())
+                .with("ends", handler.counts().ends())
                 .with("ms", (loop.ticker().nanos() - start) / 1_000_000)
                 .log(log, Level.INFO);
     }
@@ -272,7 +273,7 @@
     /** Completes the future when no request is open after the earliest time, or at the latest time. */
     private void pollUntilDrained(Deadline earliest, Deadline latest, CompletableFuture<Void> done) {
         long now = loop.ticker().nanos();
-        if (latest.hasPassed(now) || earliest.hasPassed(now) && handler.openRequests() == 0) {
+        if (latest.hasPassed(now) || earliest.hasPassed(now) && handler.counts().open() == 0) {
             done.complete(null);
             return;
         }
@@ -379,7 +380,9 @@
                 catalog.get().map(Catalog::version).orElse(0L),
                 catalog.get().isPresent() ? catalog.ageMillis() : 0,
                 settings.graceMillis(),
-                handler.openRequests(),
+                handler.counts().open(),
+                handler.counts().read(),
+                handler.counts().ends(),
                 sharing.peerCount(),
                 crashes.crashCounts(),
                 directory.all().stream()
--- a/src/main/java/org/verbenatray/instance/RelayInstanceState.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstanceState.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.relay.RequestEnd;
 
 /**
  * The state of a relay instance, served as JSON under these names.
@@ -12,7 +13,9 @@
  * @param routesVersion the version of the routes in force, zero for none
  * @param routesAgeMillis the time for which they have been in force, in milliseconds
  * @param graceMillis the grace period for stopping, in milliseconds
- * @param openRequests the number of requests without a final response
+ * @param openRequests the number of requests that were read whole and have not ended
+ * @param readRequests the number of requests that were read whole since the start
+ * @param requestEnds the number of requests that have ended since the start, by how they ended
  * @param peers the number of instances with which it exchanges its open work
  * @param crashes the number of servers that ended under a request, by the fingerprint of the request
  * @param backends the backend servers
@@ -24,6 +27,8 @@
         long routesAgeMillis,
         long graceMillis,
         int openRequests,
+        long readRequests,
+        Map<RequestEnd, Long> requestEnds,
         int peers,
         Map<String, Integer> crashes,
         List<BackendState> backends) {
--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -10,6 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -24,8 +25,8 @@
     private final HttpServerExchange exchange;
     private final Deque<ByteBuffer> backlog = new ArrayDeque<>();
 
-    /** Runs when the caller disconnects before the response is complete. */
-    private Runnable disconnectListener = () -> {};
+    /** Notified when the connection ends before the response is complete, unless by {@link #abort}. */
+    private Consumer<DisconnectCause> disconnectListener = cause -> {};
 
     /** The channel of a stream; null before the stream starts. */
     private StreamSinkChannel channel;
@@ -63,11 +64,11 @@
     }
 
     /**
-     * Sets the action that runs when the caller closes its connection before the response is complete, and starts to
-     * watch the connection.
+     * Sets the listener that is notified when the connection ends before the response is complete, and starts to watch
+     * the connection.
      */
-    void onDisconnect(Runnable action) {
-        disconnectListener = action;
+    void onDisconnect(Consumer<DisconnectCause> listener) {
+        disconnectListener = listener;
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
             connection.getChannel().getSourceChannel().setReadListener(readable -> checkConnection(connection));
             connection.getOriginalSourceConduit().resumeReads();
@@ -99,7 +100,7 @@
         backlog.addLast(ByteBuffer.wrap(bytes));
         backlogBytes += bytes.length;
         if (backlogBytes > MAX_BACKLOG_BYTES) {
-            disconnect();
+            disconnect(DisconnectCause.BACKLOG_FULL);
             return;
         }
         drain();
@@ -159,7 +160,7 @@
                 awaitWritable(channel);
             }
         } catch (IOException e) {
-            disconnect();
+            disconnect(DisconnectCause.CONNECTION_BROKEN);
         }
     }
 
@@ -200,10 +201,12 @@
         }
         PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
         int count;
+        DisconnectCause cause = DisconnectCause.CALLER_CLOSED;
         try {
             count = connection.getOriginalSourceConduit().read(pooled.getBuffer());
         } catch (IOException e) {
             count = -1;
+            cause = DisconnectCause.CONNECTION_BROKEN;
         }
         if (count > 0) {
             pooled.getBuffer().flip();
@@ -213,7 +216,7 @@
         }
         pooled.close();
         if (count < 0) {
-            disconnect();
+            disconnect(cause);
         }
     }
 
@@ -225,11 +228,21 @@
     }
 
     /** Closes the connection and notifies the listener. */
-    private void disconnect() {
+    private void disconnect(DisconnectCause cause) {
         if (!closed) {
             closed = true;
             IoUtils.safeClose(exchange.getConnection());
-            disconnectListener.run();
+            disconnectListener.accept(cause);
         }
     }
+
+    /** Why a connection ended before the response was complete. */
+    enum DisconnectCause {
+        /** The caller closed its connection. */
+        CALLER_CLOSED,
+        /** The connection broke. */
+        CONNECTION_BROKEN,
+        /** The caller read its response so slowly that the limit of buffered bytes was reached. */
+        BACKLOG_FULL
+    }
 }
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -11,6 +11,7 @@
 import org.verbenatray.catalog.EngineLimits;
 import org.verbenatray.placement.PrefillPlan;
 import org.verbenatray.placement.PromptShape;
+import org.verbenatray.relay.CallerResponse.DisconnectCause;
 import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.time.Deadline;
 import org.xnio.XnioIoThread;
@@ -377,14 +378,14 @@
     }
 
     /** Cancels the running attempt when the caller has disconnected. */
-    private void callerDisconnected() {
+    private void callerDisconnected(DisconnectCause cause) {
         deadlineTimer.remove();
         if (attempt != null) {
             attempt.cancel();
             attempt = null;
         }
         releasePrefilledPrompt();
-        call.callerDisconnected();
+        call.callerDisconnected(cause);
     }
 
     /** Releases a prefilled prompt that no decode engine has fetched. */
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -8,6 +8,7 @@
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.PrefillWork;
+import org.verbenatray.relay.CallerResponse.DisconnectCause;
 import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.time.Deadline;
 import org.xnio.XnioIoThread;
@@ -167,10 +168,10 @@
     }
 
     /** Cancels the running attempt, if it may be cancelled, when the caller has disconnected. */
-    private void callerDisconnected() {
+    private void callerDisconnected(DisconnectCause cause) {
         deadlineTimer.remove();
         cancelAttempt();
-        call.callerDisconnected();
+        call.callerDisconnected(cause);
     }
 
     /**
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -9,10 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.catalog.Route;
+import org.verbenatray.relay.CallerResponse.DisconnectCause;
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
@@ -46,8 +48,8 @@
 
     private final double millisSinceFirstAttempt;
 
-    /** Runs once, after the final response. */
-    private final Runnable onFinished;
+    /** Notified once, of how the request has ended. */
+    private final Consumer<RequestEnd> onFinished;
 
     /** Attempts and further fields, for the log line of the final response. */
     private final StringBuilder logFields = new StringBuilder();
@@ -58,6 +60,9 @@
     /** Attempts in which the request may have run. */
     private int possibleRuns;
 
+    /** How the last attempt ended, null before that. */
+    private ForwardOutcome.Kind lastOutcome;
+
     /** When the first byte of the response was relayed, in nanoseconds of the ticker; zero before that. */
     private long firstByteNanos;
 
@@ -71,7 +76,7 @@
             long catalogVersion,
             Deadline deadline,
             CallerResponse response,
-            Runnable onFinished) {
+            Consumer<RequestEnd> onFinished) {
         this.context = context;
         this.request = request;
         this.route = route;
@@ -222,6 +227,7 @@
 
     /** Records the outcome of an attempt, for the retry rules and for the health of the server. */
     void recordOutcome(ForwardAttempt attempt, ForwardOutcome outcome, boolean countsAsRun) {
+        lastOutcome = outcome.kind();
         recordServerOutcome(attempt.backend(), outcome);
         if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT) {
             return;
@@ -249,7 +255,7 @@
         }
         recordFirstByte();
         response.send(head.status(), withConnectionHeader(head.headers()), outcome.body());
-        finish("answered", head.status());
+        finish(RequestEnd.ANSWERED, "answered", head.status());
     }
 
     /** Relays the next event of a stream to the caller. */
@@ -267,7 +273,7 @@
             response.startStream(head.status(), withConnectionHeader(head.headers()));
         }
         response.endStream();
-        finish("answered", head.status());
+        finish(RequestEnd.ANSWERED, "answered", head.status());
     }
 
     /**
@@ -278,19 +284,32 @@
         if (finished) {
             return;
         }
+        boolean deadlinePassed = deadline.hasPassed(context.ticker().nanos());
         if (response.started()) {
             response.abort();
-            finish(outcome, 0);
+            finish(cutEnd(deadlinePassed), outcome, 0);
         } else if (possibleRuns > 0) {
-            sendOwnResponse(deadline.hasPassed(context.ticker().nanos()) ? 504 : 502, outcome, Optional.empty());
+            sendOwnResponse(deadlinePassed ? 504 : 502, outcome, Optional.empty());
         } else {
             sendOwnResponse(503, outcome, Optional.of(retryAfterMillis));
         }
     }
 
-    /** Finishes the call of a caller that has disconnected. */
-    void callerDisconnected() {
-        finish("caller_left", 0);
+    /** Returns how a response that had begun and was cut has ended. */
+    private RequestEnd cutEnd(boolean deadlinePassed) {
+        if (deadlinePassed) {
+            return RequestEnd.CUT_AT_DEADLINE;
+        }
+        return lastOutcome == ForwardOutcome.Kind.SILENT ? RequestEnd.CUT_BY_INSTANCE : RequestEnd.CUT_BY_SERVER;
+    }
+
+    /** Finishes the call after its connection to the caller has ended. */
+    void callerDisconnected(DisconnectCause cause) {
+        if (cause == DisconnectCause.BACKLOG_FULL) {
+            finish(RequestEnd.CUT_BY_INSTANCE, "backlog_full", 0);
+            return;
+        }
+        finish(RequestEnd.CALLER_LEFT, "caller_left", 0);
     }
 
     /** Records that the request may have run in an attempt without an outcome. */
@@ -303,7 +322,7 @@
     private void sendOwnResponse(int status, String outcome, Optional<Long> retryAfterMillis) {
         response.send(
                 status, ownResponseHeaders(retryAfterMillis), (outcome + "\n").getBytes(StandardCharsets.US_ASCII));
-        finish(outcome, status);
+        finish(RequestEnd.REFUSED, outcome, status);
     }
 
     /** Returns the headers of a response produced by this instance. */
@@ -362,7 +381,7 @@
     }
 
     /** Finishes the call: writes its log line and its metrics, once. */
-    private void finish(String outcome, int status) {
+    private void finish(RequestEnd end, String outcome, int status) {
         if (finished) {
             return;
         }
@@ -376,6 +395,7 @@
                 .with("service", service)
                 .with("outcome", outcome)
                 .with("status", status)
+                .with("end", end.label())
                 .with("ms", (now - request.receivedNanos()) / 1_000_000);
         if (firstByteNanos > 0) {
             event.with("first_ms", (firstByteNanos - request.receivedNanos()) / 1_000_000);
@@ -387,6 +407,6 @@
         event.with("left_ms", deadline.remainingMillis(now))
                 .with("tried", logFields.toString().trim());
         event.log(log, Level.INFO);
-        onFinished.run();
+        onFinished.accept(end);
     }
 }
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -32,11 +32,11 @@
 
     private final RelayContext context;
 
-    /** Number of requests without a final response. */
-    private int openRequests;
+    private final RequestCounts counts;
 
     private RelayHandler(RelayContext context) {
         this.context = context;
+        this.counts = RequestCounts.create(context.metrics());
     }
 
     /** Creates a handler. */
@@ -44,9 +44,9 @@
         return new RelayHandler(context);
     }
 
-    /** Returns the number of requests without a final response. */
-    public int openRequests() {
-        return openRequests;
+    /** Returns the counts of the requests that were read whole and of their ends. */
+    public RequestCounts counts() {
+        return counts;
     }
 
     @Override
@@ -101,16 +101,17 @@
 
     /** Matches the route of a request and starts relaying it. */
     private void startRelay(HttpServerExchange exchange, byte[] body, long receivedNanos) {
+        counts.recordRead();
         Optional<RelayRequest> parsedRequest = context.dialect().readRequest(exchange, body, receivedNanos);
         if (parsedRequest.isEmpty()) {
-            reject(exchange, 400, "the request carries no id", 0);
+            refuse(exchange, 400, "the request carries no id");
             return;
         }
         RelayRequest request = parsedRequest.get();
         Catalog catalog = context.catalog().get().orElseThrow();
         Optional<Route> matchedRoute = catalog.match(request.host(), request.path());
         if (matchedRoute.isEmpty()) {
-            reject(exchange, 404, "no route of version " + catalog.version() + " matches this host and path", 0);
+            refuse(exchange, 404, "no route of version " + catalog.version() + " matches this host and path");
             return;
         }
         Route route = matchedRoute.get();
@@ -118,10 +119,8 @@
         if (request.deadline().isPresent() && request.deadline().get().atNanos() - deadline.atNanos() < 0) {
             deadline = request.deadline().get();
         }
-        openRequests++;
-        context.metrics().setOpenRequests(openRequests);
         RelayCall call = new RelayCall(
-                context, request, route, catalog.version(), deadline, CallerResponse.to(exchange), this::callFinished);
+                context, request, route, catalog.version(), deadline, CallerResponse.to(exchange), counts::recordEnd);
         context.retryBudgets().apply(call.service()).recordRequest();
         if (call.crashesServers()) {
             call.giveUpCrashing();
@@ -132,9 +131,10 @@
         }
     }
 
-    private void callFinished() {
-        openRequests--;
-        context.metrics().setOpenRequests(openRequests);
+    /** Refuses a request that was read whole. */
+    private void refuse(HttpServerExchange exchange, int status, String reason) {
+        reject(exchange, status, reason, 0);
+        counts.recordEnd(RequestEnd.REFUSED);
     }
 
     /** Responds to a request that is not relayed. */
--- a/src/main/java/org/verbenatray/relay/RelayMetrics.java
+++ b/src/main/java/org/verbenatray/relay/RelayMetrics.java
@@ -44,6 +44,17 @@
             .classicUpperBounds(BUCKET_BOUNDS_SECONDS)
             .register(registry);
 
+    private final Counter requestsRead = Counter.builder()
+            .name("verbenatray_relay_requests_read_total")
+            .help("Requests of callers that were read whole.")
+            .register(registry);
+
+    private final Counter requestEnds = Counter.builder()
+            .name("verbenatray_relay_request_ends_total")
+            .help("Requests that were read whole and have ended, by how they ended.")
+            .labelNames("end")
+            .register(registry);
+
     private final Gauge openRequests = Gauge.builder()
             .name("verbenatray_relay_open_requests")
             .help("Requests without a final response.")
@@ -88,8 +99,18 @@
         firstByte.labelValues(kind).observe(seconds);
     }
 
+    /** Counts a request that was read whole. */
+    void recordRequestRead() {
+        requestsRead.inc();
+    }
+
+    /** Counts the end of a request, by how it ended. */
+    void recordRequestEnd(String end) {
+        requestEnds.labelValues(end).inc();
+    }
+
     /** Sets the number of open requests. */
-    public void setOpenRequests(int count) {
+    void setOpenRequests(int count) {
         openRequests.set(count);
     }
 
