--- /dev/null
+++ b/src/test/java/org/verbenatray/platform/PausingServerTest.java
@@ -0,0 +1,163 @@
+package org.verbenatray.platform;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+import org.verbenatray.platform.RelayFixture.ServerListing;
+import org.verbenatray.platform.ScriptedServer.Request;
+import org.verbenatray.platform.ScriptedServer.Script;
+
+/** Sound servers that make a pause of more than a second and go on: their requests must not be lost. */
+public final class PausingServerTest {
+    private static final String SHORT = "Token-Count: 10,5\r\nPrompt-Prefix: ab:10\r\n";
+
+    private static final long PAUSE_MILLIS = 1_300;
+
+    /** The allowed retries per request with which two requests earn one retry. */
+    private static final String ONE_RETRY_IN_TWO_REQUESTS = "0.667";
+
+    @Test
+    public void aStreamIsNotCutAtAPauseOfTheOnlyEngine() throws Exception {
+        try (ScriptedServer engine = ScriptedServer.start(pausingAfterTheFirstEvent());
+                RelayFixture relay = RelayFixture.startReady(ServerListing.engine("e1", "decode", engine))) {
+            assertWhole(relay.exchange(RelayFixture.postRequest("/resume/x", "id1", SHORT, "p")));
+        }
+    }
+
+    @Test
+    public void aLateFirstEventOfTheOnlyEngineIsAwaited() throws Exception {
+        Script late = (request, connection, out) -> {
+            pause();
+            sendStream(request, out);
+        };
+        try (ScriptedServer engine = ScriptedServer.start(late);
+                RelayFixture relay = RelayFixture.startReady(ServerListing.engine("e1", "decode", engine))) {
+            assertWhole(relay.exchange(RelayFixture.postRequest("/resume/x", "id1", SHORT, "p")));
+        }
+    }
+
+    @Test
+    public void streamsAreNotCutAtAPauseWhenTheRetryBudgetIsSpent() throws Exception {
+        try (ScriptedServer first = ScriptedServer.start(pausingAfterTheFirstEvent());
+                ScriptedServer second = ScriptedServer.start(pausingAfterTheFirstEvent());
+                RelayFixture relay = RelayFixture.startReadyWithRetryRatio(
+                        ONE_RETRY_IN_TWO_REQUESTS,
+                        ServerListing.engine("e1", "decode", first),
+                        ServerListing.engine("e2", "decode", second))) {
+            List<String> responses = IntStream.range(0, 6)
+                    .mapToObj(number -> "id" + number)
+                    .parallel()
+                    .map(id -> exchange(relay, id))
+                    .toList();
+            responses.forEach(PausingServerTest::assertWhole);
+        }
+    }
+
+    @Test
+    public void aStreamThatAnotherEngineRefusesContinuesAtItsFirstEngine() throws Exception {
+        AtomicReference<String> firstEngine = new AtomicReference<>();
+        Script silentOnceThenRefusing = (request, connection, out) -> {
+            if (firstEngine.compareAndSet(null, request.header("expect-instance"))) {
+                out.write(ScriptedServer.streamHead(request));
+                out.write(ScriptedServer.eventChunk(1, "a"));
+            } else if (request.header("expect-instance").equals(firstEngine.get())) {
+                sendRest(request, out);
+            } else {
+                out.write(ScriptedServer.response(request, 503, "Not-Run: 1\r\n", ""));
+            }
+        };
+        try (ScriptedServer first = ScriptedServer.start(onlyForPosts(silentOnceThenRefusing));
+                ScriptedServer second = ScriptedServer.start(onlyForPosts(silentOnceThenRefusing));
+                RelayFixture relay = RelayFixture.startReady(
+                        ServerListing.engine("e1", "decode", first), ServerListing.engine("e2", "decode", second))) {
+            assertWhole(relay.exchange(RelayFixture.postRequest("/resume/x", "id1", SHORT, "p")));
+        }
+    }
+
+    @Test
+    public void aSafeRequestIsAnsweredAfterAPauseThoughTheOtherServerIsFull() throws Exception {
+        AtomicReference<String> firstServer = new AtomicReference<>();
+        Script pausing = (request, connection, out) -> {
+            if (firstServer.compareAndSet(null, request.header("expect-instance"))) {
+                pause();
+                out.write(ScriptedServer.okResponse(request, "whole"));
+            } else {
+                out.write(ScriptedServer.response(request, 503, "Not-Run: 1\r\n", ""));
+            }
+        };
+        try (ScriptedServer first = ScriptedServer.start(pausing);
+                ScriptedServer second = ScriptedServer.start(pausing);
+                RelayFixture relay =
+                        RelayFixture.startReady(ServerListing.plain("s1", first), ServerListing.plain("s2", second))) {
+            String response = relay.exchange(RelayFixture.getRequest("/safe/x", "id1"));
+            Assert.assertTrue(response.startsWith("HTTP/1.1 200") && response.endsWith("whole"), response);
+        }
+    }
+
+    private static String exchange(RelayFixture relay, String id) {
+        try {
+            return relay.exchange(RelayFixture.postRequest("/resume/x", id, SHORT, "p"));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void assertWhole(String response) {
+        Assert.assertTrue(response.startsWith("HTTP/1.1 200"), response);
+        Assert.assertTrue(response.contains("id: 1\n") && response.endsWith("0\r\n\r\n"), response);
+        Assert.assertEquals(response.split("id: 2\n", -1).length, 2, response);
+    }
+
+    /** Returns a script that sends one event, pauses and sends the rest; a resumed stream gets its rest at once. */
+    private static Script pausingAfterTheFirstEvent() {
+        return onlyForPosts((request, connection, out) -> {
+            if (!request.header("last-event-id").isEmpty()) {
+                sendRest(request, out);
+                return;
+            }
+            out.write(ScriptedServer.streamHead(request));
+            out.write(ScriptedServer.eventChunk(1, "a"));
+            out.flush();
+            pause();
+            out.write(ScriptedServer.eventChunk(2, "b"));
+            out.write(ScriptedServer.lastChunk());
+        });
+    }
+
+    /** Returns a script that gives the requests of callers to another script and leaves all others unanswered. */
+    private static Script onlyForPosts(Script script) {
+        return (Request request, Socket connection, OutputStream out) -> {
+            if (request.line().startsWith("POST")) {
+                script.serve(request, connection, out);
+            }
+        };
+    }
+
+    private static void sendStream(Request request, OutputStream out) throws IOException {
+        out.write(ScriptedServer.streamHead(request));
+        out.write(ScriptedServer.eventChunk(1, "a"));
+        out.write(ScriptedServer.eventChunk(2, "b"));
+        out.write(ScriptedServer.lastChunk());
+    }
+
+    private static void sendRest(Request request, OutputStream out) throws IOException {
+        out.write(ScriptedServer.streamHead(request));
+        out.write(ScriptedServer.eventChunk(2, "b"));
+        out.write(ScriptedServer.lastChunk());
+    }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -39,8 +39,12 @@
 
     /** Starts an instance with the given name that reaches the store at an address. */
     static RelayInstance startInstance(String storeAddress, String name) throws IOException {
+        return startWithSettings(settingsText(storeAddress).replace("nodeName=m1", "nodeName=" + name));
+    }
+
+    private static RelayInstance startWithSettings(String text) throws IOException {
         Path settings = Files.createTempFile("machine", ".conf");
-        Files.writeString(settings, settingsText(storeAddress).replace("nodeName=m1", "nodeName=" + name));
+        Files.writeString(settings, text);
         RelayInstance instance = RelayLauncher.start(settings, 0);
         Files.delete(settings);
         return instance;
@@ -48,12 +52,18 @@
 
     /** Starts an instance with routes and the given servers, and waits until it is ready. */
     static RelayFixture startReady(ServerListing... servers) throws Exception {
+        return startReadyWithRetryRatio("4", servers);
+    }
+
+    /** Starts an instance that may send the given number of retries per request, and waits until it is ready. */
+    static RelayFixture startReadyWithRetryRatio(String ratio, ServerListing... servers) throws Exception {
         FakeStore store = FakeStore.start();
         store.put("keyed.op", "config", configurationJson(1));
         for (ServerListing listed : servers) {
             store.put("keyed.servers", listed.id(), listed.entryJson("ready", 1));
         }
-        RelayFixture relay = start(store);
+        String settings = settingsText(store.address()).replace("budgetRatio=4", "budgetRatio=" + ratio);
+        RelayFixture relay = new RelayFixture(store, startWithSettings(settings));
         relay.await(relay.instance()::isReady);
         return relay;
     }
