Leave a silent server only if another can take its request

What callers saw: a stream that had begun was closed after 1 s of silence of its engine, or a request was answered 502 after 1 s (a plain one after twice its latency target), although the server was sound, only paused and went on.

Cause: silence ended the attempt, and only then was it looked for another engine, an attempt and a retry. With one engine, with the others full or with the retry budget spent there was none. Beside a change of the configuration that moves a route the budget of its new service is empty, which makes it likelier.

Why it works: the retry is reserved before the attempt is ended, in the same turn of the one I/O thread; if it cannot be reserved the attempt goes on.

PromptAdmission comes out of GenerationRelay unchanged, to keep that file readable.

--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -27,6 +27,9 @@
     /** Time after which the server is checked if it has not responded to a request that has crashed others. */
     private static final long SUSPECT_CHECK_MILLIS = 1_000;
 
+    /** Time after which a silent server that is awaited further is looked at again. */
+    private static final long SILENCE_RECHECK_MILLIS = 100;
+
     /** Age beyond which a load report is ignored. */
     private static final long MAX_LOAD_AGE_MILLIS = 2_500;
 
@@ -276,6 +279,13 @@
                 .orElse(false);
     }
 
+    /** Returns whether a silent server is awaited further: it is busy, or the request cannot be moved to another. */
+    private boolean awaitsSilentServer() {
+        return sendingStarted
+                && !timeouts.expired(context.ticker().nanos())
+                && (isBusy() || !listener.leavesSilentServer());
+    }
+
     /** Ends the attempt if the server has made no progress in time. */
     private void checkProgress() {
         if (closed) {
@@ -285,8 +295,8 @@
             scheduleProgressCheck();
             return;
         }
-        if (sendingStarted && isBusy() && !timeouts.expired(context.ticker().nanos())) {
-            recordProgress();
+        if (awaitsSilentServer()) {
+            progressDeadline = Deadline.afterMillis(context.ticker().nanos(), SILENCE_RECHECK_MILLIS);
             scheduleProgressCheck();
             return;
         }
--- a/src/main/java/org/verbenatray/relay/ForwardListener.java
+++ b/src/main/java/org/verbenatray/relay/ForwardListener.java
@@ -8,6 +8,13 @@
     /** Receives the next event of a stream with the given response head. */
     void onEvent(ServerResponseHead head, StreamEvent event);
 
+    /**
+     * Decides about a server that has been silent for longer than the timeout: true ends the attempt, and a retry at
+     * another server is reserved; false awaits the server further, since it may only pause and nothing else could serve
+     * the request.
+     */
+    boolean leavesSilentServer();
+
     /** Receives the outcome of the attempt. */
     void onOutcome(ForwardOutcome outcome);
 }
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -30,24 +30,15 @@
     /** Time added to the retry-after of an overload rejection, in which the engines work off their queues. */
     private static final long CATCH_UP_MILLIS = 2_000;
 
-    /** Shortest silence after which a request is moved to another engine. */
-    private static final long MIN_SILENCE_TIMEOUT_MILLIS = 1_000;
+    /** Time within which an engine must confirm that it has released a prefilled prompt. */
+    private static final long RELEASE_TIMEOUT_MILLIS = 1_000;
+
+    /** Time after which a begun stream looks again for an engine or a retry to continue with. */
+    private static final long CONTINUE_INTERVAL_MILLIS = 100;
 
     /** Multiple of the expected time to first token after which a silent prefill engine is given up. */
     private static final double PREFILL_TIMEOUT_FACTOR = 4;
 
-    /**
-     * Largest expected queueing time of a deferred prompt, as a share of the first-event timeout. Well below one, since
-     * later prompts overtake a deferred one.
-     */
-    private static final double MAX_DEFERRED_WAIT_SHARE = 0.27;
-
-    /** Largest expected time to first token of a deferred prompt, as a share of the first-event timeout. */
-    private static final double MAX_FIRST_TOKEN_SHARE = 0.9;
-
-    /** A prompt is large if its own prefill, without queueing, takes more than this share of the latency target. */
-    private static final double LARGE_PROMPT_TARGET_SHARE = 0.5;
-
     /** Largest number of prefill engines tried for one request. */
     private static final int MAX_PREFILLS = 2;
 
@@ -75,6 +66,9 @@
     /** Id of the last event relayed to the caller, null before the first. */
     private String lastEventId;
 
+    /** When the last event was relayed to the caller, in nanoseconds of the ticker; zero before the first. */
+    private long lastEventNanos;
+
     private GenerationRelay(RelayContext context, RelayCall call) {
         this.context = context;
         this.call = call;
@@ -98,6 +92,7 @@
     public void onEvent(ServerResponseHead head, StreamEvent event) {
         if (!call.finished()) {
             event.id().ifPresent(id -> lastEventId = id);
+            lastEventNanos = context.ticker().nanos();
             if (!call.response().started()) {
                 generationStarted();
             }
@@ -105,6 +100,11 @@
         }
     }
 
+    @Override
+    public boolean leavesSilentServer() {
+        return call.attemptsLeftAfterCurrent() && alternativeTo(attempt.backend(), triedEngines) && call.reserveRetry();
+    }
+
     @Override
     public void onOutcome(ForwardOutcome outcome) {
         ForwardAttempt ended = attempt;
@@ -141,16 +141,16 @@
 
     /** Plans the prefill and sends the request accordingly; rejects a deferred prompt that is expected too late. */
     private void placePrompt(PromptShape prompt) {
-        double elapsedMillis = call.elapsedMillis();
         plan = context.planner().planPrefill(prompt, call.usableBackends(), triedPrefillEngines, false);
-        boolean deferred = triedPrefillEngines.isEmpty() && !admitRegular(elapsedMillis);
+        boolean deferred =
+                triedPrefillEngines.isEmpty() && !PromptAdmission.admitRegular(call, plan, context.largePrompts());
         if (deferred) {
             plan = context.planner().planPrefill(prompt, call.usableBackends(), triedPrefillEngines, true);
         }
         call.addLogField("plan_ms", Math.round(plan.expectedFirstTokenMillis()));
         call.addLogField("wait_ms", Math.round(plan.expectedWaitMillis()));
         call.addLogField("deferred", deferred);
-        double excessMillis = excessDelayMillis(elapsedMillis);
+        double excessMillis = PromptAdmission.excessDelayMillis(call, plan);
         if (deferred && excessMillis > 0) {
             deadlineTimer.remove();
             call.giveUp("overloaded", Math.round(CATCH_UP_MILLIS + excessMillis));
@@ -161,35 +161,6 @@
         }
     }
 
-    /**
-     * Returns by how many milliseconds a deferred prompt exceeds its limits; zero or less if it is expected in time.
-     */
-    private double excessDelayMillis(double elapsedMillis) {
-        double limitMillis = call.firstEventTimeoutMillis();
-        return elapsedMillis
-                + Math.max(
-                        plan.expectedWaitMillis() - MAX_DEFERRED_WAIT_SHARE * limitMillis,
-                        plan.expectedFirstTokenMillis() - MAX_FIRST_TOKEN_SHARE * limitMillis);
-    }
-
-    /**
-     * Decides whether the prompt is scheduled with regular priority instead of being deferred, and records the
-     * decision. Regular are prompts expected within the target, and large ones that would otherwise get less than their
-     * share.
-     */
-    private boolean admitRegular(double elapsedMillis) {
-        double targetMillis = call.route().latencyTargetMillis();
-        boolean onTime =
-                call.millisSinceFirstAttempt() + elapsedMillis + plan.expectedFirstTokenMillis() <= targetMillis;
-        boolean large =
-                plan.expectedFirstTokenMillis() - plan.expectedWaitMillis() > LARGE_PROMPT_TARGET_SHARE * targetMillis;
-        if (large) {
-            return context.largePrompts().admitLarge(onTime);
-        }
-        context.largePrompts().recordOther(onTime);
-        return onTime;
-    }
-
     /** Sends the prompt to the prefill engine of the plan. */
     private void prefill(PromptShape prompt) {
         Backend backend = plan.engine().orElseThrow();
@@ -214,11 +185,12 @@
                 ConnectionUse.POOLED);
         long now = context.ticker().nanos();
         sentNanos = now;
-        long silenceMillis =
-                (long) Math.max(MIN_SILENCE_TIMEOUT_MILLIS, PREFILL_TIMEOUT_FACTOR * plan.expectedFirstTokenMillis());
-        Deadline firstByteDeadline = Deadline.afterMillis(now, Math.min(remainingMillis, silenceMillis));
+        long silenceMillis = SilenceTimeout.millis(call.route(), remainingMillis);
+        long firstByteMillis = (long) Math.max(silenceMillis, PREFILL_TIMEOUT_FACTOR * plan.expectedFirstTokenMillis());
         ResponseTimeouts timeouts = new ResponseTimeouts(
-                firstByteDeadline, MIN_SILENCE_TIMEOUT_MILLIS, Deadline.afterMillis(now, remainingMillis));
+                Deadline.afterMillis(now, Math.min(remainingMillis, firstByteMillis)),
+                silenceMillis,
+                Deadline.afterMillis(now, remainingMillis));
         if (send(options, plan.work(), timeouts, new PrefillListener(backend, prompt))) {
             context.planner().recordAssigned(backend, prompt);
         }
@@ -251,15 +223,16 @@
             handleDeadline();
             return;
         }
-        Optional<Backend> chosen = preferred.or(() ->
-                context.planner().chooseDecodeEngine(call.request().prompt(), call.usableBackends(), triedEngines));
+        Optional<Backend> chosen = preferred.or(this::chooseDecodeEngine);
         if (chosen.isEmpty()) {
-            giveUp("no_server");
+            call.keepRetry();
+            continueLaterOrGiveUp("no_server");
             return;
         }
         Backend backend = chosen.get();
         if (backend.unreachable()) {
-            giveUp("no_server_in_reach");
+            call.keepRetry();
+            continueLaterOrGiveUp("no_server_in_reach");
             return;
         }
         if (prefilledPrompt != null
@@ -278,7 +251,27 @@
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.NEW);
         sentNanos = context.ticker().nanos();
         PrefillWork work = prefilledPrompt == null && plan != null ? plan.work() : PrefillWork.NONE;
-        send(options, work, timeouts(repeatable), this);
+        send(options, work, call.responseTimeouts(), this);
+    }
+
+    /**
+     * Returns the best engine that was not tried. If there is none, a begun stream, which can end in no other way, goes
+     * back to an engine that was tried, if possible not to the last one.
+     */
+    private Optional<Backend> chooseDecodeEngine() {
+        Optional<Backend> untried = chooseDecodeEngineExcept(triedEngines);
+        if (untried.isPresent() || !call.response().started()) {
+            return untried;
+        }
+        long now = context.ticker().nanos();
+        Backend last = triedEngines.get(triedEngines.size() - 1);
+        return chooseDecodeEngineExcept(List.of(last))
+                .filter(engine -> !engine.paused(now))
+                .or(() -> chooseDecodeEngineExcept(List.of()).filter(engine -> !engine.paused(now)));
+    }
+
+    private Optional<Backend> chooseDecodeEngineExcept(List<Backend> excluded) {
+        return context.planner().chooseDecodeEngine(call.request().prompt(), call.usableBackends(), excluded);
     }
 
     /** Returns the priority of a request that an engine has to prefill. */
@@ -290,18 +283,6 @@
         return call.millisSinceFirstAttempt() > 0 ? EnginePriority.deferredRetry() : EnginePriority.deferred(priority);
     }
 
-    /** Returns the timeouts of a decode engine; short ones only if the request can be retried elsewhere. */
-    private ResponseTimeouts timeouts(boolean repeatable) {
-        if (!repeatable || !call.canRetryAfterNext()) {
-            return ResponseTimeouts.deadlineOnly(call.deadline());
-        }
-        long silenceMillis =
-                Math.max(MIN_SILENCE_TIMEOUT_MILLIS, 2 * call.route().latencyTargetMillis());
-        Deadline firstByteDeadline =
-                Deadline.afterMillis(context.ticker().nanos(), Math.min(silenceMillis, call.remainingMillis()));
-        return new ResponseTimeouts(firstByteDeadline, silenceMillis, call.deadline());
-    }
-
     /**
      * Records that an engine generates output: it has fetched any prefilled prompt and now has the prompt in its cache.
      */
@@ -341,11 +322,39 @@
         if (outcome.kind() != ForwardOutcome.Kind.NOT_SENT) {
             releasePrefilledPrompt();
         }
+        continueOrGiveUp(outcome.kind().name().toLowerCase(Locale.ROOT));
+    }
+
+    /** Sends the request, or the rest of its stream, to another engine if the attempts and the retry budget allow. */
+    private void continueOrGiveUp(String outcome) {
+        if (call.finished()) {
+            return;
+        }
         if (call.tryReserveRetry()) {
             decode(Optional.empty());
             return;
         }
-        giveUp(outcome.kind().name().toLowerCase(Locale.ROOT));
+        continueLaterOrGiveUp(outcome);
+    }
+
+    /** Looks again shortly if a begun stream may still be continued in time for its caller; otherwise gives up. */
+    private void continueLaterOrGiveUp(String outcome) {
+        Deadline callerTimeout =
+                Deadline.afterMillis(lastEventNanos, call.route().estimatedCallerTimeoutMillis());
+        boolean inTime = !callerTimeout.hasPassed(context.ticker().nanos());
+        if (call.response().started() && call.attemptsLeft() && inTime) {
+            context.thread()
+                    .executeAfter(() -> continueOrGiveUp(outcome), CONTINUE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        giveUp(outcome);
+    }
+
+    /** Returns whether an engine that was not tried accepts requests, other than the given one. */
+    private boolean alternativeTo(Backend current, List<Backend> tried) {
+        long now = context.ticker().nanos();
+        return call.usableBackends().stream()
+                .anyMatch(engine -> engine != current && !tried.contains(engine) && !engine.paused(now));
     }
 
     /** Returns the engine limits of the service; empty if they are unknown. */
@@ -397,7 +406,7 @@
                     .call(
                             context.dialect().release(released),
                             context.thread(),
-                            Deadline.afterMillis(context.ticker().nanos(), MIN_SILENCE_TIMEOUT_MILLIS),
+                            Deadline.afterMillis(context.ticker().nanos(), RELEASE_TIMEOUT_MILLIS),
                             1_024)
                     .exceptionally(failure -> null);
         }
@@ -423,6 +432,11 @@
             throw new IllegalStateException("the response of a prefill engine has no events");
         }
 
+        @Override
+        public boolean leavesSilentServer() {
+            return alternativeTo(backend, triedPrefillEngines) && call.reserveRetry();
+        }
+
         @Override
         public void onOutcome(ForwardOutcome outcome) {
             ForwardAttempt ended = attempt;
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -10,7 +10,6 @@
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
 import org.verbenatray.servers.ConnectionUse;
-import org.verbenatray.time.Deadline;
 import org.xnio.XnioIoThread;
 
 /**
@@ -21,9 +20,6 @@
     /** Retry-after time of rejected requests. */
     private static final long RETRY_AFTER_MILLIS = 300;
 
-    /** Multiple of the route's latency target after which a silent server is given up for another. */
-    private static final long SILENCE_TIMEOUT_FACTOR = 2;
-
     private final RelayContext context;
     private final RelayCall call;
     private final List<Backend> triedServers = new ArrayList<>();
@@ -59,6 +55,15 @@
         throw new IllegalStateException("the response of a plain service has no events");
     }
 
+    @Override
+    public boolean leavesSilentServer() {
+        long now = context.ticker().nanos();
+        Backend silent = attempt.backend();
+        boolean alternative = call.usableBackends().stream()
+                .anyMatch(server -> server != silent && !triedServers.contains(server) && !server.paused(now));
+        return alternative && call.attemptsLeftAfterCurrent() && call.reserveRetry();
+    }
+
     @Override
     public void onOutcome(ForwardOutcome outcome) {
         ForwardAttempt ended = attempt;
@@ -124,27 +129,14 @@
                 Optional.empty(),
                 call.request().lastEventId(),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.NEW);
-        attempt =
-                call.send(options, PrefillWork.NONE, timeouts(repeatable), this).orElse(null);
+        attempt = call.send(options, PrefillWork.NONE, call.responseTimeouts(), this)
+                .orElse(null);
         if (attempt == null) {
             deadlineTimer.remove();
             Optional.ofNullable(errorResponse).ifPresentOrElse(call::relayResponse, call::giveUpCrashing);
         }
     }
 
-    /** Returns the timeouts of the server; short ones only if another server could be tried. */
-    private ResponseTimeouts timeouts(boolean repeatable) {
-        boolean retryPossible =
-                repeatable && call.usableBackends().size() > triedServers.size() + 1 && call.canRetryAfterNext();
-        if (!retryPossible) {
-            return ResponseTimeouts.deadlineOnly(call.deadline());
-        }
-        long silenceMillis = Math.min(
-                call.remainingMillis(), SILENCE_TIMEOUT_FACTOR * call.route().latencyTargetMillis());
-        Deadline firstByteDeadline = Deadline.afterMillis(context.ticker().nanos(), silenceMillis);
-        return new ResponseTimeouts(firstByteDeadline, silenceMillis, call.deadline());
-    }
-
     /** Gives up; relays a server's error if there was one. */
     private void giveUp(String outcome) {
         deadlineTimer.remove();
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -15,7 +15,6 @@
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
-import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 
@@ -60,6 +59,12 @@
     /** Attempts in which the request may have run. */
     private int possibleRuns;
 
+    /** Whether a retry was spent from the budget that has not been sent. */
+    private boolean retryReserved;
+
+    /** Whether a retry was refused because the budget was exhausted. */
+    private boolean budgetExhausted;
+
     /** How the last attempt ended, null before that. */
     private ForwardOutcome.Kind lastOutcome;
 
@@ -199,32 +204,65 @@
      * may have reached a server.
      */
     boolean tryReserveRetry() {
-        if (possibleRuns > 0 && !route.repeatable()) {
-            return false;
-        }
-        if (possibleRuns >= route.maxAttempts() || deliveries >= route.maxAttempts() + MAX_EXTRA_ATTEMPTS) {
-            return false;
-        }
-        return deliveries == 0 || trySpendRetry();
+        return attemptsLeft() && (deliveries == 0 || trySpendRetry());
+    }
+
+    /** Returns whether the attempts of the route allow another server after the outcome of the last attempt. */
+    boolean attemptsLeft() {
+        return attemptsLeftAfter(0);
+    }
+
+    /** Returns whether the attempts of the route allow another server if the running attempt fails. */
+    boolean attemptsLeftAfterCurrent() {
+        return attemptsLeftAfter(1);
+    }
+
+    private boolean attemptsLeftAfter(int furtherRuns) {
+        return (route.repeatable() || possibleRuns + furtherRuns == 0)
+                && possibleRuns + furtherRuns < route.maxAttempts()
+                && deliveries + furtherRuns < route.maxAttempts() + MAX_EXTRA_ATTEMPTS;
     }
 
-    /** Returns whether a further retry would be allowed if the next attempt times out. Spends nothing. */
-    boolean canRetryAfterNext() {
-        return possibleRuns + 1 < route.maxAttempts()
-                && deliveries + 1 < route.maxAttempts() + MAX_EXTRA_ATTEMPTS
-                && context.retryBudgets().apply(service).remaining() >= 1;
+    /**
+     * Spends a retry from the budget of the service ahead of its sending and returns true, or returns false if the
+     * budget is exhausted.
+     */
+    boolean reserveRetry() {
+        retryReserved = trySpendRetry();
+        return retryReserved;
     }
 
-    /** Spends a retry from the budget of the service and returns true, or returns false if the budget is exhausted. */
+    /**
+     * Uses the reserved retry or spends one from the budget of the service and returns true, or returns false if the
+     * budget is exhausted.
+     */
     boolean trySpendRetry() {
-        RetryBudget budget = context.retryBudgets().apply(service);
-        boolean spent = budget.trySpend();
-        if (!spent) {
+        if (retryReserved) {
+            retryReserved = false;
+            return true;
+        }
+        boolean spent = context.retryBudgets().apply(service).trySpend();
+        if (!spent && !budgetExhausted) {
+            budgetExhausted = true;
             logFields.append(" budget=spent");
         }
         return spent;
     }
 
+    /** Keeps the retry that was spent for a sending that did not take place. */
+    void keepRetry() {
+        retryReserved = deliveries > 0;
+    }
+
+    /** Returns the timeouts of an attempt: the silence of a server matters only if the request can be moved. */
+    ResponseTimeouts responseTimeouts() {
+        if (!route.repeatable()) {
+            return ResponseTimeouts.deadlineOnly(deadline);
+        }
+        long silenceMillis = SilenceTimeout.millis(route, remainingMillis());
+        return ResponseTimeouts.withSilence(context.ticker().nanos(), silenceMillis, deadline);
+    }
+
     /** Records the outcome of an attempt, for the retry rules and for the health of the server. */
     void recordOutcome(ForwardAttempt attempt, ForwardOutcome outcome, boolean countsAsRun) {
         lastOutcome = outcome.kind();
--- a/src/main/java/org/verbenatray/relay/ResponseTimeouts.java
+++ b/src/main/java/org/verbenatray/relay/ResponseTimeouts.java
@@ -15,6 +15,11 @@
         return responseDeadline.hasPassed(nowNanos);
     }
 
+    /** Returns timeouts that start now: the same silence is accepted before the first bytes and after them. */
+    static ResponseTimeouts withSilence(long nowNanos, long silenceMillis, Deadline deadline) {
+        return new ResponseTimeouts(Deadline.afterMillis(nowNanos, silenceMillis), silenceMillis, deadline);
+    }
+
     /** Returns timeouts that consist of the given deadline only. */
     static ResponseTimeouts deadlineOnly(Deadline deadline) {
         return new ResponseTimeouts(deadline, Long.MAX_VALUE / 2_000_000, deadline);
--- a/src/test/java/org/verbenatray/platform/PausingServerTest.java
+++ b/src/test/java/org/verbenatray/platform/PausingServerTest.java
@@ -131,11 +131,15 @@
         });
     }
 
-    /** Returns a script that gives the requests of callers to another script and leaves all others unanswered. */
+    /** Returns a script that gives the requests of callers to another script and answers status checks. */
     private static Script onlyForPosts(Script script) {
         return (Request request, Socket connection, OutputStream out) -> {
             if (request.line().startsWith("POST")) {
                 script.serve(request, connection, out);
+            } else if (request.line().startsWith("GET /report")) {
+                out.write(ScriptedServer.response(request, 200, "", "{\"waiting\":0,\"running\":1,\"seq\":0}"));
+            } else {
+                out.write(ScriptedServer.response(request, 200, "", "{\"epoch\":1,\"next\":0,\"events\":[]}"));
             }
         };
     }
