Count only decode engines as the place to move a silent stream to

What callers saw: a stream whose decode engine paused was ended after 1.2 s although only prefill engines were left to move it to; it spent a retry and then waited for its first engine to be taken again.

Cause: the rule asked for any engine of the service that accepts requests. It now asks the same planner that would choose the engine.

Evidence: aPrefillEngineIsNoReasonToLeaveThePausingDecodeEngine red before (two sendings), green after; PausingServerTest 6 of 6.

--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -102,7 +102,7 @@
 
     @Override
     public boolean leavesSilentServer() {
-        return call.attemptsLeftAfterCurrent() && alternativeTo(attempt.backend(), triedEngines) && call.reserveRetry();
+        return call.attemptsLeftAfterCurrent() && otherDecodeEngineAccepts() && call.reserveRetry();
     }
 
     @Override
@@ -270,6 +270,16 @@
                 .or(() -> chooseDecodeEngineExcept(List.of()).filter(engine -> !engine.paused(now)));
     }
 
+    /** Returns whether a decode engine accepts requests that was not tried and is not in use. */
+    private boolean otherDecodeEngineAccepts() {
+        List<Backend> excluded = new ArrayList<>(triedEngines);
+        excluded.add(attempt.backend());
+        long now = context.ticker().nanos();
+        return chooseDecodeEngineExcept(excluded)
+                .filter(engine -> !engine.paused(now))
+                .isPresent();
+    }
+
     private Optional<Backend> chooseDecodeEngineExcept(List<Backend> excluded) {
         return context.planner().chooseDecodeEngine(call.request().prompt(), call.usableBackends(), excluded);
     }
@@ -350,13 +360,6 @@
         giveUp(outcome);
     }
 
-    /** Returns whether an engine that was not tried accepts requests, other than the given one. */
-    private boolean alternativeTo(Backend current, List<Backend> tried) {
-        long now = context.ticker().nanos();
-        return call.usableBackends().stream()
-                .anyMatch(engine -> engine != current && !tried.contains(engine) && !engine.paused(now));
-    }
-
     /** Returns the engine limits of the service; empty if they are unknown. */
     private Optional<EngineLimits> engineLimits() {
         return context.catalog()
@@ -434,7 +437,14 @@
 
         @Override
         public boolean leavesSilentServer() {
-            return alternativeTo(backend, triedPrefillEngines) && call.reserveRetry();
+            return otherEngineAccepts() && call.reserveRetry();
+        }
+
+        /** Returns whether an engine accepts requests to which the prompt was not sent for prefill. */
+        private boolean otherEngineAccepts() {
+            long now = context.ticker().nanos();
+            return call.usableBackends().stream()
+                    .anyMatch(engine -> !triedPrefillEngines.contains(engine) && !engine.paused(now));
         }
 
         @Override
--- a/src/test/java/org/verbenatray/platform/PausingServerTest.java
+++ b/src/test/java/org/verbenatray/platform/PausingServerTest.java
@@ -31,6 +31,21 @@
         }
     }
 
+    @Test
+    public void aPrefillEngineIsNoReasonToLeaveThePausingDecodeEngine() throws Exception {
+        try (ScriptedServer decode = ScriptedServer.start(pausingAfterTheFirstEvent());
+                ScriptedServer prefill = ScriptedServer.start(onlyForPosts((request, connection, out) -> {}));
+                RelayFixture relay = RelayFixture.startReady(
+                        ServerListing.engine("e1", "decode", decode), ServerListing.engine("e2", "prefill", prefill))) {
+            assertWhole(relay.exchange(RelayFixture.postRequest("/resume/x", "id1", "", "p")));
+            Assert.assertEquals(
+                    decode.requests().stream()
+                            .filter(request -> request.line().startsWith("POST"))
+                            .count(),
+                    1);
+        }
+    }
+
     @Test
     public void aLateFirstEventOfTheOnlyEngineIsAwaited() throws Exception {
         Script late = (request, connection, out) -> {
