--- a/src/main/java/org/verbenatray/backends/BackendDirectory.java
+++ b/src/main/java/org/verbenatray/backends/BackendDirectory.java
@@ -199,6 +199,8 @@
                 .with("service", entry.service())
                 .with("domain", entry.domain())
                 .with("stage", entry.stage())
+                .with("version", entry.softwareVersion())
+                .with("start", entry.startedMillis())
                 .with("leaving", entry.leaving())
                 .log(log, Level.INFO);
     }
--- a/src/main/java/org/verbenatray/backends/BackendEntry.java
+++ b/src/main/java/org/verbenatray/backends/BackendEntry.java
@@ -12,6 +12,7 @@
  * @param stage the stage that it serves
  * @param leaving true if it is about to shut down
  * @param slots the number of requests that it runs concurrently
+ * @param softwareVersion the version of its software, empty if it is unknown; versions have no order
  * @param startedMillis the Unix time of its start in milliseconds, which distinguishes restarts under the same id
  */
 public record BackendEntry(
@@ -22,6 +23,7 @@
         BackendStage stage,
         boolean leaving,
         int slots,
+        String softwareVersion,
         long startedMillis) {
     /** Returns an identifier that is unique to this process of the server. */
     public String bootId() {
--- a/src/main/java/org/verbenatray/platform/PlatformProtocol.java
+++ b/src/main/java/org/verbenatray/platform/PlatformProtocol.java
@@ -48,6 +48,9 @@
     /** The id of the last event that the caller received. */
     private static final String LAST_EVENT_ID = "Last-Event-Id";
 
+    /** The request id of the attempt that brought the first event of the stream that a caller takes up. */
+    private static final String RESUMES = "Resumes";
+
     /** The number of prompt tokens and the maximum number of output tokens, separated by a comma. */
     private static final HttpString TOKEN_COUNT = new HttpString("Token-Count");
 
@@ -130,7 +133,8 @@
                 parseDeadlineMillis(headers.getFirst(DEADLINE_MILLIS))
                         .map(millis -> Deadline.afterMillis(receivedNanos, millis)),
                 parsePromptShape(headers),
-                Optional.ofNullable(headers.getFirst(LAST_EVENT_ID))));
+                Optional.ofNullable(headers.getFirst(LAST_EVENT_ID)),
+                Optional.ofNullable(headers.getFirst(RESUMES)).filter(named -> !named.isEmpty())));
     }
 
     @Override
--- a/src/main/java/org/verbenatray/platform/ServerEntryDecoder.java
+++ b/src/main/java/org/verbenatray/platform/ServerEntryDecoder.java
@@ -77,6 +77,7 @@
                 stage,
                 node.path("state").asText().equals("draining"),
                 node.path("slots").asInt(),
+                node.path("version").asText(),
                 node.path("born").asLong());
         return new Listing(entry, node.path("seq").asLong());
     }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.BackendEntry;
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.catalog.Route;
@@ -391,7 +392,12 @@
 
     /** Logs an outcome and updates the health of its server. */
     private void recordServerOutcome(Backend backend, ForwardOutcome outcome) {
-        logFields.append(' ').append(backend.entry().id()).append('=').append(outcome.kind());
+        BackendEntry entry = backend.entry();
+        logFields.append(' ').append(entry.id());
+        if (!entry.softwareVersion().isEmpty()) {
+            logFields.append('/').append(entry.softwareVersion());
+        }
+        logFields.append('=').append(outcome.kind());
         if (outcome.status() > 0) {
             logFields.append(':').append(outcome.status());
         }
@@ -438,6 +444,8 @@
         if (firstByteNanos > 0) {
             event.with("first_ms", (firstByteNanos - request.receivedNanos()) / 1_000_000);
         }
+        request.continuedRequestId().ifPresent(first -> event.with("continues", first));
+        request.lastEventId().ifPresent(last -> event.with("after_event", last));
         int crashes = context.crashLedger().crashCount(fingerprint);
         if (crashes > 0) {
             event.with("fingerprint", fingerprint).with("crashes", crashes);
--- a/src/main/java/org/verbenatray/relay/RelayRequest.java
+++ b/src/main/java/org/verbenatray/relay/RelayRequest.java
@@ -23,6 +23,8 @@
  * @param prompt the size and the blocks of the prompt; empty for requests that generate nothing
  * @param lastEventId the id of the last event of an earlier response that the caller has received; empty to get the
  *     whole response
+ * @param continuedRequestId the id of the attempt that brought the first event of the stream that this request
+ *     continues; empty if it does not say that it continues one
  */
 public record RelayRequest(
         String id,
@@ -35,7 +37,8 @@
         long receivedNanos,
         Optional<Deadline> deadline,
         Optional<PromptShape> prompt,
-        Optional<String> lastEventId) {
+        Optional<String> lastEventId,
+        Optional<String> continuedRequestId) {
     private static final HashFunction HASH = Hashing.murmur3_128();
 
     /** Returns a hash of the caller, the path and the body, by which retries of one request are recognized. */
@@ -50,6 +53,11 @@
                 .toString();
     }
 
+    /** Returns whether the caller has received events of the stream in an earlier attempt and wants the rest. */
+    public boolean continuesStream() {
+        return lastEventId.isPresent() || continuedRequestId.isPresent();
+    }
+
     /** Returns the path without its query. */
     public String path() {
         int query = target.indexOf('?');
--- a/src/test/java/org/verbenatray/relay/RelayRequestTest.java
+++ b/src/test/java/org/verbenatray/relay/RelayRequestTest.java
@@ -36,6 +36,7 @@
                 0,
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
     }
 }
