--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -83,7 +83,8 @@
                 + routeJson("safe", "safe", 2, false, "plain") + ","
                 + routeJson("unsafe", "unsafe", 1, false, "plain") + ","
                 + routeJson("stream", "streaming", 1, false, "engines") + ","
-                + routeJson("resume", "streaming", 2, true, "engines")
+                + routeJson("resume", "streaming", 2, true, "engines") + ","
+                + routeJson("begin", "streaming", 1, true, "engines")
                 + "],\"services\":[{\"name\":\"plain\",\"healthPath\":\"/health\",\"maxConnections\":96},"
                 + "{\"name\":\"engines\",\"maxConnections\":96,\"engine\":{\"slots\":64,\"kvTokens\":500000,"
                 + "\"handleTtlS\":5.0}}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":100000,"
@@ -228,8 +229,14 @@
      * @param address its address as host:port
      * @param stage its stage; empty for a plain server
      * @param startNumber the number of its start
+     * @param version the version of its software
      */
-    record ServerListing(String id, String service, String address, String stage, long startNumber) {
+    record ServerListing(String id, String service, String address, String stage, long startNumber, String version) {
+        /** Creates a listing of software version v1. */
+        ServerListing(String id, String service, String address, String stage, long startNumber) {
+            this(id, service, address, stage, startNumber, "v1");
+        }
+
         /** Returns a server of the plain service. */
         static ServerListing plain(String id, ScriptedServer server) {
             return new ServerListing(id, "plain", server.address(), "", 1);
@@ -240,10 +247,15 @@
             return new ServerListing(id, "engines", server.address(), stage, 1);
         }
 
+        /** Returns this listing with another software version. */
+        ServerListing withVersion(String other) {
+            return new ServerListing(id, service, address, stage, startNumber, other);
+        }
+
         /** Returns the JSON entry with the given state and sequence number. */
         String entryJson(String state, long sequence) {
             return "{\"service\":\"" + service + "\",\"address\":\"" + address
-                    + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":6,\"state\":\"" + state
+                    + "\",\"zone\":\"z1\",\"version\":\"" + version + "\",\"slots\":6,\"state\":\"" + state
                     + "\",\"coldRemainingMs\":0," + (stage.isEmpty() ? "" : "\"stage\":\"" + stage + "\",")
                     + "\"born\":" + startNumber + ",\"seq\":" + sequence + "}";
         }
