Continue a stream only at the software version that began it

What callers saw: a stream that broke, or that they took up at any instance, went on at an engine of another software version: events that do not fit together in one response.

Cause: a continuation was chosen like a new stream. The attempt that a caller names was read nowhere, and nothing outlived an attempt.

Change: StreamContinuations knows the version at which a stream may go on. The instance that relays its first event tells three homes derived from the id of the attempt, unless it is certain that the service runs one version; who does not know a stream asks them; who cannot know refuses with 503. DecodeEngines, taken out of GenerationRelay, offers only engines of that version. The entry of an instance in the list bears its failure domain.

Ruled out: that the engines' own choice of version did it; servers don't check it.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -13,6 +13,8 @@
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.catalog.Catalog;
 import org.verbenatray.catalog.CurrentCatalog;
+import org.verbenatray.continuation.RecentVersions;
+import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
@@ -88,6 +90,10 @@
     /** The retry budgets by service. */
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
+    private final RecentVersions recentVersions;
+
+    private final StreamContinuations continuations;
+
     private final RelayContext context;
 
     private final WorkSharing sharing;
@@ -129,6 +135,8 @@
                 settings.failureDomain(), () -> ThreadLocalRandom.current().nextDouble());
         PrefixCacheIndex prefixCacheIndex = PrefixCacheIndex.empty();
         this.sharing = new WorkSharing(settings, loop, directory, prefixCacheIndex);
+        this.recentVersions = RecentVersions.create(directory, loop.ticker(), settings.leavingServerMillis());
+        this.continuations = createContinuations();
         this.planner = createPlanner(chooser, prefixCacheIndex);
         this.loadPoller = LoadPoller.create(
                 loop.transport(), loop.thread(), loop.ticker(), dialect, directory, planner.prefixCacheIndex());
@@ -151,7 +159,8 @@
                 sharing::onWorkChanged,
                 FirstAttemptEstimator.create(),
                 LargePromptShare.create(),
-                CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns));
+                CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns),
+                continuations);
         this.handler = RelayHandler.create(context);
         this.server = RelayServer.start(
                 loop.worker(),
@@ -174,6 +183,11 @@
         return instance;
     }
 
+    private StreamContinuations createContinuations() {
+        return StreamContinuations.create(
+                recentVersions, directory, sharing::homes, sharing::send, loop.ticker(), loop.scheduler());
+    }
+
     private EnginePlanner createPlanner(LeastLoadedChooser chooser, PrefixCacheIndex prefixCacheIndex) {
         return EnginePlanner.create(
                 loop.ticker(),
@@ -305,7 +319,7 @@
                 () -> ThreadLocalRandom.current().nextDouble(),
                 loop.ticker(),
                 loop.scheduler());
-        sharing.start(platform.instances(), crashExchange);
+        sharing.start(platform.instances(), crashExchange, continuations);
         runMaintenance();
         pollLoads();
         runStageController(StageController.create(context, settings.name(), lease));
@@ -330,6 +344,7 @@
     private void runMaintenance() {
         directory.removeExpired();
         cutOffDetector.update();
+        continuations.tellWhenMixed();
         crashExchange.onExpired(crashes.removeExpired());
         serverRuns.removeExpired();
         loop.scheduler()
@@ -348,6 +363,7 @@
         String boot = backend.entry().bootId();
         loop.transport().closeIdleConnections(boot);
         planner.removeEngine(backend);
+        recentVersions.recordEnded(backend);
         if (!backend.entry().leaving()) {
             serverRuns.recordEnd(boot);
         }
@@ -432,6 +448,7 @@
         @Override
         public void onCaughtUp() {
             cutOffDetector.onListRead();
+            recentVersions.recordListRead();
         }
 
         @Override
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -9,11 +9,14 @@
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
+import org.verbenatray.continuation.StreamContinuations;
+import org.verbenatray.continuation.StreamHomes;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.openwork.DatagramPort;
 import org.verbenatray.openwork.EngineWork;
 import org.verbenatray.openwork.ExchangePeers;
 import org.verbenatray.openwork.InstanceRegistration;
+import org.verbenatray.openwork.ListedInstance;
 import org.verbenatray.openwork.PromptPlacement;
 import org.verbenatray.openwork.RemoteWork;
 import org.verbenatray.openwork.WorkExchange;
@@ -52,6 +55,9 @@
     /** Null before the start and when it could not be opened. */
     private DatagramPort port;
 
+    /** The versions at which streams may be continued, null before the start. */
+    private StreamContinuations continuations;
+
     /** The registration in the list of instances, null before the start and when no port could be opened. */
     private InstanceRegistration registration;
 
@@ -64,7 +70,7 @@
         this.loop = loop;
         this.directory = directory;
         this.prefixCacheIndex = prefixCacheIndex;
-        this.exchangePeers = ExchangePeers.of(settings.name());
+        this.exchangePeers = ExchangePeers.of(settings.name(), settings.failureDomain());
         this.remoteWork = RemoteWork.create(loop.ticker(), exchangePeers::sampleWeight);
     }
 
@@ -72,8 +78,9 @@
      * Starts to exchange work and crashes with the other instances, which the given log lists. If the port cannot be
      * opened, an error is logged and the instance places requests by its own work and the load that engines report.
      */
-    void start(KeyedLog instances, CrashExchange crashes) {
+    void start(KeyedLog instances, CrashExchange crashes, StreamContinuations streamContinuations) {
         crashExchange = crashes;
+        continuations = streamContinuations;
         try {
             port = DatagramPort.open(loop.worker(), settings.workExchangeAddress(), this::onDatagram);
         } catch (IOException e) {
@@ -86,6 +93,7 @@
         }
         InetSocketAddress address =
                 new InetSocketAddress(settings.workExchangeAddress().getHostString(), port.portNumber());
+        continuations.setOwnAddress(address);
         exchange = WorkExchange.start(
                 new WorkExchange.LocalInstance(
                         settings.name(), System.currentTimeMillis(), this::ownWork, crashes::toTell),
@@ -95,7 +103,12 @@
                 loop.ticker(),
                 loop.scheduler());
         registration = InstanceRegistration.start(
-                instances, settings.name(), address, exchangePeers, loop.ticker(), loop.scheduler());
+                instances,
+                settings.name(),
+                new ListedInstance(address, settings.failureDomain()),
+                exchangePeers,
+                loop.ticker(),
+                loop.scheduler());
     }
 
     /** Returns the work of the other instances at one boot of an engine. */
@@ -138,8 +151,24 @@
         }
     }
 
+    /** Returns the instances that keep the origin of a stream. */
+    StreamHomes homes(String requestId) {
+        return exchangePeers.homes(requestId);
+    }
+
+    /** Sends a datagram to another instance, if a port is open. */
+    void send(InetSocketAddress to, byte[] datagram) {
+        if (port != null) {
+            port.send(to, datagram);
+        }
+    }
+
     /** Processes a datagram of another instance. */
     private void onDatagram(byte[] datagram) {
+        if (StreamContinuations.recognizes(datagram)) {
+            continuations.receive(datagram);
+            return;
+        }
         exchange.receive(datagram).ifPresent(notice -> {
             notice.placements()
                     .forEach(placement -> prefixCacheIndex.recordReported(
--- a/src/main/java/org/verbenatray/openwork/ExchangePeers.java
+++ b/src/main/java/org/verbenatray/openwork/ExchangePeers.java
@@ -4,11 +4,16 @@
 import com.google.common.hash.Hashing;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import org.verbenatray.continuation.StreamHomes;
 
 /**
  * Tracks the other instances and selects the peers with which this instance exchanges its open work.
@@ -19,37 +24,44 @@
 public final class ExchangePeers {
     private static final int MAX_PEERS = 12;
 
+    /** The number of instances that keep a fact under a key: enough that some outlive a failure domain. */
+    private static final int HOMES = 3;
+
     private static final HashFunction HASH = Hashing.murmur3_128();
 
     private final String self;
 
-    /** The addresses of all other instances by name. */
-    private final Map<String, InetSocketAddress> others = new TreeMap<>();
+    /** The failure domain of this instance. */
+    private final String ownDomain;
+
+    /** All other instances by name. */
+    private final Map<String, ListedInstance> others = new TreeMap<>();
 
     /** The addresses of the selected peers. */
     private List<InetSocketAddress> selectedAddresses = List.of();
 
-    private ExchangePeers(String self) {
+    private ExchangePeers(String self, String ownDomain) {
         this.self = self;
+        this.ownDomain = ownDomain;
     }
 
-    /** Creates an empty set of peers for the instance with the given name. */
-    public static ExchangePeers of(String self) {
-        return new ExchangePeers(self);
+    /** Creates an empty set of peers for the instance with the given name and failure domain. */
+    public static ExchangePeers of(String self, String ownDomain) {
+        return new ExchangePeers(self, ownDomain);
     }
 
     /** Replaces all instances by the given ones. */
-    public void replace(Map<String, InetSocketAddress> instances) {
+    public void replace(Map<String, ListedInstance> instances) {
         others.clear();
         others.putAll(instances);
         others.remove(self);
         select();
     }
 
-    /** Adds an instance or replaces its address; this instance itself is ignored. */
-    public void put(String instance, InetSocketAddress address) {
+    /** Adds an instance or replaces its entry; this instance itself is ignored. */
+    public void put(String instance, ListedInstance entry) {
         if (!instance.equals(self)) {
-            others.put(instance, address);
+            others.put(instance, entry);
             select();
         }
     }
@@ -70,6 +82,45 @@
         return selectedAddresses.isEmpty() ? 1 : (double) others.size() / selectedAddresses.size();
     }
 
+    /**
+     * Returns the instances that keep a fact under the given key, in different failure domains as far as possible. All
+     * instances that see the same list derive the same ones.
+     */
+    public StreamHomes homes(String key) {
+        List<String> ranked = new ArrayList<>(others.keySet());
+        ranked.add(self);
+        ranked.sort(Comparator.comparingLong(instance -> hash(key + "|" + instance)));
+        Set<String> chosen = firstOfEachDomain(ranked);
+        ranked.stream().limit(HOMES).forEach(instance -> {
+            if (chosen.size() < HOMES) {
+                chosen.add(instance);
+            }
+        });
+        List<InetSocketAddress> addresses = chosen.stream()
+                .filter(others::containsKey)
+                .map(instance -> others.get(instance).address())
+                .toList();
+        return new StreamHomes(addresses, chosen.contains(self));
+    }
+
+    /** Returns the first instance of each failure domain, at most as many as a key has homes. */
+    private Set<String> firstOfEachDomain(List<String> ranked) {
+        Set<String> chosen = new LinkedHashSet<>();
+        Set<String> domains = new HashSet<>();
+        for (String instance : ranked) {
+            String domain =
+                    instance.equals(self) ? ownDomain : others.get(instance).domain();
+            if (chosen.size() < HOMES && domains.add(domain)) {
+                chosen.add(instance);
+            }
+        }
+        return chosen;
+    }
+
+    private static long hash(String text) {
+        return HASH.hashString(text, StandardCharsets.UTF_8).asLong();
+    }
+
     /**
      * Selects the peers with the smallest pair hash.
      *
@@ -79,13 +130,13 @@
         selectedAddresses = others.entrySet().stream()
                 .sorted(Comparator.comparingLong(other -> pairHash(other.getKey())))
                 .limit(MAX_PEERS)
-                .map(Map.Entry::getValue)
+                .map(other -> other.getValue().address())
                 .toList();
     }
 
     /** Returns a hash of the pair of this and another instance, which is the same on both sides. */
     private long pairHash(String other) {
         String pair = self.compareTo(other) < 0 ? self + "|" + other : other + "|" + self;
-        return HASH.hashString(pair, StandardCharsets.UTF_8).asLong();
+        return hash(pair);
     }
 }
--- a/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
+++ b/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
@@ -2,7 +2,6 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -39,8 +38,8 @@
     /** The name of this instance, which is the key of its entry. */
     private final String self;
 
-    /** The address at which this instance receives datagrams. */
-    private final InetSocketAddress address;
+    /** The entry of this instance. */
+    private final ListedInstance entry;
 
     private final ExchangePeers peers;
 
@@ -57,13 +56,13 @@
     private InstanceRegistration(
             KeyedLog instanceList,
             String self,
-            InetSocketAddress address,
+            ListedInstance entry,
             ExchangePeers peers,
             Ticker ticker,
             Scheduler scheduler) {
         this.instanceList = instanceList;
         this.self = self;
-        this.address = address;
+        this.entry = entry;
         this.peers = peers;
         this.ticker = ticker;
         this.scheduler = scheduler;
@@ -73,12 +72,12 @@
     public static InstanceRegistration start(
             KeyedLog instanceList,
             String self,
-            InetSocketAddress address,
+            ListedInstance entry,
             ExchangePeers peers,
             Ticker ticker,
             Scheduler scheduler) {
         InstanceRegistration registration =
-                new InstanceRegistration(instanceList, self, address, peers, ticker, scheduler);
+                new InstanceRegistration(instanceList, self, entry, peers, ticker, scheduler);
         registration.register();
         KeyedFollower.start("instances", instanceList, registration, () -> POLL_TIMING, ticker, scheduler);
         return registration;
@@ -92,22 +91,22 @@
 
     @Override
     public void onListing(List<KeyedLog.Entry> entries) {
-        Map<String, InetSocketAddress> instances = new HashMap<>();
-        entries.forEach(entry -> addressOf(entry).ifPresent(at -> instances.put(entry.key(), at)));
+        Map<String, ListedInstance> instances = new HashMap<>();
+        entries.forEach(listed -> parse(listed).ifPresent(instance -> instances.put(listed.key(), instance)));
         peers.replace(instances);
         expiries.keySet().retainAll(instances.keySet());
         instances.keySet().forEach(this::extendExpiry);
     }
 
     @Override
-    public void onRecord(KeyedLog.Entry entry) {
-        Optional<InetSocketAddress> at = addressOf(entry);
-        if (at.isPresent()) {
-            peers.put(entry.key(), at.get());
-            extendExpiry(entry.key());
+    public void onRecord(KeyedLog.Entry listed) {
+        Optional<ListedInstance> instance = parse(listed);
+        if (instance.isPresent()) {
+            peers.put(listed.key(), instance.get());
+            extendExpiry(listed.key());
         } else {
-            peers.remove(entry.key());
-            expiries.remove(entry.key());
+            peers.remove(listed.key());
+            expiries.remove(listed.key());
         }
     }
 
@@ -117,9 +116,8 @@
             return;
         }
         removeExpired();
-        String text = address.getHostString() + ":" + address.getPort();
         instanceList
-                .put(self, Optional.of(text.getBytes(StandardCharsets.UTF_8)))
+                .put(self, Optional.of(entry.text().getBytes(StandardCharsets.UTF_8)))
                 .whenComplete((done, failure) -> {
                     long delayMillis = failure == null ? RENEWAL_INTERVAL_MILLIS : RETRY_DELAY_MILLIS;
                     scheduler.runAt(Deadline.afterMillis(ticker.nanos(), delayMillis), this::register);
@@ -156,19 +154,17 @@
         });
     }
 
-    /** Returns the address in an entry, or empty if the entry was removed or is malformed. */
-    private static Optional<InetSocketAddress> addressOf(KeyedLog.Entry entry) {
-        if (entry.value().isEmpty()) {
+    /** Returns the instance in an entry, or empty if the entry was removed or is malformed. */
+    private static Optional<ListedInstance> parse(KeyedLog.Entry listed) {
+        if (listed.value().isEmpty()) {
             return Optional.empty();
         }
-        String text = new String(entry.value().get(), StandardCharsets.UTF_8);
-        int colon = text.lastIndexOf(':');
+        String text = new String(listed.value().get(), StandardCharsets.UTF_8);
         try {
-            return Optional.of(new InetSocketAddress(
-                    text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1))));
+            return Optional.of(ListedInstance.parse(text));
         } catch (IllegalArgumentException e) {
             Event.named("instance_entry_malformed")
-                    .with("instance", entry.key())
+                    .with("instance", listed.key())
                     .with("value", text)
                     .log(log, Level.WARNING);
             return Optional.empty();
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -20,8 +20,8 @@
  * Relays a generation request to engines: prompts that benefit from it to a prefill engine first, then to a decode
  * engine.
  *
- * <p>If a stream of a repeatable route fails, another engine resumes it after the last event that the caller has
- * received. Used on one thread.
+ * <p>If a stream of a repeatable route fails, another engine of the same software version resumes it after the last
+ * event that the caller has received. Used on one thread.
  */
 final class GenerationRelay implements ForwardListener {
     /** Retry-after time for a caller that no engine can serve. */
@@ -44,7 +44,7 @@
 
     private final RelayContext context;
     private final RelayCall call;
-    private final List<Backend> triedEngines = new ArrayList<>();
+    private final DecodeEngines decodeEngines;
     private final List<Backend> triedPrefillEngines = new ArrayList<>();
     private XnioIoThread.Key deadlineTimer;
 
@@ -72,6 +72,7 @@
     private GenerationRelay(RelayContext context, RelayCall call) {
         this.context = context;
         this.call = call;
+        this.decodeEngines = DecodeEngines.forCall(context, call);
     }
 
     /** Starts relaying a call. */
@@ -80,7 +81,11 @@
         call.response().onDisconnect(relay::callerDisconnected);
         relay.deadlineTimer =
                 context.thread().executeAfter(relay::handleDeadline, call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
-        relay.plan();
+        if (call.request().continuesStream()) {
+            relay.findRequiredVersion();
+        } else {
+            relay.plan();
+        }
     }
 
     @Override
@@ -102,7 +107,7 @@
 
     @Override
     public boolean leavesSilentServer() {
-        return call.attemptsLeftAfterCurrent() && otherDecodeEngineAccepts() && call.reserveRetry();
+        return call.attemptsLeftAfterCurrent() && decodeEngines.otherAccepts(attempt.backend()) && call.reserveRetry();
     }
 
     @Override
@@ -123,6 +128,21 @@
         }
     }
 
+    /** Finds the software version that began the stream, then plans the prefill; gives up if it cannot be known. */
+    private void findRequiredVersion() {
+        context.continuations().findVersion(call.request().continuedRequestId(), call.service(), version -> {
+            if (call.finished()) {
+                return;
+            }
+            if (version.isEmpty()) {
+                giveUp("stream_origin_unknown");
+                return;
+            }
+            decodeEngines.require(version.get());
+            plan();
+        });
+    }
+
     /**
      * Plans the prefill if the prompt size and the engine limits are known; otherwise goes straight to a decode engine.
      */
@@ -141,11 +161,12 @@
 
     /** Plans the prefill and sends the request accordingly; rejects a deferred prompt that is expected too late. */
     private void placePrompt(PromptShape prompt) {
-        plan = context.planner().planPrefill(prompt, call.usableBackends(), triedPrefillEngines, false);
-        boolean deferred =
-                triedPrefillEngines.isEmpty() && !PromptAdmission.admitRegular(call, plan, context.largePrompts());
+        plan = context.planner().planPrefill(prompt, decodeEngines.withPrefillEngines(), triedPrefillEngines, false);
+        boolean deferred = triedPrefillEngines.isEmpty()
+                && !call.request().continuesStream()
+                && !PromptAdmission.admitRegular(call, plan, context.largePrompts());
         if (deferred) {
-            plan = context.planner().planPrefill(prompt, call.usableBackends(), triedPrefillEngines, true);
+            plan = context.planner().planPrefill(prompt, decodeEngines.withPrefillEngines(), triedPrefillEngines, true);
         }
         call.addLogField("plan_ms", Math.round(plan.expectedFirstTokenMillis()));
         call.addLogField("wait_ms", Math.round(plan.expectedWaitMillis()));
@@ -223,10 +244,10 @@
             handleDeadline();
             return;
         }
-        Optional<Backend> chosen = preferred.or(this::chooseDecodeEngine);
+        Optional<Backend> chosen = preferred.or(decodeEngines::choose);
         if (chosen.isEmpty()) {
             call.keepRetry();
-            continueLaterOrGiveUp("no_server");
+            continueLaterOrGiveUp(decodeEngines.missingOutcome());
             return;
         }
         Backend backend = chosen.get();
@@ -254,36 +275,6 @@
         send(options, work, call.responseTimeouts(), this);
     }
 
-    /**
-     * Returns the best engine that was not tried. If there is none, a begun stream, which can end in no other way, goes
-     * back to an engine that was tried, if possible not to the last one.
-     */
-    private Optional<Backend> chooseDecodeEngine() {
-        Optional<Backend> untried = chooseDecodeEngineExcept(triedEngines);
-        if (untried.isPresent() || !call.response().started()) {
-            return untried;
-        }
-        long now = context.ticker().nanos();
-        Backend last = triedEngines.get(triedEngines.size() - 1);
-        return chooseDecodeEngineExcept(List.of(last))
-                .filter(engine -> !engine.paused(now))
-                .or(() -> chooseDecodeEngineExcept(List.of()).filter(engine -> !engine.paused(now)));
-    }
-
-    /** Returns whether a decode engine accepts requests that was not tried and is not in use. */
-    private boolean otherDecodeEngineAccepts() {
-        List<Backend> excluded = new ArrayList<>(triedEngines);
-        excluded.add(attempt.backend());
-        long now = context.ticker().nanos();
-        return chooseDecodeEngineExcept(excluded)
-                .filter(engine -> !engine.paused(now))
-                .isPresent();
-    }
-
-    private Optional<Backend> chooseDecodeEngineExcept(List<Backend> excluded) {
-        return context.planner().chooseDecodeEngine(call.request().prompt(), call.usableBackends(), excluded);
-    }
-
     /** Returns the priority of a request that an engine has to prefill. */
     private int enginePriority() {
         int priority = call.route().priority();
@@ -294,10 +285,15 @@
     }
 
     /**
-     * Records that an engine generates output: it has fetched any prefilled prompt and now has the prompt in its cache.
+     * Records that an engine generates output: the rest must come from its software version, it has fetched any
+     * prefilled prompt, and it now has the prompt in its cache.
      */
     private void generationStarted() {
         Backend backend = attempt.backend();
+        decodeEngines.require(backend.entry().softwareVersion());
+        if (call.route().repeatable()) {
+            context.continuations().recordServer(call.request().streamId(), backend);
+        }
         call.request().prompt().ifPresent(prompt -> {
             if (prefilledPrompt == null
                     && plan != null
@@ -328,7 +324,7 @@
 
     /** Retries at another engine, or gives up. */
     private void retry(ForwardAttempt ended, ForwardOutcome outcome) {
-        triedEngines.add(ended.backend());
+        decodeEngines.recordTried(ended.backend());
         if (outcome.kind() != ForwardOutcome.Kind.NOT_SENT) {
             releasePrefilledPrompt();
         }
@@ -443,7 +439,7 @@
         /** Returns whether an engine accepts requests to which the prompt was not sent for prefill. */
         private boolean otherEngineAccepts() {
             long now = context.ticker().nanos();
-            return call.usableBackends().stream()
+            return decodeEngines.withPrefillEngines().stream()
                     .anyMatch(engine -> !triedPrefillEngines.contains(engine) && !engine.paused(now));
         }
 
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -6,6 +6,7 @@
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.catalog.CurrentCatalog;
+import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.resilience.CrashLedger;
@@ -37,6 +38,7 @@
  * @param firstAttempts estimates how long ago callers sent their first attempts
  * @param largePrompts decides which large prompts are scheduled with regular priority
  * @param crashProbe detects crashed servers
+ * @param continuations knows the software versions at which streams may be continued
  */
 public record RelayContext(
         HttpTransport transport,
@@ -57,4 +59,5 @@
         Consumer<Backend> onWorkChanged,
         FirstAttemptEstimator firstAttempts,
         LargePromptShare largePrompts,
-        CrashProbe crashProbe) {}
+        CrashProbe crashProbe,
+        StreamContinuations continuations) {}
--- a/src/main/java/org/verbenatray/relay/RelayRequest.java
+++ b/src/main/java/org/verbenatray/relay/RelayRequest.java
@@ -58,6 +58,11 @@
         return lastEventId.isPresent() || continuedRequestId.isPresent();
     }
 
+    /** Returns the id of the attempt that brings or has brought the first event of the stream. */
+    public String streamId() {
+        return continuedRequestId.orElse(id);
+    }
+
     /** Returns the path without its query. */
     public String path() {
         int query = target.indexOf('?');
--- a/src/test/java/org/verbenatray/openwork/InstanceRegistrationTest.java
+++ b/src/test/java/org/verbenatray/openwork/InstanceRegistrationTest.java
@@ -21,7 +21,7 @@
     public void start() {
         time = new ManualTime();
         log = new FakeKeyedLog();
-        peers = ExchangePeers.of("self");
+        peers = ExchangePeers.of("self", "d1");
     }
 
     @Test
@@ -30,7 +30,7 @@
         register();
         time.advanceMillis(2_000);
         Assert.assertEquals(peers.selectedAddresses().size(), 1);
-        Assert.assertEquals(log.valueOf("self"), Optional.of("127.0.0.1:7"));
+        Assert.assertEquals(log.valueOf("self"), Optional.of("127.0.0.1:7 d1"));
     }
 
     @Test
@@ -41,7 +41,7 @@
         Assert.assertEquals(log.valueOf("self"), Optional.empty());
         log.setDown(false);
         time.advanceMillis(5_000);
-        Assert.assertEquals(log.valueOf("self"), Optional.of("127.0.0.1:7"));
+        Assert.assertEquals(log.valueOf("self"), Optional.of("127.0.0.1:7 d1"));
     }
 
     @Test
@@ -77,7 +77,8 @@
     }
 
     private InstanceRegistration register() {
-        return InstanceRegistration.start(log, "self", new InetSocketAddress("127.0.0.1", 7), peers, time, time);
+        return InstanceRegistration.start(
+                log, "self", new ListedInstance(new InetSocketAddress("127.0.0.1", 7), "d1"), peers, time, time);
     }
 
     private void addEntry(String instance) {
--- a/src/test/java/org/verbenatray/openwork/WorkExchangeTest.java
+++ b/src/test/java/org/verbenatray/openwork/WorkExchangeTest.java
@@ -116,11 +116,11 @@
 
     /** Starts an exchange whose only peer adds the work it receives to {@link #remoteWork}. */
     private WorkExchange exchange() {
-        ExchangePeers peers = ExchangePeers.of("self");
-        peers.put("other", new InetSocketAddress("127.0.0.1", 1));
+        ExchangePeers peers = ExchangePeers.of("self", "d1");
+        peers.put("other", new ListedInstance(new InetSocketAddress("127.0.0.1", 1), "d2"));
         WorkExchange other = WorkExchange.start(
                 new WorkExchange.LocalInstance("other", 1, Map::of, List::of),
-                ExchangePeers.of("other"),
+                ExchangePeers.of("other", "d1"),
                 remoteWork,
                 (to, datagram) -> {},
                 time,
