A Connection header may name an option twice

EndToEndHeaders put the options of a Connection header into Set.of, which throws for a value that occurs twice. A request with such a header was answered with 500 and stayed open in the counts for good; a response with one was taken for silence and ended in 504 at the deadline, though its server had run the request.

ConnectionHeaderTest, both tests red before: 500 and 504 instead of 200; green after.

--- a/src/main/java/org/verbenatray/relay/EndToEndHeaders.java
+++ b/src/main/java/org/verbenatray/relay/EndToEndHeaders.java
@@ -29,14 +29,17 @@
 
     /**
      * Returns the headers to forward by name; repeated values are joined with commas. Headers named in {@code
-     * Connection} are left out too.
+     * Connection} are left out too; it may name a header more than once.
      */
     public static Map<String, String> from(HeaderMap headers) {
         Set<String> dropped = new HashSet<>(HOP_BY_HOP);
         HeaderValues named = headers.get(Headers.CONNECTION);
         if (named != null) {
-            named.forEach(value ->
-                    Set.of(value.split("[\\s,]+")).forEach(name -> dropped.add(name.toLowerCase(Locale.ROOT))));
+            for (String value : named) {
+                for (String name : value.split("[\\s,]+")) {
+                    dropped.add(name.toLowerCase(Locale.ROOT));
+                }
+            }
         }
         Map<String, String> result = new LinkedHashMap<>();
         for (HeaderValues values : headers) {
