An exception in the handling of a request ends the request

XNIO and Undertow drop an exception of a task, timer or listener. Undertow answered 500 when it came before the first attempt, but the request stayed open in the counts, so that a drain waited for its whole grace; an exception while a final answer was being written, after the deadline timer was removed, left the caller without any answer; one in the head of a response looked like a silent server until the deadline.

RequestGuard runs all steps of a request: the handler's tasks, the timers, the listeners of attempts and of the caller's connection. It logs the exception (request_failed) and ends the call: 503 with Retry-After if no byte of it can have reached a server, else 502; a response that has begun is closed and counted as cut_by_instance. Whether a request may have run now includes the running attempt. The outcome is counted before metrics and log line are written.

FailedHandlingTest: 5 of 6 red before (500 with the request open, 504, a read timeout, cut_by_server); the sixth, a status that cannot be relayed, was answered with 502 before too and stays as a guard.

--- a/src/main/java/org/verbenatray/platform/RelayLauncher.java
+++ b/src/main/java/org/verbenatray/platform/RelayLauncher.java
@@ -6,6 +6,7 @@
 import org.verbenatray.instance.EventLoop;
 import org.verbenatray.instance.PlatformAdapter;
 import org.verbenatray.instance.RelayInstance;
+import org.verbenatray.relay.RelayDialect;
 import org.verbenatray.relay.RelayMetrics;
 import org.verbenatray.settings.FileWatch;
 import org.verbenatray.settings.HangupSignal;
@@ -57,7 +58,8 @@
     public static RelayInstance start(Path settingsFile, int metricsPort) {
         String text = SettingsFile.read(settingsFile);
         EventLoop loop = EventLoop.start(Ticker.system());
-        RelayInstance instance = launch(SettingsFile.parse(text).toPlatformSettings(), metricsPort, loop);
+        RelayInstance instance =
+                launch(SettingsFile.parse(text).toPlatformSettings(), metricsPort, loop, PlatformProtocol.create());
         FileWatch watch = FileWatch.start(
                 settingsFile,
                 text,
@@ -71,10 +73,14 @@
     /** Starts a relay instance on loopback ports chosen by the OS, without a reachable store. */
     public static RelayInstance startStandalone() {
         return launch(
-                SettingsFile.parse(STANDALONE_SETTINGS).toPlatformSettings(), 0, EventLoop.start(Ticker.system()));
+                SettingsFile.parse(STANDALONE_SETTINGS).toPlatformSettings(),
+                0,
+                EventLoop.start(Ticker.system()),
+                PlatformProtocol.create());
     }
 
-    private static RelayInstance launch(PlatformSettings settings, int metricsPort, EventLoop loop) {
+    /** Starts a relay instance on a loop, with the given translation of headers and bodies. */
+    static RelayInstance launch(PlatformSettings settings, int metricsPort, EventLoop loop, RelayDialect dialect) {
         RelayMetrics metrics = RelayMetrics.create();
         StoreClient store = StoreClient.create(loop, settings.storeUri(), metrics);
         PlatformAdapter adapter = new PlatformAdapter(
@@ -85,7 +91,7 @@
                 store.keyedTopic(INSTANCES_TOPIC),
                 store.plainTopic(LEASE_TOPIC),
                 store.keyedTopic(CRASH_REPORTS_TOPIC),
-                PlatformProtocol.create());
+                dialect);
         return RelayInstance.start(settings.toRelaySettings(metricsPort), adapter, loop, metrics);
     }
 
--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -23,6 +23,10 @@
     private static final int MAX_BACKLOG_BYTES = 1024 * 1024;
 
     private final HttpServerExchange exchange;
+
+    /** Runs the listeners of the connection. */
+    private final RequestGuard guard;
+
     private final Deque<ByteBuffer> backlog = new ArrayDeque<>();
 
     /** Notified when the connection ends before the response is complete, unless by {@link #abort}. */
@@ -44,13 +48,14 @@
     /** Whether the response is complete, aborted or given up; nothing more may be written. */
     private boolean closed;
 
-    private CallerResponse(HttpServerExchange exchange) {
+    private CallerResponse(HttpServerExchange exchange, RequestGuard guard) {
         this.exchange = exchange;
+        this.guard = guard;
     }
 
     /** Returns the response of the given exchange. */
-    static CallerResponse to(HttpServerExchange exchange) {
-        return new CallerResponse(exchange);
+    static CallerResponse to(HttpServerExchange exchange, RequestGuard guard) {
+        return new CallerResponse(exchange, guard);
     }
 
     /** Returns whether the status and headers of the response are set. */
@@ -70,7 +75,10 @@
     void onDisconnect(Consumer<DisconnectCause> listener) {
         disconnectListener = listener;
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
-            connection.getChannel().getSourceChannel().setReadListener(readable -> checkConnection(connection));
+            connection
+                    .getChannel()
+                    .getSourceChannel()
+                    .setReadListener(readable -> guard.run(() -> checkConnection(connection)));
             connection.getOriginalSourceConduit().resumeReads();
         }
     }
@@ -116,10 +124,8 @@
 
     /** Closes the caller's connection, so that the response cannot be mistaken for a complete one. */
     void abort() {
-        if (!closed) {
-            closed = true;
-            IoUtils.safeClose(exchange.getConnection());
-        }
+        closed = true;
+        IoUtils.safeClose(exchange.getConnection());
     }
 
     /** Sets the status and headers; returns false if a response was started or the caller has disconnected. */
@@ -127,10 +133,11 @@
         if (closed || started) {
             return false;
         }
-        started = true;
         exchange.setStatusCode(status);
         HeaderMap target = exchange.getResponseHeaders();
+        target.clear();
         headers.forEach((name, value) -> target.put(new HttpString(name), value));
+        started = true;
         return true;
     }
 
@@ -167,18 +174,20 @@
     /** Continues writing when the channel accepts bytes again. */
     private void awaitWritable(StreamSinkChannel sink) {
         awaitingWritable = true;
-        sink.getWriteSetter().set(ready -> {
-            awaitingWritable = false;
-            sink.suspendWrites();
-            if (closed) {
-                flush(sink);
-            } else {
-                drain();
-            }
-        });
+        sink.getWriteSetter().set(ready -> guard.run(() -> continueWriting(sink)));
         sink.resumeWrites();
     }
 
+    private void continueWriting(StreamSinkChannel sink) {
+        awaitingWritable = false;
+        sink.suspendWrites();
+        if (closed) {
+            flush(sink);
+        } else {
+            drain();
+        }
+    }
+
     /** Flushes a complete stream. */
     private void flush(StreamSinkChannel sink) {
         try {
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -7,6 +7,7 @@
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.servers.Cancellation;
+import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ResponseHead;
 import org.verbenatray.servers.ResponseListener;
 import org.verbenatray.servers.ServerFailure;
@@ -92,13 +93,14 @@
             ResponseTimeouts timeouts,
             ForwardListener listener) {
         ForwardAttempt attempt = new ForwardAttempt(context, call, options, work, timeouts, listener);
+        HttpCall forward = context.dialect().forward(call.request(), options);
         attempt.progressDeadline = timeouts.firstByteDeadline();
         attempt.scheduleProgressCheck();
         options.backend().addRequest(work);
         context.onWorkChanged().accept(options.backend());
         attempt.scheduleSuspectCheck();
         attempt.cancellation = context.transport()
-                .exchange(context.dialect().forward(call.request(), options), context.thread(), attempt);
+                .exchange(forward, context.thread(), call.guard().wrap(attempt));
         return attempt;
     }
 
@@ -146,7 +148,7 @@
 
     @Override
     public void onBody(ByteBuffer piece) {
-        if (closed) {
+        if (closed || head == null) {
             return;
         }
         recordProgress();
@@ -173,7 +175,9 @@
         if (closed) {
             return;
         }
-        if (deliversEvents() && splitter.isInsideEvent()) {
+        if (head == null) {
+            finish(ForwardOutcome.Kind.BROKEN, "the head of the response cannot be used");
+        } else if (deliversEvents() && splitter.isInsideEvent()) {
             finish(ForwardOutcome.Kind.BROKEN, "the stream ended inside an event");
         } else if (deliversEvents()) {
             finish(ForwardOutcome.Kind.STREAM_ENDED, "ended");
@@ -249,14 +253,14 @@
     /** Schedules a check shortly after the progress deadline. */
     private void scheduleProgressCheck() {
         long wait = progressDeadline.remainingMillis(context.ticker().nanos()) + 1;
-        timer = context.thread().executeAfter(this::checkProgress, wait, TimeUnit.MILLISECONDS);
+        timer = context.thread().executeAfter(call.guard().wrap(this::checkProgress), wait, TimeUnit.MILLISECONDS);
     }
 
     /** Schedules an early check of the server if the request may crash it. */
     private void scheduleSuspectCheck() {
         if (context.crashLedger().crashCount(call.fingerprint()) > 0) {
-            suspectTimer =
-                    context.thread().executeAfter(this::checkSuspect, SUSPECT_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+            suspectTimer = context.thread()
+                    .executeAfter(call.guard().wrap(this::checkSuspect), SUSPECT_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -84,8 +84,9 @@
     static void start(RelayContext context, RelayCall call) {
         GenerationRelay relay = new GenerationRelay(context, call);
         call.response().onDisconnect(relay::callerDisconnected);
-        relay.deadlineTimer =
-                context.thread().executeAfter(relay::handleDeadline, call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
+        relay.deadlineTimer = context.thread()
+                .executeAfter(
+                        call.guard().wrap(relay::handleDeadline), call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
         relay.plan();
     }
 
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -44,8 +44,9 @@
     static void start(RelayContext context, RelayCall call) {
         PlainRelay relay = new PlainRelay(context, call);
         call.response().onDisconnect(relay::callerDisconnected);
-        relay.deadlineTimer =
-                context.thread().executeAfter(relay::handleDeadline, call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
+        relay.deadlineTimer = context.thread()
+                .executeAfter(
+                        call.guard().wrap(relay::handleDeadline), call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
         relay.send();
     }
 
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -1,12 +1,9 @@
 package org.verbenatray.relay;
 
-import io.undertow.util.HeaderMap;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -33,6 +30,12 @@
      */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
+    /** The outcome of a request whose handling fails with an exception. */
+    private static final String FAILED = "internal_error";
+
+    /** Retry-after time of a request that has not run when its handling fails. */
+    private static final long FAILED_RETRY_AFTER_MILLIS = 500;
+
     private static final Logger log = System.getLogger(RelayCall.class.getName());
 
     private final RelayContext context;
@@ -42,6 +45,10 @@
     private final String service;
     private final Deadline deadline;
     private final CallerResponse response;
+    private final OwnResponseHeaders ownHeaders;
+
+    /** Runs the tasks, timers and listeners of the call. */
+    private final RequestGuard guard;
 
     /** Identifies the request in all its repeats. */
     private final String fingerprint;
@@ -66,6 +73,9 @@
     /** When the first byte of the response was relayed, in nanoseconds of the ticker; zero before that. */
     private long firstByteNanos;
 
+    /** The attempt whose outcome is not recorded, null if none. */
+    private ForwardAttempt running;
+
     private boolean finished;
 
     /** Creates a call. */
@@ -76,6 +86,7 @@
             long catalogVersion,
             Deadline deadline,
             CallerResponse response,
+            RequestGuard guard,
             Consumer<RequestEnd> onFinished) {
         this.context = context;
         this.request = request;
@@ -84,6 +95,8 @@
         this.service = route.serviceFor(request.id().hashCode());
         this.deadline = deadline;
         this.response = response;
+        this.ownHeaders = OwnResponseHeaders.of(context);
+        this.guard = guard;
         this.fingerprint = request.fingerprint();
         this.millisSinceFirstAttempt = request.deadline()
                 .map(callerDeadline -> context.firstAttempts()
@@ -117,6 +130,11 @@
         return response;
     }
 
+    /** Returns the guard that runs the tasks, timers and listeners of the call. */
+    RequestGuard guard() {
+        return guard;
+    }
+
     /** Returns when the final response is due. */
     Deadline deadline() {
         return deadline;
@@ -159,9 +177,11 @@
      */
     Optional<ForwardAttempt> send(
             ForwardOptions options, PrefillWork work, ResponseTimeouts timeouts, ForwardListener listener) {
-        return crashesServers()
-                ? Optional.empty()
-                : Optional.of(ForwardAttempt.send(context, this, options, work, timeouts, listener));
+        if (crashesServers()) {
+            return Optional.empty();
+        }
+        running = ForwardAttempt.send(context, this, options, work, timeouts, guard.wrap(listener));
+        return Optional.of(running);
     }
 
     /** Returns whether the request has crashed so many servers that it must not be sent to another. */
@@ -189,9 +209,9 @@
         return finished;
     }
 
-    /** Returns whether the request may have run. */
+    /** Returns whether the request may have run, in an earlier attempt or in the running one. */
     boolean mayHaveRun() {
-        return possibleRuns > 0;
+        return possibleRuns > 0 || running != null && running.sendingStarted() && !running.prefillOnly();
     }
 
     /**
@@ -227,15 +247,15 @@
 
     /** Records the outcome of an attempt, for the retry rules and for the health of the server. */
     void recordOutcome(ForwardAttempt attempt, ForwardOutcome outcome, boolean countsAsRun) {
+        running = null;
         lastOutcome = outcome.kind();
-        recordServerOutcome(attempt.backend(), outcome);
-        if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT) {
-            return;
-        }
-        deliveries++;
-        if (countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN) {
-            possibleRuns++;
+        if (outcome.kind() != ForwardOutcome.Kind.NOT_SENT) {
+            deliveries++;
+            if (countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN) {
+                possibleRuns++;
+            }
         }
+        recordServerOutcome(attempt.backend(), outcome);
         if (countsAsRun && outcome.isSuccess()) {
             context.crashLedger().recordSuccess(fingerprint);
         }
@@ -254,7 +274,7 @@
             return;
         }
         recordFirstByte();
-        response.send(head.status(), withConnectionHeader(head.headers()), outcome.body());
+        response.send(head.status(), ownHeaders.withConnection(head.headers()), outcome.body());
         finish(RequestEnd.ANSWERED, "answered", head.status());
     }
 
@@ -262,7 +282,7 @@
     void relayEvent(ServerResponseHead head, StreamEvent event) {
         if (!response.started()) {
             recordFirstByte();
-            response.startStream(head.status(), withConnectionHeader(head.headers()));
+            response.startStream(head.status(), ownHeaders.withConnection(head.headers()));
         }
         response.write(event.bytes());
     }
@@ -270,7 +290,7 @@
     /** Ends the stream to the caller as complete. */
     void endStream(ServerResponseHead head) {
         if (!response.started()) {
-            response.startStream(head.status(), withConnectionHeader(head.headers()));
+            response.startStream(head.status(), ownHeaders.withConnection(head.headers()));
         }
         response.endStream();
         finish(RequestEnd.ANSWERED, "answered", head.status());
@@ -288,13 +308,42 @@
         if (response.started()) {
             response.abort();
             finish(cutEnd(deadlinePassed), outcome, 0);
-        } else if (possibleRuns > 0) {
+        } else if (mayHaveRun()) {
             sendOwnResponse(deadlinePassed ? 504 : 502, outcome, Optional.empty());
         } else {
             sendOwnResponse(503, outcome, Optional.of(retryAfterMillis));
         }
     }
 
+    /**
+     * Ends the call after an exception in one of its steps: with 503 if the request has not run, with 502 if it may
+     * have run, or by closing the connection of a response that has begun.
+     */
+    void fail() {
+        if (finished) {
+            return;
+        }
+        if (running != null && (route.repeatable() || !running.sendingStarted())) {
+            running.cancel();
+        }
+        if (response.started() || response.closed()) {
+            cutFailed();
+            return;
+        }
+        try {
+            giveUp(FAILED, FAILED_RETRY_AFTER_MILLIS);
+        } catch (RuntimeException e) {
+            cutFailed();
+            throw e;
+        }
+    }
+
+    /** Closes the connection of a response that cannot be completed. */
+    private void cutFailed() {
+        response.abort();
+        finish(RequestEnd.CUT_BY_INSTANCE, FAILED, 0);
+    }
+
     /** Returns how a response that had begun and was cut has ended. */
     private RequestEnd cutEnd(boolean deadlinePassed) {
         if (deadlinePassed) {
@@ -321,30 +370,12 @@
     /** Sends a response produced by this instance. */
     private void sendOwnResponse(int status, String outcome, Optional<Long> retryAfterMillis) {
         response.send(
-                status, ownResponseHeaders(retryAfterMillis), (outcome + "\n").getBytes(StandardCharsets.US_ASCII));
+                status,
+                ownHeaders.ownResponse(request.id(), retryAfterMillis),
+                (outcome + "\n").getBytes(StandardCharsets.US_ASCII));
         finish(RequestEnd.REFUSED, outcome, status);
     }
 
-    /** Returns the headers of a response produced by this instance. */
-    private Map<String, String> ownResponseHeaders(Optional<Long> retryAfterMillis) {
-        HeaderMap headers = new HeaderMap();
-        context.dialect().addRequestId(headers, request.id());
-        retryAfterMillis.ifPresent(millis -> context.dialect().addRetryAfter(headers, millis));
-        Map<String, String> result = new HashMap<>();
-        headers.forEach(values -> result.put(values.getHeaderName().toString(), values.getFirst()));
-        return withConnectionHeader(result);
-    }
-
-    /** Adds {@code Connection: close} if the caller is better served by another instance. */
-    private Map<String, String> withConnectionHeader(Map<String, String> headers) {
-        if (!context.closingConnections().getAsBoolean()) {
-            return headers;
-        }
-        Map<String, String> result = new HashMap<>(headers);
-        result.put("Connection", "close");
-        return result;
-    }
-
     /** Records the time to first byte. */
     private void recordFirstByte() {
         firstByteNanos = context.ticker().nanos();
@@ -386,6 +417,7 @@
             return;
         }
         finished = true;
+        onFinished.accept(end);
         long now = context.ticker().nanos();
         context.metrics().recordResponse(route.kind().name(), outcome, (now - request.receivedNanos()) / 1e9);
         Event event = Event.named("answer")
@@ -407,6 +439,5 @@
         event.with("left_ms", deadline.remainingMillis(now))
                 .with("tried", logFields.toString().trim());
         event.log(log, Level.INFO);
-        onFinished.accept(end);
     }
 }
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -13,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.verbenatray.catalog.Catalog;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.catalog.RouteKind;
@@ -28,6 +29,9 @@
     /** Retry-after time while this instance stops; short, since the retry goes to another instance. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
 
+    /** Retry-after time of a request whose handling fails before it is relayed. */
+    private static final long FAILED_RETRY_AFTER_MILLIS = 500;
+
     private static final Logger log = System.getLogger(RelayHandler.class.getName());
 
     private final RelayContext context;
@@ -51,6 +55,12 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
+        RequestGuard guard = RequestGuard.create(() -> endFailed(exchange, end -> {}));
+        guard.run(() -> receive(exchange, guard));
+    }
+
+    /** Checks the head of a request and starts to read its body. */
+    private void receive(HttpServerExchange exchange, RequestGuard guard) {
         long receivedNanos = context.ticker().nanos();
         if (context.closingConnections().getAsBoolean()) {
             exchange.setPersistent(false);
@@ -78,16 +88,17 @@
             return;
         }
         exchange.setMaxEntitySize(maxBodyBytes);
-        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> readBody(exchange, receivedNanos));
+        exchange.dispatch(SameThreadExecutor.INSTANCE, guard.wrap(() -> readBody(exchange, guard, receivedNanos)));
     }
 
-    private void readBody(HttpServerExchange exchange, long receivedNanos) {
+    private void readBody(HttpServerExchange exchange, RequestGuard guard, long receivedNanos) {
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (done, body) ->
-                                done.dispatch(SameThreadExecutor.INSTANCE, () -> startRelay(done, body, receivedNanos)),
-                        (failed, e) ->
-                                failed.dispatch(SameThreadExecutor.INSTANCE, () -> handleReadFailure(failed, e)));
+                        (done, body) -> done.dispatch(
+                                SameThreadExecutor.INSTANCE,
+                                guard.wrap(() -> startRelay(done, body, guard, receivedNanos))),
+                        (failed, e) -> failed.dispatch(
+                                SameThreadExecutor.INSTANCE, guard.wrap(() -> handleReadFailure(failed, e))));
     }
 
     /** Responds with 413 if the body is too large; otherwise closes the connection. */
@@ -100,14 +111,16 @@
     }
 
     /** Matches the route of a request and starts relaying it. */
-    private void startRelay(HttpServerExchange exchange, byte[] body, long receivedNanos) {
+    private void startRelay(HttpServerExchange exchange, byte[] body, RequestGuard guard, long receivedNanos) {
         counts.recordRead();
+        guard.setEnding(() -> endFailed(exchange, counts::recordEnd));
         Optional<RelayRequest> parsedRequest = context.dialect().readRequest(exchange, body, receivedNanos);
         if (parsedRequest.isEmpty()) {
             refuse(exchange, 400, "the request carries no id");
             return;
         }
         RelayRequest request = parsedRequest.get();
+        guard.setRequestId(request.id());
         Catalog catalog = context.catalog().get().orElseThrow();
         Optional<Route> matchedRoute = catalog.match(request.host(), request.path());
         if (matchedRoute.isEmpty()) {
@@ -120,7 +133,15 @@
             deadline = request.deadline().get();
         }
         RelayCall call = new RelayCall(
-                context, request, route, catalog.version(), deadline, CallerResponse.to(exchange), counts::recordEnd);
+                context,
+                request,
+                route,
+                catalog.version(),
+                deadline,
+                CallerResponse.to(exchange, guard),
+                guard,
+                counts::recordEnd);
+        guard.setEnding(call::fail);
         context.retryBudgets().apply(call.service()).recordRequest();
         if (call.crashesServers()) {
             call.giveUpCrashing();
@@ -137,6 +158,25 @@
         counts.recordEnd(RequestEnd.REFUSED);
     }
 
+    /**
+     * Ends a request whose handling has failed before it was relayed: refuses it, or closes its connection if that is
+     * not possible. Reports how it has ended.
+     */
+    private void endFailed(HttpServerExchange exchange, Consumer<RequestEnd> onEnd) {
+        RequestEnd end = RequestEnd.CUT_BY_INSTANCE;
+        try {
+            if (exchange.isResponseChannelAvailable()) {
+                reject(exchange, 503, "internal error", FAILED_RETRY_AFTER_MILLIS);
+                end = RequestEnd.REFUSED;
+            }
+        } finally {
+            if (end == RequestEnd.CUT_BY_INSTANCE) {
+                IoUtils.safeClose(exchange.getConnection());
+            }
+            onEnd.accept(end);
+        }
+    }
+
     /** Responds to a request that is not relayed. */
     private void reject(HttpServerExchange exchange, int status, String reason, long retryAfterMillis) {
         Event.named("refused")
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -11,7 +11,10 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import org.testng.Assert;
+import org.verbenatray.instance.EventLoop;
 import org.verbenatray.instance.RelayInstance;
+import org.verbenatray.relay.RelayDialect;
+import org.verbenatray.time.Ticker;
 
 /** A relay instance with a fake store, on ports chosen by the OS. */
 final class RelayFixture implements AutoCloseable {
@@ -48,12 +51,22 @@
 
     /** Starts an instance with routes and the given servers, and waits until it is ready. */
     static RelayFixture startReady(ServerListing... servers) throws Exception {
+        return startReady(PlatformProtocol.create(), servers);
+    }
+
+    /** Starts an instance with a translation of its own, routes and servers, and waits until it is ready. */
+    static RelayFixture startReady(RelayDialect dialect, ServerListing... servers) throws Exception {
         FakeStore store = FakeStore.start();
         store.put("keyed.op", "config", configurationJson(1));
         for (ServerListing listed : servers) {
             store.put("keyed.servers", listed.id(), listed.entryJson("ready", 1));
         }
-        RelayFixture relay = start(store);
+        RelayInstance started = RelayLauncher.launch(
+                SettingsFile.parse(settingsText(store.address())).toPlatformSettings(),
+                0,
+                EventLoop.start(Ticker.system()),
+                dialect);
+        RelayFixture relay = new RelayFixture(store, started);
         relay.await(relay.instance()::isReady);
         return relay;
     }
@@ -181,6 +194,16 @@
         return -1;
     }
 
+    /**
+     * Returns after the instance has handled what its connections had received before the call: requests on two new
+     * connections have passed through its one thread after it.
+     */
+    void passIoRounds() throws IOException {
+        for (int round = 0; round < 2; round++) {
+            exchange(getRequest("/no-such-route", "round" + round));
+        }
+    }
+
     /** Waits until a condition holds; fails after the default timeout. */
     void await(Callable<Boolean> condition) throws Exception {
         waitUntil(condition);
