The pieces of a pipelined request stay in order

While a response is open the caller's connection is read, to notice that it leaves; bytes of a next request are put back for the server. Undertow puts such bytes in front of those it has read before, so a next request that had begun in the same piece as the first one came out with its halves swapped: 400 at best. They are now put behind.

PipelinedRequestTest: 2 of 3 red before (400 for the second request, behind a plain answer and behind a stream); the third, a request behind a refused one, was green and stays. All green after.

--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -5,6 +5,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
+import io.undertow.util.ImmediatePooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -220,7 +221,7 @@
         if (count > 0) {
             pooled.getBuffer().flip();
             connection.getOriginalSourceConduit().suspendReads();
-            connection.ungetRequestBytes(pooled);
+            keepForServer(connection, pooled);
             return;
         }
         pooled.close();
@@ -229,6 +230,21 @@
         }
     }
 
+    /** Keeps bytes of a pipelined next request for the server, behind those that it has read with this request. */
+    private static void keepForServer(HttpServerConnection connection, PooledByteBuffer later) {
+        PooledByteBuffer earlier = connection.getExtraBytes();
+        if (earlier == null) {
+            connection.setExtraBytes(later);
+            return;
+        }
+        ByteBuffer joined = ByteBuffer.allocate(
+                earlier.getBuffer().remaining() + later.getBuffer().remaining());
+        joined.put(earlier.getBuffer()).put(later.getBuffer()).flip();
+        earlier.close();
+        later.close();
+        connection.setExtraBytes(new ImmediatePooledByteBuffer(joined));
+    }
+
     /** Stops watching the connection, so that the server reads the caller's next request. */
     private void stopConnectionChecks() {
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
