A request cancelled on its thread before it is sent is never sent

The cancellation was queued as a task, behind the start of the exchange and behind events of the same round, so that a request could be sent after its call had ended, in the worst case with 503, which says that it has not run. On the thread of the exchange it is now cancelled at once.

CancelledExchangeTest: red before (three requests at the server instead of two), green after.

--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -94,11 +94,20 @@
         return collector.future();
     }
 
-    /** Sends a call and streams its response to the listener on the given thread. */
+    /**
+     * Sends a call and streams its response to the listener on the given thread. A call that is cancelled on that
+     * thread before {@link ResponseListener#onSending} is never sent.
+     */
     public Cancellation exchange(HttpCall call, XnioIoThread thread, ResponseListener listener) {
         HttpExchange exchange = new HttpExchange(this, call, thread, listener);
         thread.execute(() -> startOnPooledConnection(call, thread, exchange));
-        return () -> thread.execute(exchange::cancel);
+        return () -> {
+            if (Thread.currentThread() == thread) {
+                exchange.cancel();
+            } else {
+                thread.execute(exchange::cancel);
+            }
+        };
     }
 
     /** Returns a connection to the pool after a complete exchange. */
