A caller that closes only its sending half gets an answer or a refusal

An end of input was taken for the caller having left, and its connection was closed without a word. A caller that closes its sending half after the request lost the answer of an unsafe request that ran to its end, and got no refusal of another one.

An unsafe request that was sent runs to its end as before, and its answer is now sent; it is not sent to another server any more. Other work is still stopped at once, since an end of input does not tell a caller that has left from one that waits; the caller is sent 503 if the request has not run, else 502, and a begun stream is cut. A broken connection counts as left, as before.

--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -30,6 +30,9 @@
 
     private final Deque<ByteBuffer> backlog = new ArrayDeque<>();
 
+    /** Whether the caller has closed its connection, or only the sending half of it. */
+    private boolean inputEnded;
+
     /** Notified when the connection ends before the response is complete, unless by {@link #abort}. */
     private Consumer<DisconnectCause> disconnectListener = cause -> {};
 
@@ -69,9 +72,18 @@
         return closed;
     }
 
+    /**
+     * Returns whether the caller has closed its connection, or only the sending half of it: which of them shows only
+     * when bytes are sent to it.
+     */
+    boolean inputEnded() {
+        return inputEnded;
+    }
+
     /**
      * Sets the listener that is notified when the connection ends before the response is complete, and starts to watch
-     * the connection.
+     * the connection. After {@link DisconnectCause#CALLER_CLOSED} the response can still be sent or aborted; after the
+     * other causes it is closed.
      */
     void onDisconnect(Consumer<DisconnectCause> listener) {
         disconnectListener = listener;
@@ -225,7 +237,9 @@
             return;
         }
         pooled.close();
-        if (count < 0) {
+        if (count < 0 && cause == DisconnectCause.CALLER_CLOSED) {
+            endInput(connection);
+        } else if (count < 0) {
             disconnect(cause);
         }
     }
@@ -252,6 +266,14 @@
         }
     }
 
+    /** Notifies the listener that the caller sends nothing more. */
+    private void endInput(HttpServerConnection connection) {
+        inputEnded = true;
+        connection.getOriginalSourceConduit().suspendReads();
+        exchange.setPersistent(false);
+        disconnectListener.accept(DisconnectCause.CALLER_CLOSED);
+    }
+
     /** Closes the connection and notifies the listener. */
     private void disconnect(DisconnectCause cause) {
         if (!closed) {
@@ -263,7 +285,7 @@
 
     /** Why a connection ended before the response was complete. */
     enum DisconnectCause {
-        /** The caller closed its connection. */
+        /** The caller closed its connection, or only the sending half of it. */
         CALLER_CLOSED,
         /** The connection broke. */
         CONNECTION_BROKEN,
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -168,8 +168,15 @@
         giveUp("timeout");
     }
 
-    /** Cancels the running attempt, if it may be cancelled, when the caller has disconnected. */
+    /**
+     * Cancels the running attempt, if it may be cancelled, when the caller has disconnected. The answer of an attempt
+     * that runs to its end anyway is still sent to a caller that may have closed only the sending half of its
+     * connection.
+     */
     private void callerDisconnected(DisconnectCause cause) {
+        if (cause == DisconnectCause.CALLER_CLOSED && attempt != null && !mayCancel()) {
+            return;
+        }
         deadlineTimer.remove();
         cancelAttempt();
         call.callerDisconnected(cause);
@@ -180,9 +187,13 @@
      * end.
      */
     private void cancelAttempt() {
-        if (attempt != null && (call.route().repeatable() || !attempt.sendingStarted())) {
+        if (attempt != null && mayCancel()) {
             attempt.cancel();
             attempt = null;
         }
     }
+
+    private boolean mayCancel() {
+        return call.route().repeatable() || !attempt.sendingStarted();
+    }
 }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -33,8 +33,11 @@
     /** The outcome of a request whose handling fails with an exception. */
     private static final String FAILED = "internal_error";
 
-    /** Retry-after time of a request that has not run when its handling fails. */
-    private static final long FAILED_RETRY_AFTER_MILLIS = 500;
+    /** The outcome of a request whose caller has closed its connection. */
+    private static final String CALLER_LEFT = "caller_left";
+
+    /** Retry-after time of a request that has not run when its handling fails or its caller has left. */
+    private static final long RETRY_AFTER_MILLIS = 500;
 
     private static final Logger log = System.getLogger(RelayCall.class.getName());
 
@@ -215,11 +218,11 @@
     }
 
     /**
-     * Returns whether the request may be sent to another server. Spends a retry from the budget if an earlier attempt
-     * may have reached a server.
+     * Returns whether the request may be sent to another server; not if its caller may have left. Spends a retry from
+     * the budget if an earlier attempt may have reached a server.
      */
     boolean tryReserveRetry() {
-        if (possibleRuns > 0 && !route.repeatable()) {
+        if (possibleRuns > 0 && !route.repeatable() || response.inputEnded()) {
             return false;
         }
         if (possibleRuns >= route.maxAttempts() || deliveries >= route.maxAttempts() + MAX_EXTRA_ATTEMPTS) {
@@ -309,9 +312,9 @@
             response.abort();
             finish(cutEnd(deadlinePassed), outcome, 0);
         } else if (mayHaveRun()) {
-            sendOwnResponse(deadlinePassed ? 504 : 502, outcome, Optional.empty());
+            sendOwnResponse(deadlinePassed ? 504 : 502, outcome, Optional.empty(), RequestEnd.REFUSED);
         } else {
-            sendOwnResponse(503, outcome, Optional.of(retryAfterMillis));
+            sendOwnResponse(503, outcome, Optional.of(retryAfterMillis), RequestEnd.REFUSED);
         }
     }
 
@@ -331,7 +334,7 @@
             return;
         }
         try {
-            giveUp(FAILED, FAILED_RETRY_AFTER_MILLIS);
+            giveUp(FAILED, RETRY_AFTER_MILLIS);
         } catch (RuntimeException e) {
             cutFailed();
             throw e;
@@ -352,13 +355,31 @@
         return lastOutcome == ForwardOutcome.Kind.SILENT ? RequestEnd.CUT_BY_INSTANCE : RequestEnd.CUT_BY_SERVER;
     }
 
-    /** Finishes the call after its connection to the caller has ended. */
+    /**
+     * Finishes the call, whose work has been stopped, after its connection to the caller has ended. A caller that may
+     * have closed only the sending half of its connection is sent a refusal.
+     */
     void callerDisconnected(DisconnectCause cause) {
-        if (cause == DisconnectCause.BACKLOG_FULL) {
-            finish(RequestEnd.CUT_BY_INSTANCE, "backlog_full", 0);
+        switch (cause) {
+            case BACKLOG_FULL -> finish(RequestEnd.CUT_BY_INSTANCE, "backlog_full", 0);
+            case CONNECTION_BROKEN -> finish(RequestEnd.CALLER_LEFT, CALLER_LEFT, 0);
+            case CALLER_CLOSED -> refuseLeft();
+        }
+    }
+
+    /** Refuses a request whose caller has closed its connection or the sending half of it; cuts a begun response. */
+    private void refuseLeft() {
+        if (finished) {
             return;
         }
-        finish(RequestEnd.CALLER_LEFT, "caller_left", 0);
+        if (response.started()) {
+            response.abort();
+            finish(RequestEnd.CALLER_LEFT, CALLER_LEFT, 0);
+        } else if (mayHaveRun()) {
+            sendOwnResponse(502, CALLER_LEFT, Optional.empty(), RequestEnd.CALLER_LEFT);
+        } else {
+            sendOwnResponse(503, CALLER_LEFT, Optional.of(RETRY_AFTER_MILLIS), RequestEnd.CALLER_LEFT);
+        }
     }
 
     /** Records that the request may have run in an attempt without an outcome. */
@@ -368,12 +389,12 @@
     }
 
     /** Sends a response produced by this instance. */
-    private void sendOwnResponse(int status, String outcome, Optional<Long> retryAfterMillis) {
+    private void sendOwnResponse(int status, String outcome, Optional<Long> retryAfterMillis, RequestEnd end) {
         response.send(
                 status,
                 ownHeaders.ownResponse(request.id(), retryAfterMillis),
                 (outcome + "\n").getBytes(StandardCharsets.US_ASCII));
-        finish(RequestEnd.REFUSED, outcome, status);
+        finish(end, outcome, status);
     }
 
     /** Records the time to first byte. */
