A drain waits until answers are written to their sockets

A request counts as ended when its answer is handed to the connection. The drain waited only for that, so that an answer to a slow caller was broken off when the process ended, and so could be a refusal made before a route was found. The drain now also waits for answers that are due or not written, still at most for the grace.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -227,7 +227,8 @@
 
     /**
      * Drains the instance and returns when the process may end. The instance is no longer ready at once, rejects new
-     * requests after a short time and waits for the open ones until shortly before the end of the grace period.
+     * requests after a short time and waits until the open ones are answered and their answers are written, but not
+     * beyond shortly before the end of the grace period.
      */
     public void drain() {
         long start = loop.ticker().nanos();
@@ -243,6 +244,7 @@
         Event.named("stopped")
                 .with("instance", settings.name())
                 .with("open", handler.counts().open())
+                .with("unsent", handler.unsentResponses().count())
                 .with("ends", handler.counts().ends())
                 .with("ms", (loop.ticker().nanos() - start) / 1_000_000)
                 .log(log, Level.INFO);
@@ -270,10 +272,15 @@
         loop.close();
     }
 
-    /** Completes the future when no request is open after the earliest time, or at the latest time. */
+    /** Returns whether no request is open and all responses have been written to their sockets. */
+    private boolean isIdle() {
+        return handler.counts().open() == 0 && handler.unsentResponses().count() == 0;
+    }
+
+    /** Completes the future when the instance is idle after the earliest time, or at the latest time. */
     private void pollUntilDrained(Deadline earliest, Deadline latest, CompletableFuture<Void> done) {
         long now = loop.ticker().nanos();
-        if (latest.hasPassed(now) || earliest.hasPassed(now) && handler.counts().open() == 0) {
+        if (latest.hasPassed(now) || earliest.hasPassed(now) && isIdle()) {
             done.complete(null);
             return;
         }
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -38,6 +38,8 @@
 
     private final RequestCounts counts;
 
+    private final UnsentResponses unsentResponses = UnsentResponses.create();
+
     private RelayHandler(RelayContext context) {
         this.context = context;
         this.counts = RequestCounts.create(context.metrics());
@@ -53,6 +55,11 @@
         return counts;
     }
 
+    /** Returns the responses that are due or not yet written. */
+    public UnsentResponses unsentResponses() {
+        return unsentResponses;
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         RequestGuard guard = RequestGuard.create(() -> endFailed(exchange, end -> {}));
@@ -113,6 +120,7 @@
     /** Matches the route of a request and starts relaying it. */
     private void startRelay(HttpServerExchange exchange, byte[] body, RequestGuard guard, long receivedNanos) {
         counts.recordRead();
+        unsentResponses.add(exchange);
         guard.setEnding(() -> endFailed(exchange, counts::recordEnd));
         Optional<RelayRequest> parsedRequest = context.dialect().readRequest(exchange, body, receivedNanos);
         if (parsedRequest.isEmpty()) {
@@ -186,6 +194,7 @@
                 .with("path", exchange.getRequestURI())
                 .with("version", context.catalog().get().map(Catalog::version).orElse(0L))
                 .log(log, Level.INFO);
+        unsentResponses.add(exchange);
         exchange.setStatusCode(status);
         if (retryAfterMillis > 0) {
             context.dialect().addRetryAfter(exchange.getResponseHeaders(), retryAfterMillis);
