A caller that reads is not cut for the size of one event

The limit of 1 MiB on bytes that wait for a slow caller was checked before a write was tried and included the event being written, so that an event above the limit closed the connection of any caller. It now applies to the bytes behind it.

LargeEventTest: red before (closed without a byte), green after.

--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -20,7 +20,10 @@
  * that the caller cannot mistake it for a complete response. Used on one thread.
  */
 final class CallerResponse {
-    /** Limit of the bytes buffered for a slow caller; its connection is closed beyond it. */
+    /**
+     * Limit of the bytes that wait for a slow caller behind the event that is being written; its connection is closed
+     * beyond it.
+     */
     private static final int MAX_BACKLOG_BYTES = 1024 * 1024;
 
     private final HttpServerExchange exchange;
@@ -120,11 +123,10 @@
         }
         backlog.addLast(ByteBuffer.wrap(bytes));
         backlogBytes += bytes.length;
-        if (backlogBytes > MAX_BACKLOG_BYTES) {
+        drain();
+        if (!backlog.isEmpty() && backlogBytes - backlog.peekFirst().remaining() > MAX_BACKLOG_BYTES) {
             disconnect(DisconnectCause.BACKLOG_FULL);
-            return;
         }
-        drain();
     }
 
     /** Ends the stream as complete after the buffered bytes. */
