A body that cannot be read to its end is refused, and the limit holds for chunks

A body that ended early closed the connection without an answer and without a log line; it is now refused with 400, or told as request_broken where the HTTP library has closed the channel. The limit on the size of bodies did not apply to chunked ones: 150,000 bytes were relayed with a limit of 100,000; they are refused with 413.

UnreadableBodyTest: aBodyThatEndsEarlyIsRefused (closed without a byte) and aChunkedBodyBeyondTheLimitIsRefused (200) were red before; the chunked body that ends early was closed and not run before too, and stays as a guard. All green after.

--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -3,6 +3,7 @@
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
@@ -95,6 +96,7 @@
             return;
         }
         exchange.setMaxEntitySize(maxBodyBytes);
+        exchange.getRequestReceiver().setMaxBufferSize((int) Math.min(maxBodyBytes, Integer.MAX_VALUE));
         exchange.dispatch(SameThreadExecutor.INSTANCE, guard.wrap(() -> readBody(exchange, guard, receivedNanos)));
     }
 
@@ -108,13 +110,24 @@
                                 SameThreadExecutor.INSTANCE, guard.wrap(() -> handleReadFailure(failed, e))));
     }
 
-    /** Responds with 413 if the body is too large; otherwise closes the connection. */
+    /**
+     * Refuses a request whose body is too large or cannot be read to its end, and closes the connection. After a
+     * chunked body that ends early the HTTP library has closed the channel, so that nothing can be sent.
+     */
     private void handleReadFailure(HttpServerExchange exchange, IOException e) {
-        if (e instanceof Receiver.RequestToLargeException) {
+        exchange.setPersistent(false);
+        if (e instanceof Receiver.RequestToLargeException || e instanceof RequestTooBigException) {
             reject(exchange, 413, "the body is larger than the limit", 0);
-            return;
+        } else if (exchange.getConnection().isOpen()) {
+            reject(exchange, 400, "the body cannot be read: " + e.getMessage(), 0);
+        } else {
+            Event.named("request_broken")
+                    .with("why", e.getMessage())
+                    .with("host", exchange.getRequestHeaders().getFirst(Headers.HOST))
+                    .with("path", exchange.getRequestURI())
+                    .log(log, Level.INFO);
+            IoUtils.safeClose(exchange.getConnection());
         }
-        IoUtils.safeClose(exchange.getConnection());
     }
 
     /** Matches the route of a request and starts relaying it. */
