--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -5,6 +5,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
+import io.undertow.util.ImmediatePooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -19,12 +20,22 @@
  * that the caller cannot mistake it for a complete response. Used on one thread.
  */
 final class CallerResponse {
-    /** Limit of the bytes buffered for a slow caller; its connection is closed beyond it. */
+    /**
+     * Limit of the bytes that wait for a slow caller behind the event that is being written; its connection is closed
+     * beyond it.
+     */
     private static final int MAX_BACKLOG_BYTES = 1024 * 1024;
 
     private final HttpServerExchange exchange;
+
+    /** Runs the listeners of the connection. */
+    private final RequestGuard guard;
+
     private final Deque<ByteBuffer> backlog = new ArrayDeque<>();
 
+    /** Whether the caller has closed its connection, or only the sending half of it. */
+    private boolean inputEnded;
+
     /** Notified when the connection ends before the response is complete, unless by {@link #abort}. */
     private Consumer<DisconnectCause> disconnectListener = cause -> {};
 
@@ -44,13 +55,14 @@
     /** Whether the response is complete, aborted or given up; nothing more may be written. */
     private boolean closed;
 
-    private CallerResponse(HttpServerExchange exchange) {
+    private CallerResponse(HttpServerExchange exchange, RequestGuard guard) {
         this.exchange = exchange;
+        this.guard = guard;
     }
 
     /** Returns the response of the given exchange. */
-    static CallerResponse to(HttpServerExchange exchange) {
-        return new CallerResponse(exchange);
+    static CallerResponse to(HttpServerExchange exchange, RequestGuard guard) {
+        return new CallerResponse(exchange, guard);
     }
 
     /** Returns whether the status and headers of the response are set. */
@@ -63,14 +75,26 @@
         return closed;
     }
 
+    /**
+     * Returns whether the caller has closed its connection, or only the sending half of it: which of them shows only
+     * when bytes are sent to it.
+     */
+    boolean inputEnded() {
+        return inputEnded;
+    }
+
     /**
      * Sets the listener that is notified when the connection ends before the response is complete, and starts to watch
-     * the connection.
+     * the connection. After {@link DisconnectCause#CALLER_CLOSED} the response can still be sent or aborted; after the
+     * other causes it is closed.
      */
     void onDisconnect(Consumer<DisconnectCause> listener) {
         disconnectListener = listener;
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
-            connection.getChannel().getSourceChannel().setReadListener(readable -> checkConnection(connection));
+            connection
+                    .getChannel()
+                    .getSourceChannel()
+                    .setReadListener(readable -> guard.run(() -> checkConnection(connection)));
             connection.getOriginalSourceConduit().resumeReads();
         }
     }
@@ -99,11 +123,10 @@
         }
         backlog.addLast(ByteBuffer.wrap(bytes));
         backlogBytes += bytes.length;
-        if (backlogBytes > MAX_BACKLOG_BYTES) {
+        drain();
+        if (!backlog.isEmpty() && backlogBytes - backlog.peekFirst().remaining() > MAX_BACKLOG_BYTES) {
             disconnect(DisconnectCause.BACKLOG_FULL);
-            return;
         }
-        drain();
     }
 
     /** Ends the stream as complete after the buffered bytes. */
@@ -116,10 +139,8 @@
 
     /** Closes the caller's connection, so that the response cannot be mistaken for a complete one. */
     void abort() {
-        if (!closed) {
-            closed = true;
-            IoUtils.safeClose(exchange.getConnection());
-        }
+        closed = true;
+        IoUtils.safeClose(exchange.getConnection());
     }
 
     /** Sets the status and headers; returns false if a response was started or the caller has disconnected. */
@@ -127,10 +148,11 @@
         if (closed || started) {
             return false;
         }
-        started = true;
         exchange.setStatusCode(status);
         HeaderMap target = exchange.getResponseHeaders();
+        target.clear();
         headers.forEach((name, value) -> target.put(new HttpString(name), value));
+        started = true;
         return true;
     }
 
@@ -167,18 +189,20 @@
     /** Continues writing when the channel accepts bytes again. */
     private void awaitWritable(StreamSinkChannel sink) {
         awaitingWritable = true;
-        sink.getWriteSetter().set(ready -> {
-            awaitingWritable = false;
-            sink.suspendWrites();
-            if (closed) {
-                flush(sink);
-            } else {
-                drain();
-            }
-        });
+        sink.getWriteSetter().set(ready -> guard.run(() -> continueWriting(sink)));
         sink.resumeWrites();
     }
 
+    private void continueWriting(StreamSinkChannel sink) {
+        awaitingWritable = false;
+        sink.suspendWrites();
+        if (closed) {
+            flush(sink);
+        } else {
+            drain();
+        }
+    }
+
     /** Flushes a complete stream. */
     private void flush(StreamSinkChannel sink) {
         try {
@@ -211,15 +235,32 @@
         if (count > 0) {
             pooled.getBuffer().flip();
             connection.getOriginalSourceConduit().suspendReads();
-            connection.ungetRequestBytes(pooled);
+            keepForServer(connection, pooled);
             return;
         }
         pooled.close();
-        if (count < 0) {
+        if (count < 0 && cause == DisconnectCause.CALLER_CLOSED) {
+            endInput(connection);
+        } else if (count < 0) {
             disconnect(cause);
         }
     }
 
+    /** Keeps bytes of a pipelined next request for the server, behind those that it has read with this request. */
+    private static void keepForServer(HttpServerConnection connection, PooledByteBuffer later) {
+        PooledByteBuffer earlier = connection.getExtraBytes();
+        if (earlier == null) {
+            connection.setExtraBytes(later);
+            return;
+        }
+        ByteBuffer joined = ByteBuffer.allocate(
+                earlier.getBuffer().remaining() + later.getBuffer().remaining());
+        joined.put(earlier.getBuffer()).put(later.getBuffer()).flip();
+        earlier.close();
+        later.close();
+        connection.setExtraBytes(new ImmediatePooledByteBuffer(joined));
+    }
+
     /** Stops watching the connection, so that the server reads the caller's next request. */
     private void stopConnectionChecks() {
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
@@ -227,6 +268,14 @@
         }
     }
 
+    /** Notifies the listener that the caller sends nothing more. */
+    private void endInput(HttpServerConnection connection) {
+        inputEnded = true;
+        connection.getOriginalSourceConduit().suspendReads();
+        exchange.setPersistent(false);
+        disconnectListener.accept(DisconnectCause.CALLER_CLOSED);
+    }
+
     /** Closes the connection and notifies the listener. */
     private void disconnect(DisconnectCause cause) {
         if (!closed) {
@@ -238,7 +287,7 @@
 
     /** Why a connection ended before the response was complete. */
     enum DisconnectCause {
-        /** The caller closed its connection. */
+        /** The caller closed its connection, or only the sending half of it. */
         CALLER_CLOSED,
         /** The connection broke. */
         CONNECTION_BROKEN,
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -79,8 +79,9 @@
     static void start(RelayContext context, RelayCall call) {
         GenerationRelay relay = new GenerationRelay(context, call);
         call.response().onDisconnect(relay::callerDisconnected);
-        relay.deadlineTimer =
-                context.thread().executeAfter(relay::handleDeadline, call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
+        relay.deadlineTimer = context.thread()
+                .executeAfter(
+                        call.guard().wrap(relay::handleDeadline), call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
         if (call.request().continuesStream()) {
             relay.findRequiredVersion();
         } else {
@@ -107,7 +108,9 @@
 
     @Override
     public boolean leavesSilentServer() {
-        return call.attemptsLeftAfterCurrent() && decodeEngines.otherAccepts(attempt.backend()) && call.reserveRetry();
+        return call.retries().attemptsLeftAfterCurrent()
+                && decodeEngines.otherAccepts(attempt.backend())
+                && call.retries().reserveRetry();
     }
 
     @Override
@@ -130,17 +133,24 @@
 
     /** Finds the software version that began the stream, then plans the prefill; gives up if it cannot be known. */
     private void findRequiredVersion() {
-        context.continuations().findVersion(call.request().continuedRequestId(), call.service(), version -> {
-            if (call.finished()) {
-                return;
-            }
-            if (version.isEmpty()) {
-                giveUp("stream_origin_unknown");
-                return;
-            }
-            decodeEngines.require(version.get());
-            plan();
-        });
+        context.continuations()
+                .findVersion(
+                        call.request().continuedRequestId(),
+                        call.service(),
+                        version -> call.guard().run(() -> continueAt(version)));
+    }
+
+    /** Continues the stream of an earlier attempt at the given software version; gives up if it is not known. */
+    private void continueAt(Optional<String> version) {
+        if (call.finished()) {
+            return;
+        }
+        if (version.isEmpty()) {
+            giveUp("stream_origin_unknown");
+            return;
+        }
+        decodeEngines.require(version.get());
+        plan();
     }
 
     /**
@@ -246,13 +256,13 @@
         }
         Optional<Backend> chosen = preferred.or(decodeEngines::choose);
         if (chosen.isEmpty()) {
-            call.keepRetry();
+            call.retries().keepRetry();
             continueLaterOrGiveUp(decodeEngines.missingOutcome());
             return;
         }
         Backend backend = chosen.get();
         if (backend.unreachable()) {
-            call.keepRetry();
+            call.retries().keepRetry();
             continueLaterOrGiveUp("no_server_in_reach");
             return;
         }
@@ -348,9 +358,12 @@
         Deadline callerTimeout =
                 Deadline.afterMillis(lastEventNanos, call.route().estimatedCallerTimeoutMillis());
         boolean inTime = !callerTimeout.hasPassed(context.ticker().nanos());
-        if (call.response().started() && call.attemptsLeft() && inTime) {
+        if (call.response().started() && call.retries().attemptsLeft() && inTime) {
             context.thread()
-                    .executeAfter(() -> continueOrGiveUp(outcome), CONTINUE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                    .executeAfter(
+                            call.guard().wrap(() -> continueOrGiveUp(outcome)),
+                            CONTINUE_INTERVAL_MILLIS,
+                            TimeUnit.MILLISECONDS);
             return;
         }
         giveUp(outcome);
@@ -433,7 +446,7 @@
 
         @Override
         public boolean leavesSilentServer() {
-            return otherEngineAccepts() && call.reserveRetry();
+            return otherEngineAccepts() && call.retries().reserveRetry();
         }
 
         /** Returns whether an engine accepts requests to which the prompt was not sent for prefill. */
@@ -460,7 +473,7 @@
                 decodePrefilled(backend, handle.get());
                 return;
             }
-            if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT || call.trySpendRetry()) {
+            if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT || call.retries().trySpendRetry()) {
                 plan();
                 return;
             }
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -40,8 +40,9 @@
     static void start(RelayContext context, RelayCall call) {
         PlainRelay relay = new PlainRelay(context, call);
         call.response().onDisconnect(relay::callerDisconnected);
-        relay.deadlineTimer =
-                context.thread().executeAfter(relay::handleDeadline, call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
+        relay.deadlineTimer = context.thread()
+                .executeAfter(
+                        call.guard().wrap(relay::handleDeadline), call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
         relay.send();
     }
 
@@ -61,7 +62,9 @@
         Backend silent = attempt.backend();
         boolean alternative = call.usableBackends().stream()
                 .anyMatch(server -> server != silent && !triedServers.contains(server) && !server.paused(now));
-        return alternative && call.attemptsLeftAfterCurrent() && call.reserveRetry();
+        return alternative
+                && call.retries().attemptsLeftAfterCurrent()
+                && call.retries().reserveRetry();
     }
 
     @Override
@@ -159,8 +162,15 @@
         giveUp("timeout");
     }
 
-    /** Cancels the running attempt, if it may be cancelled, when the caller has disconnected. */
+    /**
+     * Cancels the running attempt, if it may be cancelled, when the caller has disconnected. The answer of an attempt
+     * that runs to its end anyway is still sent to a caller that may have closed only the sending half of its
+     * connection.
+     */
     private void callerDisconnected(DisconnectCause cause) {
+        if (cause == DisconnectCause.CALLER_CLOSED && attempt != null && !mayCancel()) {
+            return;
+        }
         deadlineTimer.remove();
         cancelAttempt();
         call.callerDisconnected(cause);
@@ -171,9 +181,13 @@
      * end.
      */
     private void cancelAttempt() {
-        if (attempt != null && (call.route().repeatable() || !attempt.sendingStarted())) {
+        if (attempt != null && mayCancel()) {
             attempt.cancel();
             attempt = null;
         }
     }
+
+    private boolean mayCancel() {
+        return call.route().repeatable() || !attempt.sendingStarted();
+    }
 }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -1,12 +1,9 @@
 package org.verbenatray.relay;
 
-import io.undertow.util.HeaderMap;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -24,15 +21,21 @@
  * thread.
  */
 final class RelayCall {
-    /** Attempts allowed beyond the route's maximum while servers report that they did not run the request. */
-    private static final int MAX_EXTRA_ATTEMPTS = 2;
-
     /**
      * Statuses that callers read as "the request has not run". A server's response with such a status is not relayed,
      * since a server that did not run the request says so in a header of its own.
      */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
+    /** The outcome of a request whose handling fails with an exception. */
+    private static final String FAILED = "internal_error";
+
+    /** The outcome of a request whose caller has closed its connection. */
+    private static final String CALLER_LEFT = "caller_left";
+
+    /** Retry-after time of a request that has not run when its handling fails or its caller has left. */
+    private static final long RETRY_AFTER_MILLIS = 500;
+
     private static final Logger log = System.getLogger(RelayCall.class.getName());
 
     private final RelayContext context;
@@ -42,6 +45,10 @@
     private final String service;
     private final Deadline deadline;
     private final CallerResponse response;
+    private final OwnResponseHeaders ownHeaders;
+
+    /** Runs the tasks, timers and listeners of the call. */
+    private final RequestGuard guard;
 
     /** Identifies the request in all its repeats. */
     private final String fingerprint;
@@ -54,17 +61,7 @@
     /** Attempts and further fields, for the log line of the final response. */
     private final StringBuilder logFields = new StringBuilder();
 
-    /** Attempts that a server received or may have received. */
-    private int deliveries;
-
-    /** Attempts in which the request may have run. */
-    private int possibleRuns;
-
-    /** Whether a retry was spent from the budget that has not been sent. */
-    private boolean retryReserved;
-
-    /** Whether a retry was refused because the budget was exhausted. */
-    private boolean budgetExhausted;
+    private final RetryAllowance retries;
 
     /** How the last attempt ended, null before that. */
     private ForwardOutcome.Kind lastOutcome;
@@ -72,6 +69,9 @@
     /** When the first byte of the response was relayed, in nanoseconds of the ticker; zero before that. */
     private long firstByteNanos;
 
+    /** The attempt whose outcome is not recorded, null if none. */
+    private ForwardAttempt running;
+
     private boolean finished;
 
     /** Creates a call. */
@@ -82,6 +82,7 @@
             long catalogVersion,
             Deadline deadline,
             CallerResponse response,
+            RequestGuard guard,
             Consumer<RequestEnd> onFinished) {
         this.context = context;
         this.request = request;
@@ -89,7 +90,10 @@
         this.catalogVersion = catalogVersion;
         this.service = route.serviceFor(request.id().hashCode());
         this.deadline = deadline;
+        this.retries = RetryAllowance.create(route, () -> context.retryBudgets().apply(service));
         this.response = response;
+        this.ownHeaders = OwnResponseHeaders.of(context);
+        this.guard = guard;
         this.fingerprint = request.fingerprint();
         this.millisSinceFirstAttempt = request.deadline()
                 .map(callerDeadline -> context.firstAttempts()
@@ -118,11 +122,21 @@
         return service;
     }
 
+    /** Returns the attempts and retries of the call. */
+    RetryAllowance retries() {
+        return retries;
+    }
+
     /** Returns the response to the caller. */
     CallerResponse response() {
         return response;
     }
 
+    /** Returns the guard that runs the tasks, timers and listeners of the call. */
+    RequestGuard guard() {
+        return guard;
+    }
+
     /** Returns when the final response is due. */
     Deadline deadline() {
         return deadline;
@@ -165,9 +179,11 @@
      */
     Optional<ForwardAttempt> send(
             ForwardOptions options, PrefillWork work, ResponseTimeouts timeouts, ForwardListener listener) {
-        return crashesServers()
-                ? Optional.empty()
-                : Optional.of(ForwardAttempt.send(context, this, options, work, timeouts, listener));
+        if (crashesServers()) {
+            return Optional.empty();
+        }
+        running = ForwardAttempt.send(context, this, options, work, timeouts, guard.wrap(listener));
+        return Optional.of(running);
     }
 
     /** Returns whether the request has crashed so many servers that it must not be sent to another. */
@@ -195,64 +211,17 @@
         return finished;
     }
 
-    /** Returns whether the request may have run. */
+    /** Returns whether the request may have run, in an earlier attempt or in the running one. */
     boolean mayHaveRun() {
-        return possibleRuns > 0;
+        return retries.mayHaveRun() || running != null && running.sendingStarted() && !running.prefillOnly();
     }
 
     /**
-     * Returns whether the request may be sent to another server. Spends a retry from the budget if an earlier attempt
-     * may have reached a server.
+     * Returns whether the request may be sent to another server; not if its caller may have left. Spends a retry from
+     * the budget if an earlier attempt may have reached a server.
      */
     boolean tryReserveRetry() {
-        return attemptsLeft() && (deliveries == 0 || trySpendRetry());
-    }
-
-    /** Returns whether the attempts of the route allow another server after the outcome of the last attempt. */
-    boolean attemptsLeft() {
-        return attemptsLeftAfter(0);
-    }
-
-    /** Returns whether the attempts of the route allow another server if the running attempt fails. */
-    boolean attemptsLeftAfterCurrent() {
-        return attemptsLeftAfter(1);
-    }
-
-    private boolean attemptsLeftAfter(int furtherRuns) {
-        return (route.repeatable() || possibleRuns + furtherRuns == 0)
-                && possibleRuns + furtherRuns < route.maxAttempts()
-                && deliveries + furtherRuns < route.maxAttempts() + MAX_EXTRA_ATTEMPTS;
-    }
-
-    /**
-     * Spends a retry from the budget of the service ahead of its sending and returns true, or returns false if the
-     * budget is exhausted.
-     */
-    boolean reserveRetry() {
-        retryReserved = trySpendRetry();
-        return retryReserved;
-    }
-
-    /**
-     * Uses the reserved retry or spends one from the budget of the service and returns true, or returns false if the
-     * budget is exhausted.
-     */
-    boolean trySpendRetry() {
-        if (retryReserved) {
-            retryReserved = false;
-            return true;
-        }
-        boolean spent = context.retryBudgets().apply(service).trySpend();
-        if (!spent && !budgetExhausted) {
-            budgetExhausted = true;
-            logFields.append(" budget=spent");
-        }
-        return spent;
-    }
-
-    /** Keeps the retry that was spent for a sending that did not take place. */
-    void keepRetry() {
-        retryReserved = deliveries > 0;
+        return !response.inputEnded() && retries.tryReserveAttempt();
     }
 
     /** Returns the timeouts of an attempt: the silence of a server matters only if the request can be moved. */
@@ -266,15 +235,12 @@
 
     /** Records the outcome of an attempt, for the retry rules and for the health of the server. */
     void recordOutcome(ForwardAttempt attempt, ForwardOutcome outcome, boolean countsAsRun) {
+        running = null;
         lastOutcome = outcome.kind();
-        recordServerOutcome(attempt.backend(), outcome);
-        if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT) {
-            return;
-        }
-        deliveries++;
-        if (countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN) {
-            possibleRuns++;
+        if (outcome.kind() != ForwardOutcome.Kind.NOT_SENT) {
+            retries.recordDelivery(countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN);
         }
+        recordServerOutcome(attempt.backend(), outcome);
         if (countsAsRun && outcome.isSuccess()) {
             context.crashLedger().recordSuccess(fingerprint);
         }
@@ -293,7 +259,7 @@
             return;
         }
         recordFirstByte();
-        response.send(head.status(), withConnectionHeader(head.headers()), outcome.body());
+        response.send(head.status(), ownHeaders.withConnection(head.headers()), outcome.body());
         finish(RequestEnd.ANSWERED, "answered", head.status());
     }
 
@@ -301,7 +267,7 @@
     void relayEvent(ServerResponseHead head, StreamEvent event) {
         if (!response.started()) {
             recordFirstByte();
-            response.startStream(head.status(), withConnectionHeader(head.headers()));
+            response.startStream(head.status(), ownHeaders.withConnection(head.headers()));
         }
         response.write(event.bytes());
     }
@@ -309,7 +275,7 @@
     /** Ends the stream to the caller as complete. */
     void endStream(ServerResponseHead head) {
         if (!response.started()) {
-            response.startStream(head.status(), withConnectionHeader(head.headers()));
+            response.startStream(head.status(), ownHeaders.withConnection(head.headers()));
         }
         response.endStream();
         finish(RequestEnd.ANSWERED, "answered", head.status());
@@ -327,13 +293,42 @@
         if (response.started()) {
             response.abort();
             finish(cutEnd(deadlinePassed), outcome, 0);
-        } else if (possibleRuns > 0) {
-            sendOwnResponse(deadlinePassed ? 504 : 502, outcome, Optional.empty());
+        } else if (mayHaveRun()) {
+            sendOwnResponse(deadlinePassed ? 504 : 502, outcome, Optional.empty(), RequestEnd.REFUSED);
         } else {
-            sendOwnResponse(503, outcome, Optional.of(retryAfterMillis));
+            sendOwnResponse(503, outcome, Optional.of(retryAfterMillis), RequestEnd.REFUSED);
         }
     }
 
+    /**
+     * Ends the call after an exception in one of its steps: with 503 if the request has not run, with 502 if it may
+     * have run, or by closing the connection of a response that has begun.
+     */
+    void fail() {
+        if (finished) {
+            return;
+        }
+        if (running != null && (route.repeatable() || !running.sendingStarted())) {
+            running.cancel();
+        }
+        if (response.started() || response.closed()) {
+            cutFailed();
+            return;
+        }
+        try {
+            giveUp(FAILED, RETRY_AFTER_MILLIS);
+        } catch (RuntimeException e) {
+            cutFailed();
+            throw e;
+        }
+    }
+
+    /** Closes the connection of a response that cannot be completed. */
+    private void cutFailed() {
+        response.abort();
+        finish(RequestEnd.CUT_BY_INSTANCE, FAILED, 0);
+    }
+
     /** Returns how a response that had begun and was cut has ended. */
     private RequestEnd cutEnd(boolean deadlinePassed) {
         if (deadlinePassed) {
@@ -342,46 +337,45 @@
         return lastOutcome == ForwardOutcome.Kind.SILENT ? RequestEnd.CUT_BY_INSTANCE : RequestEnd.CUT_BY_SERVER;
     }
 
-    /** Finishes the call after its connection to the caller has ended. */
+    /**
+     * Finishes the call, whose work has been stopped, after its connection to the caller has ended. A caller that may
+     * have closed only the sending half of its connection is sent a refusal.
+     */
     void callerDisconnected(DisconnectCause cause) {
-        if (cause == DisconnectCause.BACKLOG_FULL) {
-            finish(RequestEnd.CUT_BY_INSTANCE, "backlog_full", 0);
+        switch (cause) {
+            case BACKLOG_FULL -> finish(RequestEnd.CUT_BY_INSTANCE, "backlog_full", 0);
+            case CONNECTION_BROKEN -> finish(RequestEnd.CALLER_LEFT, CALLER_LEFT, 0);
+            case CALLER_CLOSED -> refuseLeft();
+        }
+    }
+
+    /** Refuses a request whose caller has closed its connection or the sending half of it; cuts a begun response. */
+    private void refuseLeft() {
+        if (finished) {
             return;
         }
-        finish(RequestEnd.CALLER_LEFT, "caller_left", 0);
+        if (response.started()) {
+            response.abort();
+            finish(RequestEnd.CALLER_LEFT, CALLER_LEFT, 0);
+        } else if (mayHaveRun()) {
+            sendOwnResponse(502, CALLER_LEFT, Optional.empty(), RequestEnd.CALLER_LEFT);
+        } else {
+            sendOwnResponse(503, CALLER_LEFT, Optional.of(RETRY_AFTER_MILLIS), RequestEnd.CALLER_LEFT);
+        }
     }
 
     /** Records that the request may have run in an attempt without an outcome. */
     void recordPossibleRun() {
-        deliveries++;
-        possibleRuns++;
+        retries.recordDelivery(true);
     }
 
     /** Sends a response produced by this instance. */
-    private void sendOwnResponse(int status, String outcome, Optional<Long> retryAfterMillis) {
+    private void sendOwnResponse(int status, String outcome, Optional<Long> retryAfterMillis, RequestEnd end) {
         response.send(
-                status, ownResponseHeaders(retryAfterMillis), (outcome + "\n").getBytes(StandardCharsets.US_ASCII));
-        finish(RequestEnd.REFUSED, outcome, status);
-    }
-
-    /** Returns the headers of a response produced by this instance. */
-    private Map<String, String> ownResponseHeaders(Optional<Long> retryAfterMillis) {
-        HeaderMap headers = new HeaderMap();
-        context.dialect().addRequestId(headers, request.id());
-        retryAfterMillis.ifPresent(millis -> context.dialect().addRetryAfter(headers, millis));
-        Map<String, String> result = new HashMap<>();
-        headers.forEach(values -> result.put(values.getHeaderName().toString(), values.getFirst()));
-        return withConnectionHeader(result);
-    }
-
-    /** Adds {@code Connection: close} if the caller is better served by another instance. */
-    private Map<String, String> withConnectionHeader(Map<String, String> headers) {
-        if (!context.closingConnections().getAsBoolean()) {
-            return headers;
-        }
-        Map<String, String> result = new HashMap<>(headers);
-        result.put("Connection", "close");
-        return result;
+                status,
+                ownHeaders.ownResponse(request.id(), retryAfterMillis),
+                (outcome + "\n").getBytes(StandardCharsets.US_ASCII));
+        finish(end, outcome, status);
     }
 
     /** Records the time to first byte. */
@@ -430,6 +424,7 @@
             return;
         }
         finished = true;
+        onFinished.accept(end);
         long now = context.ticker().nanos();
         context.metrics().recordResponse(route.kind().name(), outcome, (now - request.receivedNanos()) / 1e9);
         Event event = Event.named("answer")
@@ -450,9 +445,11 @@
         if (crashes > 0) {
             event.with("fingerprint", fingerprint).with("crashes", crashes);
         }
+        if (retries.exhausted()) {
+            logFields.append(" budget=spent");
+        }
         event.with("left_ms", deadline.remainingMillis(now))
                 .with("tried", logFields.toString().trim());
         event.log(log, Level.INFO);
-        onFinished.accept(end);
     }
 }
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -3,6 +3,7 @@
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
@@ -13,6 +14,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.verbenatray.catalog.Catalog;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.catalog.RouteKind;
@@ -28,12 +30,17 @@
     /** Retry-after time while this instance stops; short, since the retry goes to another instance. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
 
+    /** Retry-after time of a request whose handling fails before it is relayed. */
+    private static final long FAILED_RETRY_AFTER_MILLIS = 500;
+
     private static final Logger log = System.getLogger(RelayHandler.class.getName());
 
     private final RelayContext context;
 
     private final RequestCounts counts;
 
+    private final UnsentResponses unsentResponses = UnsentResponses.create();
+
     private RelayHandler(RelayContext context) {
         this.context = context;
         this.counts = RequestCounts.create(context.metrics());
@@ -49,8 +56,19 @@
         return counts;
     }
 
+    /** Returns the responses that are due or not yet written. */
+    public UnsentResponses unsentResponses() {
+        return unsentResponses;
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
+        RequestGuard guard = RequestGuard.create(() -> endFailed(exchange, end -> {}));
+        guard.run(() -> receive(exchange, guard));
+    }
+
+    /** Checks the head of a request and starts to read its body. */
+    private void receive(HttpServerExchange exchange, RequestGuard guard) {
         long receivedNanos = context.ticker().nanos();
         if (context.closingConnections().getAsBoolean()) {
             exchange.setPersistent(false);
@@ -78,36 +96,52 @@
             return;
         }
         exchange.setMaxEntitySize(maxBodyBytes);
-        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> readBody(exchange, receivedNanos));
+        exchange.getRequestReceiver().setMaxBufferSize((int) Math.min(maxBodyBytes, Integer.MAX_VALUE));
+        exchange.dispatch(SameThreadExecutor.INSTANCE, guard.wrap(() -> readBody(exchange, guard, receivedNanos)));
     }
 
-    private void readBody(HttpServerExchange exchange, long receivedNanos) {
+    private void readBody(HttpServerExchange exchange, RequestGuard guard, long receivedNanos) {
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (done, body) ->
-                                done.dispatch(SameThreadExecutor.INSTANCE, () -> startRelay(done, body, receivedNanos)),
-                        (failed, e) ->
-                                failed.dispatch(SameThreadExecutor.INSTANCE, () -> handleReadFailure(failed, e)));
+                        (done, body) -> done.dispatch(
+                                SameThreadExecutor.INSTANCE,
+                                guard.wrap(() -> startRelay(done, body, guard, receivedNanos))),
+                        (failed, e) -> failed.dispatch(
+                                SameThreadExecutor.INSTANCE, guard.wrap(() -> handleReadFailure(failed, e))));
     }
 
-    /** Responds with 413 if the body is too large; otherwise closes the connection. */
+    /**
+     * Refuses a request whose body is too large or cannot be read to its end, and closes the connection. After a
+     * chunked body that ends early the HTTP library has closed the channel, so that nothing can be sent.
+     */
     private void handleReadFailure(HttpServerExchange exchange, IOException e) {
-        if (e instanceof Receiver.RequestToLargeException) {
+        exchange.setPersistent(false);
+        if (e instanceof Receiver.RequestToLargeException || e instanceof RequestTooBigException) {
             reject(exchange, 413, "the body is larger than the limit", 0);
-            return;
+        } else if (exchange.getConnection().isOpen()) {
+            reject(exchange, 400, "the body cannot be read: " + e.getMessage(), 0);
+        } else {
+            Event.named("request_broken")
+                    .with("why", e.getMessage())
+                    .with("host", exchange.getRequestHeaders().getFirst(Headers.HOST))
+                    .with("path", exchange.getRequestURI())
+                    .log(log, Level.INFO);
+            IoUtils.safeClose(exchange.getConnection());
         }
-        IoUtils.safeClose(exchange.getConnection());
     }
 
     /** Matches the route of a request and starts relaying it. */
-    private void startRelay(HttpServerExchange exchange, byte[] body, long receivedNanos) {
+    private void startRelay(HttpServerExchange exchange, byte[] body, RequestGuard guard, long receivedNanos) {
         counts.recordRead();
+        unsentResponses.add(exchange);
+        guard.setEnding(() -> endFailed(exchange, counts::recordEnd));
         Optional<RelayRequest> parsedRequest = context.dialect().readRequest(exchange, body, receivedNanos);
         if (parsedRequest.isEmpty()) {
             refuse(exchange, 400, "the request carries no id");
             return;
         }
         RelayRequest request = parsedRequest.get();
+        guard.setRequestId(request.id());
         Catalog catalog = context.catalog().get().orElseThrow();
         Optional<Route> matchedRoute = catalog.match(request.host(), request.path());
         if (matchedRoute.isEmpty()) {
@@ -120,7 +154,15 @@
             deadline = request.deadline().get();
         }
         RelayCall call = new RelayCall(
-                context, request, route, catalog.version(), deadline, CallerResponse.to(exchange), counts::recordEnd);
+                context,
+                request,
+                route,
+                catalog.version(),
+                deadline,
+                CallerResponse.to(exchange, guard),
+                guard,
+                counts::recordEnd);
+        guard.setEnding(call::fail);
         context.retryBudgets().apply(call.service()).recordRequest();
         if (call.crashesServers()) {
             call.giveUpCrashing();
@@ -137,6 +179,25 @@
         counts.recordEnd(RequestEnd.REFUSED);
     }
 
+    /**
+     * Ends a request whose handling has failed before it was relayed: refuses it, or closes its connection if that is
+     * not possible. Reports how it has ended.
+     */
+    private void endFailed(HttpServerExchange exchange, Consumer<RequestEnd> onEnd) {
+        RequestEnd end = RequestEnd.CUT_BY_INSTANCE;
+        try {
+            if (exchange.isResponseChannelAvailable()) {
+                reject(exchange, 503, "internal error", FAILED_RETRY_AFTER_MILLIS);
+                end = RequestEnd.REFUSED;
+            }
+        } finally {
+            if (end == RequestEnd.CUT_BY_INSTANCE) {
+                IoUtils.safeClose(exchange.getConnection());
+            }
+            onEnd.accept(end);
+        }
+    }
+
     /** Responds to a request that is not relayed. */
     private void reject(HttpServerExchange exchange, int status, String reason, long retryAfterMillis) {
         Event.named("refused")
@@ -146,6 +207,7 @@
                 .with("path", exchange.getRequestURI())
                 .with("version", context.catalog().get().map(Catalog::version).orElse(0L))
                 .log(log, Level.INFO);
+        unsentResponses.add(exchange);
         exchange.setStatusCode(status);
         if (retryAfterMillis > 0) {
             context.dialect().addRetryAfter(exchange.getResponseHeaders(), retryAfterMillis);
