Do not take a sound engine for silent at the deadline of its request

What callers saw: nothing at once; later streams were cut or refused, because at each deadline of a request half of the sound engines were recorded as silent: paused for 0.4 s and more, probed as crashed, their idle connections closed, and a retry of the shared budget spent that was never sent.

Cause: the timer of the attempt and the timer of the call fire in the same millisecond, in either order.

Change: at the deadline of the call the attempt leaves its end to the call. A server that is still being connected to is judged by the timeout of the connection, not by a silence limit that may be shorter.

Evidence: aSoundEngineIsNotTakenForSilentAtTheDeadlineOfItsRequest red before (failure share 0.74 after 20 streams), green after; PausingServerTest 11 of 11, CrashingRequestTest, BusyEngineTest, PlainRelayTest and StreamRelayTest pass.

--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -283,11 +283,23 @@
                 .orElse(false);
     }
 
-    /** Returns whether a silent server is awaited further: it is busy, or the request cannot be moved to another. */
+    /**
+     * Returns whether the call is about to end at its deadline, which cancels the attempt: that the response is
+     * incomplete then is no sign of a silent server.
+     */
+    private boolean endsAtDeadline() {
+        return call.deadline().hasPassed(context.ticker().nanos()) && !call.finished();
+    }
+
+    /**
+     * Returns whether a silent server is awaited further: it is still being connected to, for which there is a timeout
+     * of its own, it is busy, or the request cannot be moved to another.
+     */
     private boolean awaitsSilentServer() {
-        return sendingStarted
-                && !timeouts.expired(context.ticker().nanos())
-                && (isBusy() || !listener.leavesSilentServer());
+        if (timeouts.expired(context.ticker().nanos())) {
+            return false;
+        }
+        return !sendingStarted || isBusy() || !listener.leavesSilentServer();
     }
 
     /** Ends the attempt if the server has made no progress in time. */
@@ -299,7 +311,7 @@
             scheduleProgressCheck();
             return;
         }
-        if (awaitsSilentServer()) {
+        if (endsAtDeadline() || awaitsSilentServer()) {
             progressDeadline = Deadline.afterMillis(context.ticker().nanos(), SILENCE_RECHECK_MILLIS);
             scheduleProgressCheck();
             return;
--- a/src/test/java/org/verbenatray/platform/PausingServerTest.java
+++ b/src/test/java/org/verbenatray/platform/PausingServerTest.java
@@ -176,6 +176,25 @@
         }
     }
 
+    @Test
+    public void aSoundEngineIsNotTakenForSilentAtTheDeadlineOfItsRequest() throws Exception {
+        Script endless = onlyForPosts((request, connection, out) -> {
+            out.write(ScriptedServer.streamHead(request));
+            for (int number = 1; number < 100; number++) {
+                out.write(ScriptedServer.eventChunk(number, "a"));
+                out.flush();
+                pause(20);
+            }
+        });
+        try (ScriptedServer engine = ScriptedServer.start(endless);
+                RelayFixture relay = RelayFixture.startReady(ServerListing.engine("e1", "decode", engine))) {
+            IntStream.range(0, 20).parallel().forEach(number -> exchangeWithin(relay, "id" + number, 400));
+            double failures =
+                    relay.instance().readState().get().backends().get(0).failureShare();
+            Assert.assertEquals(failures, 0.0);
+        }
+    }
+
     @Test
     public void aSafeRequestIsAnsweredAfterAPauseThoughTheOtherServerIsFull() throws Exception {
         AtomicReference<String> firstServer = new AtomicReference<>();
@@ -196,6 +215,15 @@
         }
     }
 
+    private static void exchangeWithin(RelayFixture relay, String id, long timeoutMillis) {
+        String request = RelayFixture.postRequest("/resume/x", id, SHORT, "p");
+        try {
+            relay.exchange(request.replace("Deadline-Ms: 3000", "Deadline-Ms: " + timeoutMillis));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static String exchange(RelayFixture relay, String id) {
         try {
             return relay.exchange(RelayFixture.postRequest("/resume/x", id, SHORT, "p"));
