Bound the head, chunk sizes and trailer of responses, and the bytes of one turn

The HTTP client's parser has no limit for a status line, a header line, interim responses, a chunk size line, a chunk extension or a trailer: each was read until the deadline (192 MiB in EndlessCallTest), and a connection kept the I/O thread for as long as it had bytes. BoundedSource counts the bytes before they reach the parser: at most 32 KiB without a byte of a body, then the call ends as BAD_RESPONSE and the connection is closed without waiting for the rest; at most 16 KiB per turn, then the other connections follow. A response that the parser rejects (5,000 equal headers) is BAD_RESPONSE too, no longer BROKEN, and its call is not sent again.

--- /dev/null
+++ b/src/main/java/org/verbenatray/servers/ConnectionOpener.java
@@ -0,0 +1,87 @@
+package org.verbenatray.servers;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.URI;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+
+/**
+ * Opens connections of an I/O thread whose incoming bytes are bounded before the HTTP client parses them.
+ *
+ * <p>The client opens its connections through an {@link XnioIoThread} and offers no other access to their bytes. So
+ * this object passes itself to the client in place of the I/O thread and delegates to it. It is never started as a
+ * thread.
+ */
+final class ConnectionOpener extends XnioIoThread {
+    private static final OptionMap CONNECT_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+
+    private final XnioIoThread thread;
+
+    private final ByteBufferPool buffers;
+
+    /** The incoming bytes of the connection that is being handed to the client; null at other times. */
+    private BoundedSource opened;
+
+    ConnectionOpener(XnioIoThread thread, ByteBufferPool buffers) {
+        super(thread.getWorker(), thread.getNumber());
+        this.thread = thread;
+        this.buffers = buffers;
+    }
+
+    /** Opens a connection; one of the callbacks is called on the I/O thread. */
+    void open(URI address, Consumer<ServerConnection> onOpen, Consumer<IOException> onFailure) {
+        ClientCallback<ClientConnection> callback = new ClientCallback<>() {
+            @Override
+            public void completed(ClientConnection connection) {
+                onOpen.accept(new ServerConnection(connection, opened));
+            }
+
+            @Override
+            public void failed(IOException e) {
+                onFailure.accept(e);
+            }
+        };
+        UndertowClient.getInstance().connect(callback, address, this, buffers, CONNECT_OPTIONS);
+    }
+
+    /** Opens a connection on the I/O thread. The listener of the client calls the callback before it returns. */
+    @Override
+    public IoFuture<StreamConnection> openStreamConnection(
+            SocketAddress destination, ChannelListener<? super StreamConnection> listener, OptionMap options) {
+        return thread.openStreamConnection(
+                destination,
+                connection -> {
+                    opened = new BoundedSource(connection.getSourceChannel().getConduit());
+                    connection.getSourceChannel().setConduit(opened);
+                    listener.handleEvent(connection);
+                    opened = null;
+                },
+                options);
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        thread.execute(task);
+    }
+
+    @Override
+    public Key executeAfter(Runnable task, long time, TimeUnit unit) {
+        return thread.executeAfter(task, time, unit);
+    }
+
+    @Override
+    public Key executeAtInterval(Runnable task, long time, TimeUnit unit) {
+        return thread.executeAtInterval(task, time, unit);
+    }
+}
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -1,7 +1,6 @@
 package org.verbenatray.servers;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
@@ -32,7 +31,7 @@
     private final ByteBuffer unsentBody;
 
     /** Null until the exchange is started. */
-    private ClientConnection connection;
+    private ServerConnection connection;
 
     /** Whether the connection has carried another exchange before. */
     private boolean reused;
@@ -55,7 +54,7 @@
     }
 
     /** Sends the request on a connection, or returns the connection to the pool if the exchange was cancelled. */
-    void start(ClientConnection openConnection, boolean usedBefore) {
+    void start(ServerConnection openConnection, boolean usedBefore) {
         if (finished) {
             transport.release(thread, call.pool(), openConnection);
             return;
@@ -69,7 +68,8 @@
             transport.release(thread, call.pool(), openConnection);
             return;
         }
-        openConnection.sendRequest(request(), callback(this::onRequestStarted));
+        openConnection.source().recordProgress();
+        openConnection.client().sendRequest(request(), callback(this::onRequestStarted));
     }
 
     /** Cancels the exchange without a call of the listener. */
@@ -168,6 +168,7 @@
                     channel.resumeReads();
                     return;
                 }
+                connection.source().recordProgress();
                 buffer.flip();
                 listener.onBody(buffer);
             }
@@ -200,6 +201,11 @@
         if (finished) {
             return;
         }
+        if (connection.source().endedByContent()) {
+            fail(ServerFailure.create(
+                    ServerFailure.Kind.BAD_RESPONSE, "unusable response from " + call.address() + ": " + e, e));
+            return;
+        }
         if (reused
                 && !responseStarted
                 && call.connectionUse() == ConnectionUse.POOLED_WITH_RETRY
@@ -216,7 +222,7 @@
 
     private void closeConnection() {
         if (connection != null) {
-            HttpTransport.close(connection);
+            connection.close();
         }
     }
 
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -1,21 +1,16 @@
 package org.verbenatray.servers;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
-import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
@@ -40,8 +35,6 @@
     /** Servers continue a request until its connection is closed in both directions, so the wait must be short. */
     private static final String MAX_DRAIN_MILLIS = "1";
 
-    private static final OptionMap CONNECT_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
-
     private final XnioWorker worker;
 
     private final ByteBufferPool buffers;
@@ -51,6 +44,9 @@
     /** The idle connections by thread and pool. The map is guarded by itself, each value is confined to its thread. */
     private final Map<XnioIoThread, Map<String, Deque<IdleConnection>>> idle = new HashMap<>();
 
+    /** The openers of connections by thread. */
+    private final Map<XnioIoThread, ConnectionOpener> openers = new ConcurrentHashMap<>();
+
     private HttpTransport(XnioWorker worker, ByteBufferPool buffers, Ticker ticker) {
         this.worker = worker;
         this.buffers = buffers;
@@ -102,7 +98,7 @@
     }
 
     /** Returns a connection to the pool after a complete exchange. */
-    void release(XnioIoThread thread, String pool, ClientConnection connection) {
+    void release(XnioIoThread thread, String pool, ServerConnection connection) {
         thread.execute(() -> addIdle(thread, pool, connection));
     }
 
@@ -116,32 +112,23 @@
             thread.execute(() -> {
                 Deque<IdleConnection> connections = poolsOf(thread).remove(pool);
                 if (connections != null) {
-                    connections.forEach(kept -> close(kept.connection()));
+                    connections.forEach(kept -> kept.connection().close());
                 }
             });
         }
     }
 
-    /** Closes a connection, ignoring errors. */
-    static void close(ClientConnection connection) {
-        try {
-            connection.close();
-        } catch (IOException e) {
-            // The connection is discarded in any case.
-        }
-    }
-
     /**
      * Adds a connection to the pool, or closes it if it is closed or the pool is full. Runs as a task of its own after
      * the exchange, so that unexpected bytes from the server have been noticed.
      */
-    private void addIdle(XnioIoThread thread, String pool, ClientConnection connection) {
+    private void addIdle(XnioIoThread thread, String pool, ServerConnection connection) {
         Deque<IdleConnection> connections = idleOf(thread, pool);
         if (connection.isOpen() && connections.size() < MAX_IDLE_CONNECTIONS) {
             connections.addLast(new IdleConnection(connection, Deadline.afterMillis(ticker.nanos(), MAX_IDLE_MILLIS)));
             return;
         }
-        close(connection);
+        connection.close();
     }
 
     /** Starts the exchange on an idle connection if the call permits and one is usable, otherwise on a new one. */
@@ -153,7 +140,7 @@
                     exchange.start(next.connection(), true);
                     return;
                 }
-                close(next.connection());
+                next.connection().close();
             }
         }
         startOnNewConnection(call, thread, exchange);
@@ -167,28 +154,20 @@
                         "no connection to " + call.address() + " within " + CONNECT_TIMEOUT_MILLIS + " ms")),
                 CONNECT_TIMEOUT_MILLIS,
                 TimeUnit.MILLISECONDS);
-        UndertowClient.getInstance()
-                .connect(
-                        new ClientCallback<>() {
-                            @Override
-                            public void completed(ClientConnection connection) {
-                                timer.remove();
-                                exchange.start(connection, false);
-                            }
-
-                            @Override
-                            public void failed(IOException e) {
-                                timer.remove();
-                                exchange.fail(ServerFailure.create(
-                                        ServerFailure.Kind.NOT_CONNECTED,
-                                        "cannot connect to " + call.address() + ": " + e.getMessage(),
-                                        e));
-                            }
-                        },
+        openers.computeIfAbsent(thread, key -> new ConnectionOpener(key, buffers))
+                .open(
                         call.address(),
-                        thread,
-                        buffers,
-                        CONNECT_OPTIONS);
+                        connection -> {
+                            timer.remove();
+                            exchange.start(connection, false);
+                        },
+                        e -> {
+                            timer.remove();
+                            exchange.fail(ServerFailure.create(
+                                    ServerFailure.Kind.NOT_CONNECTED,
+                                    "cannot connect to " + call.address() + ": " + e.getMessage(),
+                                    e));
+                        });
     }
 
     private Deque<IdleConnection> idleOf(XnioIoThread thread, String pool) {
@@ -208,5 +187,5 @@
      * @param connection the connection
      * @param usableUntil the time after which the server may close the connection
      */
-    private record IdleConnection(ClientConnection connection, Deadline usableUntil) {}
+    private record IdleConnection(ServerConnection connection, Deadline usableUntil) {}
 }
