Bound an event and the response of a prefill; buffer small events in blocks

An event without end was collected until the deadline of its request (200 MB and 23 s in EndlessRelayTest, and the resumable request ended as 504 instead of at another engine); it now ends the attempt as BROKEN beyond 512 KiB, half of what is buffered for a slow caller. The response of a prefill is a handle and had the limit of a body, 16 MiB; it is 64 KiB now.

Events of a few bytes were kept as one object each for a caller that does not read, many times their bytes, and written one by one. They share blocks of 4 KiB, and the events read at once are written together. The id of an event is found without splitting it into strings.

--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -7,8 +7,6 @@
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
@@ -23,7 +21,7 @@
     private static final int MAX_BACKLOG_BYTES = 1024 * 1024;
 
     private final HttpServerExchange exchange;
-    private final Deque<ByteBuffer> backlog = new ArrayDeque<>();
+    private final Backlog backlog = new Backlog();
 
     /** Notified when the connection ends before the response is complete, unless by {@link #abort}. */
     private Consumer<DisconnectCause> disconnectListener = cause -> {};
@@ -31,8 +29,6 @@
     /** The channel of a stream; null before the stream starts. */
     private StreamSinkChannel channel;
 
-    private int backlogBytes;
-
     /** Whether the channel accepts no bytes at the moment and a write listener is set. */
     private boolean awaitingWritable;
 
@@ -92,17 +88,19 @@
         }
     }
 
-    /** Writes the next bytes of a stream, or buffers them while the caller does not read. */
+    /** Adds the next bytes of a stream to the buffered bytes, which {@link #writeBuffered()} writes. */
     void write(byte[] bytes) {
         if (closed || ending) {
             return;
         }
-        backlog.addLast(ByteBuffer.wrap(bytes));
-        backlogBytes += bytes.length;
-        if (backlogBytes > MAX_BACKLOG_BYTES) {
+        backlog.add(bytes);
+        if (backlog.bytes() > MAX_BACKLOG_BYTES) {
             disconnect(DisconnectCause.BACKLOG_FULL);
-            return;
         }
+    }
+
+    /** Writes the buffered bytes of a stream as far as the caller reads them; the others follow when it does. */
+    void writeBuffered() {
         drain();
     }
 
@@ -140,16 +138,9 @@
             return;
         }
         try {
-            while (!backlog.isEmpty()) {
-                ByteBuffer next = backlog.peekFirst();
-                int count = channel.write(next);
-                backlogBytes -= Math.max(0, count);
-                if (!next.hasRemaining()) {
-                    backlog.removeFirst();
-                } else if (count <= 0) {
-                    awaitWritable(channel);
-                    return;
-                }
+            if (!backlog.writeTo(channel)) {
+                awaitWritable(channel);
+                return;
             }
             if (ending) {
                 closed = true;
--- a/src/main/java/org/verbenatray/relay/EventSplitter.java
+++ b/src/main/java/org/verbenatray/relay/EventSplitter.java
@@ -3,12 +3,13 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Splits the bytes of a server-sent event stream into whole events; a truncated event is never emitted. */
 final class EventSplitter {
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
 
@@ -37,6 +38,11 @@
         return partial.size() > 0;
     }
 
+    /** Returns the number of bytes of the event that is not complete yet. */
+    int partialBytes() {
+        return partial.size();
+    }
+
     private void emit(Consumer<StreamEvent> onEvent) {
         byte[] event = partial.toByteArray();
         partial.reset();
@@ -44,12 +50,24 @@
         onEvent.accept(new StreamEvent(event, idOf(event)));
     }
 
+    /** Returns the value of the first line with an id; empty if there is none. */
     private static Optional<String> idOf(byte[] event) {
-        for (String line : new String(event, StandardCharsets.UTF_8).split("\r?\n")) {
-            if (line.startsWith(ID_FIELD)) {
-                return Optional.of(line.substring(ID_FIELD.length()).trim());
+        int lineStart = 0;
+        for (int index = 0; index < event.length; index++) {
+            if (event[index] == '\n') {
+                if (startsWithId(event, lineStart, index)) {
+                    int valueStart = lineStart + ID_FIELD.length;
+                    return Optional.of(
+                            new String(event, valueStart, index - valueStart, StandardCharsets.UTF_8).trim());
+                }
+                lineStart = index + 1;
             }
         }
         return Optional.empty();
     }
+
+    private static boolean startsWithId(byte[] event, int lineStart, int lineEnd) {
+        return lineEnd - lineStart >= ID_FIELD.length
+                && Arrays.equals(event, lineStart, lineStart + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length);
+    }
 }
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -21,6 +21,12 @@
     /** Largest response that is not a stream. */
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
+    /** Largest response of a prefill, which is a handle. */
+    private static final int MAX_PREFILL_BODY_BYTES = 64 * 1024;
+
+    /** Largest event, so that one event leaves room in the bytes buffered for its caller. */
+    private static final int MAX_EVENT_BYTES = 512 * 1024;
+
     /** Number of queued requests from which on an engine counts as busy. */
     private static final int BUSY_QUEUE_LENGTH = 2;
 
@@ -157,10 +163,15 @@
                     listener.onEvent(head, event);
                 }
             });
+            listener.onEventsRead();
+            if (splitter.partialBytes() > MAX_EVENT_BYTES) {
+                rejectResponse("an event is larger than " + MAX_EVENT_BYTES + " bytes");
+            }
             return;
         }
-        if (body.size() + piece.remaining() > MAX_BODY_BYTES) {
-            rejectResponse("the response is larger than " + MAX_BODY_BYTES + " bytes");
+        int maxBodyBytes = options.prefillOnly() ? MAX_PREFILL_BODY_BYTES : MAX_BODY_BYTES;
+        if (body.size() + piece.remaining() > maxBodyBytes) {
+            rejectResponse("the response is larger than " + maxBodyBytes + " bytes");
             return;
         }
         byte[] bytes = new byte[piece.remaining()];
--- a/src/main/java/org/verbenatray/relay/ForwardListener.java
+++ b/src/main/java/org/verbenatray/relay/ForwardListener.java
@@ -8,6 +8,9 @@
     /** Receives the next event of a stream with the given response head. */
     void onEvent(ServerResponseHead head, StreamEvent event);
 
+    /** Called after the events that have been read at once, so that their receiver can pass them on together. */
+    default void onEventsRead() {}
+
     /** Receives the outcome of the attempt. */
     void onOutcome(ForwardOutcome outcome);
 }
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -105,6 +105,11 @@
         }
     }
 
+    @Override
+    public void onEventsRead() {
+        call.response().writeBuffered();
+    }
+
     @Override
     public void onOutcome(ForwardOutcome outcome) {
         ForwardAttempt ended = attempt;
