Avoid an engine whose load reports cannot be used

A report without end left the reachability of its engine as it was once it had exceeded a limit, so that requests were sent to an engine that answers no report. BAD_RESPONSE to a poll now marks the engine as unreachable until a poll succeeds, as a timeout does.

--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -31,6 +32,10 @@
 
     private static final int MAX_RESPONSE_BYTES = 256 * 1024;
 
+    /** The failures of a poll that show that requests should not be sent to the engine. */
+    private static final Set<ServerFailure.Kind> UNUSABLE =
+            Set.of(ServerFailure.Kind.NOT_CONNECTED, ServerFailure.Kind.TIMED_OUT, ServerFailure.Kind.BAD_RESPONSE);
+
     private static final Logger log = System.getLogger(LoadPoller.class.getName());
 
     private final HttpTransport transport;
@@ -120,8 +125,7 @@
     private static void recordReachability(Backend backend, Throwable failure) {
         if (failure == null) {
             backend.markReachable();
-        } else if (failure instanceof ServerFailure known
-                && (known.kind() == ServerFailure.Kind.NOT_CONNECTED || known.kind() == ServerFailure.Kind.TIMED_OUT)) {
+        } else if (failure instanceof ServerFailure known && UNUSABLE.contains(known.kind())) {
             backend.markUnreachable();
         }
     }
