Bound the sum of the bytes that incomplete responses retain

Each response had its own limit and the instance none: twenty bodies without end took 16 MiB each, and twice that while their buffers grew, in a heap of 96 MiB. ResponseMemory bounds the sum of an instance to 24 MiB. Beyond it the largest response is given up (BAD_RESPONSE, so BROKEN and 502 or a retry), so that small responses arrive beside others without end. ResponseBody collects parts in blocks that are not copied to grow. The body of an attempt that failed is no longer copied.

The bound does not cover complete bodies that a caller has not read yet, nor the 1 MiB that is buffered for the caller of a stream.

--- a/src/main/java/org/verbenatray/instance/EventLoop.java
+++ b/src/main/java/org/verbenatray/instance/EventLoop.java
@@ -6,6 +6,7 @@
 import java.io.UncheckedIOException;
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.servers.HttpTransport;
+import org.verbenatray.servers.ResponseMemory;
 import org.verbenatray.time.Scheduler;
 import org.verbenatray.time.Ticker;
 import org.xnio.OptionMap;
@@ -33,7 +34,8 @@
         this.worker = worker;
         this.ticker = ticker;
         ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
-        this.transport = HttpTransport.create(worker, buffers, ticker);
+        this.transport =
+                HttpTransport.create(worker, buffers, ticker, ResponseMemory.bounded(ResponseMemory.INSTANCE_BYTES));
     }
 
     /** Starts an event loop; fails with an {@link UncheckedIOException} when its thread cannot be started. */
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -33,6 +33,7 @@
 import org.verbenatray.resilience.CrashLedger;
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.resilience.ServerRuns;
+import org.verbenatray.servers.ResponseMemory;
 import org.verbenatray.state.KeyedFollower;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
@@ -189,6 +190,11 @@
         return server;
     }
 
+    /** Returns the memory that the responses of servers and of the platform share. */
+    public ResponseMemory responseMemory() {
+        return loop.transport().responseMemory();
+    }
+
     /**
      * Returns whether the instance accepts requests: it has routes and servers, is not stopping and not cut off, and
      * knows which requests crash servers, or could not read them for some time.
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -1,14 +1,15 @@
 package org.verbenatray.relay;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.servers.Cancellation;
+import org.verbenatray.servers.ResponseBody;
 import org.verbenatray.servers.ResponseHead;
 import org.verbenatray.servers.ResponseListener;
+import org.verbenatray.servers.ResponseMemory;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.time.Deadline;
 import org.xnio.XnioIoThread;
@@ -47,7 +48,10 @@
     private final ForwardListener listener;
 
     /** Body of a response that is not a stream. */
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseBody body = new ResponseBody();
+
+    /** Bytes of the body, or of an event that is not complete, as a share of the memory of all responses. */
+    private final ResponseMemory.Share share;
 
     private final EventSplitter splitter = new EventSplitter();
 
@@ -87,6 +91,10 @@
         this.work = work;
         this.timeouts = timeouts;
         this.listener = listener;
+        this.share = context.transport()
+                .responseMemory()
+                .open(() -> context.thread()
+                        .execute(() -> rejectResponse("the response is the largest one and no memory is left")));
     }
 
     /** Sends a request to the server named in the options and starts the timeouts. */
@@ -164,6 +172,7 @@
                 }
             });
             listener.onEventsRead();
+            recordRetained(splitter.partialBytes());
             if (splitter.partialBytes() > MAX_EVENT_BYTES) {
                 rejectResponse("an event is larger than " + MAX_EVENT_BYTES + " bytes");
             }
@@ -174,9 +183,8 @@
             rejectResponse("the response is larger than " + maxBodyBytes + " bytes");
             return;
         }
-        byte[] bytes = new byte[piece.remaining()];
-        piece.get(bytes);
-        body.writeBytes(bytes);
+        body.add(piece);
+        recordRetained(body.capacityBytes());
     }
 
     @Override
@@ -221,7 +229,10 @@
             case NOT_SENT -> {}
             default -> context.serverRuns().recordAlive(backend().entry().bootId());
         }
-        listener.onOutcome(new ForwardOutcome(kind, detail, Optional.ofNullable(head), body.toByteArray()));
+        boolean complete = kind == ForwardOutcome.Kind.ANSWERED || kind == ForwardOutcome.Kind.NOT_RUN;
+        byte[] bytes = complete ? body.toByteArray() : new byte[0];
+        body.clear();
+        listener.onOutcome(new ForwardOutcome(kind, detail, Optional.ofNullable(head), bytes));
     }
 
     /** Records that the server was sent the request and gave no response. */
@@ -232,6 +243,7 @@
     /** Updates the open-work counts of the server and stops the timer. */
     private void close() {
         closed = true;
+        share.close();
         recordPromptProcessed();
         options.backend().removeRequest();
         context.onWorkChanged().accept(options.backend());
@@ -252,6 +264,13 @@
         }
     }
 
+    /** Records the number of bytes retained of a response that has not ended. */
+    private void recordRetained(int bytes) {
+        if (!closed) {
+            share.set(bytes);
+        }
+    }
+
     /** Extends the progress deadline. */
     private void recordProgress() {
         progressDeadline = timeouts.nextByteDeadline(context.ticker().nanos());
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -41,22 +41,34 @@
 
     private final Ticker ticker;
 
+    private final ResponseMemory responseMemory;
+
     /** The idle connections by thread and pool. The map is guarded by itself, each value is confined to its thread. */
     private final Map<XnioIoThread, Map<String, Deque<IdleConnection>>> idle = new HashMap<>();
 
     /** The openers of connections by thread. */
     private final Map<XnioIoThread, ConnectionOpener> openers = new ConcurrentHashMap<>();
 
-    private HttpTransport(XnioWorker worker, ByteBufferPool buffers, Ticker ticker) {
+    private HttpTransport(XnioWorker worker, ByteBufferPool buffers, Ticker ticker, ResponseMemory responseMemory) {
         this.worker = worker;
+        this.responseMemory = responseMemory;
         this.buffers = buffers;
         this.ticker = ticker;
     }
 
-    /** Returns a transport on the I/O threads of a worker. Sets a system property that applies to the whole process. */
+    /**
+     * Returns a transport on the I/O threads of a worker, without a bound on the sum of its responses. Sets a system
+     * property that applies to the whole process.
+     */
     public static HttpTransport create(XnioWorker worker, ByteBufferPool buffers, Ticker ticker) {
+        return create(worker, buffers, ticker, ResponseMemory.unbounded());
+    }
+
+    /** Returns a transport as {@link #create(XnioWorker, ByteBufferPool, Ticker)} with a memory for its responses. */
+    public static HttpTransport create(
+            XnioWorker worker, ByteBufferPool buffers, Ticker ticker, ResponseMemory responseMemory) {
         System.setProperty(DRAIN_PROPERTY, MAX_DRAIN_MILLIS);
-        return new HttpTransport(worker, buffers, ticker);
+        return new HttpTransport(worker, buffers, ticker, responseMemory);
     }
 
     /** Returns an I/O thread of the worker. */
@@ -69,15 +81,20 @@
         return ticker;
     }
 
+    /** Returns the memory that the responses share. */
+    public ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     /**
      * Sends a call and returns the complete response.
      *
      * <p>The future fails with a {@link ServerFailure} if the response is not complete by the deadline or its body
-     * exceeds the limit in bytes.
+     * exceeds the limit in bytes or is the largest when the memory of all responses is exhausted.
      */
     public CompletableFuture<BufferedResponse> call(
             HttpCall call, XnioIoThread thread, Deadline deadline, int maxBodyBytes) {
-        ResponseCollector collector = new ResponseCollector(maxBodyBytes);
+        ResponseCollector collector = new ResponseCollector(maxBodyBytes, responseMemory, thread);
         Cancellation cancellation = exchange(call, thread, collector);
         collector.setCancellation(cancellation);
         XnioIoThread.Key timer = thread.executeAfter(
--- a/src/main/java/org/verbenatray/servers/ResponseCollector.java
+++ b/src/main/java/org/verbenatray/servers/ResponseCollector.java
@@ -1,15 +1,17 @@
 package org.verbenatray.servers;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 
 /** Collects one response up to a maximum body size. */
 final class ResponseCollector implements ResponseListener {
     private final int maxBodyBytes;
 
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseBody body = new ResponseBody();
+
+    private final ResponseMemory.Share share;
 
     private final CompletableFuture<BufferedResponse> future = new CompletableFuture<>();
 
@@ -20,9 +22,16 @@
 
     private Map<String, String> headers = Map.of();
 
-    /** Creates a collector that fails when the body exceeds the given size. */
-    ResponseCollector(int maxBody) {
+    /**
+     * Creates a collector that fails when the body exceeds the given size, or when it is the largest response and the
+     * memory of all responses is exhausted.
+     *
+     * @param thread the thread of the exchange
+     */
+    ResponseCollector(int maxBody, ResponseMemory memory, Executor thread) {
         this.maxBodyBytes = maxBody;
+        this.share = memory.open(() -> thread.execute(() -> onFailure(ServerFailure.create(
+                ServerFailure.Kind.BAD_RESPONSE, "the response is the largest one and no memory is left"))));
     }
 
     /** Sets the cancellation to call after a failure. */
@@ -43,25 +52,35 @@
 
     @Override
     public void onBody(ByteBuffer part) {
+        if (future.isDone()) {
+            return;
+        }
         if (body.size() + part.remaining() > maxBodyBytes) {
             onFailure(ServerFailure.create(
                     ServerFailure.Kind.BAD_RESPONSE, "the response is larger than " + maxBodyBytes + " bytes"));
             return;
         }
-        byte[] bytes = new byte[part.remaining()];
-        part.get(bytes);
-        body.writeBytes(bytes);
+        body.add(part);
+        share.set(body.capacityBytes());
     }
 
     @Override
     public void onEnd() {
-        future.complete(new BufferedResponse(status, headers, body.toByteArray()));
+        byte[] bytes = body.toByteArray();
+        release();
+        future.complete(new BufferedResponse(status, headers, bytes));
     }
 
     @Override
     public void onFailure(ServerFailure failure) {
+        release();
         if (future.completeExceptionally(failure)) {
             cancellation.cancel();
         }
     }
+
+    private void release() {
+        body.clear();
+        share.close();
+    }
 }
