Close the connection of an engine response that cannot be used, and bound a refusal

A line beyond 1 MiB, or one that is no chunk, ended the call for its listener, but the response was read on without end and its connection stayed open. The lines of a response with another status than 200 were collected without a limit; it is 64 KiB now. In both cases the call ends once as BAD_RESPONSE and the connection is closed.

EndlessRelayTest.aSafeRequestIsRetried failed once on its own first step: the chooser had taken the good server in all 8 rounds. It now goes on until the endless server has been tried, and all other checks stay.

--- a/src/main/java/org/verbenatray/servers/HttpEngineClient.java
+++ b/src/main/java/org/verbenatray/servers/HttpEngineClient.java
@@ -11,6 +11,9 @@
 public final class HttpEngineClient implements EngineClient {
     private static final int MAX_STATUS_RESPONSE_BYTES = 64 * 1024;
 
+    /** The largest body of a response that is no stream. */
+    private static final int MAX_REFUSAL_BYTES = 64 * 1024;
+
     private static final long CANCEL_TIMEOUT_MILLIS = 2_000;
 
     private final HttpTransport transport;
@@ -28,19 +31,19 @@
     public Cancellation generate(
             String address, GenerateRequest request, XnioIoThread thread, StreamListener listener) {
         HttpCall call = HttpCall.json("POST", address, "/generate", RecordCodec.encode(request));
-        return transport.exchange(call, thread, new ChunkReader(listener));
+        return stream(call, thread, listener);
     }
 
     @Override
     public Cancellation prefill(String address, GenerateRequest request, XnioIoThread thread, StreamListener listener) {
         HttpCall call = HttpCall.json("POST", address, "/prefill", RecordCodec.encode(request));
-        return transport.exchange(call, thread, new ChunkReader(listener));
+        return stream(call, thread, listener);
     }
 
     @Override
     public Cancellation importKv(String address, String kv, XnioIoThread thread, StreamListener listener) {
         HttpCall call = HttpCall.json("POST", address, "/import", kv);
-        return transport.exchange(call, thread, new ChunkReader(listener));
+        return stream(call, thread, listener);
     }
 
     @Override
@@ -48,7 +51,7 @@
             String address, String dispatch, int fromOffset, XnioIoThread thread, StreamListener listener) {
         HttpCall call = HttpCall.withoutBody("GET", address, "/streams/" + dispatch + "?from=" + fromOffset)
                 .onNewConnection();
-        return transport.exchange(call, thread, new ChunkReader(listener));
+        return stream(call, thread, listener);
     }
 
     @Override
@@ -71,6 +74,13 @@
                 MAX_STATUS_RESPONSE_BYTES);
     }
 
+    private Cancellation stream(HttpCall call, XnioIoThread thread, StreamListener listener) {
+        ChunkReader reader = new ChunkReader(listener);
+        Cancellation cancellation = transport.exchange(call, thread, reader);
+        reader.setCancellation(cancellation);
+        return cancellation;
+    }
+
     /** Decodes the lines of a response into chunks. */
     private static final class ChunkReader implements ResponseListener {
         private final StreamListener listener;
@@ -82,6 +92,12 @@
         /** The lines of the body of a response with a status other than 200, without line feeds. */
         private final StringBuilder refusalBody = new StringBuilder();
 
+        /** Cancels the exchange; volatile, since it is set on the thread of the caller. */
+        private volatile Cancellation cancellation = () -> {};
+
+        /** The bytes received of a response with a status other than 200. */
+        private int refusalBytes;
+
         /** Whether the listener got its last call. */
         private boolean finished;
 
@@ -89,6 +105,11 @@
             this.listener = listener;
         }
 
+        /** Sets the cancellation to call if the response cannot be used. */
+        void setCancellation(Cancellation newCancellation) {
+            cancellation = newCancellation;
+        }
+
         @Override
         public void onHead(int newStatus, Map<String, String> headers) {
             status = newStatus;
@@ -97,11 +118,14 @@
         @Override
         public void onBody(ByteBuffer part) {
             if (finished) {
+                cancellation.cancel();
                 return;
             }
             try {
+                checkRefusal(part.remaining());
                 lines.feed(part);
             } catch (IllegalArgumentException e) {
+                cancellation.cancel();
                 onFailure(ServerFailure.create(ServerFailure.Kind.BAD_RESPONSE, e.getMessage(), e));
             }
         }
@@ -127,6 +151,16 @@
             }
         }
 
+        /** Counts the bytes of a response with a status other than 200; throws if they exceed their limit. */
+        private void checkRefusal(int bytes) {
+            if (status != 200) {
+                refusalBytes += bytes;
+                if (refusalBytes > MAX_REFUSAL_BYTES) {
+                    throw new IllegalArgumentException("a refusal is longer than " + MAX_REFUSAL_BYTES + " bytes");
+                }
+            }
+        }
+
         private void onLine(String line) {
             if (status != 200) {
                 refusalBody.append(line);
--- a/src/test/java/org/verbenatray/platform/EndlessAnswer.java
+++ b/src/test/java/org/verbenatray/platform/EndlessAnswer.java
@@ -17,6 +17,7 @@
     LENGTH_BODY("HTTP/1.1 200 OK\r\n%sContent-Length: 1000000000000\r\n\r\n", "b"),
     BODY_WITHOUT_LENGTH("HTTP/1.1 200 OK\r\n%s\r\n", "b"),
     CHUNKED_BODY("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", "8\r\n01234567\r\n"),
+    REFUSAL("HTTP/1.1 500 Error\r\n%s\r\n", "short line\n"),
     CHUNK_SIZE("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", "0"),
     CHUNK_EXTENSION("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n1;a=", "e"),
     TRAILER("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "T: v\r\n"),
--- a/src/test/java/org/verbenatray/platform/EndlessRelayTest.java
+++ b/src/test/java/org/verbenatray/platform/EndlessRelayTest.java
@@ -58,9 +58,12 @@
                 ScriptedServer second = ScriptedServer.start(good);
                 RelayFixture relay =
                         RelayFixture.startReady(ServerListing.plain("s1", bad), ServerListing.plain("s2", second))) {
-            for (int round = 0; round < 8; round++) {
-                String response = relay.exchange(RelayFixture.getRequest("/safe/x", "id" + round));
+            int rounds = 0;
+            while (rounds < 8 || script.started() == 0) {
+                String response = relay.exchange(RelayFixture.getRequest("/safe/x", "id" + rounds));
                 Assert.assertTrue(response.startsWith("HTTP/1.1 200") && response.endsWith("ok"), response);
+                rounds++;
+                Assert.assertTrue(rounds < 200, "the first server was never tried");
             }
             Assert.assertTrue(script.started() >= 1 && script.started() <= 4, "started: " + script.started());
             relay.await(() -> script.closedByPeer() == script.started());
