--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -8,8 +8,6 @@
 import io.undertow.util.ImmediatePooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
@@ -31,7 +29,7 @@
     /** Runs the listeners of the connection. */
     private final RequestGuard guard;
 
-    private final Deque<ByteBuffer> backlog = new ArrayDeque<>();
+    private final Backlog backlog = new Backlog();
 
     /** Whether the caller has closed its connection, or only the sending half of it. */
     private boolean inputEnded;
@@ -42,8 +40,6 @@
     /** The channel of a stream; null before the stream starts. */
     private StreamSinkChannel channel;
 
-    private int backlogBytes;
-
     /** Whether the channel accepts no bytes at the moment and a write listener is set. */
     private boolean awaitingWritable;
 
@@ -116,19 +112,22 @@
         }
     }
 
-    /** Writes the next bytes of a stream, or buffers them while the caller does not read. */
+    /** Adds the next bytes of a stream to the buffered bytes, which {@link #writeBuffered()} writes. */
     void write(byte[] bytes) {
         if (closed || ending) {
             return;
         }
-        backlog.addLast(ByteBuffer.wrap(bytes));
-        backlogBytes += bytes.length;
-        drain();
-        if (!backlog.isEmpty() && backlogBytes - backlog.peekFirst().remaining() > MAX_BACKLOG_BYTES) {
+        backlog.add(bytes);
+        if (backlog.bytesBehindFirst() > MAX_BACKLOG_BYTES) {
             disconnect(DisconnectCause.BACKLOG_FULL);
         }
     }
 
+    /** Writes the buffered bytes of a stream as far as the caller reads them; the others follow when it does. */
+    void writeBuffered() {
+        drain();
+    }
+
     /** Ends the stream as complete after the buffered bytes. */
     void endStream() {
         if (!closed) {
@@ -162,16 +161,9 @@
             return;
         }
         try {
-            while (!backlog.isEmpty()) {
-                ByteBuffer next = backlog.peekFirst();
-                int count = channel.write(next);
-                backlogBytes -= Math.max(0, count);
-                if (!next.hasRemaining()) {
-                    backlog.removeFirst();
-                } else if (count <= 0) {
-                    awaitWritable(channel);
-                    return;
-                }
+            if (!backlog.writeTo(channel)) {
+                awaitWritable(channel);
+                return;
             }
             if (ending) {
                 closed = true;
--- a/src/main/java/org/verbenatray/relay/ForwardListener.java
+++ b/src/main/java/org/verbenatray/relay/ForwardListener.java
@@ -15,6 +15,9 @@
      */
     boolean leavesSilentServer();
 
+    /** Called after the events that have been read at once, so that their receiver can pass them on together. */
+    default void onEventsRead() {}
+
     /** Receives the outcome of the attempt. */
     void onOutcome(ForwardOutcome outcome);
 }
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -106,6 +106,11 @@
                 && call.retries().tryHoldRetry();
     }
 
+    @Override
+    public void onEventsRead() {
+        call.response().writeBuffered();
+    }
+
     @Override
     public void onOutcome(ForwardOutcome outcome) {
         ForwardAttempt ended = attempt;
--- a/src/main/java/org/verbenatray/relay/RequestGuard.java
+++ b/src/main/java/org/verbenatray/relay/RequestGuard.java
@@ -114,6 +114,11 @@
             run(() -> listener.onEvent(head, event));
         }
 
+        @Override
+        public void onEventsRead() {
+            run(listener::onEventsRead);
+        }
+
         @Override
         public boolean leavesSilentServer() {
             return listener.leavesSilentServer();
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -1,21 +1,16 @@
 package org.verbenatray.servers;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
-import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
@@ -40,27 +35,40 @@
     /** Servers continue a request until its connection is closed in both directions, so the wait must be short. */
     private static final String MAX_DRAIN_MILLIS = "1";
 
-    private static final OptionMap CONNECT_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
-
     private final XnioWorker worker;
 
     private final ByteBufferPool buffers;
 
     private final Ticker ticker;
 
+    private final ResponseMemory responseMemory;
+
     /** The idle connections by thread and pool. The map is guarded by itself, each value is confined to its thread. */
     private final Map<XnioIoThread, Map<String, Deque<IdleConnection>>> idle = new HashMap<>();
 
-    private HttpTransport(XnioWorker worker, ByteBufferPool buffers, Ticker ticker) {
+    /** The openers of connections by thread. */
+    private final Map<XnioIoThread, ConnectionOpener> openers = new ConcurrentHashMap<>();
+
+    private HttpTransport(XnioWorker worker, ByteBufferPool buffers, Ticker ticker, ResponseMemory responseMemory) {
         this.worker = worker;
+        this.responseMemory = responseMemory;
         this.buffers = buffers;
         this.ticker = ticker;
     }
 
-    /** Returns a transport on the I/O threads of a worker. Sets a system property that applies to the whole process. */
+    /**
+     * Returns a transport on the I/O threads of a worker, without a bound on the sum of its responses. Sets a system
+     * property that applies to the whole process.
+     */
     public static HttpTransport create(XnioWorker worker, ByteBufferPool buffers, Ticker ticker) {
+        return create(worker, buffers, ticker, ResponseMemory.unbounded());
+    }
+
+    /** Returns a transport as {@link #create(XnioWorker, ByteBufferPool, Ticker)} with a memory for its responses. */
+    public static HttpTransport create(
+            XnioWorker worker, ByteBufferPool buffers, Ticker ticker, ResponseMemory responseMemory) {
         System.setProperty(DRAIN_PROPERTY, MAX_DRAIN_MILLIS);
-        return new HttpTransport(worker, buffers, ticker);
+        return new HttpTransport(worker, buffers, ticker, responseMemory);
     }
 
     /** Returns an I/O thread of the worker. */
@@ -73,15 +81,20 @@
         return ticker;
     }
 
+    /** Returns the memory that the responses share. */
+    public ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     /**
      * Sends a call and returns the complete response.
      *
      * <p>The future fails with a {@link ServerFailure} if the response is not complete by the deadline or its body
-     * exceeds the limit in bytes.
+     * exceeds the limit in bytes or is the largest when the memory of all responses is exhausted.
      */
     public CompletableFuture<BufferedResponse> call(
             HttpCall call, XnioIoThread thread, Deadline deadline, int maxBodyBytes) {
-        ResponseCollector collector = new ResponseCollector(maxBodyBytes);
+        ResponseCollector collector = new ResponseCollector(maxBodyBytes, responseMemory, thread);
         Cancellation cancellation = exchange(call, thread, collector);
         collector.setCancellation(cancellation);
         XnioIoThread.Key timer = thread.executeAfter(
@@ -111,7 +124,7 @@
     }
 
     /** Returns a connection to the pool after a complete exchange. */
-    void release(XnioIoThread thread, String pool, ClientConnection connection) {
+    void release(XnioIoThread thread, String pool, ServerConnection connection) {
         thread.execute(() -> addIdle(thread, pool, connection));
     }
 
@@ -125,32 +138,23 @@
             thread.execute(() -> {
                 Deque<IdleConnection> connections = poolsOf(thread).remove(pool);
                 if (connections != null) {
-                    connections.forEach(kept -> close(kept.connection()));
+                    connections.forEach(kept -> kept.connection().close());
                 }
             });
         }
     }
 
-    /** Closes a connection, ignoring errors. */
-    static void close(ClientConnection connection) {
-        try {
-            connection.close();
-        } catch (IOException e) {
-            // The connection is discarded in any case.
-        }
-    }
-
     /**
      * Adds a connection to the pool, or closes it if it is closed or the pool is full. Runs as a task of its own after
      * the exchange, so that unexpected bytes from the server have been noticed.
      */
-    private void addIdle(XnioIoThread thread, String pool, ClientConnection connection) {
+    private void addIdle(XnioIoThread thread, String pool, ServerConnection connection) {
         Deque<IdleConnection> connections = idleOf(thread, pool);
         if (connection.isOpen() && connections.size() < MAX_IDLE_CONNECTIONS) {
             connections.addLast(new IdleConnection(connection, Deadline.afterMillis(ticker.nanos(), MAX_IDLE_MILLIS)));
             return;
         }
-        close(connection);
+        connection.close();
     }
 
     /** Starts the exchange on an idle connection if the call permits and one is usable, otherwise on a new one. */
@@ -162,7 +166,7 @@
                     exchange.start(next.connection(), true);
                     return;
                 }
-                close(next.connection());
+                next.connection().close();
             }
         }
         startOnNewConnection(call, thread, exchange);
@@ -176,28 +180,20 @@
                         "no connection to " + call.address() + " within " + CONNECT_TIMEOUT_MILLIS + " ms")),
                 CONNECT_TIMEOUT_MILLIS,
                 TimeUnit.MILLISECONDS);
-        UndertowClient.getInstance()
-                .connect(
-                        new ClientCallback<>() {
-                            @Override
-                            public void completed(ClientConnection connection) {
-                                timer.remove();
-                                exchange.start(connection, false);
-                            }
-
-                            @Override
-                            public void failed(IOException e) {
-                                timer.remove();
-                                exchange.fail(ServerFailure.create(
-                                        ServerFailure.Kind.NOT_CONNECTED,
-                                        "cannot connect to " + call.address() + ": " + e.getMessage(),
-                                        e));
-                            }
-                        },
+        openers.computeIfAbsent(thread, key -> new ConnectionOpener(key, buffers))
+                .open(
                         call.address(),
-                        thread,
-                        buffers,
-                        CONNECT_OPTIONS);
+                        connection -> {
+                            timer.remove();
+                            exchange.start(connection, false);
+                        },
+                        e -> {
+                            timer.remove();
+                            exchange.fail(ServerFailure.create(
+                                    ServerFailure.Kind.NOT_CONNECTED,
+                                    "cannot connect to " + call.address() + ": " + e.getMessage(),
+                                    e));
+                        });
     }
 
     private Deque<IdleConnection> idleOf(XnioIoThread thread, String pool) {
@@ -217,5 +213,5 @@
      * @param connection the connection
      * @param usableUntil the time after which the server may close the connection
      */
-    private record IdleConnection(ClientConnection connection, Deadline usableUntil) {}
+    private record IdleConnection(ServerConnection connection, Deadline usableUntil) {}
 }
