A caller that leaves after a pipelined request is noticed

Once bytes of a next request had arrived during a response, the caller's connection was not watched any more, and the work for a caller that left went on to the deadline. Up to 64 KiB of such bytes are read now.

PipelinedRequestTest.aCallerThatLeavesAfterAPipelinedRequestIsNoticed: red before (the request ended at its deadline, not as caller_left), green after.

--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -26,6 +26,12 @@
      */
     private static final int MAX_BACKLOG_BYTES = 1024 * 1024;
 
+    /**
+     * Limit of the bytes of pipelined requests that are read during a response; beyond it the connection is not watched
+     * any more.
+     */
+    private static final int MAX_PIPELINED_BYTES = 64 * 1024;
+
     private final HttpServerExchange exchange;
 
     /** Runs the listeners of the connection. */
@@ -234,8 +240,9 @@
         }
         if (count > 0) {
             pooled.getBuffer().flip();
-            connection.getOriginalSourceConduit().suspendReads();
-            keepForServer(connection, pooled);
+            if (keepForServer(connection, pooled) > MAX_PIPELINED_BYTES) {
+                connection.getOriginalSourceConduit().suspendReads();
+            }
             return;
         }
         pooled.close();
@@ -246,12 +253,15 @@
         }
     }
 
-    /** Keeps bytes of a pipelined next request for the server, behind those that it has read with this request. */
-    private static void keepForServer(HttpServerConnection connection, PooledByteBuffer later) {
+    /**
+     * Keeps bytes of pipelined requests for the server, behind those that it has read with this request. Returns the
+     * number of bytes kept.
+     */
+    private static int keepForServer(HttpServerConnection connection, PooledByteBuffer later) {
         PooledByteBuffer earlier = connection.getExtraBytes();
         if (earlier == null) {
             connection.setExtraBytes(later);
-            return;
+            return later.getBuffer().remaining();
         }
         ByteBuffer joined = ByteBuffer.allocate(
                 earlier.getBuffer().remaining() + later.getBuffer().remaining());
@@ -259,6 +269,7 @@
         earlier.close();
         later.close();
         connection.setExtraBytes(new ImmediatePooledByteBuffer(joined));
+        return joined.remaining();
     }
 
     /** Stops watching the connection, so that the server reads the caller's next request. */
--- a/src/test/java/org/verbenatray/platform/PipelinedRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/PipelinedRequestTest.java
@@ -10,6 +10,7 @@
 import org.testng.annotations.Test;
 import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Script;
+import org.verbenatray.relay.RequestEnd;
 
 /** Requests that arrive on a connection before the response of the previous one is complete. */
 public final class PipelinedRequestTest {
@@ -44,6 +45,22 @@
         }
     }
 
+    @Test
+    public void aCallerThatLeavesAfterAPipelinedRequestIsNoticed() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((request, connection, out) -> {});
+                RelayFixture relay = RelayFixture.startReady(ServerListing.plain("s1", server))) {
+            Socket caller = relay.connect();
+            RelayFixture.send(caller, RelayFixture.getRequest("/safe/x", "id1"));
+            relay.await(() -> server.requests().size() == 1);
+            RelayFixture.send(caller, NEXT_REQUEST);
+            relay.passIoRounds();
+            caller.close();
+            relay.await(() -> server.closedByPeerCount() == 1);
+            Assert.assertEquals(relay.instance().readState().get().requestEnds().get(RequestEnd.CALLER_LEFT), 1L);
+            Assert.assertEquals(server.requests().size(), 1);
+        }
+    }
+
     /** Sends the next request in two pieces: one with the first request, one while that is being answered. */
     private static void assertBothAnswered(String firstRequest, int firstBytes) throws Exception {
         CountDownLatch answerAllowed = new CountDownLatch(1);
