A call keeps the engine limits of its receipt

Seen by callers: a prompt whose prefill was done when a new configuration came into force was processed a second time by its decode engine, so that its first event came late; the prefill engine kept the first copy until it expired.

Cause: GenerationRelay looked up the engine limits of the service again after the prefill. If the newer configuration has no engine limits for the service, or no longer has the service, the time for which the handle is kept counted as zero, so the handle was dropped at once, without being released.

Evidence: ConfigurationChangeTest, 36 cases, which hold calls in seven steps across twelve kinds of change. On the code before: 2 of 36 red (aPromptPrefilledBeforeTheChangeIsHandedOverAfterIt for "services removed" and "engine limits removed"), no Kv-Source at the decode engine. With the change: 36 of 36. The other 34 were green before: no kind of change costs an open call its answer.

Why it works: the limits are read once, on the same turn of the event loop as the route of the call.

--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -53,6 +53,10 @@
 
     private final RelayContext context;
     private final RelayCall call;
+
+    /** The engine limits of the service at the receipt of the call; empty if they are unknown. */
+    private final Optional<EngineLimits> engineLimits;
+
     private final List<Backend> triedEngines = new ArrayList<>();
     private final List<Backend> triedPrefillEngines = new ArrayList<>();
     private XnioIoThread.Key deadlineTimer;
@@ -78,6 +82,10 @@
     private GenerationRelay(RelayContext context, RelayCall call) {
         this.context = context;
         this.call = call;
+        this.engineLimits = context.catalog()
+                .get()
+                .flatMap(catalog -> catalog.service(call.service()))
+                .flatMap(BackendService::engineLimits);
     }
 
     /** Starts relaying a call. */
@@ -132,7 +140,7 @@
             return;
         }
         Optional<PromptShape> prompt = call.request().prompt();
-        if (prompt.isEmpty() || engineLimits().isEmpty()) {
+        if (prompt.isEmpty() || engineLimits.isEmpty()) {
             decode(Optional.empty());
             return;
         }
@@ -241,7 +249,7 @@
         prefilledPrompt = new PrefilledPrompt(backend, handle);
         prefilledPromptExpiry = Deadline.afterMillis(
                 context.ticker().nanos(),
-                engineLimits().map(EngineLimits::handleTtlMillis).orElse(0L));
+                engineLimits.map(EngineLimits::handleTtlMillis).orElse(0L));
         decode(Optional.empty());
     }
 
@@ -348,14 +356,6 @@
         giveUp(outcome.kind().name().toLowerCase(Locale.ROOT));
     }
 
-    /** Returns the engine limits of the service; empty if they are unknown. */
-    private Optional<EngineLimits> engineLimits() {
-        return context.catalog()
-                .get()
-                .flatMap(catalog -> catalog.service(call.service()))
-                .flatMap(BackendService::engineLimits);
-    }
-
     private void giveUp(String outcome) {
         deadlineTimer.remove();
         releasePrefilledPrompt();
