Time limits of callers follow the configuration and the monotonic clock

Seen by callers: with an idleTimeoutMs above 60 s, a kept connection was closed after 60 s, so that a request sent on it within the limit met a closed connection and had neither an answer nor a refusal. A head that was too slow was cut without a response. A body that stopped, also behind a refusal such as 413, held its connection for ever.

Cause: the decoded headerTimeoutMs and idleTimeoutMs were used nowhere. The HTTP server's own limits (10 s, 60 s) are fixed at its start. ParseTimeoutUpdater adds them to System.currentTimeMillis (read in its byte code), so a jump of the time of day ahead shortens the time of every connection that is idle or inside a head by the size of the jump. There is no limit inside a body at all.

The jump of the time of day itself was not played.

Why it works: CallerListener opens the callers' port itself and sees each read. All connections are checked each 250 ms by the ticker: a head has headerTimeoutMs from its first byte on; a body may pause for idleTimeoutMs; an idle connection has idleTimeoutMs; 1 s more for each. A head or body that is late gets 408 and is never passed on. The longest value since 10 s before the wait began holds, so a lower limit closes nothing under callers that still go by the old one. A connection is closed only at the second check in a row that finds it late with no byte read between, since after a pause of the process the bytes may have arrived in time.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -155,6 +155,7 @@
         this.handler = RelayHandler.create(context);
         this.server = RelayServer.start(
                 loop.worker(),
+                loop.ticker(),
                 settings.addresses(),
                 handler,
                 this::isReady,
@@ -402,6 +403,7 @@
             Optional<Catalog> decoded = platform.routesDecoder().apply(entry);
             if (decoded.isPresent() && catalog.replaceIfNewer(decoded.get())) {
                 metrics.setCatalogVersion(decoded.get().version());
+                server.applyLimits(decoded.get().limits());
                 Event.named("routes_in_force")
                         .with("version", decoded.get().version())
                         .with("routes", decoded.get().routeCount())
--- /dev/null
+++ b/src/main/java/org/verbenatray/relay/CallerConnection.java
@@ -0,0 +1,156 @@
+package org.verbenatray.relay;
+
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.verbenatray.telemetry.Event;
+import org.verbenatray.time.Ticker;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSinkConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** A connection of a caller, which is closed if the caller takes longer than the limits allow. Used on one thread. */
+final class CallerConnection {
+    private static final int REQUEST_TIMEOUT = 408;
+
+    private static final String REASON = "the request was not sent whole in time\n";
+
+    /** The response to a head that was not sent whole in time. */
+    private static final byte[] HEAD_RESPONSE = ("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: "
+                    + REASON.length() + "\r\n\r\n" + REASON)
+            .getBytes(StandardCharsets.US_ASCII);
+
+    private static final Logger log = System.getLogger(CallerConnection.class.getName());
+
+    private final StreamConnection connection;
+
+    /** Writes to the socket itself. */
+    private final StreamSinkConduit socket;
+
+    private final CallerPace pace;
+
+    private final Ticker ticker;
+
+    /** The open request, null between requests. */
+    private HttpServerExchange open;
+
+    private CallerConnection(StreamConnection connection, CallerPatience patience, Ticker ticker) {
+        this.connection = connection;
+        this.socket = connection.getSinkChannel().getConduit();
+        this.pace = CallerPace.connectedAt(patience, ticker.nanos());
+        this.ticker = ticker;
+    }
+
+    /** Starts to watch a connection, before any byte of it is read. */
+    static CallerConnection watch(StreamConnection connection, CallerPatience patience, Ticker ticker) {
+        CallerConnection watched = new CallerConnection(connection, patience, ticker);
+        connection
+                .getSourceChannel()
+                .setConduit(
+                        watched.new WatchedSource(connection.getSourceChannel().getConduit()));
+        return watched;
+    }
+
+    /** Returns whether the connection is open. */
+    boolean isOpen() {
+        return connection.isOpen();
+    }
+
+    /** Records that the head of a request was read. */
+    void requestBegun(HttpServerExchange exchange) {
+        open = exchange;
+        pace.headRead(ticker.nanos(), exchange::isRequestComplete);
+        exchange.addExchangeCompleteListener((ended, next) -> {
+            open = null;
+            pace.responseEnded(ticker.nanos());
+            next.proceed();
+        });
+    }
+
+    /** Closes the connection if the caller takes too long; a request that was begun is refused if possible. */
+    void closeIfOverdue() {
+        if (!pace.isOverdue(ticker.nanos())) {
+            return;
+        }
+        if (pace.insideHead()) {
+            log("head");
+            refuseHead();
+        } else if (!pace.insideRequest()) {
+            IoUtils.safeClose(connection);
+        } else {
+            log("body");
+            refuseBody();
+        }
+    }
+
+    private void refuseHead() {
+        try {
+            socket.write(ByteBuffer.wrap(HEAD_RESPONSE));
+        } catch (IOException e) {
+            // The connection is closed either way.
+        }
+        IoUtils.safeClose(connection);
+    }
+
+    private void refuseBody() {
+        if (open.isResponseStarted()) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        open.setStatusCode(REQUEST_TIMEOUT);
+        open.setPersistent(false);
+        open.getResponseSender().send(REASON, new CloseWhenSent());
+    }
+
+    private void log(String part) {
+        Event.named("caller_too_slow")
+                .with("caller", connection.getPeerAddress())
+                .with("part", part)
+                .log(log, Level.INFO);
+    }
+
+    /** Closes the connection once a response was sent, without waiting for the rest of the request. */
+    private final class CloseWhenSent implements IoCallback {
+        @Override
+        public void onComplete(HttpServerExchange exchange, Sender sender) {
+            IoUtils.safeClose(connection);
+        }
+
+        @Override
+        public void onException(HttpServerExchange exchange, Sender sender, IOException e) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    /** Passes reads on and records those that return bytes. */
+    private final class WatchedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
+        WatchedSource(StreamSourceConduit next) {
+            super(next);
+        }
+
+        @Override
+        public int read(ByteBuffer target) throws IOException {
+            int count = super.read(target);
+            if (count > 0) {
+                pace.bytesRead(ticker.nanos());
+            }
+            return count;
+        }
+
+        @Override
+        public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+            long count = super.read(targets, offset, length);
+            if (count > 0) {
+                pace.bytesRead(ticker.nanos());
+            }
+            return count;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/verbenatray/relay/CallerListener.java
@@ -0,0 +1,126 @@
+package org.verbenatray.relay;
+
+import io.undertow.UndertowOptions;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.verbenatray.catalog.CallerLimits;
+import org.verbenatray.time.Ticker;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * The HTTP listener for callers. It closes connections by the limits of the configuration and by the monotonic clock;
+ * the time limits of the HTTP server itself are fixed at its start and go by the time of day. Its work runs on the one
+ * I/O thread.
+ */
+final class CallerListener implements AutoCloseable {
+    private static final int BUFFER_BYTES = 1_024;
+
+    private static final int MAX_WAITING_CONNECTIONS = 1_000;
+
+    /** The time between two checks of all connections, in milliseconds. */
+    private static final long CHECK_INTERVAL_MILLIS = 250;
+
+    private final XnioIoThread thread;
+
+    private final Ticker ticker;
+
+    private final CallerPatience patience = CallerPatience.create();
+
+    /** The open connections; closed ones remain up to the next check. */
+    private final Map<StreamConnection, CallerConnection> connections = new IdentityHashMap<>();
+
+    private final HttpOpenListener http;
+
+    private final AcceptingChannel<StreamConnection> channel;
+
+    private CallerListener(XnioWorker worker, Ticker ticker, InetSocketAddress address, OptionMap options)
+            throws IOException {
+        this.thread = worker.getIoThread();
+        this.ticker = ticker;
+        this.http = new HttpOpenListener(new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4), options);
+        this.channel = worker.createStreamConnectionServer(
+                address,
+                ChannelListeners.openListenerAdapter(this::onConnected),
+                OptionMap.builder()
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.BACKLOG, MAX_WAITING_CONNECTIONS)
+                        .getMap());
+    }
+
+    /** Starts a listener; fails with an {@link UncheckedIOException} if the address cannot be bound. */
+    static CallerListener start(
+            XnioWorker worker, Ticker ticker, InetSocketAddress address, int maxHeaderBytes, HttpHandler callers) {
+        OptionMap options = OptionMap.builder()
+                .set(UndertowOptions.MAX_HEADER_SIZE, maxHeaderBytes)
+                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.DECODE_URL, false)
+                .getMap();
+        try {
+            CallerListener listener = new CallerListener(worker, ticker, address, options);
+            listener.http.setRootHandler(exchange -> listener.handle(exchange, callers));
+            listener.channel.resumeAccepts();
+            listener.scheduleCheck();
+            return listener;
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot listen for callers on " + address, e);
+        }
+    }
+
+    /** Returns the address on which the listener is bound. */
+    InetSocketAddress address() {
+        return channel.getLocalAddress(InetSocketAddress.class);
+    }
+
+    /** Applies the limits of a newer configuration. */
+    void apply(CallerLimits limits) {
+        patience.apply(limits, ticker.nanos());
+    }
+
+    @Override
+    public void close() {
+        IoUtils.safeClose(channel);
+    }
+
+    private void onConnected(StreamConnection connection) {
+        connections.put(connection, CallerConnection.watch(connection, patience, ticker));
+        http.handleEvent(connection);
+    }
+
+    private void handle(HttpServerExchange exchange, HttpHandler callers) throws Exception {
+        if (exchange.getConnection() instanceof HttpServerConnection connection) {
+            CallerConnection caller = connections.get(connection.getChannel());
+            if (caller != null) {
+                caller.requestBegun(exchange);
+            }
+        }
+        callers.handleRequest(exchange);
+    }
+
+    private void scheduleCheck() {
+        thread.executeAfter(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void check() {
+        connections.values().removeIf(connection -> !connection.isOpen());
+        connections.values().forEach(CallerConnection::closeIfOverdue);
+        scheduleCheck();
+    }
+}
--- a/src/main/java/org/verbenatray/relay/RelayServer.java
+++ b/src/main/java/org/verbenatray/relay/RelayServer.java
@@ -7,6 +7,8 @@
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.verbenatray.catalog.CallerLimits;
+import org.verbenatray.time.Ticker;
 import org.verbenatray.web.Responses;
 import org.xnio.XnioWorker;
 
@@ -15,23 +17,33 @@
     /** Largest total size of the headers that is read; the catalog may allow less. */
     private static final int MAX_HEADER_BYTES = 64 * 1024;
 
-    /** Time within which the head of a request must arrive. */
+    /** Time within which the head of a request for readiness or metrics must arrive. */
     private static final int HEAD_TIMEOUT_MILLIS = 10_000;
 
+    /** Time for which a connection for readiness or metrics may be idle. */
     private static final int IDLE_TIMEOUT_MILLIS = 60_000;
 
     /** Time that open exchanges get once the listeners are closed. */
     private static final int SHUTDOWN_TIMEOUT_MILLIS = 100;
 
+    private final CallerListener callers;
+
+    /** Serves readiness, metrics and state. */
     private final Undertow server;
 
-    private RelayServer(Undertow server) {
+    private RelayServer(CallerListener callers, Undertow server) {
+        this.callers = callers;
         this.server = server;
     }
 
     /** Starts the listeners. */
     public static RelayServer start(
-            XnioWorker worker, RelayAddresses addresses, HttpHandler callers, BooleanSupplier ready, Reports reports) {
+            XnioWorker worker,
+            Ticker ticker,
+            RelayAddresses addresses,
+            HttpHandler callers,
+            BooleanSupplier ready,
+            Reports reports) {
         HttpHandler readiness = exchange -> {
             boolean isReady = ready.getAsBoolean();
             Responses.sendText(exchange, isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n");
@@ -49,10 +61,6 @@
         };
         Undertow server = Undertow.builder()
                 .setWorker(worker)
-                .addHttpListener(
-                        addresses.callers().getPort(),
-                        addresses.callers().getHostString(),
-                        new HttpContinueReadHandler(callers))
                 .addHttpListener(addresses.ready().getPort(), addresses.ready().getHostString(), readiness)
                 .addHttpListener(
                         addresses.metrics().getPort(), addresses.metrics().getHostString(), operators)
@@ -64,16 +72,25 @@
                 .setServerOption(UndertowOptions.DECODE_URL, false)
                 .build();
         server.start();
-        return new RelayServer(server);
+        return new RelayServer(
+                CallerListener.start(
+                        worker, ticker, addresses.callers(), MAX_HEADER_BYTES, new HttpContinueReadHandler(callers)),
+                server);
     }
 
     /** Returns the address on which the listener for callers is bound. */
     public InetSocketAddress callersAddress() {
-        return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return callers.address();
+    }
+
+    /** Applies the limits of a newer configuration to the connections of callers. Called on the I/O thread. */
+    public void applyLimits(CallerLimits limits) {
+        callers.apply(limits);
     }
 
     @Override
     public void close() {
+        callers.close();
         server.stop();
     }
 
