The constant part of the retry budget is shared among the listed instances

Seen by callers: at a service that has had few or no requests at an instance, such as one to which a route has just moved, the first failure could not be retried, and a begun stream that may be resumed was cut.

Cause: a retry has to be earned by earlier requests to the same service; bounds.budgetExtra, which the rule allows beyond that, was not read.

Refuted: counting the requests that the route's former service had. The rule bounds the arrivals at a service by the requests of that service, so such retries would not be covered by its requests, and the former service would still spend by the same ones.

Why it works: an instance has 1/n of the constant part, n being the listed instances. Instances could add up to more only if some divide by an older n within the same window. So an instance has no share until its own entry, or any growth of the list, is known to every instance that still has a share (its list is at most 12 s old, and a read may be under way for 12 s) and a window more has passed; after a fall the smaller share stays as long. Cut off, it has none. Retries beyond the earned ones count for 2 s more than the window, for differences on their way to the server.

Limits: after a start or growth of the fleet there is no share for 24 s and a window (34 s at budgetWindowS=10), and in a large fleet a share below one adds to what is earned instead of allowing a retry by itself.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -219,6 +219,7 @@
                             retryBudget.configure(newer.instanceRetryRatio(), newer.retryWindowMillis()));
             Event.named("settings_in_force")
                     .with("retry_ratio", newer.retryRatio())
+                    .with("retry_extra", newer.retryExtra())
                     .with("grace_ms", newer.graceMillis())
                     .with("leaving_ms", newer.leavingServerMillis())
                     .with("routes_ms", newer.routePropagationMillis())
@@ -341,7 +342,11 @@
     private RetryBudget retryBudget(String service) {
         return retryBudgets.computeIfAbsent(
                 service,
-                name -> RetryBudget.create(loop.ticker(), settings.instanceRetryRatio(), settings.retryWindowMillis()));
+                name -> RetryBudget.create(
+                        loop.ticker(),
+                        settings.instanceRetryRatio(),
+                        settings.retryWindowMillis(),
+                        () -> settings.retryExtra() * sharing.fleetShare().of(settings.retryWindowMillis())));
     }
 
     /** Removes all state of one boot of a backend server that has ended. */
--- a/src/main/java/org/verbenatray/instance/RelayInstanceSettings.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstanceSettings.java
@@ -12,6 +12,7 @@
  * @param addresses the addresses on which it listens
  * @param workExchangeAddress the UDP address on which it receives the open work of other instances
  * @param retryRatio the maximum number of retries per request, over all instances together
+ * @param retryExtra the maximum number of retries in the window beyond that, over all instances together
  * @param retryWindowMillis the sliding window over which that ratio holds, in milliseconds
  * @param graceMillis the grace period from the request to stop to the end of the process, in milliseconds
  * @param leavingServerMillis the time in milliseconds after which a leaving server must get no more requests
@@ -23,6 +24,7 @@
         RelayAddresses addresses,
         InetSocketAddress workExchangeAddress,
         double retryRatio,
+        double retryExtra,
         long retryWindowMillis,
         long graceMillis,
         long leavingServerMillis,
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -13,6 +13,7 @@
 import org.verbenatray.openwork.DatagramPort;
 import org.verbenatray.openwork.EngineWork;
 import org.verbenatray.openwork.ExchangePeers;
+import org.verbenatray.openwork.FleetShare;
 import org.verbenatray.openwork.InstanceRegistration;
 import org.verbenatray.openwork.PromptPlacement;
 import org.verbenatray.openwork.RemoteWork;
@@ -37,6 +38,8 @@
 
     private final ExchangePeers exchangePeers;
 
+    private final FleetShare fleetShare;
+
     /** The work that the other instances reported. */
     private final RemoteWork remoteWork;
 
@@ -65,6 +68,7 @@
         this.directory = directory;
         this.prefixCacheIndex = prefixCacheIndex;
         this.exchangePeers = ExchangePeers.of(settings.name());
+        this.fleetShare = FleetShare.create(loop.ticker());
         this.remoteWork = RemoteWork.create(loop.ticker(), exchangePeers::sampleWeight);
     }
 
@@ -95,7 +99,7 @@
                 loop.ticker(),
                 loop.scheduler());
         registration = InstanceRegistration.start(
-                instances, settings.name(), address, exchangePeers, loop.ticker(), loop.scheduler());
+                instances, settings.name(), address, exchangePeers, fleetShare, loop.ticker(), loop.scheduler());
     }
 
     /** Returns the work of the other instances at one boot of an engine. */
@@ -103,6 +107,11 @@
         return remoteWork.workAt(boot);
     }
 
+    /** Returns the share of this instance in what all instances together may use in a window. */
+    FleetShare fleetShare() {
+        return fleetShare;
+    }
+
     /** Returns the number of instances with which this one exchanges its work. */
     int peerCount() {
         return exchangePeers.selectedAddresses().size();
--- a/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
+++ b/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
@@ -44,6 +44,9 @@
 
     private final ExchangePeers peers;
 
+    /** Told of the number of listed instances. */
+    private final FleetShare share;
+
     private final Ticker ticker;
 
     private final Scheduler scheduler;
@@ -59,12 +62,14 @@
             String self,
             InetSocketAddress address,
             ExchangePeers peers,
+            FleetShare share,
             Ticker ticker,
             Scheduler scheduler) {
         this.instanceList = instanceList;
         this.self = self;
         this.address = address;
         this.peers = peers;
+        this.share = share;
         this.ticker = ticker;
         this.scheduler = scheduler;
     }
@@ -75,10 +80,11 @@
             String self,
             InetSocketAddress address,
             ExchangePeers peers,
+            FleetShare share,
             Ticker ticker,
             Scheduler scheduler) {
         InstanceRegistration registration =
-                new InstanceRegistration(instanceList, self, address, peers, ticker, scheduler);
+                new InstanceRegistration(instanceList, self, address, peers, share, ticker, scheduler);
         registration.register();
         KeyedFollower.start("instances", instanceList, registration, () -> POLL_TIMING, ticker, scheduler);
         return registration;
@@ -97,6 +103,8 @@
         peers.replace(instances);
         expiries.keySet().retainAll(instances.keySet());
         instances.keySet().forEach(this::extendExpiry);
+        recordListed();
+        share.recordRead();
     }
 
     @Override
@@ -109,6 +117,17 @@
             peers.remove(entry.key());
             expiries.remove(entry.key());
         }
+        recordListed();
+    }
+
+    @Override
+    public void onCaughtUp() {
+        share.recordRead();
+    }
+
+    /** Records how many instances are listed. Expired entries count until the list no longer has them. */
+    private void recordListed() {
+        share.recordListed(!leaving && expiries.containsKey(self) ? expiries.size() : 0);
     }
 
     /** Writes the entry of this instance and schedules the renewal, or the retry after a failure. */
--- a/src/main/java/org/verbenatray/platform/PlatformSettings.java
+++ b/src/main/java/org/verbenatray/platform/PlatformSettings.java
@@ -18,6 +18,7 @@
  * @param serverDrainMillis the time after which a draining server must get no more requests, in milliseconds
  * @param routesApplyMillis the time after which new routes must be in force, in milliseconds
  * @param retryRatio the maximum number of retries per request, over all instances together
+ * @param retryExtra the maximum number of retries in the window beyond that, over all instances together
  * @param retryWindowMillis the length of the sliding window of that ratio in milliseconds
  */
 record PlatformSettings(
@@ -31,6 +32,7 @@
         long serverDrainMillis,
         long routesApplyMillis,
         double retryRatio,
+        double retryExtra,
         long retryWindowMillis) {
     /** Returns the base URI of the store. */
     URI storeUri() {
@@ -46,6 +48,7 @@
                 new RelayAddresses(callerAddress, readinessAddress, metrics),
                 peerAddress,
                 retryRatio,
+                retryExtra,
                 retryWindowMillis,
                 shutdownGraceMillis,
                 serverDrainMillis,
--- a/src/test/java/org/verbenatray/openwork/InstanceRegistrationTest.java
+++ b/src/test/java/org/verbenatray/openwork/InstanceRegistrationTest.java
@@ -77,7 +77,8 @@
     }
 
     private InstanceRegistration register() {
-        return InstanceRegistration.start(log, "self", new InetSocketAddress("127.0.0.1", 7), peers, time, time);
+        return InstanceRegistration.start(
+                log, "self", new InetSocketAddress("127.0.0.1", 7), peers, FleetShare.create(time), time, time);
     }
 
     private void addEntry(String instance) {
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -196,7 +196,8 @@
         waitUntil(condition, TimeUnit.NANOSECONDS.toSeconds(AWAIT_TIMEOUT_NANOS));
     }
 
-    private static void waitUntil(Callable<Boolean> condition, long seconds) throws Exception {
+    /** Waits until a condition holds; fails after the given time in seconds. */
+    static void waitUntil(Callable<Boolean> condition, long seconds) throws Exception {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
         while (!condition.call()) {
             Assert.assertTrue(System.nanoTime() < until, "the condition did not become true in time");
--- a/src/test/java/org/verbenatray/platform/SettingsFileTest.java
+++ b/src/test/java/org/verbenatray/platform/SettingsFileTest.java
@@ -15,6 +15,17 @@
         Assert.assertEquals(settings.storeUri().toString(), "http://127.0.0.1:9");
     }
 
+    @Test
+    public void theConstantPartOfTheRetryBudgetIsReadAndZeroIfMissing() {
+        String text = RelayFixture.settingsText("127.0.0.1:9");
+        Assert.assertEquals(SettingsFile.parse(text).toPlatformSettings().retryExtra(), 0.0);
+        Assert.assertEquals(
+                SettingsFile.parse(text + "bounds.budgetExtra=12\n")
+                        .toPlatformSettings()
+                        .retryExtra(),
+                12.0);
+    }
+
     @Test
     public void allProblemsAreReportedAtOnceWithTheirRemedies() {
         String text = RelayFixture.settingsText("127.0.0.1:9")
--- a/src/test/java/org/verbenatray/resilience/RetryBudgetTest.java
+++ b/src/test/java/org/verbenatray/resilience/RetryBudgetTest.java
@@ -47,4 +47,27 @@
         time.advanceMillis(6_000);
         Assert.assertFalse(budget.trySpend());
     }
+
+    @Test
+    public void anAllowanceIsSpentWithoutRequestsAndComesBackAfterTheWindowAndTheSpreadOfArrivals() {
+        ManualTime time = new ManualTime();
+        RetryBudget budget = RetryBudget.create(time, 0.2, 10_000, () -> 1.5);
+        Assert.assertTrue(budget.trySpend());
+        Assert.assertFalse(budget.trySpend());
+        time.advanceMillis(11_000);
+        Assert.assertFalse(budget.trySpend());
+        time.advanceMillis(1_001);
+        Assert.assertTrue(budget.trySpend());
+    }
+
+    @Test
+    public void anAllowanceAddsToTheEarnedRetries() {
+        RetryBudget budget = RetryBudget.create(new ManualTime(), 0.2, 10_000, () -> 0.5);
+        budget.recordRequest();
+        budget.recordRequest();
+        Assert.assertFalse(budget.trySpend());
+        budget.recordRequest();
+        Assert.assertTrue(budget.trySpend());
+        Assert.assertFalse(budget.trySpend());
+    }
 }
