Closing a relay instance twice returns

Cause: since the callers' port is opened by CallerListener, a second close of an instance closed its channel again, and XNIO then waits for a thread that has ended. Callers saw nothing; CrashingRequestTest closes one instance twice and hung in its clean-up for eight minutes (main thread in NioTcpServer.close).

Why it works: an accepting channel that is no longer open is left alone.

--- a/src/main/java/org/verbenatray/relay/CallerListener.java
+++ b/src/main/java/org/verbenatray/relay/CallerListener.java
@@ -94,9 +94,12 @@
         patience.apply(limits, ticker.nanos());
     }
 
+    /** Stops accepting connections, once; a second close would wait for threads that may have ended. */
     @Override
     public void close() {
-        IoUtils.safeClose(channel);
+        if (channel.isOpen()) {
+            IoUtils.safeClose(channel);
+        }
     }
 
     private void onConnected(StreamConnection connection) {
