--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -165,6 +165,7 @@
         this.handler = RelayHandler.create(context);
         this.server = RelayServer.start(
                 loop.worker(),
+                loop.ticker(),
                 settings.addresses(),
                 handler,
                 this::isReady,
@@ -238,6 +239,7 @@
                             retryBudget.configure(newer.instanceRetryRatio(), newer.retryWindowMillis()));
             Event.named("settings_in_force")
                     .with("retry_ratio", newer.retryRatio())
+                    .with("retry_extra", newer.retryExtra())
                     .with("grace_ms", newer.graceMillis())
                     .with("leaving_ms", newer.leavingServerMillis())
                     .with("routes_ms", newer.routePropagationMillis())
@@ -368,7 +370,11 @@
     private RetryBudget retryBudget(String service) {
         return retryBudgets.computeIfAbsent(
                 service,
-                name -> RetryBudget.create(loop.ticker(), settings.instanceRetryRatio(), settings.retryWindowMillis()));
+                name -> RetryBudget.create(
+                        loop.ticker(),
+                        settings.instanceRetryRatio(),
+                        settings.retryWindowMillis(),
+                        () -> settings.retryExtra() * sharing.fleetShare().of(settings.retryWindowMillis())));
     }
 
     /** Removes all state of one boot of a backend server that has ended. */
@@ -431,6 +437,7 @@
             Optional<Catalog> decoded = platform.routesDecoder().apply(entry);
             if (decoded.isPresent() && catalog.replaceIfNewer(decoded.get())) {
                 metrics.setCatalogVersion(decoded.get().version());
+                server.applyLimits(decoded.get().limits());
                 Event.named("routes_in_force")
                         .with("version", decoded.get().version())
                         .with("routes", decoded.get().routeCount())
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -15,6 +15,7 @@
 import org.verbenatray.openwork.DatagramPort;
 import org.verbenatray.openwork.EngineWork;
 import org.verbenatray.openwork.ExchangePeers;
+import org.verbenatray.openwork.FleetShare;
 import org.verbenatray.openwork.InstanceRegistration;
 import org.verbenatray.openwork.ListedInstance;
 import org.verbenatray.openwork.PromptPlacement;
@@ -40,6 +41,8 @@
 
     private final ExchangePeers exchangePeers;
 
+    private final FleetShare fleetShare;
+
     /** The work that the other instances reported. */
     private final RemoteWork remoteWork;
 
@@ -71,6 +74,7 @@
         this.directory = directory;
         this.prefixCacheIndex = prefixCacheIndex;
         this.exchangePeers = ExchangePeers.of(settings.name(), settings.failureDomain());
+        this.fleetShare = FleetShare.create(loop.ticker());
         this.remoteWork = RemoteWork.create(loop.ticker(), exchangePeers::sampleWeight);
     }
 
@@ -107,6 +111,7 @@
                 settings.name(),
                 new ListedInstance(address, settings.failureDomain()),
                 exchangePeers,
+                fleetShare,
                 loop.ticker(),
                 loop.scheduler());
     }
@@ -116,6 +121,11 @@
         return remoteWork.workAt(boot);
     }
 
+    /** Returns the share of this instance in what all instances together may use in a window. */
+    FleetShare fleetShare() {
+        return fleetShare;
+    }
+
     /** Returns the number of instances with which this one exchanges its work. */
     int peerCount() {
         return exchangePeers.selectedAddresses().size();
--- a/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
+++ b/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
@@ -43,6 +43,9 @@
 
     private final ExchangePeers peers;
 
+    /** Told of the number of listed instances. */
+    private final FleetShare share;
+
     private final Ticker ticker;
 
     private final Scheduler scheduler;
@@ -58,12 +61,14 @@
             String self,
             ListedInstance entry,
             ExchangePeers peers,
+            FleetShare share,
             Ticker ticker,
             Scheduler scheduler) {
         this.instanceList = instanceList;
         this.self = self;
         this.entry = entry;
         this.peers = peers;
+        this.share = share;
         this.ticker = ticker;
         this.scheduler = scheduler;
     }
@@ -74,10 +79,11 @@
             String self,
             ListedInstance entry,
             ExchangePeers peers,
+            FleetShare share,
             Ticker ticker,
             Scheduler scheduler) {
         InstanceRegistration registration =
-                new InstanceRegistration(instanceList, self, entry, peers, ticker, scheduler);
+                new InstanceRegistration(instanceList, self, entry, peers, share, ticker, scheduler);
         registration.register();
         KeyedFollower.start("instances", instanceList, registration, () -> POLL_TIMING, ticker, scheduler);
         return registration;
@@ -96,6 +102,8 @@
         peers.replace(instances);
         expiries.keySet().retainAll(instances.keySet());
         instances.keySet().forEach(this::extendExpiry);
+        recordListed();
+        share.recordRead();
     }
 
     @Override
@@ -108,6 +116,17 @@
             peers.remove(listed.key());
             expiries.remove(listed.key());
         }
+        recordListed();
+    }
+
+    @Override
+    public void onCaughtUp() {
+        share.recordRead();
+    }
+
+    /** Records how many instances are listed. Expired entries count until the list no longer has them. */
+    private void recordListed() {
+        share.recordListed(!leaving && expiries.containsKey(self) ? expiries.size() : 0);
     }
 
     /** Writes the entry of this instance and schedules the renewal, or the retry after a failure. */
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -42,6 +42,10 @@
     private final RelayContext context;
     private final RelayCall call;
     private final DecodeEngines decodeEngines;
+
+    /** The engine limits of the service at the receipt of the call; empty if they are unknown. */
+    private final Optional<EngineLimits> engineLimits;
+
     private final List<Backend> triedPrefillEngines = new ArrayList<>();
     private XnioIoThread.Key deadlineTimer;
 
@@ -67,6 +71,10 @@
         this.context = context;
         this.call = call;
         this.decodeEngines = DecodeEngines.forCall(context, call);
+        this.engineLimits = context.catalog()
+                .get()
+                .flatMap(catalog -> catalog.service(call.service()))
+                .flatMap(BackendService::engineLimits);
     }
 
     /** Starts relaying a call. */
@@ -160,7 +168,7 @@
             return;
         }
         Optional<PromptShape> prompt = call.request().prompt();
-        if (prompt.isEmpty() || engineLimits().isEmpty()) {
+        if (prompt.isEmpty() || engineLimits.isEmpty()) {
             decode(Optional.empty());
             return;
         }
@@ -242,7 +250,7 @@
         prefilledPrompt = new PrefilledPrompt(backend, handle);
         prefilledPromptExpiry = Deadline.afterMillis(
                 context.ticker().nanos(),
-                engineLimits().map(EngineLimits::handleTtlMillis).orElse(0L));
+                engineLimits.map(EngineLimits::handleTtlMillis).orElse(0L));
         decode(Optional.empty());
     }
 
@@ -356,14 +364,6 @@
         }
     }
 
-    /** Returns the engine limits of the service; empty if they are unknown. */
-    private Optional<EngineLimits> engineLimits() {
-        return context.catalog()
-                .get()
-                .flatMap(catalog -> catalog.service(call.service()))
-                .flatMap(BackendService::engineLimits);
-    }
-
     private void giveUp(String outcome) {
         deadlineTimer.remove();
         releasePrefilledPrompt();
--- a/src/test/java/org/verbenatray/openwork/InstanceRegistrationTest.java
+++ b/src/test/java/org/verbenatray/openwork/InstanceRegistrationTest.java
@@ -78,7 +78,13 @@
 
     private InstanceRegistration register() {
         return InstanceRegistration.start(
-                log, "self", new ListedInstance(new InetSocketAddress("127.0.0.1", 7), "d1"), peers, time, time);
+                log,
+                "self",
+                new ListedInstance(new InetSocketAddress("127.0.0.1", 7), "d1"),
+                peers,
+                FleetShare.create(time),
+                time,
+                time);
     }
 
     private void addEntry(String instance) {
