Crash the stand-in engine on its own thread before its HTTP server stops

What callers saw (EnginesDownTest beside load): both engines listened again after 2 s, yet all four streams ended with NO_SERVER 5.1 to 5.3 s after their start, as broken chunked bodies.

Cause: EngineServer.crash let the engine's thread drop the dispatches while another thread stopped the HTTP server. When the engine's thread came later than the stop of the I/O threads, closing the first open response threw RejectedExecutionException (XNIO007007, Thread is terminating), which the executor swallows. The rest of the crash was left out: the incarnation was not increased and the restart of the model not scheduled. The engine then listened with the incarnation that was known to have crashed and answered 409 to all dispatches. To the instance it never came back, so the wait of 5 s for an engine ended. The instance was right: no engine could serve the streams.

Ruled out: polls of engines that fail or come late (the reports arrived within 0.5 s of the return); the back-off of engines that failed repeatedly (READY throughout); reservations for isolated runs; an address that cannot be bound.

Now the HTTP server stops only after the engine's thread has dropped the dispatches, and the model restarts before the server listens again, so that no dispatch reaches a model that is still down.

--- a/src/main/java/org/verbenatray/standin/EngineLoop.java
+++ b/src/main/java/org/verbenatray/standin/EngineLoop.java
@@ -175,17 +175,26 @@
         return model.cancel(dispatch, ticker.nanos());
     }
 
-    /** Crashes the engine asynchronously and restarts it after the given time. */
-    void crash(long restartMillis) {
-        executor.execute(() -> {
-            model.crash(ticker.nanos());
-            advanceModel();
-            new HashMap<>(records).values().forEach(StreamRecord::abort);
-            records.clear();
-            orderHandler.resetAfterCrash();
-            incarnation++;
-            executor.schedule(() -> model.restart(ticker.nanos()), restartMillis, TimeUnit.MILLISECONDS);
-        });
+    /**
+     * Crashes the engine asynchronously: drops all dispatches, closes their connections and starts the next
+     * incarnation, which rejects all dispatches until {@link #restart}. The future completes after that.
+     */
+    CompletableFuture<Void> crash() {
+        return CompletableFuture.runAsync(
+                () -> {
+                    model.crash(ticker.nanos());
+                    advanceModel();
+                    new HashMap<>(records).values().forEach(StreamRecord::abort);
+                    records.clear();
+                    orderHandler.resetAfterCrash();
+                    incarnation++;
+                },
+                executor);
+    }
+
+    /** Restarts a crashed engine asynchronously, before any action that is passed to {@link #callOnLoop} later. */
+    void restart() {
+        executor.execute(() -> model.restart(ticker.nanos()));
     }
 
     /** Stops the thread without finishing requests. */
--- a/src/main/java/org/verbenatray/standin/EngineServer.java
+++ b/src/main/java/org/verbenatray/standin/EngineServer.java
@@ -82,9 +82,9 @@
             InetSocketAddress address,
             EngineModelSpec spec,
             Map<String, String> models,
-            boolean checksFencing) {
+            boolean checksFencing,
+            Ticker ticker) {
         this.name = name;
-        Ticker ticker = Ticker.system();
         this.loop = new EngineLoop(name, EngineModel.create(spec, models, ticker.nanos()), ticker, checksFencing);
         this.routes = Handlers.routing()
                 .post("/generate", exchange -> readBody(exchange, (same, body) -> generate(same, body, false)))
@@ -111,7 +111,18 @@
             EngineModelSpec spec,
             Map<String, String> models,
             boolean checksFencing) {
-        return new EngineServer(name, address, spec, models, checksFencing);
+        return start(name, address, spec, models, checksFencing, Ticker.system());
+    }
+
+    /** Starts and returns an engine whose thread reads the time from the given ticker. */
+    static EngineServer start(
+            String name,
+            InetSocketAddress address,
+            EngineModelSpec spec,
+            Map<String, String> models,
+            boolean checksFencing,
+            Ticker ticker) {
+        return new EngineServer(name, address, spec, models, checksFencing, ticker);
     }
 
     /** Returns the base URI of the engine. */
@@ -183,7 +194,12 @@
         loop.startLeaving();
     }
 
-    /** Crashes the engine and restarts it after the configured time. Does nothing if it is down already. */
+    /**
+     * Crashes the engine and restarts it after the configured time. Does nothing if it is down already.
+     *
+     * <p>The HTTP server is stopped only after the engine's thread has crashed the model, because that thread closes
+     * the open responses on the I/O threads of the server.
+     */
     public synchronized void crash() {
         if (down) {
             return;
@@ -195,8 +211,7 @@
                 (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
         Thread restart = new Thread(() -> restart(bound, restartMillis), "crash-" + name);
         restart.setDaemon(true);
-        loop.crash(restartMillis);
-        restart.start();
+        loop.crash().thenRun(restart::start);
     }
 
     @Override
@@ -217,6 +232,7 @@
         }
         while (down && !closed) {
             try {
+                loop.restart();
                 server = listen(address.getHostString(), address.getPort());
                 down = false;
             } catch (RuntimeException e) {
