--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -37,6 +37,9 @@
     /** How long an engine that crashed and has not restarted yet is not used for isolated runs, in milliseconds. */
     private static final long DOWN_MILLIS = 30_000;
 
+    /** How long after its last report an engine is expected to become available again, in milliseconds. */
+    private static final long DUE_BACK_MILLIS = 30_000;
+
     private final SuspectTable table;
     private final EngineChooser chooser;
     private final FleetView fleet;
@@ -232,8 +235,7 @@
     private List<String> isolationCandidates(String model, Set<String> excluded) {
         List<EngineView> usable = fleet.views(timing.ticker().nanos()).stream()
                 .filter(view -> view.condition() == EngineCondition.READY && view.role() == EngineRole.BOTH)
-                .filter(view ->
-                        view.spec().models().isEmpty() || view.spec().models().contains(model))
+                .filter(view -> serves(view, model))
                 .filter(view -> !excluded.contains(view.name()) && !isDown(view.name()))
                 .toList();
         List<EngineView> detailed = usable.stream()
@@ -255,6 +257,17 @@
                         entry.lastChangeMillis() > since && entry.crashes().contains(incarnation));
     }
 
+    /** Returns whether an engine that serves a model is available or expected to become available again. */
+    boolean isEngineDueBack(String model) {
+        return fleet.views(timing.ticker().nanos()).stream()
+                .filter(view -> serves(view, model) && view.condition() != EngineCondition.LEAVING)
+                .anyMatch(view -> view.reportAgeMillis() <= DUE_BACK_MILLIS);
+    }
+
+    private static boolean serves(EngineView engine, String model) {
+        return engine.spec().models().isEmpty() || engine.spec().models().contains(model);
+    }
+
     /** Returns the refusal of a request that is blocked because it crashed engines. */
     private static Refusal blockedRefusal(long retryAfterMillis) {
         return Refusal.mayHaveRun(
--- a/src/test/java/org/verbenatray/serving/StreamFaultsTest.java
+++ b/src/test/java/org/verbenatray/serving/StreamFaultsTest.java
@@ -14,6 +14,7 @@
 import org.testng.annotations.Test;
 import org.verbenatray.demo.EmbeddedDeployment;
 import org.verbenatray.demo.EmbeddedDeployment.Shape;
+import org.verbenatray.instance.EntryInstance;
 import org.verbenatray.processes.Await;
 import org.verbenatray.processes.HttpCaller;
 import org.verbenatray.standin.EngineFaults;
@@ -23,6 +24,10 @@
 /** Tests streams through an entry instance while engines and connections fail. */
 public final class StreamFaultsTest {
     private static final int TOKENS = 60;
+
+    /** More than the time for which a request that has not begun waits for an engine, in milliseconds. */
+    private static final long LONG_RESTART_MILLIS = 8_000;
+
     private final HttpCaller caller = HttpCaller.withKey(EmbeddedDeployment.API_KEY);
     private EmbeddedDeployment deployment;
 
@@ -72,6 +77,17 @@
         assertAllComplete(responses, 100);
     }
 
+    @Test
+    public void streamsThatHaveBegunWaitForEnginesThatTakeLongToRestart() {
+        engines().forEach(engine -> engine.setFaults(EngineFaults.none().withRestartMillis(LONG_RESTART_MILLIS)));
+        deployment.entries().forEach(this::awaitReportsOfAllEngines);
+        List<CompletableFuture<HttpResponse<String>>> responses = sendAll(2, 100);
+        Await.until(() -> dispatches() == 2);
+        Await.until(() -> begunResponses() == 2);
+        engines().forEach(EngineServer::crash);
+        assertAllComplete(responses, 100);
+    }
+
     @Test
     public void aLeavingEngineGetsNoNewDispatchesAndCompletesTheCurrentOnes() {
         List<CompletableFuture<HttpResponse<String>>> before = sendAll(4, 200);
@@ -115,6 +131,16 @@
         assertFalse(body.orElse("").contains("[DONE]"), body.orElse(""));
     }
 
+    /** Waits until an instance has a load report of each engine. */
+    private void awaitReportsOfAllEngines(EntryInstance entry) {
+        String noReport = "\"reportAgeMillis\":" + Long.MAX_VALUE;
+        Await.until(() -> {
+            String state =
+                    caller.send("GET", entry.operatorsAddress() + "/state", "").body();
+            return state.contains("\"reportAgeMillis\":") && !state.contains(noReport);
+        });
+    }
+
     private List<EngineServer> engines() {
         return deployment.engines();
     }
@@ -123,6 +149,15 @@
         return engines().stream().mapToLong(EngineServer::acceptedDispatches).sum();
     }
 
+    /** Returns the number of responses of which the entry instances have relayed the first token. */
+    private double begunResponses() {
+        return deployment.entries().stream()
+                .flatMap(entry -> entry.metricsText().lines())
+                .filter(line -> line.startsWith("verbenatray_first_token_seconds_count"))
+                .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' '))))
+                .sum();
+    }
+
     private List<CompletableFuture<HttpResponse<String>>> sendAll(int count, int tokens) {
         String uri = deployment.entries().get(0).callersAddress() + "/v1/completions";
         List<CompletableFuture<HttpResponse<String>>> responses = new ArrayList<>();
