Do not count failures from before a restart against the restarted engine

What callers saw: nothing that was reported; found while EnginesDownTest was traced. An engine that had just restarted got no requests for 1 s or more when three requests sent before the restart were found to have failed only after it.

Evidence: FleetViewTest.aFailureOfADispatchFromBeforeARestartDoesNotCountForTheRestartedEngine, red before (UNREACHABLE), green now.

--- a/src/main/java/org/verbenatray/fleet/Dispatch.java
+++ b/src/main/java/org/verbenatray/fleet/Dispatch.java
@@ -64,7 +64,7 @@
         if (ended) {
             return;
         }
-        engine.onFailure(nowNanos);
+        engine.onFailure(nowNanos, restartsBefore);
         removeRemainingLoad(nowNanos);
     }
 
--- a/src/main/java/org/verbenatray/fleet/EngineState.java
+++ b/src/main/java/org/verbenatray/fleet/EngineState.java
@@ -179,8 +179,14 @@
         failures = 0;
     }
 
-    /** Records that the engine failed a request or did not respond. */
-    synchronized void onFailure(long nowNanos) {
+    /**
+     * Records that the engine failed a request or did not respond, unless the engine was restarted since the request
+     * was sent.
+     */
+    synchronized void onFailure(long nowNanos, int restartsBefore) {
+        if (restartsBefore != restarts) {
+            return;
+        }
         failures++;
         if (hasFailedRepeatedly()) {
             nextProbeNanos = nowNanos + probeIntervalMillis() * NANOS_PER_MILLI;
--- a/src/test/java/org/verbenatray/fleet/FleetViewTest.java
+++ b/src/test/java/org/verbenatray/fleet/FleetViewTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.verbenatray.configuration.EngineRole;
@@ -78,6 +79,17 @@
         assertEquals(view("e1", 1_002).condition(), EngineCondition.READY);
     }
 
+    @Test
+    public void aFailureOfADispatchFromBeforeARestartDoesNotCountForTheRestartedEngine() {
+        fleet.onReport(report("e1", 1, 0, 0, 0), 0);
+        List<Dispatch> lost = IntStream.range(0, 3)
+                .mapToObj(number -> fleet.onDispatch("e1", 1, 0, 0).orElseThrow())
+                .toList();
+        fleet.onReport(new LoadReport("e1", 2, 1, EngineRole.BOTH, false, false, 0, 0, 0, 0), NANOS_PER_MILLI);
+        lost.forEach(dispatch -> dispatch.onFailure(2 * NANOS_PER_MILLI));
+        assertEquals(view("e1", 2).condition(), EngineCondition.READY);
+    }
+
     @Test
     public void anEngineMissingInTheListIsUsedOnlyWhileItsOwnReportsAreFresh() {
         fleet.onInstanceList(List.of(new ListedEngine("e1", 1, false)));
