Do not take an engine for down that reports again with the same incarnation

What callers saw: nothing that was reported; found while EnginesDownTest was traced. After an engine could not be reached for a moment, without a crash, suspects were not sent to it for 30 s, and with no other engine they ended with NO_SERVER, while its load reports arrived.

Cause: an engine that refused a connection counts as crashed (CrashDetection), and SuspectGuard.isDown took it for down until a new incarnation was seen. An engine that had only been unreachable shows none.

Now a load report that was measured after the crash was recorded ends it too. The age of a report covers its round trip, so a report that was asked for before the crash shows nothing.

Limit: the crash of a peer is compared by its wall clock, as all times of the table.

--- a/src/main/java/org/verbenatray/serving/SuspectGuard.java
+++ b/src/main/java/org/verbenatray/serving/SuspectGuard.java
@@ -246,17 +246,26 @@
     }
 
     /**
-     * Returns whether an engine crashed recently and has not been seen with a new incarnation; any request sent to it
-     * would fail.
+     * Returns whether an engine crashed recently and has not been seen since; any request sent to it would fail. An
+     * engine is seen by a new incarnation, or by a report of the same one, which shows that it was only unreachable.
      */
     synchronized boolean isDown(String engine) {
         String incarnation = engine + "@" + fleet.incarnation(engine);
-        long since = timing.clock().millis() - DOWN_MILLIS;
+        long now = timing.clock().millis();
+        long lastSeenMillis = now - reportAgeMillis(engine);
+        long since = Math.max(now - DOWN_MILLIS, lastSeenMillis);
         return table.entries().stream()
                 .anyMatch(entry ->
                         entry.lastChangeMillis() > since && entry.crashes().contains(incarnation));
     }
 
+    /** Returns the age of the last report of an engine; {@code Long.MAX_VALUE} if there is none. */
+    private long reportAgeMillis(String engine) {
+        return fleet.view(engine, timing.ticker().nanos())
+                .map(EngineView::reportAgeMillis)
+                .orElse(Long.MAX_VALUE);
+    }
+
     /** Returns whether an engine that serves a model is available or expected to become available again. */
     boolean isEngineDueBack(String model) {
         return fleet.views(timing.ticker().nanos()).stream()
