--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -163,7 +163,11 @@
                 CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns),
                 continuations);
         this.handler = RelayHandler.create(context);
-        this.server = RelayServer.start(
+        this.server = startServer();
+    }
+
+    private RelayServer startServer() {
+        return RelayServer.start(
                 loop.worker(),
                 loop.ticker(),
                 settings.addresses(),
--- a/src/test/java/org/verbenatray/resilience/RetryAllowancePropertiesTest.java
+++ b/src/test/java/org/verbenatray/resilience/RetryAllowancePropertiesTest.java
@@ -18,6 +18,7 @@
 import org.verbenatray.openwork.ExchangePeers;
 import org.verbenatray.openwork.FleetShare;
 import org.verbenatray.openwork.InstanceRegistration;
+import org.verbenatray.openwork.ListedInstance;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.ManualTime;
 
@@ -134,7 +135,13 @@
             FleetShare share = FleetShare.create(time);
             this.budget = RetryBudget.create(time, 0, WINDOW_MILLIS, () -> ALLOWANCE * share.of(WINDOW_MILLIS));
             this.registration = InstanceRegistration.start(
-                    this, name, new InetSocketAddress("127.0.0.1", 7), ExchangePeers.of(name), share, time, time);
+                    this,
+                    name,
+                    new ListedInstance(new InetSocketAddress("127.0.0.1", 7), "d1"),
+                    ExchangePeers.of(name, "d1"),
+                    share,
+                    time,
+                    time);
         }
 
         void kill() {
