--- a/src/main/java/org/verbenatray/relay/RetryAllowance.java
+++ b/src/main/java/org/verbenatray/relay/CallAttempts.java
@@ -5,7 +5,7 @@
 import org.verbenatray.resilience.RetryBudget;
 
 /** The attempts of one call and the retries that it may still send. Used on one thread. */
-final class RetryAllowance {
+final class CallAttempts {
     /**
      * Attempts allowed beyond the route's maximum while servers report that they did not run the request. A request
      * that may have run is not bound by it: it cannot be refused any more, and the retry budget bounds its attempts.
@@ -32,14 +32,14 @@
     /** Whether a retry was refused because the budget was exhausted. */
     private boolean exhausted;
 
-    private RetryAllowance(Route route, Supplier<RetryBudget> budget) {
+    private CallAttempts(Route route, Supplier<RetryBudget> budget) {
         this.route = route;
         this.budget = budget;
     }
 
     /** Returns the allowance of a call that was not sent yet. */
-    static RetryAllowance create(Route route, Supplier<RetryBudget> budget) {
-        return new RetryAllowance(route, budget);
+    static CallAttempts create(Route route, Supplier<RetryBudget> budget) {
+        return new CallAttempts(route, budget);
     }
 
     /** Records an attempt that a server received or may have received. */
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -329,7 +329,7 @@
         if (timeouts.expired(context.ticker().nanos())) {
             return false;
         }
-        return !sendingStarted || isBusy() || !listener.leavesSilentServer();
+        return !sendingStarted || isBusy() || !listener.reserveMoveFromSilentServer();
     }
 
     /** Ends the attempt if the server has made no progress in time. */
--- a/src/main/java/org/verbenatray/relay/ForwardListener.java
+++ b/src/main/java/org/verbenatray/relay/ForwardListener.java
@@ -13,7 +13,7 @@
      * another server is reserved; false awaits the server further, since it may only pause and nothing else could serve
      * the request.
      */
-    boolean leavesSilentServer();
+    boolean reserveMoveFromSilentServer();
 
     /** Called after the events that have been read at once, so that their receiver can pass them on together. */
     default void onEventsRead() {}
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -108,10 +108,10 @@
     }
 
     @Override
-    public boolean leavesSilentServer() {
-        return call.retries().attemptsLeftAfterCurrent()
+    public boolean reserveMoveFromSilentServer() {
+        return call.attempts().attemptsLeftAfterCurrent()
                 && decodeEngines.otherAccepts(attempt.backend())
-                && call.retries().tryHoldRetry();
+                && call.attempts().tryHoldRetry();
     }
 
     @Override
@@ -432,8 +432,8 @@
         }
 
         @Override
-        public boolean leavesSilentServer() {
-            return otherEngineAccepts() && call.retries().tryHoldRetry();
+        public boolean reserveMoveFromSilentServer() {
+            return otherEngineAccepts() && call.attempts().tryHoldRetry();
         }
 
         /** Returns whether an engine accepts requests to which the prompt was not sent for prefill. */
@@ -460,7 +460,8 @@
                 decodePrefilled(backend, handle.get());
                 return;
             }
-            if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT || call.retries().tryHoldRetry()) {
+            if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT
+                    || call.attempts().tryHoldRetry()) {
                 plan();
                 return;
             }
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -57,10 +57,10 @@
     }
 
     @Override
-    public boolean leavesSilentServer() {
-        return call.retries().attemptsLeftAfterCurrent()
+    public boolean reserveMoveFromSilentServer() {
+        return call.attempts().attemptsLeftAfterCurrent()
                 && triedServers.otherAccepts(attempt.backend())
-                && call.retries().tryHoldRetry();
+                && call.attempts().tryHoldRetry();
     }
 
     @Override
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -68,7 +68,7 @@
     /** Attempts and further fields, for the log line of the final response. */
     private final StringBuilder logFields = new StringBuilder();
 
-    private final RetryAllowance retries;
+    private final CallAttempts attempts;
 
     /** Until when a request without a response waits for a server, null before it waits. */
     private Deadline continueUntil;
@@ -100,7 +100,7 @@
         this.catalogVersion = catalogVersion;
         this.service = route.serviceFor(request.id().hashCode());
         this.deadline = deadline;
-        this.retries = RetryAllowance.create(route, () -> context.retryBudgets().apply(service));
+        this.attempts = CallAttempts.create(route, () -> context.retryBudgets().apply(service));
         this.response = response;
         this.ownHeaders = OwnResponseHeaders.of(context);
         this.guard = guard;
@@ -133,8 +133,8 @@
     }
 
     /** Returns the attempts and retries of the call. */
-    RetryAllowance retries() {
-        return retries;
+    CallAttempts attempts() {
+        return attempts;
     }
 
     /** Returns the response to the caller. */
@@ -192,7 +192,7 @@
         if (crashesServers()) {
             return Optional.empty();
         }
-        retries.recordSending();
+        attempts.recordSending();
         running = ForwardAttempt.send(context, this, options, work, timeouts, guard.wrap(listener));
         return Optional.of(running);
     }
@@ -224,7 +224,7 @@
 
     /** Returns whether the request may have run, in an earlier attempt or in the running one. */
     boolean mayHaveRun() {
-        return retries.mayHaveRun() || running != null && running.sendingStarted() && !running.prefillOnly();
+        return attempts.mayHaveRun() || running != null && running.sendingStarted() && !running.prefillOnly();
     }
 
     /**
@@ -232,7 +232,7 @@
      * the budget if an earlier attempt may have reached a server.
      */
     boolean tryReserveRetry() {
-        return !response.inputEnded() && retries.tryReserveAttempt();
+        return !response.inputEnded() && attempts.tryReserveAttempt();
     }
 
     /**
@@ -240,7 +240,7 @@
      * only good end.
      */
     boolean owed() {
-        return response.started() || retries.mayHaveRun();
+        return response.started() || attempts.mayHaveRun();
     }
 
     /**
@@ -253,11 +253,11 @@
         if (continueUntil == null) {
             continueUntil = Deadline.afterMillis(now, MAX_UNSTARTED_WAIT_MILLIS);
         }
-        boolean waits = response.started() || retries.mayHaveRun() && !continueUntil.hasPassed(now);
-        if (!waits || !retries.attemptsLeft() || deadline.hasPassed(now)) {
+        boolean waits = response.started() || attempts.mayHaveRun() && !continueUntil.hasPassed(now);
+        if (!waits || !attempts.attemptsLeft() || deadline.hasPassed(now)) {
             return false;
         }
-        retries.releaseRetry();
+        attempts.releaseRetry();
         context.thread().executeAfter(guard.wrap(task), CONTINUE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         return true;
     }
@@ -276,9 +276,9 @@
         running = null;
         lastOutcome = outcome.kind();
         if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT) {
-            retries.recordNotSent();
+            attempts.recordNotSent();
         } else {
-            retries.recordDelivery(countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN);
+            attempts.recordDelivery(countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN);
         }
         recordServerOutcome(attempt.backend(), outcome);
         if (countsAsRun && outcome.isSuccess()) {
@@ -406,7 +406,7 @@
 
     /** Records that the request may have run in an attempt without an outcome. */
     void recordPossibleRun() {
-        retries.recordDelivery(true);
+        attempts.recordDelivery(true);
     }
 
     /** Sends a response produced by this instance. */
@@ -464,7 +464,7 @@
             return;
         }
         finished = true;
-        retries.releaseRetry();
+        attempts.releaseRetry();
         onFinished.accept(end);
         long now = context.ticker().nanos();
         context.metrics().recordResponse(route.kind().name(), outcome, (now - request.receivedNanos()) / 1e9);
@@ -486,7 +486,7 @@
         if (crashes > 0) {
             event.with("fingerprint", fingerprint).with("crashes", crashes);
         }
-        if (retries.exhausted()) {
+        if (attempts.exhausted()) {
             logFields.append(" budget=spent");
         }
         event.with("left_ms", deadline.remainingMillis(now))
--- a/src/main/java/org/verbenatray/relay/RequestGuard.java
+++ b/src/main/java/org/verbenatray/relay/RequestGuard.java
@@ -120,8 +120,8 @@
         }
 
         @Override
-        public boolean leavesSilentServer() {
-            return listener.leavesSilentServer();
+        public boolean reserveMoveFromSilentServer() {
+            return listener.reserveMoveFromSilentServer();
         }
 
         @Override
