--- a/src/main/java/org/verbenatray/openwork/ExchangePeers.java
+++ b/src/main/java/org/verbenatray/openwork/ExchangePeers.java
@@ -87,15 +87,13 @@
      * instances that see the same list derive the same ones.
      */
     public StreamHomes homes(String key) {
-        List<String> ranked = new ArrayList<>(others.keySet());
-        ranked.add(self);
-        ranked.sort(Comparator.comparingLong(instance -> hash(key + "|" + instance)));
+        List<RankedInstance> ranked = rank(key);
         Set<String> chosen = firstOfEachDomain(ranked);
-        ranked.stream().limit(HOMES).forEach(instance -> {
+        for (RankedInstance instance : ranked) {
             if (chosen.size() < HOMES) {
-                chosen.add(instance);
+                chosen.add(instance.name());
             }
-        });
+        }
         List<InetSocketAddress> addresses = chosen.stream()
                 .filter(others::containsKey)
                 .map(instance -> others.get(instance).address())
@@ -103,15 +101,22 @@
         return new StreamHomes(addresses, chosen.contains(self));
     }
 
+    /** Returns all instances in the order of their hashes with the key; each hash is computed once. */
+    private List<RankedInstance> rank(String key) {
+        List<RankedInstance> ranked = new ArrayList<>(others.size() + 1);
+        others.forEach((name, entry) -> ranked.add(new RankedInstance(name, entry.domain(), hash(key + "|" + name))));
+        ranked.add(new RankedInstance(self, ownDomain, hash(key + "|" + self)));
+        ranked.sort(Comparator.comparingLong(RankedInstance::hash));
+        return ranked;
+    }
+
     /** Returns the first instance of each failure domain, at most as many as a key has homes. */
-    private Set<String> firstOfEachDomain(List<String> ranked) {
+    private static Set<String> firstOfEachDomain(List<RankedInstance> ranked) {
         Set<String> chosen = new LinkedHashSet<>();
         Set<String> domains = new HashSet<>();
-        for (String instance : ranked) {
-            String domain =
-                    instance.equals(self) ? ownDomain : others.get(instance).domain();
-            if (chosen.size() < HOMES && domains.add(domain)) {
-                chosen.add(instance);
+        for (RankedInstance instance : ranked) {
+            if (chosen.size() < HOMES && domains.add(instance.domain())) {
+                chosen.add(instance.name());
             }
         }
         return chosen;
@@ -139,4 +144,13 @@
         String pair = self.compareTo(other) < 0 ? self + "|" + other : other + "|" + self;
         return hash(pair);
     }
+
+    /**
+     * An instance and its hash with a key.
+     *
+     * @param name the name of the instance
+     * @param domain its failure domain
+     * @param hash the hash
+     */
+    private record RankedInstance(String name, String domain, long hash) {}
 }
