--- a/src/main/java/org/verbenatray/relay/RelayRequest.java
+++ b/src/main/java/org/verbenatray/relay/RelayRequest.java
@@ -53,6 +53,16 @@
                 .toString();
     }
 
+    /** Returns a hash of the path and the body, which tells equal requests of different callers. */
+    public String contentHash() {
+        return HASH.newHasher()
+                .putString(path(), StandardCharsets.UTF_8)
+                .putByte((byte) 0)
+                .putBytes(body)
+                .hash()
+                .toString();
+    }
+
     /** Returns whether the caller has received events of the stream in an earlier attempt and wants the rest. */
     public boolean continuesStream() {
         return lastEventId.isPresent() || continuedRequestId.isPresent();
