Test that fails: a crashing request that comes again from another address is sent on

Three servers end under one request that comes from three loopback addresses; sent from a fourth it should be refused and reaches another server: "expected [true] but found [false]".

--- a/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
@@ -53,6 +53,22 @@
         Assert.assertFalse(other.contains("crashes_servers"), other);
     }
 
+    /** A request that came again from another address counted as another request, with three servers to end. */
+    @Test
+    public void aRequestThatComesAgainFromOtherAddressesIsRejectedAfterThreeCrashes() throws Exception {
+        crashOnArrival();
+        startInstances(1);
+        for (int round = 1; round <= 3; round++) {
+            int ended = round;
+            sendFrom("127.0.0." + (1 + round), "/unsafe/x", "poison");
+            RelayFixture.waitUntil(() -> crashesKnown(0) == ended);
+        }
+        String response = sendFrom("127.0.0.9", "/unsafe/x", "poison");
+        Assert.assertTrue(response.contains("crashes_servers"), response);
+        Assert.assertEquals(serversReached(), 3);
+        Assert.assertFalse(sendFrom("127.0.0.9", "/unsafe/x", "fine").contains("crashes_servers"));
+    }
+
     /** Servers that went dark under a request were not counted against it. */
     @Test
     public void aRequestUnderWhichThreeServersWentDarkIsRejected() throws Exception {
@@ -230,6 +246,12 @@
                 instances.get(instance), request.replace("Deadline-Ms: 3000", "Deadline-Ms: " + timeoutMillis));
     }
 
+    /** Sends a request on a connection from a loopback address, as another host of the same caller. */
+    private String sendFrom(String sourceAddress, String path, String body) throws Exception {
+        String request = RelayFixture.postRequest(path, "id" + requestNumber++, "", body);
+        return RelayFixture.exchangeFrom(sourceAddress, instances.get(0), request);
+    }
+
     private long serversReached() {
         return servers.stream().filter(CrashingRequestTest::isReached).count();
     }
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -175,6 +176,16 @@
         }
     }
 
+    /** Sends one request to an instance on a new connection from a local address and returns its response. */
+    static String exchangeFrom(String sourceAddress, RelayInstance to, String request) throws IOException {
+        int port = to.server().callersAddress().getPort();
+        try (Socket socket = new Socket("127.0.0.1", port, InetAddress.getByName(sourceAddress), 0)) {
+            socket.setSoTimeout((int) TimeUnit.NANOSECONDS.toMillis(AWAIT_TIMEOUT_NANOS));
+            send(socket, request);
+            return readResponse(new BufferedInputStream(socket.getInputStream()));
+        }
+    }
+
     /** Reads one response up to its length, its last chunk, or the end of the connection. */
     static String readResponse(InputStream in) throws IOException {
         StringBuilder text = new StringBuilder();
