Recognise a crashing request by its content, not by the address it comes from

Cause: the fingerprint under which crashes are counted held the address of the peer. The request came from another address on each of five visits, so each visit had a fingerprint of its own and three or four servers to end. Class: an identity held something that does not belong to the thing identified.

Why this works: what a server does depends on what it is sent. Two callers with the same path and body share their crashes; a success of either clears them, as before.

--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -484,10 +484,7 @@
         request.lastEventId().ifPresent(last -> event.with("after_event", last));
         int crashes = context.crashLedger().crashCount(fingerprint);
         if (crashes > 0) {
-            event.with("fingerprint", fingerprint)
-                    .with("crashes", crashes)
-                    .with("caller", request.caller())
-                    .with("content", request.contentHash());
+            event.with("fingerprint", fingerprint).with("crashes", crashes).with("caller", request.caller());
         }
         if (attempts.exhausted()) {
             logFields.append(" budget=spent");
--- a/src/main/java/org/verbenatray/relay/RelayRequest.java
+++ b/src/main/java/org/verbenatray/relay/RelayRequest.java
@@ -41,20 +41,11 @@
         Optional<String> continuedRequestId) {
     private static final HashFunction HASH = Hashing.murmur3_128();
 
-    /** Returns a hash of the caller, the path and the body, by which retries of one request are recognized. */
+    /**
+     * Returns a hash of the path and the body, by which repeats of one request are recognized. The address is left out:
+     * one caller sends from several addresses, and what a server does depends on the content alone.
+     */
     public String fingerprint() {
-        return HASH.newHasher()
-                .putString(caller, StandardCharsets.UTF_8)
-                .putByte((byte) 0)
-                .putString(path(), StandardCharsets.UTF_8)
-                .putByte((byte) 0)
-                .putBytes(body)
-                .hash()
-                .toString();
-    }
-
-    /** Returns a hash of the path and the body, which tells equal requests of different callers. */
-    public String contentHash() {
         return HASH.newHasher()
                 .putString(path(), StandardCharsets.UTF_8)
                 .putByte((byte) 0)
