Count a server that goes silent after the head of its response

Seen by callers: a request whose servers go dark after the head of a response is sent on for ever, if the call ends at its deadline or by its caller.

Cause: a cancelled run counted as lost only while there was no head, and nothing checked the server of a cancelled run or of a suspect whose head had arrived. The end of its entry comes seconds later, if at all. Class: an end was inferred in some of the places where a run can end, not in the one that all pass.

Change: RunEvidence holds what one attempt shows of its server. Each cancelled run that was sent is lost; its server is checked if it was silent for 0.3 s; a suspect's server is checked after each second of silence, with a head or without.

Cost: a status check for callers that leave a silent server, at most two a second for each start of a server.

Test: CrashingRequestTest.aServerThatHangsAfterTheHeadOfItsResponseCounts, red before (no crash known after 20 s).

--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -32,9 +32,6 @@
     /** Number of queued requests from which on an engine counts as busy. */
     private static final int BUSY_QUEUE_LENGTH = 2;
 
-    /** Time after which the server is checked if it has not responded to a request that has crashed others. */
-    private static final long SUSPECT_CHECK_MILLIS = 1_000;
-
     /** Time after which a silent server that is awaited further is looked at again. */
     private static final long SILENCE_RECHECK_MILLIS = 100;
 
@@ -59,14 +56,13 @@
 
     private final EventSplitter splitter = new EventSplitter();
 
+    private final RunEvidence evidence;
+
     private Cancellation cancellation = () -> {};
 
     /** Timer of the next progress check. */
     private XnioIoThread.Key timer;
 
-    /** Timer of the early check of the server, null for requests that have crashed none. */
-    private XnioIoThread.Key suspectTimer;
-
     /** When the next bytes of the response are due. */
     private Deadline progressDeadline;
 
@@ -95,6 +91,7 @@
         this.work = work;
         this.timeouts = timeouts;
         this.listener = listener;
+        this.evidence = RunEvidence.start(context, call, options.backend());
         this.share = context.transport()
                 .responseMemory()
                 .open(() -> context.thread()
@@ -115,7 +112,6 @@
         attempt.scheduleProgressCheck();
         options.backend().addRequest(work);
         context.onWorkChanged().accept(options.backend());
-        attempt.scheduleSuspectCheck();
         attempt.cancellation = context.transport()
                 .exchange(forward, context.thread(), call.guard().wrap(attempt));
         return attempt;
@@ -141,15 +137,21 @@
         if (!closed) {
             close();
             cancellation.cancel();
-            if (sendingStarted && head == null) {
-                recordLost();
-            }
+            evidence.recordAbandoned();
+        }
+    }
+
+    /** Records that the response is not complete at the deadline of a request that runs to its end all the same. */
+    void recordOverdue() {
+        if (!closed) {
+            evidence.recordAbandoned();
         }
     }
 
     @Override
     public void onSending() {
         sendingStarted = true;
+        evidence.recordSending();
     }
 
     @Override
@@ -232,9 +234,9 @@
         }
         close();
         switch (kind) {
-            case BROKEN, SILENT -> recordLost();
+            case BROKEN, SILENT -> evidence.recordLost();
             case NOT_SENT -> {}
-            default -> context.serverRuns().recordAlive(backend().entry().bootId());
+            default -> evidence.recordResponse();
         }
         boolean complete = kind == ForwardOutcome.Kind.ANSWERED || kind == ForwardOutcome.Kind.NOT_RUN;
         byte[] bytes = complete ? body.toByteArray() : new byte[0];
@@ -242,11 +244,6 @@
         listener.onOutcome(new ForwardOutcome(kind, detail, Optional.ofNullable(head), bytes));
     }
 
-    /** Records that the server was sent the request and gave no response. */
-    private void recordLost() {
-        context.serverRuns().recordLost(call.fingerprint(), backend().entry().bootId());
-    }
-
     /** Updates the open-work counts of the server and stops the timer. */
     private void close() {
         closed = true;
@@ -257,9 +254,7 @@
         if (timer != null) {
             timer.remove();
         }
-        if (suspectTimer != null) {
-            suspectTimer.remove();
-        }
+        evidence.close();
     }
 
     /** Removes the prefill work from the counts of the server, once. */
@@ -281,6 +276,7 @@
     /** Extends the progress deadline. */
     private void recordProgress() {
         progressDeadline = timeouts.nextByteDeadline(context.ticker().nanos());
+        evidence.recordProgress();
     }
 
     /** Schedules a check shortly after the progress deadline. */
@@ -289,22 +285,6 @@
         timer = context.thread().executeAfter(call.guard().wrap(this::checkProgress), wait, TimeUnit.MILLISECONDS);
     }
 
-    /** Schedules an early check of the server if the request may crash it. */
-    private void scheduleSuspectCheck() {
-        if (context.crashLedger().crashCount(call.fingerprint()) > 0) {
-            suspectTimer = context.thread()
-                    .executeAfter(call.guard().wrap(this::checkSuspect), SUSPECT_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    /** Probes a server that has given no response to a request that may crash it, without waiting for its deadline. */
-    private void checkSuspect() {
-        if (!closed && sendingStarted && head == null) {
-            recordLost();
-            context.crashProbe().probe(backend());
-        }
-    }
-
     /** Returns whether the server reports queued requests: its silence is then no sign of a failure. */
     private boolean isBusy() {
         return options.backend()
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -166,6 +166,7 @@
         }
         if (attempt != null && attempt.sendingStarted()) {
             call.recordPossibleRun();
+            attempt.recordOverdue();
         }
         cancelAttempt();
         giveUp("timeout");
--- /dev/null
+++ b/src/main/java/org/verbenatray/relay/RunEvidence.java
@@ -0,0 +1,104 @@
+package org.verbenatray.relay;
+
+import java.util.concurrent.TimeUnit;
+import org.verbenatray.backends.Backend;
+import org.verbenatray.time.Deadline;
+import org.xnio.XnioIoThread;
+
+/**
+ * Reports what one attempt shows about its server: that the run was lost, which may mean that the server has ended, or
+ * that the server lives. Checks the server if it falls silent under a request that may crash it. Used on one thread.
+ */
+final class RunEvidence {
+    /** Silence after which the server of an abandoned run is checked, longer than pauses between events. */
+    private static final long SILENCE_MILLIS = 300;
+
+    /** Silence after which the server is checked during a run of a request that has crashed others. */
+    private static final long SUSPECT_SILENCE_MILLIS = 1_000;
+
+    private final RelayContext context;
+    private final RelayCall call;
+    private final Backend backend;
+
+    /** Whether the server may have received the request. */
+    private boolean sent;
+
+    /** When the server is silent enough to be checked, counted from its last bytes. */
+    private Deadline silentFrom;
+
+    /** When the server of a suspect is checked, counted from its last bytes. */
+    private Deadline suspectCheckDue;
+
+    /** Timer of the check of a suspect's server, null for requests that have crashed none. */
+    private XnioIoThread.Key timer;
+
+    private RunEvidence(RelayContext context, RelayCall call, Backend backend) {
+        this.context = context;
+        this.call = call;
+        this.backend = backend;
+    }
+
+    /** Starts to observe an attempt that is about to be sent to a server. */
+    static RunEvidence start(RelayContext context, RelayCall call, Backend backend) {
+        RunEvidence evidence = new RunEvidence(context, call, backend);
+        evidence.recordProgress();
+        if (context.crashLedger().crashCount(call.fingerprint()) > 0) {
+            evidence.scheduleCheck();
+        }
+        return evidence;
+    }
+
+    /** Records that the server may receive the request from now on. */
+    void recordSending() {
+        sent = true;
+    }
+
+    /** Records that bytes of the response have arrived. */
+    void recordProgress() {
+        long now = context.ticker().nanos();
+        silentFrom = Deadline.afterMillis(now, SILENCE_MILLIS);
+        suspectCheckDue = Deadline.afterMillis(now, SUSPECT_SILENCE_MILLIS);
+    }
+
+    /** Records that the run has ended without a complete response. */
+    void recordLost() {
+        if (sent) {
+            context.serverRuns().recordLost(call.fingerprint(), backend.entry().bootId());
+        }
+    }
+
+    /** Records that the run was cancelled before its response was complete; checks a server that was silent. */
+    void recordAbandoned() {
+        recordLost();
+        if (sent && silentFrom.hasPassed(context.ticker().nanos())) {
+            context.crashProbe().probe(backend);
+        }
+    }
+
+    /** Records a complete response. */
+    void recordResponse() {
+        context.serverRuns().recordAlive(backend.entry().bootId());
+    }
+
+    /** Ends the observation. */
+    void close() {
+        if (timer != null) {
+            timer.remove();
+        }
+    }
+
+    private void scheduleCheck() {
+        long waitMillis = suspectCheckDue.remainingMillis(context.ticker().nanos()) + 1;
+        timer = context.thread().executeAfter(call.guard().wrap(this::check), waitMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Checks the server if it is silent, without waiting for the deadline of the request. */
+    private void check() {
+        if (suspectCheckDue.hasPassed(context.ticker().nanos())) {
+            recordLost();
+            context.crashProbe().probe(backend);
+            suspectCheckDue = Deadline.afterMillis(context.ticker().nanos(), SUSPECT_SILENCE_MILLIS);
+        }
+        scheduleCheck();
+    }
+}
--- a/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
@@ -1,8 +1,10 @@
 package org.verbenatray.platform;
 
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -111,6 +113,26 @@
         Assert.assertFalse(open.isDone());
     }
 
+    /** A run whose head had arrived left no trace when its deadline ended it, and nothing checked the server. */
+    @Test
+    public void aServerThatHangsAfterTheHeadOfItsResponseCounts() throws Exception {
+        startInstances(1);
+        for (ScriptedServer server : servers) {
+            server.setScript((request, connection, out) -> {
+                if (request.body().equals("poison")) {
+                    out.write(ScriptedServer.streamHead(request));
+                    server.setScript((later, open, silent) -> {});
+                }
+            });
+        }
+        for (int round = 1; round <= 3; round++) {
+            int ended = round;
+            sendAndLeave("/safe/x", "poison");
+            RelayFixture.waitUntil(() -> crashesKnown(0) == ended);
+        }
+        Assert.assertTrue(send(0, "/safe/x", "poison").contains("crashes_servers"));
+    }
+
     /** What an instance found while the store was away was dropped and told to nobody. */
     @Test
     public void endsFoundWhileTheStoreIsAwayAreKnownToOtherInstances() throws Exception {
@@ -226,6 +248,16 @@
                 .sum();
     }
 
+    /** Sends a request and closes the connection once a server has received it and half a second has passed. */
+    private void sendAndLeave(String path, String body) throws Exception {
+        long before = serversReached();
+        try (Socket socket = RelayFixture.connect(instances.get(0))) {
+            RelayFixture.send(socket, RelayFixture.postRequest(path, "id" + requestNumber++, "", body));
+            RelayFixture.waitUntil(() -> serversReached() > before);
+            TimeUnit.MILLISECONDS.sleep(500);
+        }
+    }
+
     private CompletableFuture<String> sendAsync(int instance, String path, String body, long timeoutMillis) {
         return CompletableFuture.supplyAsync(() -> {
             try {
