Do not take the end of a server for the end of its response

Seen by callers: a request whose servers close their connections as they end, inside a response with neither length nor chunks, is answered 200 and never refused; one such end cleared what had been counted before, on all instances.

Cause: ForwardAttempt takes the end of the connection for the end of such a response, which the protocol allows, and that for a success of the request. Class: what proves nothing was taken for proof.

Change: a response without a marked end, and the rest of an earlier stream, no longer clear the request's crashes. Such a response counts as lost until a check, sent after it, finds the server alive; if the check fails, the crash counts. A stream that ends with its connection before its first event is broken off. The caller still gets what arrived: holding back the end until the check is answered would cost each sound response of this kind a round trip.

Open: a stream cut between two events by the end of its server still reaches the caller as complete; a check answered by the next start at the address counts as a sign of life of the one before.

Tests: CrashingRequestTest.aServerThatEndsWithAResponseThatHasNoLengthCounts, red before (no crash known after 20 s); ServerRunsTest for the check.

--- a/src/main/java/org/verbenatray/relay/CrashProbe.java
+++ b/src/main/java/org/verbenatray/relay/CrashProbe.java
@@ -85,7 +85,9 @@
                         Deadline.afterMillis(now, RESPONSE_TIMEOUT_MILLIS),
                         MAX_RESPONSE_BYTES)
                 .whenComplete((response, failure) -> {
-                    if (failure instanceof ServerFailure known && UNRESPONSIVE.contains(known.kind())) {
+                    if (failure == null) {
+                        runs.recordChecked(boot, now);
+                    } else if (failure instanceof ServerFailure known && UNRESPONSIVE.contains(known.kind())) {
                         runs.recordEnd(boot);
                     }
                 });
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -69,6 +69,12 @@
     /** Head of the response; null before it arrives. */
     private ServerResponseHead head;
 
+    /** Whether the response ends with its connection, so that the end of the server looks like its end. */
+    private boolean endsWithConnection;
+
+    /** Whether an event of the stream has arrived. */
+    private boolean eventArrived;
+
     /** Whether writing the request has started, so that the server may have received it. */
     private boolean sendingStarted;
 
@@ -157,6 +163,7 @@
     @Override
     public void onHead(ResponseHead responseHead) {
         head = context.dialect().parseHead(call.request(), responseHead);
+        endsWithConnection = responseHead.endsWithConnection();
         recordProgress();
         if (!head.matchesRequestId()) {
             rejectResponse("the response carries the id of another request");
@@ -174,6 +181,7 @@
         if (deliversEvents()) {
             splitter.feed(piece, event -> {
                 if (!closed) {
+                    eventArrived = true;
                     recordPromptProcessed();
                     listener.onEvent(head, event);
                 }
@@ -203,6 +211,8 @@
             finish(ForwardOutcome.Kind.BROKEN, "the head of the response cannot be used");
         } else if (deliversEvents() && splitter.isInsideEvent()) {
             finish(ForwardOutcome.Kind.BROKEN, "the stream ended inside an event");
+        } else if (deliversEvents() && endsWithConnection && !eventArrived && !continuesStream()) {
+            finish(ForwardOutcome.Kind.BROKEN, "the connection ended before the first event");
         } else if (deliversEvents()) {
             finish(ForwardOutcome.Kind.STREAM_ENDED, "ended");
         } else {
@@ -236,12 +246,17 @@
         switch (kind) {
             case BROKEN, SILENT -> evidence.recordLost();
             case NOT_SENT -> {}
-            default -> evidence.recordResponse();
+            default -> evidence.recordResponse(!endsWithConnection);
         }
         boolean complete = kind == ForwardOutcome.Kind.ANSWERED || kind == ForwardOutcome.Kind.NOT_RUN;
         byte[] bytes = complete ? body.toByteArray() : new byte[0];
         body.clear();
-        listener.onOutcome(new ForwardOutcome(kind, detail, Optional.ofNullable(head), bytes));
+        boolean proved = !endsWithConnection && !continuesStream();
+        listener.onOutcome(new ForwardOutcome(kind, detail, Optional.ofNullable(head), bytes, proved));
+    }
+
+    private boolean continuesStream() {
+        return options.lastEventId().isPresent();
     }
 
     /** Updates the open-work counts of the server and stops the timer. */
--- a/src/main/java/org/verbenatray/relay/ForwardOutcome.java
+++ b/src/main/java/org/verbenatray/relay/ForwardOutcome.java
@@ -9,8 +9,10 @@
  * @param detail the cause, for the log
  * @param head the response head; empty if none arrived
  * @param body the body of a complete response that was not delivered event by event; empty otherwise
+ * @param proved whether a complete response shows that its server ran the whole request and did not end under it: its
+ *     end is marked by a length or chunks, and it is not the rest of an earlier stream
  */
-public record ForwardOutcome(Kind kind, String detail, Optional<ServerResponseHead> head, byte[] body) {
+public record ForwardOutcome(Kind kind, String detail, Optional<ServerResponseHead> head, byte[] body, boolean proved) {
     /** The kinds of outcomes, which appear under these names in the log and in metrics. */
     public enum Kind {
         /** No byte of the request was sent. */
@@ -29,11 +31,6 @@
         SILENT
     }
 
-    /** Returns an outcome without a response. */
-    static ForwardOutcome withoutResponse(Kind kind, String detail) {
-        return new ForwardOutcome(kind, detail, Optional.empty(), new byte[0]);
-    }
-
     /** Returns whether the server has run the request to its end with success. */
     boolean isSuccess() {
         return (kind == Kind.ANSWERED || kind == Kind.STREAM_ENDED) && status() < 300;
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -281,7 +281,7 @@
             attempts.recordDelivery(countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN);
         }
         recordServerOutcome(attempt.backend(), outcome);
-        if (countsAsRun && outcome.isSuccess()) {
+        if (countsAsRun && outcome.isSuccess() && outcome.proved()) {
             context.crashLedger().recordSuccess(fingerprint);
         }
     }
--- a/src/main/java/org/verbenatray/relay/RunEvidence.java
+++ b/src/main/java/org/verbenatray/relay/RunEvidence.java
@@ -75,9 +75,15 @@
         }
     }
 
-    /** Records a complete response. */
-    void recordResponse() {
-        context.serverRuns().recordAlive(backend.entry().bootId());
+    /** Records a complete response; one whose end is not marked shows nothing until the server is checked. */
+    void recordResponse(boolean endMarked) {
+        String boot = backend.entry().bootId();
+        if (endMarked) {
+            context.serverRuns().recordAlive(boot);
+        } else {
+            context.serverRuns().recordUnproved(call.fingerprint(), boot);
+            context.crashProbe().probe(backend);
+        }
     }
 
     /** Ends the observation. */
--- a/src/main/java/org/verbenatray/resilience/ServerRuns.java
+++ b/src/main/java/org/verbenatray/resilience/ServerRuns.java
@@ -24,8 +24,8 @@
 
     private final Consumer<Crash> onCrash;
 
-    /** Until when a lost run can still be attributed, by boot id, then by fingerprint. */
-    private final Map<String, Map<String, Deadline>> lostRuns = new HashMap<>();
+    /** The lost runs that can still be attributed, by boot id, then by fingerprint. */
+    private final Map<String, Map<String, LostRun>> lostRuns = new HashMap<>();
 
     /** Until when a run lost at an ended boot is attributed to its end, by boot id. */
     private final Map<String, Deadline> endedBoots = new HashMap<>();
@@ -47,18 +47,37 @@
             onCrash.accept(new Crash(fingerprint, boot));
             return;
         }
-        lostRuns.computeIfAbsent(boot, key -> new HashMap<>()).put(fingerprint, relatedUntil());
+        putLost(fingerprint, boot, true);
+    }
+
+    /**
+     * Records that a request was sent to a server and that its response ended with the connection: the server has
+     * completed it or has ended. It counts as lost until the server is found to live.
+     */
+    public void recordUnproved(String fingerprint, String boot) {
+        putLost(fingerprint, boot, false);
+    }
+
+    /** Records that a server has responded to a check sent at the given time in nanoseconds of the ticker. */
+    public void recordChecked(String boot, long sentNanos) {
+        Map<String, LostRun> lost = lostRuns.getOrDefault(boot, Map.of());
+        lost.values().removeIf(run -> !run.certain && run.lostNanos - sentNanos <= 0);
+    }
+
+    private void putLost(String fingerprint, String boot, boolean certain) {
+        LostRun run = new LostRun(ticker.nanos(), certain, relatedUntil());
+        lostRuns.computeIfAbsent(boot, key -> new HashMap<>()).put(fingerprint, run);
     }
 
     /** Records that a boot of a server has ended. */
     public void recordEnd(String boot) {
         endedBoots.put(boot, relatedUntil());
-        Map<String, Deadline> lost = lostRuns.remove(boot);
+        Map<String, LostRun> lost = lostRuns.remove(boot);
         if (lost == null) {
             return;
         }
-        lost.forEach((fingerprint, until) -> {
-            if (!until.hasPassed(ticker.nanos())) {
+        lost.forEach((fingerprint, run) -> {
+            if (!run.relatedUntil.hasPassed(ticker.nanos())) {
                 onCrash.accept(new Crash(fingerprint, boot));
             }
         });
@@ -73,11 +92,20 @@
     public void removeExpired() {
         long now = ticker.nanos();
         endedBoots.values().removeIf(until -> until.hasPassed(now));
-        lostRuns.values().forEach(lost -> lost.values().removeIf(until -> until.hasPassed(now)));
+        lostRuns.values().forEach(lost -> lost.values().removeIf(run -> run.relatedUntil.hasPassed(now)));
         lostRuns.values().removeIf(Map::isEmpty);
     }
 
     private Deadline relatedUntil() {
         return Deadline.afterMillis(ticker.nanos(), RELATED_MILLIS);
     }
+
+    /**
+     * A run that ended without a response, or with one that may have been cut.
+     *
+     * @param lostNanos when it ended, in nanoseconds of the ticker
+     * @param certain whether there was no complete response
+     * @param relatedUntil until when the end of the server is attributed to it
+     */
+    private record LostRun(long lostNanos, boolean certain, Deadline relatedUntil) {}
 }
--- a/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
@@ -133,6 +133,27 @@
         Assert.assertTrue(send(0, "/safe/x", "poison").contains("crashes_servers"));
     }
 
+    /** The end of a server was taken for the end of its response, and that for a success that clears the request. */
+    @Test
+    public void aServerThatEndsWithAResponseThatHasNoLengthCounts() throws Exception {
+        startInstances(1);
+        for (ScriptedServer server : servers) {
+            server.setScript((request, connection, out) -> {
+                if (request.body().equals("poison")) {
+                    out.write(ScriptedServer.headWithoutLength(request));
+                    out.flush();
+                    server.close();
+                }
+            });
+        }
+        for (int round = 1; round <= 3; round++) {
+            int ended = round;
+            send(0, "/unsafe/x", "poison");
+            RelayFixture.waitUntil(() -> crashesKnown(0) == ended);
+        }
+        Assert.assertTrue(send(0, "/unsafe/x", "poison").contains("crashes_servers"));
+    }
+
     /** What an instance found while the store was away was dropped and told to nobody. */
     @Test
     public void endsFoundWhileTheStoreIsAwayAreKnownToOtherInstances() throws Exception {
--- a/src/test/java/org/verbenatray/platform/ScriptedServer.java
+++ b/src/test/java/org/verbenatray/platform/ScriptedServer.java
@@ -130,6 +130,12 @@
         return response(request, 200, "Server-Stamp: mark\r\n", body);
     }
 
+    /** Returns the head of a response with neither length nor chunks, which ends with its connection. */
+    static byte[] headWithoutLength(Request request) {
+        return ("HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("request-id") + "\r\nServer-Stamp: mark\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     /** Returns the head of an event stream with the stamp of a server. */
     static byte[] streamHead(Request request) {
         return ("HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("request-id")
--- a/src/test/java/org/verbenatray/resilience/ServerRunsTest.java
+++ b/src/test/java/org/verbenatray/resilience/ServerRunsTest.java
@@ -61,6 +61,26 @@
         Assert.assertEquals(found, List.of());
     }
 
+    /** Every response without a length would have counted against its request when its server crashed later. */
+    @Test
+    public void aResponseWithoutAMarkedEndDoesNotCountOnceItsServerIsFoundToLive() {
+        runs.recordUnproved("innocent", "s@1");
+        runs.recordLost("bad", "s@1");
+        runs.recordChecked("s@1", time.nanos());
+        runs.recordEnd("s@1");
+        Assert.assertEquals(found, List.of(new Crash("bad", "s@1")));
+    }
+
+    @Test
+    public void aResponseWithoutAMarkedEndCountsIfItsServerHasEnded() {
+        runs.recordChecked("s@1", time.nanos());
+        time.advanceMillis(1);
+        runs.recordUnproved("bad", "s@1");
+        runs.recordChecked("s@1", time.nanos() - 1_000_000);
+        runs.recordEnd("s@1");
+        Assert.assertEquals(found, List.of(new Crash("bad", "s@1")));
+    }
+
     @Test
     public void whatCanNoLongerBeAttributedIsRemoved() {
         runs.recordLost("late", "s@1");
