--- /dev/null
+++ b/src/test/java/org/verbenatray/platform/CrashingPartTest.java
@@ -0,0 +1,134 @@
+package org.verbenatray.platform;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.verbenatray.instance.RelayInstance;
+import org.verbenatray.platform.RelayFixture.ServerListing;
+import org.verbenatray.platform.ScriptedServer.Request;
+
+/** Requests of which no two are alike, but that share one part of their prompts, which ends every engine. */
+public final class CrashingPartTest {
+    private static final int ENGINES = 16;
+
+    /** The number of engines that may end: five, and one under each of the three requests that may follow. */
+    private static final int MAX_CRASHES = 5 + 3;
+
+    private final AtomicInteger requestNumber = new AtomicInteger();
+    private FakeStore store;
+    private List<ScriptedServer> engines;
+    private List<RelayInstance> instances;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        store = FakeStore.startOnPorts(2);
+        store.put("keyed.op", "config", RelayFixture.configurationJson(1));
+        engines = new ArrayList<>();
+        instances = new ArrayList<>();
+        for (int number = 0; number < ENGINES; number++) {
+            ScriptedServer engine = ScriptedServer.start((request, connection, out) -> {});
+            engine.setScript((request, connection, out) -> serve(engine, request, out));
+            engines.add(engine);
+            ServerListing listing = ServerListing.engine("e" + number, "decode", engine);
+            store.put("keyed.servers", listing.id(), listing.entryJson("ready", 1));
+        }
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        instances.forEach(RelayInstance::close);
+        for (ScriptedServer engine : engines) {
+            engine.close();
+        }
+        store.close();
+    }
+
+    /** Crashes were counted by request only, and no two of these are alike. */
+    @Test
+    public void requestsWithAPartUnderWhichFiveEnginesEndedAreRejected() throws Exception {
+        startInstances(1);
+        sendUntilRejected(0);
+        Assert.assertTrue(crashedEngines() <= MAX_CRASHES, "engines ended: " + crashedEngines());
+    }
+
+    @Test
+    public void soundRequestsWithTheSameFirstPartAreServedOn() throws Exception {
+        startInstances(1);
+        Assert.assertTrue(sendSound(0).contains("done"));
+        sendUntilRejected(0);
+        for (int number = 0; number < 10; number++) {
+            String response = sendSound(0);
+            Assert.assertTrue(response.contains("done"), response);
+        }
+    }
+
+    @Test
+    public void anotherInstanceRejectsThemToo() throws Exception {
+        startInstances(2);
+        sendUntilRejected(0);
+        RelayFixture.waitUntil(() -> sendCrashing(1).contains("crashes_servers"));
+        Assert.assertTrue(crashedEngines() <= MAX_CRASHES, "engines ended: " + crashedEngines());
+    }
+
+    private void startInstances(int count) throws Exception {
+        for (int number = 0; number < count; number++) {
+            instances.add(RelayFixture.startInstance(store.address(number), "m" + number));
+        }
+        for (RelayInstance instance : instances) {
+            RelayFixture.waitUntil(instance::isReady);
+        }
+    }
+
+    /** Sends crashing requests until one is rejected, or until so many engines have ended that none will be. */
+    private void sendUntilRejected(int instance) throws Exception {
+        for (int round = 0; round < 200 && crashedEngines() < ENGINES - 1; round++) {
+            String response = sendCrashing(instance);
+            if (response.contains("crashes_servers")) {
+                return;
+            }
+            sendSound(instance);
+        }
+        Assert.fail("no request was rejected, engines ended: " + crashedEngines());
+    }
+
+    private String sendCrashing(int instance) throws Exception {
+        return send(instance, "bad");
+    }
+
+    private String sendSound(int instance) throws Exception {
+        return send(instance, "good");
+    }
+
+    /** Sends a request whose prompt begins with a common part, goes on with the given one and ends with its own. */
+    private String send(int instance, String part) throws Exception {
+        int number = requestNumber.incrementAndGet();
+        String prompt = "Token-Count: 35,5\r\nPrompt-Prefix: f1:10," + part + ":20,own" + number + ":5\r\n";
+        String request = RelayFixture.postRequest("/stream/x" + number, "id" + number, prompt, "body" + number);
+        return RelayFixture.exchange(instances.get(instance), request);
+    }
+
+    private long crashedEngines() {
+        return engines.stream().filter(ScriptedServer::crashed).count();
+    }
+
+    private static void serve(ScriptedServer engine, Request request, OutputStream out) throws IOException {
+        if (request.line().startsWith("GET")) {
+            out.write(ScriptedServer.response(request, 200, "", "{\"stage\":\"decode\",\"seq\":0}"));
+            return;
+        }
+        out.write(ScriptedServer.streamHead(request));
+        out.flush();
+        if (request.header("prompt-prefix").contains("bad:")) {
+            engine.crash();
+            return;
+        }
+        out.write(ScriptedServer.eventChunk(1, "done"));
+        out.write(ScriptedServer.lastChunk());
+    }
+}
