Do not count a run as lost that its server has answered

Seen by callers: a request that was refused, or was only late, could be blamed for the next end of its server, and three such ends refuse it.

Cause: a response with neither length nor chunks counted as possibly lost whatever it said, also a refusal to run the request; and a run that was taken for lost at its deadline or while its server was silent stayed so after its response had come. Class: a state that is entered on one event and left on none.

Change: a refusal is no evidence but of life; a complete response with a marked end takes the run off the lost ones. A silent server is no longer checked for a request that was not sent to it.

--- a/src/main/java/org/verbenatray/relay/CallSuspects.java
+++ b/src/main/java/org/verbenatray/relay/CallSuspects.java
@@ -66,6 +66,12 @@
         partsAtRisk(prefillOnly).forEach(part -> runs.recordUnproved(part, boot));
     }
 
+    /** Records that a run which may have been taken for lost was completed; parameters as for {@link #recordLost}. */
+    void recordCompleted(String boot, boolean prefillOnly) {
+        runs.recordCompleted(fingerprint, boot);
+        partsAtRisk(prefillOnly).forEach(part -> runs.recordCompleted(part, boot));
+    }
+
     private List<String> partsAtRisk(boolean prefillOnly) {
         return prefillOnly ? List.of() : partKeys;
     }
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -243,11 +243,7 @@
             return;
         }
         close();
-        switch (kind) {
-            case BROKEN, SILENT -> evidence.recordLost();
-            case NOT_SENT -> {}
-            default -> evidence.recordResponse(!endsWithConnection);
-        }
+        recordEvidence(kind);
         boolean complete = kind == ForwardOutcome.Kind.ANSWERED || kind == ForwardOutcome.Kind.NOT_RUN;
         byte[] bytes = complete ? body.toByteArray() : new byte[0];
         body.clear();
@@ -255,6 +251,21 @@
         listener.onOutcome(new ForwardOutcome(kind, detail, Optional.ofNullable(head), bytes, proved));
     }
 
+    private void recordEvidence(ForwardOutcome.Kind kind) {
+        switch (kind) {
+            case NOT_SENT -> {}
+            case NOT_RUN -> evidence.recordRefused();
+            case BROKEN, SILENT -> evidence.recordLost();
+            case ANSWERED, STREAM_ENDED -> {
+                if (endsWithConnection) {
+                    evidence.recordUnproved();
+                } else {
+                    evidence.recordCompleted();
+                }
+            }
+        }
+    }
+
     private boolean continuesStream() {
         return options.lastEventId().isPresent();
     }
--- a/src/main/java/org/verbenatray/relay/RunEvidence.java
+++ b/src/main/java/org/verbenatray/relay/RunEvidence.java
@@ -79,15 +79,22 @@
         }
     }
 
-    /** Records a complete response; one whose end is not marked shows nothing until the server is checked. */
-    void recordResponse(boolean endMarked) {
+    /** Records that the server has completed the response of a run. */
+    void recordCompleted() {
         String boot = backend.entry().bootId();
-        if (endMarked) {
-            context.serverRuns().recordAlive(boot);
-        } else {
-            call.suspects().recordUnproved(boot, prefillOnly);
-            context.crashProbe().probe(backend);
-        }
+        context.serverRuns().recordAlive(boot);
+        call.suspects().recordCompleted(boot, prefillOnly);
+    }
+
+    /** Records a response of a run that ended with its connection, which shows nothing until the server is checked. */
+    void recordUnproved() {
+        call.suspects().recordUnproved(backend.entry().bootId(), prefillOnly);
+        context.crashProbe().probe(backend);
+    }
+
+    /** Records that the server has refused to run the request. */
+    void recordRefused() {
+        context.serverRuns().recordAlive(backend.entry().bootId());
     }
 
     /** Ends the observation. */
@@ -105,10 +112,16 @@
     /** Checks the server if it is silent, without waiting for the deadline of the request. */
     private void check() {
         if (suspectCheckDue.hasPassed(context.ticker().nanos())) {
-            recordLost();
-            context.crashProbe().probe(backend);
+            probeSilentServer();
             suspectCheckDue = Deadline.afterMillis(context.ticker().nanos(), SUSPECT_SILENCE_MILLIS);
         }
         scheduleCheck();
     }
+
+    private void probeSilentServer() {
+        if (sent) {
+            recordLost();
+            context.crashProbe().probe(backend);
+        }
+    }
 }
--- a/src/main/java/org/verbenatray/resilience/ServerRuns.java
+++ b/src/main/java/org/verbenatray/resilience/ServerRuns.java
@@ -58,6 +58,14 @@
         putLost(fingerprint, boot, false);
     }
 
+    /** Records that a server has run a request to its end; a run that was taken for lost before was only late. */
+    public void recordCompleted(String fingerprint, String boot) {
+        Map<String, LostRun> lost = lostRuns.get(boot);
+        if (lost != null) {
+            lost.remove(fingerprint);
+        }
+    }
+
     /** Records that a server has responded to a check sent at the given time in nanoseconds of the ticker. */
     public void recordChecked(String boot, long sentNanos) {
         Map<String, LostRun> lost = lostRuns.getOrDefault(boot, Map.of());
--- a/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
@@ -154,6 +154,28 @@
         Assert.assertTrue(send(0, "/unsafe/x", "poison").contains("crashes_servers"));
     }
 
+    /** A refusal that ended with its connection counted as a run that may have been lost. */
+    @Test
+    public void aServerThatEndsAfterItHasRefusedARequestDoesNotCount() throws Exception {
+        startInstances(1);
+        for (ScriptedServer server : servers) {
+            server.setScript((request, connection, out) -> {
+                if (request.body().equals("refused")) {
+                    out.write(ScriptedServer.refusalWithoutLength(request));
+                    out.flush();
+                    server.close();
+                }
+            });
+        }
+        send(0, "/unsafe/x", "refused");
+        RelayFixture.waitUntil(
+                () -> servers.stream().anyMatch(server -> !server.requests().isEmpty()));
+        send(0, "/unsafe/x", "refused");
+        send(0, "/unsafe/x", "lost", 300);
+        RelayFixture.waitUntil(() -> crashesKnown(0) >= 1);
+        Assert.assertEquals(crashesKnown(0), 1);
+    }
+
     /** What an instance found while the store was away was dropped and told to nobody. */
     @Test
     public void endsFoundWhileTheStoreIsAwayAreKnownToOtherInstances() throws Exception {
--- a/src/test/java/org/verbenatray/platform/ScriptedServer.java
+++ b/src/test/java/org/verbenatray/platform/ScriptedServer.java
@@ -136,6 +136,12 @@
                 .getBytes(StandardCharsets.ISO_8859_1);
     }
 
+    /** Returns a refusal without running the request, with neither length nor chunks. */
+    static byte[] refusalWithoutLength(Request request) {
+        return ("HTTP/1.1 503 Full\r\nRequest-Id: " + request.header("request-id") + "\r\nNot-Run: 1\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     /** Returns the head of an event stream with the stamp of a server. */
     static byte[] streamHead(Request request) {
         return ("HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("request-id")
--- a/src/test/java/org/verbenatray/resilience/ServerRunsTest.java
+++ b/src/test/java/org/verbenatray/resilience/ServerRunsTest.java
@@ -61,6 +61,16 @@
         Assert.assertEquals(found, List.of());
     }
 
+    /** A run that was late and then ran to its end was blamed for the next end of its server. */
+    @Test
+    public void aRunThatWasTakenForLostAndThenCompletedDoesNotCount() {
+        runs.recordLost("late", "s@1");
+        runs.recordLost("bad", "s@1");
+        runs.recordCompleted("late", "s@1");
+        runs.recordEnd("s@1");
+        Assert.assertEquals(found, List.of(new Crash("bad", "s@1")));
+    }
+
     /** Every response without a length would have counted against its request when its server crashed later. */
     @Test
     public void aResponseWithoutAMarkedEndDoesNotCountOnceItsServerIsFoundToLive() {
