Move the two listeners of RelayInstance to classes of their own

Each listener names what it needs in its constructor; what routes in force change besides themselves stays in RelayInstance. No behaviour changes.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -3,9 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import org.verbenatray.authority.LogLease;
@@ -15,7 +13,6 @@
 import org.verbenatray.catalog.CurrentCatalog;
 import org.verbenatray.continuation.RecentVersions;
 import org.verbenatray.continuation.StreamContinuations;
-import org.verbenatray.log.KeyedLog;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.placement.PrefillTimeModel;
@@ -319,14 +316,14 @@
         KeyedFollower.start(
                 "routes",
                 platform.routes(),
-                new RoutesListener(),
+                new RoutesListener(platform.routesDecoder(), catalog, this::onRoutesChanged),
                 () -> settings.routesPollTiming(),
                 loop.ticker(),
                 loop.scheduler());
         KeyedFollower.start(
                 "servers",
                 platform.servers(),
-                new ServersListener(),
+                new ServersListener(platform.serverDecoder(), directory, cutOffDetector, recentVersions),
                 () -> settings.serversPollTiming(),
                 loop.ticker(),
                 loop.scheduler());
@@ -381,6 +378,11 @@
                         () -> settings.retryExtra() * sharing.fleetShare().of(settings.retryWindowMillis())));
     }
 
+    private void onRoutesChanged(Catalog routes) {
+        metrics.setCatalogVersion(routes.version());
+        server.applyLimits(routes.limits());
+    }
+
     /** Removes all state of one boot of a backend server that has ended. */
     private void onBackendEnded(Backend backend) {
         String boot = backend.entry().bootId();
@@ -428,57 +430,4 @@
                         .map(RelayInstanceState.BackendState::of)
                         .toList());
     }
-
-    /** Applies changed routes. */
-    private final class RoutesListener implements KeyedFollower.Listener {
-        @Override
-        public void onListing(List<KeyedLog.Entry> entries) {
-            entries.forEach(this::onRecord);
-        }
-
-        @Override
-        public void onRecord(KeyedLog.Entry entry) {
-            Optional<Catalog> decoded = platform.routesDecoder().apply(entry);
-            if (decoded.isPresent() && catalog.replaceIfNewer(decoded.get())) {
-                metrics.setCatalogVersion(decoded.get().version());
-                server.applyLimits(decoded.get().limits());
-                Event.named("routes_in_force")
-                        .with("version", decoded.get().version())
-                        .with("routes", decoded.get().routeCount())
-                        .log(log, Level.INFO);
-            }
-        }
-    }
-
-    /** Applies changes of the server list. */
-    private final class ServersListener implements KeyedFollower.Listener {
-        @Override
-        public void onListing(List<KeyedLog.Entry> entries) {
-            directory.replace(entries.stream()
-                    .map(platform.serverDecoder())
-                    .flatMap(Optional::stream)
-                    .toList());
-        }
-
-        @Override
-        public void onRecord(KeyedLog.Entry entry) {
-            if (entry.value().isEmpty()) {
-                directory.remove(entry.key());
-            } else {
-                platform.serverDecoder().apply(entry).ifPresent(directory::put);
-            }
-        }
-
-        @Override
-        public void onCaughtUp() {
-            cutOffDetector.onListRead();
-            recentVersions.recordListRead();
-        }
-
-        @Override
-        public void onUnreachable() {
-            directory.markListUnreachable();
-            cutOffDetector.onListUnreachable();
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/verbenatray/instance/ServersListener.java
@@ -0,0 +1,57 @@
+package org.verbenatray.instance;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.verbenatray.backends.BackendDirectory;
+import org.verbenatray.continuation.RecentVersions;
+import org.verbenatray.log.KeyedLog;
+import org.verbenatray.state.KeyedFollower;
+
+/** Applies the list of backend servers and tells how current it is. */
+final class ServersListener implements KeyedFollower.Listener {
+    /** Reads the listing of a log entry; empty if the entry names no usable server. */
+    private final Function<KeyedLog.Entry, Optional<BackendDirectory.Listing>> decoder;
+
+    private final BackendDirectory directory;
+    private final CutOffDetector cutOffDetector;
+    private final RecentVersions recentVersions;
+
+    ServersListener(
+            Function<KeyedLog.Entry, Optional<BackendDirectory.Listing>> decoder,
+            BackendDirectory directory,
+            CutOffDetector cutOffDetector,
+            RecentVersions recentVersions) {
+        this.decoder = decoder;
+        this.directory = directory;
+        this.cutOffDetector = cutOffDetector;
+        this.recentVersions = recentVersions;
+    }
+
+    @Override
+    public void onListing(List<KeyedLog.Entry> entries) {
+        directory.replace(
+                entries.stream().map(decoder).flatMap(Optional::stream).toList());
+    }
+
+    @Override
+    public void onRecord(KeyedLog.Entry entry) {
+        if (entry.value().isEmpty()) {
+            directory.remove(entry.key());
+        } else {
+            decoder.apply(entry).ifPresent(directory::put);
+        }
+    }
+
+    @Override
+    public void onCaughtUp() {
+        cutOffDetector.onListRead();
+        recentVersions.recordListRead();
+    }
+
+    @Override
+    public void onUnreachable() {
+        directory.markListUnreachable();
+        cutOffDetector.onListUnreachable();
+    }
+}
