Soak of crashing requests: other addresses, ends after the head, responses without length

Each sending now comes from one of thirty loopback addresses, and eight crashing requests end their servers in as many ways: reset, closed or dark, before the response, after its head, or in a response with neither length nor chunks.

--- a/src/test/java/org/verbenatray/platform/CrashingRequestSoak.java
+++ b/src/test/java/org/verbenatray/platform/CrashingRequestSoak.java
@@ -28,7 +28,13 @@
     private static final int PLAIN_SERVERS = 9;
     private static final int ENGINES = 11;
     private static final int CALLERS = 8;
-    private static final int CRASHING_REQUESTS = 6;
+    /** How the servers of each crashing request end, and whether they have sent the head of a response before. */
+    private static final List<String> ENDINGS =
+            List.of("reset", "dark", "mixed", "head-reset", "head-dark", "unframed", "head-mixed", "unframed-dark");
+
+    /** The number of addresses from which a crashing request comes. */
+    private static final int ADDRESSES = 30;
+
     private static final List<String> PATHS = List.of("/unsafe/", "/resume/", "/safe/", "/stream/");
 
     /** The time after which an instance without a fault counts as in touch. */
@@ -80,9 +86,9 @@
             startInstance(number);
         }
         TimeUnit.SECONDS.sleep(2);
-        for (int number = 0; number < CRASHING_REQUESTS; number++) {
-            String path = PATHS.get(number % PATHS.size()) + "x";
-            String body = "poison-" + List.of("reset", "dark", "mixed").get(number % 3) + "-" + number;
+        for (int number = 0; number < ENDINGS.size(); number++) {
+            String path = PATHS.get((number + random.nextInt(PATHS.size())) % PATHS.size()) + "x";
+            String body = "poison-" + ENDINGS.get(number) + "-" + number;
             histories.put(body, new History());
             timers.schedule(() -> sendCrashing(path, body), random.nextInt(8_000), TimeUnit.MILLISECONDS);
         }
@@ -158,7 +164,7 @@
             default -> {
                 for (SoakServer server : servers) {
                     if (random.nextInt(10) < 4) {
-                        server.end(random.nextInt(3) == 0);
+                        server.end(random.nextInt(3) == 0 ? SoakServer.Ending.DARK : SoakServer.Ending.RESET);
                     }
                 }
             }
@@ -217,7 +223,8 @@
         }
         String id = number + "-" + requestNumber.incrementAndGet();
         try {
-            return RelayFixture.exchange(instance, RelayFixture.postRequest(path, id, "", body));
+            String address = "127.0.0." + ThreadLocalRandom.current().nextInt(1, ADDRESSES + 1);
+            return RelayFixture.exchangeFrom(address, instance, RelayFixture.postRequest(path, id, "", body));
         } catch (IOException e) {
             // The instance was killed.
             return "";
--- a/src/test/java/org/verbenatray/platform/SoakServer.java
+++ b/src/test/java/org/verbenatray/platform/SoakServer.java
@@ -67,8 +67,18 @@
         return server;
     }
 
-    /** Ends the server: dark, with its connections left open and silent, or with its connections reset. */
-    synchronized void end(boolean dark) {
+    /** How a server ends. */
+    enum Ending {
+        /** All connections are reset. */
+        RESET,
+        /** All connections are closed, as by the operating system after a process has ended. */
+        CLOSED,
+        /** All connections stay open and silent. */
+        DARK
+    }
+
+    /** Ends the server in the given way. */
+    synchronized void end(Ending ending) {
         if (down) {
             return;
         }
@@ -77,10 +87,10 @@
         ScriptedServer endedProcess = process;
         int port = endedProcess.port();
         long pauseMillis = 1_500 + random.nextInt(2_500);
-        if (dark) {
-            endedProcess.setScript((request, connection, out) -> {});
-        } else {
-            crashQuietly(endedProcess);
+        switch (ending) {
+            case DARK -> endedProcess.setScript((request, connection, out) -> {});
+            case CLOSED -> closeQuietly(endedProcess);
+            case RESET -> crashQuietly(endedProcess);
         }
         timers.schedule(() -> expire(ended), EXPIRY_MILLIS, TimeUnit.MILLISECONDS);
         timers.schedule(() -> restart(endedProcess, port), pauseMillis, TimeUnit.MILLISECONDS);
@@ -142,7 +152,7 @@
         }
         sleepWhileWorking();
         if (request.body().startsWith("poison")) {
-            runCrashing(request);
+            runCrashing(request, out);
             return;
         }
         if (stage.isEmpty()) {
@@ -154,13 +164,27 @@
         }
     }
 
-    private void runCrashing(Request request) {
+    /** Ends the server as the body of the request says, before the response or after its head. */
+    private void runCrashing(Request request, OutputStream out) throws IOException {
         boolean ends;
         synchronized (this) {
             ends = !down;
         }
         onCrashingRequest.accept(request, ends);
-        end(request.body().contains("dark") || request.body().contains("mixed") && random.nextInt(3) == 0);
+        if (request.body().contains("head")) {
+            out.write(ScriptedServer.streamHead(request));
+        } else if (request.body().contains("unframed")) {
+            out.write(ScriptedServer.headWithoutLength(request));
+        }
+        out.flush();
+        end(endingOf(request.body()));
+    }
+
+    private Ending endingOf(String body) {
+        if (body.contains("dark") || body.contains("mixed") && random.nextInt(3) == 0) {
+            return Ending.DARK;
+        }
+        return body.contains("unframed") ? Ending.CLOSED : Ending.RESET;
     }
 
     private static void sleepWhileWorking() {
@@ -171,6 +195,14 @@
         }
     }
 
+    private static void closeQuietly(ScriptedServer ended) {
+        try {
+            ended.close();
+        } catch (IOException e) {
+            throw new IllegalStateException("the sockets of an ended server cannot be closed", e);
+        }
+    }
+
     private static void crashQuietly(ScriptedServer ended) {
         try {
             ended.crash();
