Name what a crash speaks against "suspect"

Since crashes are counted by part of prompts as well, `Crash.fingerprint` held fingerprints and part keys; it and the maps and parameters that hold either are named suspect now. The second overload of CrashLedger.blockedUntil is partsBlockedUntil. The log keeps its key `fingerprint`, and records and notices their format. No behaviour changes.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -400,9 +400,9 @@
             return;
         }
         Event.named("crash_found")
-                .with("fingerprint", crash.fingerprint())
+                .with("fingerprint", crash.suspect())
                 .with("backend", crash.boot())
-                .with("crashes", crashes.crashCount(crash.fingerprint()))
+                .with("crashes", crashes.crashCount(crash.suspect()))
                 .log(log, Level.WARNING);
         crashExchange.publish(crash);
     }
--- a/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
+++ b/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
@@ -141,7 +141,7 @@
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         CodedOutputStream out = CodedOutputStream.newInstance(bytes);
         out.writeString(BOOT_ID, crash.boot());
-        out.writeString(FINGERPRINT, crash.fingerprint());
+        out.writeString(FINGERPRINT, crash.suspect());
         out.flush();
         return bytes.toByteArray();
     }
--- a/src/main/java/org/verbenatray/relay/CallSuspects.java
+++ b/src/main/java/org/verbenatray/relay/CallSuspects.java
@@ -36,7 +36,7 @@
 
     /** Returns until when the request must not be sent because it has crashed servers; empty if it may be sent. */
     Optional<Deadline> blockedUntil() {
-        return ledger.blockedUntil(fingerprint).or(() -> ledger.blockedUntil(partKeys));
+        return ledger.blockedUntil(fingerprint).or(() -> ledger.partsBlockedUntil(partKeys));
     }
 
     /** Returns whether a server has ended under the request. */
@@ -83,7 +83,7 @@
             event.with("fingerprint", fingerprint).with("crashes", crashes).with("caller", request.caller());
         }
         partKeys.stream()
-                .filter(part -> ledger.blockedUntil(List.of(part)).isPresent())
+                .filter(part -> ledger.partsBlockedUntil(List.of(part)).isPresent())
                 .forEach(part -> event.with("crashing_part", part));
     }
 }
--- a/src/main/java/org/verbenatray/resilience/Crash.java
+++ b/src/main/java/org/verbenatray/resilience/Crash.java
@@ -3,7 +3,7 @@
 /**
  * The end of a server process while it was running a request.
  *
- * @param fingerprint the fingerprint of the request, or the {@link PartKey} of a part of its prompt
+ * @param suspect what may have caused it: the fingerprint of the request or the {@link PartKey} of a part of its prompt
  * @param boot the boot id of the server, which names one run of its process
  */
-public record Crash(String fingerprint, String boot) {}
+public record Crash(String suspect, String boot) {}
--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -21,7 +21,7 @@
 
 /**
  * Shares crashes among instances through a keyed log, which keeps them for instances that start later: one record per
- * crash, whose key is the fingerprint and the boot id. While the log lacks a crash, instances tell it one another
+ * crash, whose key is the suspect and the boot id. While the log lacks a crash, instances tell it one another
  * directly.
  *
  * <p>A crash that the log does not hold is written until it does: by its finder at once, by others that know it after a
@@ -110,7 +110,7 @@
      */
     public void publish(Crash crash) {
         tellForSomeTime(crash);
-        boolean first = ledger.crashCount(crash.fingerprint()) == 1;
+        boolean first = ledger.crashCount(crash.suspect()) == 1;
         unwritten.put(crash, Deadline.afterMillis(ticker.nanos(), first ? FIRST_CRASH_DELAY_MILLIS : 0));
     }
 
@@ -132,9 +132,9 @@
         recent.values().removeIf(until -> until.hasPassed(now));
         return Stream.concat(
                         attempted.stream(),
-                        recent.keySet().stream().filter(crash -> ledger.crashCount(crash.fingerprint()) > 1))
+                        recent.keySet().stream().filter(crash -> ledger.crashCount(crash.suspect()) > 1))
                 .distinct()
-                .sorted(Comparator.comparingInt(crash -> -ledger.crashCount(crash.fingerprint())))
+                .sorted(Comparator.comparingInt(crash -> -ledger.crashCount(crash.suspect())))
                 .toList();
     }
 
@@ -230,9 +230,9 @@
     private void recordHeard(Crash crash) {
         tellForSomeTime(crash);
         Event.named("crash_heard")
-                .with("fingerprint", crash.fingerprint())
+                .with("fingerprint", crash.suspect())
                 .with("backend", crash.boot())
-                .with("crashes", ledger.crashCount(crash.fingerprint()))
+                .with("crashes", ledger.crashCount(crash.suspect()))
                 .log(log, Level.INFO);
     }
 
@@ -250,7 +250,7 @@
     }
 
     private static String keyOf(Crash crash) {
-        return crash.fingerprint() + KEY_SEPARATOR + crash.boot();
+        return crash.suspect() + KEY_SEPARATOR + crash.boot();
     }
 
     /** Returns the crash that a record names; empty, with a log line, if its key is malformed. */
--- a/src/main/java/org/verbenatray/resilience/CrashLedger.java
+++ b/src/main/java/org/verbenatray/resilience/CrashLedger.java
@@ -38,7 +38,7 @@
 
     private final Ticker ticker;
 
-    private final Map<String, CrashHistory> crashesByFingerprint = new HashMap<>();
+    private final Map<String, CrashHistory> historyBySuspect = new HashMap<>();
 
     private final PartSuccesses partSuccesses;
 
@@ -58,8 +58,8 @@
 
     /** Records a crash that this or another instance has detected; returns false if it was known. */
     public boolean recordCrash(Crash crash) {
-        CrashHistory history = crashesByFingerprint.computeIfAbsent(
-                crash.fingerprint(), key -> new CrashHistory(partSuccesses.requestsOfModel(key)));
+        CrashHistory history = historyBySuspect.computeIfAbsent(
+                crash.suspect(), key -> new CrashHistory(partSuccesses.requestsOfModel(key)));
         boolean isNew = history.boots.add(crash.boot());
         if (isNew) {
             history.blockEnd = Deadline.afterMillis(ticker.nanos(), BLOCK_MILLIS);
@@ -78,19 +78,19 @@
         partKeys.forEach(this::clear);
     }
 
-    private void clear(String fingerprint) {
-        if (crashesByFingerprint.containsKey(fingerprint)) {
-            List<Crash> cleared = crashesOf(List.of(fingerprint));
-            crashesByFingerprint.remove(fingerprint);
+    private void clear(String suspect) {
+        if (historyBySuspect.containsKey(suspect)) {
+            List<Crash> cleared = crashesOf(List.of(suspect));
+            historyBySuspect.remove(suspect);
             onCleared.accept(cleared);
         }
     }
 
     /** Forgets a crash that another instance has cleared. */
     public void forget(Crash crash) {
-        CrashHistory history = crashesByFingerprint.get(crash.fingerprint());
+        CrashHistory history = historyBySuspect.get(crash.suspect());
         if (history != null && history.boots.remove(crash.boot()) && history.boots.isEmpty()) {
-            crashesByFingerprint.remove(crash.fingerprint());
+            historyBySuspect.remove(crash.suspect());
         }
     }
 
@@ -102,7 +102,7 @@
         if (crashCount(fingerprint) < CRASHES_TO_BLOCK) {
             return Optional.empty();
         }
-        CrashHistory history = crashesByFingerprint.get(fingerprint);
+        CrashHistory history = historyBySuspect.get(fingerprint);
         Set<String> unexplained = new HashSet<>(history.boots);
         blockedParts().forEach(part -> unexplained.removeAll(part.boots));
         return unexplained.size() < CRASHES_TO_BLOCK
@@ -111,16 +111,16 @@
     }
 
     /** Returns until when requests with any of these parts must not be sent; empty if none of them crashes servers. */
-    public Optional<Deadline> blockedUntil(Collection<String> partKeys) {
+    public Optional<Deadline> partsBlockedUntil(Collection<String> partKeys) {
         long now = ticker.nanos();
         return partKeys.stream()
                 .filter(this::isBlockedPart)
-                .map(key -> crashesByFingerprint.get(key).blockEnd)
+                .map(key -> historyBySuspect.get(key).blockEnd)
                 .max(Comparator.comparingLong(end -> end.remainingMillis(now)));
     }
 
     private Stream<CrashHistory> blockedParts() {
-        return crashesByFingerprint.entrySet().stream()
+        return historyBySuspect.entrySet().stream()
                 .filter(each -> PartKey.isPart(each.getKey()) && isBlockedPart(each.getKey()))
                 .map(Map.Entry::getValue);
     }
@@ -130,7 +130,7 @@
      * no request with it has run to its end (which would have cleared it), while others of its model have.
      */
     private boolean isBlockedPart(String key) {
-        CrashHistory history = crashesByFingerprint.get(key);
+        CrashHistory history = historyBySuspect.get(key);
         if (history == null || history.blockEnd.hasPassed(ticker.nanos())) {
             return false;
         }
@@ -139,44 +139,43 @@
         return othersSucceed && history.boots.size() >= enough;
     }
 
-    /** Returns the number of servers that a request has crashed, as far as it is known here. */
-    public int crashCount(String fingerprint) {
-        CrashHistory history = crashesByFingerprint.get(fingerprint);
+    /** Returns the number of servers that ended under a request or a part of prompts, as far as it is known here. */
+    public int crashCount(String suspect) {
+        CrashHistory history = historyBySuspect.get(suspect);
         return history == null ? 0 : history.boots.size();
     }
 
-    /** Returns the number of servers that each request has crashed, by fingerprint. */
+    /** Returns the number of servers that ended under each request, by fingerprint, and part, by its key. */
     public Map<String, Integer> crashCounts() {
         Map<String, Integer> counts = new HashMap<>();
-        crashesByFingerprint.forEach((fingerprint, history) -> counts.put(fingerprint, history.boots.size()));
+        historyBySuspect.forEach((suspect, history) -> counts.put(suspect, history.boots.size()));
         return counts;
     }
 
     /** Returns all crashes that are known. */
     public List<Crash> crashes() {
-        return crashesOf(crashesByFingerprint.keySet());
+        return crashesOf(historyBySuspect.keySet());
     }
 
     /** Removes the crashes that have expired, and returns them. */
     public List<Crash> removeExpired() {
         long now = ticker.nanos();
-        List<String> expired = crashesByFingerprint.entrySet().stream()
+        List<String> expired = historyBySuspect.entrySet().stream()
                 .filter(each -> each.getValue().expiry.hasPassed(now))
                 .map(Map.Entry::getKey)
                 .toList();
         List<Crash> removed = crashesOf(expired);
-        expired.forEach(crashesByFingerprint::remove);
+        expired.forEach(historyBySuspect::remove);
         return removed;
     }
 
-    private List<Crash> crashesOf(Collection<String> fingerprints) {
-        return fingerprints.stream()
-                .flatMap(fingerprint ->
-                        crashesByFingerprint.get(fingerprint).boots.stream().map(boot -> new Crash(fingerprint, boot)))
+    private List<Crash> crashesOf(Collection<String> suspects) {
+        return suspects.stream()
+                .flatMap(suspect -> historyBySuspect.get(suspect).boots.stream().map(boot -> new Crash(suspect, boot)))
                 .toList();
     }
 
-    /** The boots of servers that one request has crashed. */
+    /** The servers that ended under one request or part of prompts. */
     private static final class CrashHistory {
         private final Set<String> boots = new HashSet<>();
 
--- a/src/main/java/org/verbenatray/resilience/ServerRuns.java
+++ b/src/main/java/org/verbenatray/resilience/ServerRuns.java
@@ -24,7 +24,7 @@
 
     private final Consumer<Crash> onCrash;
 
-    /** The lost runs that can still be attributed, by boot id, then by fingerprint. */
+    /** The lost runs that can still be attributed, by boot id, then by request or part of prompts. */
     private final Map<String, Map<String, LostRun>> lostRuns = new HashMap<>();
 
     /** Until when a run lost at an ended boot is attributed to its end, by boot id. */
@@ -41,28 +41,28 @@
     }
 
     /** Records that a request was sent to a server and that its run has ended without a response. */
-    public void recordLost(String fingerprint, String boot) {
+    public void recordLost(String suspect, String boot) {
         Deadline endKnownUntil = endedBoots.get(boot);
         if (endKnownUntil != null && !endKnownUntil.hasPassed(ticker.nanos())) {
-            onCrash.accept(new Crash(fingerprint, boot));
+            onCrash.accept(new Crash(suspect, boot));
             return;
         }
-        putLost(fingerprint, boot, true);
+        putLost(suspect, boot, true);
     }
 
     /**
      * Records that a request was sent to a server and that its response ended with the connection: the server has
      * completed it or has ended. It counts as lost until the server is found to live.
      */
-    public void recordUnproved(String fingerprint, String boot) {
-        putLost(fingerprint, boot, false);
+    public void recordUnproved(String suspect, String boot) {
+        putLost(suspect, boot, false);
     }
 
     /** Records that a server has run a request to its end; a run that was taken for lost before was only late. */
-    public void recordCompleted(String fingerprint, String boot) {
+    public void recordCompleted(String suspect, String boot) {
         Map<String, LostRun> lost = lostRuns.get(boot);
         if (lost != null) {
-            lost.remove(fingerprint);
+            lost.remove(suspect);
         }
     }
 
@@ -72,9 +72,9 @@
         lost.values().removeIf(run -> !run.certain && run.lostNanos - sentNanos <= 0);
     }
 
-    private void putLost(String fingerprint, String boot, boolean certain) {
+    private void putLost(String suspect, String boot, boolean certain) {
         LostRun run = new LostRun(ticker.nanos(), certain, relatedUntil());
-        lostRuns.computeIfAbsent(boot, key -> new HashMap<>()).put(fingerprint, run);
+        lostRuns.computeIfAbsent(boot, key -> new HashMap<>()).put(suspect, run);
     }
 
     /** Records that a boot of a server has ended. */
@@ -84,9 +84,9 @@
         if (lost == null) {
             return;
         }
-        lost.forEach((fingerprint, run) -> {
+        lost.forEach((suspect, run) -> {
             if (!run.relatedUntil.hasPassed(ticker.nanos())) {
-                onCrash.accept(new Crash(fingerprint, boot));
+                onCrash.accept(new Crash(suspect, boot));
             }
         });
     }
--- a/src/test/java/org/verbenatray/resilience/CrashLedgerTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashLedgerTest.java
@@ -138,7 +138,7 @@
     }
 
     private boolean isPartBlocked(String part) {
-        return ledger.blockedUntil(List.of(PartKey.of("m", part))).isPresent();
+        return ledger.partsBlockedUntil(List.of(PartKey.of("m", part))).isPresent();
     }
 
     private boolean isBlocked(String fingerprint) {
--- a/src/test/java/org/verbenatray/resilience/CrashingPartPropertiesTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashingPartPropertiesTest.java
@@ -142,7 +142,7 @@
             Instance instance = instances.get(random.nextInt(INSTANCES));
             boolean late = fifthCrashStep > 0 && step - fifthCrashStep > 2 * CONTACT_STEPS;
             List<String> parts = parts("sound" + random.nextInt(SOUND_PARTS));
-            boolean refused = instance.ledger.blockedUntil(parts).isPresent();
+            boolean refused = instance.ledger.partsBlockedUntil(parts).isPresent();
             sound++;
             lateSound += late ? 1 : 0;
             refusedSound += refused ? 1 : 0;
@@ -155,7 +155,7 @@
         private void sendCrashing(int step) {
             Instance instance = instances.get(random.nextInt(INSTANCES));
             List<String> parts = parts("guilty");
-            if (instance.ledger.blockedUntil(parts).isPresent() || !start(instance, parts, true, step)) {
+            if (instance.ledger.partsBlockedUntil(parts).isPresent() || !start(instance, parts, true, step)) {
                 return;
             }
             boolean inTouch = step - logFaultEnd > CONTACT_STEPS;
