Keep the limits that servers state, over all instances together

What callers and servers saw: servers in need named the requests a second that they take (Server-Limit) and got three times that, as before they named it.

Cause: nothing read what a server states of itself in its answers. One place reads it now (ServerStatements, translated in platform/) from each answer: of callers' requests, prefills, polls, checks, releases and orders. ServerLimits keeps it: a few instances share the rate of each server and tell one another what they have sent; of each other sharer an equal part is assumed for the time since its last notice, so that the parts add up to the rate whatever is lost. A server whose rate is used up is no candidate, and no failed one. Requests that only such servers could serve are answered 503 at once, with times one after the other in Retry-After.

Ruled out: that each instance kept the whole limit (one instance alone sent 25 requests in 4 s to a server that had named 3.7), and that second sendings pass it (53 of 59 were first ones).

New outside names: the log events limit_stated, limit_ended, limit_notice_malformed and server_limit_malformed, the outcome server_limits, the field requestsPerSecond of /state, and the datagram of LimitNoticeCodec, which an older instance drops as a work notice without content.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -13,6 +13,7 @@
 import org.verbenatray.catalog.CurrentCatalog;
 import org.verbenatray.continuation.RecentVersions;
 import org.verbenatray.continuation.StreamContinuations;
+import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.placement.PrefillTimeModel;
@@ -26,6 +27,7 @@
 import org.verbenatray.relay.RelayHandler;
 import org.verbenatray.relay.RelayMetrics;
 import org.verbenatray.relay.RelayServer;
+import org.verbenatray.relay.ServerStatements;
 import org.verbenatray.relay.StageController;
 import org.verbenatray.resilience.Crash;
 import org.verbenatray.resilience.CrashExchange;
@@ -92,6 +94,8 @@
 
     private final StreamContinuations continuations;
 
+    private final ServerLimits limits;
+
     private final RelayContext context;
 
     private final WorkSharing sharing;
@@ -135,10 +139,24 @@
         this.sharing = new WorkSharing(settings, loop, directory, prefixCacheIndex);
         this.recentVersions = RecentVersions.create(directory, loop.ticker(), settings.leavingServerMillis());
         this.continuations = createContinuations();
+        this.limits = createLimits();
+        ServerStatements statements = ServerStatements.create(dialect, limits);
         this.planner = createPlanner(chooser, prefixCacheIndex);
         this.loadPoller = LoadPoller.create(
-                loop.transport(), loop.thread(), loop.ticker(), dialect, directory, planner.prefixCacheIndex());
-        this.context = new RelayContext(
+                loop.transport(),
+                loop.thread(),
+                loop.ticker(),
+                dialect,
+                directory,
+                planner.prefixCacheIndex(),
+                statements);
+        this.context = createContext(dialect, chooser, statements);
+        this.handler = RelayHandler.create(context);
+        this.server = startServer();
+    }
+
+    private RelayContext createContext(RelayDialect dialect, LeastLoadedChooser chooser, ServerStatements statements) {
+        return new RelayContext(
                 loop.transport(),
                 loop.thread(),
                 loop.ticker(),
@@ -157,10 +175,10 @@
                 sharing::onWorkChanged,
                 FirstAttemptEstimator.create(),
                 LargePromptShare.create(),
-                CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns),
-                continuations);
-        this.handler = RelayHandler.create(context);
-        this.server = startServer();
+                CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns, statements),
+                continuations,
+                limits,
+                statements);
     }
 
     private RelayServer startServer() {
@@ -191,6 +209,15 @@
                 recentVersions, directory, sharing::homes, sharing::send, loop.ticker(), loop.scheduler());
     }
 
+    private ServerLimits createLimits() {
+        return ServerLimits.create(
+                new ServerLimits.Sender(settings.name(), System.currentTimeMillis(), sharing::send),
+                sharing::limitSharers,
+                sharing::peers,
+                loop.ticker(),
+                loop.scheduler());
+    }
+
     private EnginePlanner createPlanner(LeastLoadedChooser chooser, PrefixCacheIndex prefixCacheIndex) {
         return EnginePlanner.create(
                 loop.ticker(),
@@ -335,7 +362,8 @@
                 () -> ThreadLocalRandom.current().nextDouble(),
                 loop.ticker(),
                 loop.scheduler());
-        sharing.start(platform.instances(), crashExchange, continuations);
+        sharing.start(platform.instances(), crashExchange, continuations, limits);
+        limits.startConfirming();
         runMaintenance();
         pollLoads();
         runStageController(StageController.create(context, settings.name(), lease));
@@ -389,6 +417,7 @@
         loop.transport().closeIdleConnections(boot);
         planner.removeEngine(backend);
         recentVersions.recordEnded(backend);
+        limits.remove(boot);
         if (!backend.entry().leaving()) {
             serverRuns.recordEnd(boot);
         }
@@ -427,7 +456,7 @@
                 sharing.peerCount(),
                 crashes.crashCounts(),
                 directory.all().stream()
-                        .map(RelayInstanceState.BackendState::of)
+                        .map(backend -> RelayInstanceState.BackendState.of(backend, limits))
                         .toList());
     }
 }
--- a/src/main/java/org/verbenatray/instance/RelayInstanceState.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstanceState.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.relay.RequestEnd;
 
 /**
@@ -41,18 +44,27 @@
      * @param leaving whether it accepts no new requests
      * @param open the number of open requests that this instance sent to it
      * @param failureShare the moving average of the share of failed responses
+     * @param requestsPerSecond the limit that the server states for all instances together; empty if it states none
      */
     public record BackendState(
-            String boot, String service, String stage, boolean leaving, int open, double failureShare) {
+            String boot,
+            String service,
+            String stage,
+            boolean leaving,
+            int open,
+            double failureShare,
+            Optional<Double> requestsPerSecond) {
         /** Returns the state of a server as this instance sees it. */
-        static BackendState of(Backend backend) {
+        static BackendState of(Backend backend, ServerLimits limits) {
+            OptionalDouble limit = limits.requestsPerSecond(backend.entry().bootId());
             return new BackendState(
                     backend.entry().bootId(),
                     backend.entry().service(),
                     backend.entry().stage().name(),
                     backend.leaving(),
                     backend.openRequests(),
-                    backend.failureRate());
+                    backend.failureRate(),
+                    limit.isPresent() ? Optional.of(limit.getAsDouble()) : Optional.empty());
         }
     }
 }
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.verbenatray.backends.Backend;
@@ -11,6 +12,8 @@
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.continuation.StreamHomes;
+import org.verbenatray.limits.LimitSharers;
+import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.openwork.DatagramPort;
 import org.verbenatray.openwork.EngineWork;
@@ -61,6 +64,9 @@
     /** The versions at which streams may be continued, null before the start. */
     private StreamContinuations continuations;
 
+    /** The limits that servers state, null before the start. */
+    private ServerLimits limits;
+
     /** The registration in the list of instances, null before the start and when no port could be opened. */
     private InstanceRegistration registration;
 
@@ -82,8 +88,13 @@
      * Starts to exchange work and crashes with the other instances, which the given log lists. If the port cannot be
      * opened, an error is logged and the instance places requests by its own work and the load that engines report.
      */
-    void start(KeyedLog instances, CrashExchange crashes, StreamContinuations streamContinuations) {
+    void start(
+            KeyedLog instances,
+            CrashExchange crashes,
+            StreamContinuations streamContinuations,
+            ServerLimits serverLimits) {
         crashExchange = crashes;
+        limits = serverLimits;
         continuations = streamContinuations;
         try {
             port = DatagramPort.open(loop.worker(), settings.workExchangeAddress(), this::onDatagram);
@@ -166,6 +177,16 @@
         return exchangePeers.homes(requestId);
     }
 
+    /** Returns the instances that share the rate of a server that states a limit. */
+    LimitSharers limitSharers(String boot, double requestsPerSecond) {
+        return exchangePeers.limitSharers(boot, requestsPerSecond);
+    }
+
+    /** Returns the addresses of the instances with which this one exchanges its work. */
+    Collection<InetSocketAddress> peers() {
+        return exchangePeers.selectedAddresses();
+    }
+
     /** Sends a datagram to another instance, if a port is open. */
     void send(InetSocketAddress to, byte[] datagram) {
         if (port != null) {
@@ -179,6 +200,10 @@
             continuations.receive(datagram);
             return;
         }
+        if (ServerLimits.recognizes(datagram)) {
+            limits.receive(datagram);
+            return;
+        }
         exchange.receive(datagram).ifPresent(notice -> {
             notice.placements()
                     .forEach(placement -> prefixCacheIndex.recordReported(
--- /dev/null
+++ b/src/main/java/org/verbenatray/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Rate limits that backend servers state, which all instances together keep. */
+package org.verbenatray.limits;
--- a/src/main/java/org/verbenatray/openwork/ExchangePeers.java
+++ b/src/main/java/org/verbenatray/openwork/ExchangePeers.java
@@ -7,13 +7,16 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import org.verbenatray.continuation.StreamHomes;
+import org.verbenatray.limits.LimitSharers;
 
 /**
  * Tracks the other instances and selects the peers with which this instance exchanges its open work.
@@ -37,6 +40,12 @@
     /** All other instances by name. */
     private final Map<String, ListedInstance> others = new TreeMap<>();
 
+    /** The sharers by server and number, kept until the list of instances changes. */
+    private final Map<String, LimitSharers> limitSharers = new HashMap<>();
+
+    /** Whether the list of instances was read. */
+    private boolean listed;
+
     /** The addresses of the selected peers. */
     private List<InetSocketAddress> selectedAddresses = List.of();
 
@@ -55,6 +64,7 @@
         others.clear();
         others.putAll(instances);
         others.remove(self);
+        listed = true;
         select();
     }
 
@@ -87,18 +97,44 @@
      * instances that see the same list derive the same ones.
      */
     public StreamHomes homes(String key) {
+        Set<String> chosen = choose(key, HOMES);
+        return new StreamHomes(List.copyOf(addresses(chosen).values()), chosen.contains(self));
+    }
+
+    /**
+     * Returns the instances that share the rate of a server that states a limit, in different failure domains as far as
+     * possible. All instances that see the same list derive the same ones.
+     *
+     * @param boot the boot id of the server
+     * @param requestsPerSecond its limit
+     */
+    public LimitSharers limitSharers(String boot, double requestsPerSecond) {
+        int count = LimitSharers.wanted(requestsPerSecond);
+        return limitSharers.computeIfAbsent(boot + " " + count, key -> {
+            Set<String> chosen = choose(boot, count);
+            return new LimitSharers(addresses(chosen), chosen.contains(self), listed);
+        });
+    }
+
+    /** Returns the given number of instances for a key, or all if there are not so many. */
+    private Set<String> choose(String key, int count) {
         List<RankedInstance> ranked = rank(key);
-        Set<String> chosen = firstOfEachDomain(ranked);
+        Set<String> chosen = firstOfEachDomain(ranked, count);
         for (RankedInstance instance : ranked) {
-            if (chosen.size() < HOMES) {
+            if (chosen.size() < count) {
                 chosen.add(instance.name());
             }
         }
-        List<InetSocketAddress> addresses = chosen.stream()
+        return chosen;
+    }
+
+    /** Returns the addresses of the given instances by name, without this one. */
+    private Map<String, InetSocketAddress> addresses(Set<String> instances) {
+        Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+        instances.stream()
                 .filter(others::containsKey)
-                .map(instance -> others.get(instance).address())
-                .toList();
-        return new StreamHomes(addresses, chosen.contains(self));
+                .forEach(name -> addresses.put(name, others.get(name).address()));
+        return addresses;
     }
 
     /** Returns all instances in the order of their hashes with the key; each hash is computed once. */
@@ -110,12 +146,12 @@
         return ranked;
     }
 
-    /** Returns the first instance of each failure domain, at most as many as a key has homes. */
-    private static Set<String> firstOfEachDomain(List<RankedInstance> ranked) {
+    /** Returns the first instance of each failure domain, at most the given number. */
+    private static Set<String> firstOfEachDomain(List<RankedInstance> ranked, int count) {
         Set<String> chosen = new LinkedHashSet<>();
         Set<String> domains = new HashSet<>();
         for (RankedInstance instance : ranked) {
-            if (chosen.size() < HOMES && domains.add(instance.domain())) {
+            if (chosen.size() < count && domains.add(instance.domain())) {
                 chosen.add(instance.name());
             }
         }
@@ -132,6 +168,7 @@
      * <p>The hash is symmetric, so two instances select each other or neither, as far as the limits of both allow.
      */
     private void select() {
+        limitSharers.clear();
         selectedAddresses = others.entrySet().stream()
                 .sorted(Comparator.comparingLong(other -> pairHash(other.getKey())))
                 .limit(MAX_PEERS)
--- a/src/main/java/org/verbenatray/platform/PlatformProtocol.java
+++ b/src/main/java/org/verbenatray/platform/PlatformProtocol.java
@@ -17,11 +17,14 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendLoad;
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.CacheChanges;
+import org.verbenatray.backends.ServerStatement;
 import org.verbenatray.placement.PromptBlock;
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.relay.EndToEndHeaders;
@@ -31,6 +34,7 @@
 import org.verbenatray.relay.RelayRequest;
 import org.verbenatray.relay.ServerResponseHead;
 import org.verbenatray.relay.StageController.StageOrder;
+import org.verbenatray.servers.BufferedResponse;
 import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ResponseHead;
@@ -80,6 +84,15 @@
     /** Set by a server that did not run the request. */
     private static final HttpString NOT_RUN = new HttpString("Not-Run");
 
+    /** The requests a second that the server takes from all instances together. */
+    private static final HttpString SERVER_LIMIT = new HttpString("Server-Limit");
+
+    /** A decimal number without sign or exponent, of a length that makes sense. */
+    private static final Pattern LIMIT = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
+
+    /** The largest part of a malformed value that is logged. */
+    private static final int MAX_LOGGED_CHARS = 40;
+
     /** The lowest priority. */
     private static final int LOWEST_PRIORITY = 9;
 
@@ -104,6 +117,9 @@
 
     private final ObjectMapper json = new ObjectMapper();
 
+    /** Whether a limit that cannot be read was logged; the same server names it in all its answers. */
+    private boolean malformedLimitLogged;
+
     private PlatformProtocol() {}
 
     /** Returns a new translator. */
@@ -178,7 +194,35 @@
                 matchesRequestId,
                 stamped,
                 headers.contains(NOT_RUN) || head.status() == STATUS_MISDIRECTED_REQUEST,
-                head.status() == 200 && type != null && type.startsWith("text/event-stream"));
+                head.status() == 200 && type != null && type.startsWith("text/event-stream"),
+                readStatement(head.status(), headers.getFirst(SERVER_LIMIT)));
+    }
+
+    @Override
+    public Optional<ServerStatement> statement(BufferedResponse response) {
+        String limit = response.header(SERVER_LIMIT.toString().toLowerCase(Locale.ROOT))
+                .orElse(null);
+        return readStatement(response.status(), limit);
+    }
+
+    /** Returns what a response states of its server; the limit is null if the response has none. */
+    private Optional<ServerStatement> readStatement(int status, String limit) {
+        if (status == STATUS_MISDIRECTED_REQUEST) {
+            return Optional.empty();
+        }
+        if (limit == null) {
+            return Optional.of(new ServerStatement(OptionalDouble.empty()));
+        }
+        if (LIMIT.matcher(limit.trim()).matches()) {
+            return Optional.of(new ServerStatement(OptionalDouble.of(Double.parseDouble(limit.trim()))));
+        }
+        if (!malformedLimitLogged) {
+            malformedLimitLogged = true;
+            Event.named("server_limit_malformed")
+                    .with("value", limit.substring(0, Math.min(MAX_LOGGED_CHARS, limit.length())))
+                    .log(log, Level.WARNING);
+        }
+        return Optional.empty();
     }
 
     @Override
--- a/src/main/java/org/verbenatray/relay/CrashProbe.java
+++ b/src/main/java/org/verbenatray/relay/CrashProbe.java
@@ -35,6 +35,7 @@
     private final Ticker ticker;
     private final RelayDialect dialect;
     private final ServerRuns runs;
+    private final ServerStatements statements;
 
     /** When each boot of a server may be probed again. */
     private final Map<String, Deadline> pausedUntil = new HashMap<>();
@@ -43,18 +44,29 @@
     private final Set<String> postponed = new HashSet<>();
 
     private CrashProbe(
-            HttpTransport transport, XnioIoThread thread, Ticker ticker, RelayDialect dialect, ServerRuns runs) {
+            HttpTransport transport,
+            XnioIoThread thread,
+            Ticker ticker,
+            RelayDialect dialect,
+            ServerRuns runs,
+            ServerStatements statements) {
         this.transport = transport;
         this.thread = thread;
         this.ticker = ticker;
         this.dialect = dialect;
         this.runs = runs;
+        this.statements = statements;
     }
 
     /** Creates a probe that runs on the given thread. */
     public static CrashProbe create(
-            HttpTransport transport, XnioIoThread thread, Ticker ticker, RelayDialect dialect, ServerRuns runs) {
-        return new CrashProbe(transport, thread, ticker, dialect, runs);
+            HttpTransport transport,
+            XnioIoThread thread,
+            Ticker ticker,
+            RelayDialect dialect,
+            ServerRuns runs,
+            ServerStatements statements) {
+        return new CrashProbe(transport, thread, ticker, dialect, runs, statements);
     }
 
     /** Probes a server that has not responded, at the end of its pause if it was probed within the last 500 ms. */
@@ -87,6 +99,7 @@
                 .whenComplete((response, failure) -> {
                     if (failure == null) {
                         runs.recordChecked(boot, now);
+                        statements.recordStatusAnswer(backend, response);
                     } else if (failure instanceof ServerFailure known && UNRESPONSIVE.contains(known.kind())) {
                         runs.recordEnd(boot);
                     }
--- a/src/main/java/org/verbenatray/relay/DecodeEngines.java
+++ b/src/main/java/org/verbenatray/relay/DecodeEngines.java
@@ -45,7 +45,7 @@
 
     /** Returns the engines that may prefill the prompt or generate the output. */
     List<Backend> withPrefillEngines() {
-        return call.usableBackends().stream()
+        return call.servers().usable().stream()
                 .filter(engine -> engine.entry().stage() == BackendStage.PREFILL || mayGenerate(engine))
                 .toList();
     }
--- a/src/main/java/org/verbenatray/relay/EnginePriority.java
+++ b/src/main/java/org/verbenatray/relay/EnginePriority.java
@@ -1,5 +1,7 @@
 package org.verbenatray.relay;
 
+import org.verbenatray.placement.PrefillPlan;
+
 /** Computes the priority of a request in the queue of an engine, from 0 (first) to 9 (last). */
 final class EnginePriority {
     /**
@@ -37,4 +39,13 @@
     static int deferred(int routePriority) {
         return Math.min(LOWEST, DEFERRED_RETRY + 1 + routePriority);
     }
+
+    /** Returns the priority of a request that an engine has to prefill; the plan is null if there is none. */
+    static int ofPrompt(RelayCall call, PrefillPlan plan) {
+        int priority = call.route().priority();
+        if (plan == null || !plan.work().deferred()) {
+            return regular(priority);
+        }
+        return call.millisSinceFirstAttempt() > 0 ? deferredRetry() : deferred(priority);
+    }
 }
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -165,6 +165,7 @@
         head = context.dialect().parseHead(call.request(), responseHead);
         endsWithConnection = responseHead.endsWithConnection();
         recordProgress();
+        context.statements().recordAnswer(options.backend(), head);
         if (!head.matchesRequestId()) {
             rejectResponse("the response carries the id of another request");
         } else if (head.status() < 300 && !head.authentic() && !options.prefillOnly()) {
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -36,6 +36,9 @@
     /** Multiple of the expected time to first token after which a silent prefill engine is given up. */
     private static final double PREFILL_TIMEOUT_FACTOR = 4;
 
+    /** Interval in which a prefilled prompt looks for an engine whose limit admits it. */
+    private static final long LIMIT_RECHECK_MILLIS = 50;
+
     /** Largest number of prefill engines tried for one request. */
     private static final int MAX_PREFILLS = 2;
 
@@ -214,7 +217,7 @@
         ForwardOptions options = new ForwardOptions(
                 backend,
                 remainingMillis,
-                enginePriority(),
+                EnginePriority.ofPrompt(call, plan),
                 true,
                 plan.fetchFrom(),
                 Optional.empty(),
@@ -262,7 +265,7 @@
         }
         Optional<Backend> chosen = preferred.or(decodeEngines::choose);
         if (chosen.isEmpty()) {
-            continueLaterOrGiveUp(decodeEngines.missingOutcome());
+            handleMissingEngine();
             return;
         }
         Backend backend = chosen.get();
@@ -278,7 +281,7 @@
         ForwardOptions options = new ForwardOptions(
                 backend,
                 call.remainingMillis(),
-                prefilledPrompt == null ? enginePriority() : EnginePriority.prefilled(),
+                prefilledPrompt == null ? EnginePriority.ofPrompt(call, plan) : EnginePriority.prefilled(),
                 false,
                 Optional.empty(),
                 Optional.ofNullable(prefilledPrompt),
@@ -289,13 +292,30 @@
         send(options, work, call.responseTimeouts(), this);
     }
 
-    /** Returns the priority of a request that an engine has to prefill. */
-    private int enginePriority() {
-        int priority = call.route().priority();
-        if (plan == null || !plan.work().deferred()) {
-            return EnginePriority.regular(priority);
+    /**
+     * Goes on when there is no engine at the moment: a prefilled prompt waits for the limits of the engines, as its
+     * prefill would be lost; any other request is given up, unless it can still end well.
+     */
+    private void handleMissingEngine() {
+        if (!call.servers().limitsReached()) {
+            continueLaterOrGiveUp(decodeEngines.missingOutcome());
+        } else if (prefilledPrompt != null
+                && call.remainingFirstEventMillis() > 0
+                && !prefilledPromptExpiry.hasPassed(context.ticker().nanos())) {
+            context.thread()
+                    .executeAfter(
+                            call.guard().wrap(() -> {
+                                if (!call.finished()) {
+                                    decode(Optional.empty());
+                                }
+                            }),
+                            LIMIT_RECHECK_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        } else if (!call.continueLater(() -> continueOrGiveUp(RelayCall.LIMITS_REACHED))) {
+            deadlineTimer.remove();
+            releasePrefilledPrompt();
+            call.giveUpAtLimits();
         }
-        return call.millisSinceFirstAttempt() > 0 ? EnginePriority.deferredRetry() : EnginePriority.deferred(priority);
     }
 
     /**
@@ -407,6 +427,7 @@
                             context.thread(),
                             Deadline.afterMillis(context.ticker().nanos(), RELEASE_TIMEOUT_MILLIS),
                             1_024)
+                    .thenAccept(response -> context.statements().recordStatusAnswer(released.engine(), response))
                     .exceptionally(failure -> null);
         }
     }
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -44,6 +44,7 @@
     private final RelayDialect dialect;
     private final BackendDirectory directory;
     private final PrefixCacheIndex prefixCacheIndex;
+    private final ServerStatements statements;
 
     /** Index of the engine polled last. */
     private int lastIndex;
@@ -54,13 +55,15 @@
             Ticker ticker,
             RelayDialect dialect,
             BackendDirectory directory,
-            PrefixCacheIndex prefixMemory) {
+            PrefixCacheIndex prefixMemory,
+            ServerStatements statements) {
         this.transport = transport;
         this.thread = thread;
         this.ticker = ticker;
         this.dialect = dialect;
         this.directory = directory;
         this.prefixCacheIndex = prefixMemory;
+        this.statements = statements;
     }
 
     /** Creates a poller that runs on the given thread. */
@@ -70,8 +73,9 @@
             Ticker ticker,
             RelayDialect dialect,
             BackendDirectory directory,
-            PrefixCacheIndex prefixMemory) {
-        return new LoadPoller(transport, thread, ticker, dialect, directory, prefixMemory);
+            PrefixCacheIndex prefixMemory,
+            ServerStatements statements) {
+        return new LoadPoller(transport, thread, ticker, dialect, directory, prefixMemory, statements);
     }
 
     /** Polls the next engine and returns the delay in milliseconds until the next poll. */
@@ -109,6 +113,9 @@
         Deadline deadline = Deadline.afterMillis(ticker.nanos(), RESPONSE_TIMEOUT_MILLIS);
         transport.call(call, thread, deadline, MAX_RESPONSE_BYTES).whenComplete((response, failure) -> {
             recordReachability(backend, failure);
+            if (failure == null) {
+                statements.recordStatusAnswer(backend, response);
+            }
             if (failure == null && response.status() == 200) {
                 handler.accept(response.body());
                 return;
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -111,7 +111,7 @@
     }
 
     private Optional<Backend> bestServerExcept(List<Backend> excluded) {
-        List<Backend> candidates = call.usableBackends().stream()
+        List<Backend> candidates = call.servers().usable().stream()
                 .filter(backend -> backend.entry().stage() != BackendStage.PREFILL)
                 .toList();
         return context.chooser().choose(candidates, excluded, context.ticker().nanos());
@@ -127,7 +127,7 @@
         if (chosen.isEmpty()) {
             boolean later = errorResponse == null && call.continueLater(() -> retryOrGiveUp("no_server"));
             if (!later) {
-                giveUp("no_server");
+                giveUpWithoutServer();
             }
             return;
         }
@@ -149,6 +149,16 @@
         }
     }
 
+    /** Gives up as there is no server, or none whose limit admits the request. */
+    private void giveUpWithoutServer() {
+        if (errorResponse == null && call.servers().limitsReached()) {
+            deadlineTimer.remove();
+            call.giveUpAtLimits();
+        } else {
+            giveUp("no_server");
+        }
+    }
+
     /** Gives up; relays a server's error if there was one. */
     private void giveUp(String outcome) {
         deadlineTimer.remove();
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -3,14 +3,12 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendEntry;
-import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
@@ -22,6 +20,9 @@
  * thread.
  */
 final class RelayCall {
+    /** The outcome of a request that servers could serve if their limits admitted it. */
+    static final String LIMITS_REACHED = "server_limits";
+
     /**
      * Statuses that callers read as "the request has not run". A server's response with such a status is not relayed,
      * since a server that did not run the request says so in a header of its own.
@@ -59,6 +60,8 @@
 
     private final CallSuspects suspects;
 
+    private final CallServers servers;
+
     private final double millisSinceFirstAttempt;
 
     /** Notified once, of how the request has ended. */
@@ -104,6 +107,7 @@
         this.ownHeaders = OwnResponseHeaders.of(context);
         this.guard = guard;
         this.suspects = CallSuspects.of(request, context);
+        this.servers = CallServers.of(context, service);
         this.millisSinceFirstAttempt = request.deadline()
                 .map(callerDeadline -> context.firstAttempts()
                         .recordAndEstimateMillis(route.name(), callerDeadline.remainingMillis(request.receivedNanos())))
@@ -192,6 +196,7 @@
             return Optional.empty();
         }
         attempts.recordSending();
+        context.limits().recordSending(options.backend().entry().bootId());
         running = ForwardAttempt.send(context, this, options, work, timeouts, guard.wrap(listener));
         return Optional.of(running);
     }
@@ -209,9 +214,14 @@
         giveUp("crashes_servers", blockedMillis);
     }
 
-    /** Returns the servers of the service that accept requests. */
-    List<Backend> usableBackends() {
-        return context.directory().usable(service);
+    /** Returns the servers of the service. */
+    CallServers servers() {
+        return servers;
+    }
+
+    /** Gives up because of the limits of the servers. */
+    void giveUpAtLimits() {
+        giveUp(LIMITS_REACHED, servers.retryAfterMillis());
     }
 
     /** Returns whether the final response is complete or given up. */
@@ -433,26 +443,7 @@
             logFields.append(':').append(outcome.status());
         }
         context.metrics().recordForward(service, outcome.kind().name());
-        switch (outcome.kind()) {
-            case NOT_SENT -> {
-                backend.recordFailure(context.ticker().nanos());
-                if (backend.entry().stage() != BackendStage.PLAIN) {
-                    backend.markUnreachable();
-                }
-            }
-            case SILENT, BROKEN -> {
-                backend.recordFailure(context.ticker().nanos());
-                context.crashProbe().probe(backend);
-            }
-            case NOT_RUN -> backend.recordRejection(context.ticker().nanos());
-            default -> {
-                if (outcome.status() >= 500) {
-                    backend.recordErrorResponse();
-                } else {
-                    backend.recordSuccess();
-                }
-            }
-        }
+        ServerHealth.record(context, backend, outcome);
     }
 
     /** Finishes the call: writes its log line and its metrics, once. */
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -7,6 +7,7 @@
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.catalog.CurrentCatalog;
 import org.verbenatray.continuation.StreamContinuations;
+import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.resilience.CrashLedger;
@@ -39,6 +40,8 @@
  * @param largePrompts decides which large prompts are scheduled with regular priority
  * @param crashProbe detects crashed servers
  * @param continuations knows the software versions at which streams may be continued
+ * @param limits the limits that servers state
+ * @param statements records what servers state in their answers
  */
 public record RelayContext(
         HttpTransport transport,
@@ -60,4 +63,6 @@
         FirstAttemptEstimator firstAttempts,
         LargePromptShare largePrompts,
         CrashProbe crashProbe,
-        StreamContinuations continuations) {}
+        StreamContinuations continuations,
+        ServerLimits limits,
+        ServerStatements statements) {}
--- a/src/main/java/org/verbenatray/relay/RelayDialect.java
+++ b/src/main/java/org/verbenatray/relay/RelayDialect.java
@@ -6,6 +6,8 @@
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendLoad;
 import org.verbenatray.backends.CacheChanges;
+import org.verbenatray.backends.ServerStatement;
+import org.verbenatray.servers.BufferedResponse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ResponseHead;
 
@@ -20,6 +22,12 @@
     /** Returns the parsed head of a server's response to the given request. */
     ServerResponseHead parseHead(RelayRequest request, ResponseHead head);
 
+    /**
+     * Returns what a server states of itself in the response to a status call; empty if it cannot be read or the
+     * response is of another server.
+     */
+    Optional<ServerStatement> statement(BufferedResponse response);
+
     /**
      * Returns the handle of the prefilled prompt from the response body of a prefill engine; empty if it is malformed.
      */
--- /dev/null
+++ b/src/main/java/org/verbenatray/relay/ServerHealth.java
@@ -0,0 +1,34 @@
+package org.verbenatray.relay;
+
+import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.BackendStage;
+
+/** Updates the health of a backend server by the outcome of an attempt. */
+final class ServerHealth {
+    private ServerHealth() {}
+
+    /** Records an outcome. */
+    static void record(RelayContext context, Backend backend, ForwardOutcome outcome) {
+        long now = context.ticker().nanos();
+        switch (outcome.kind()) {
+            case NOT_SENT -> {
+                backend.recordFailure(now);
+                if (backend.entry().stage() != BackendStage.PLAIN) {
+                    backend.markUnreachable();
+                }
+            }
+            case SILENT, BROKEN -> {
+                backend.recordFailure(now);
+                context.crashProbe().probe(backend);
+            }
+            case NOT_RUN -> backend.recordRejection(now);
+            default -> {
+                if (outcome.status() >= 500) {
+                    backend.recordErrorResponse();
+                } else {
+                    backend.recordSuccess();
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/org/verbenatray/relay/ServerResponseHead.java
+++ b/src/main/java/org/verbenatray/relay/ServerResponseHead.java
@@ -1,6 +1,8 @@
 package org.verbenatray.relay;
 
 import java.util.Map;
+import java.util.Optional;
+import org.verbenatray.backends.ServerStatement;
 
 /**
  * The parsed head of a server's response.
@@ -12,6 +14,7 @@
  *     altered on the way
  * @param notRun whether the server reports that it did not run the request
  * @param eventStream whether the body is a stream of server-sent events
+ * @param statement what the server states of itself; empty if that cannot be read or the response is of another server
  */
 public record ServerResponseHead(
         int status,
@@ -19,4 +22,5 @@
         boolean matchesRequestId,
         boolean authentic,
         boolean notRun,
-        boolean eventStream) {}
+        boolean eventStream,
+        Optional<ServerStatement> statement) {}
--- a/src/main/java/org/verbenatray/relay/StageController.java
+++ b/src/main/java/org/verbenatray/relay/StageController.java
@@ -14,6 +14,7 @@
 import org.verbenatray.catalog.Catalog;
 import org.verbenatray.placement.StagePlanner;
 import org.verbenatray.placement.StagePlanner.StageChange;
+import org.verbenatray.servers.BufferedResponse;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 
@@ -103,13 +104,20 @@
                         context.thread(),
                         Deadline.afterMillis(now, RESPONSE_TIMEOUT_MILLIS),
                         MAX_RESPONSE_BYTES)
-                .whenComplete((response, failure) -> Event.named("stage_order")
-                        .with("engine", engine.entry().id())
-                        .with("stage", change.stage())
-                        .with("number", order.fencingToken())
-                        .with("expected_orders", acceptedOrders)
-                        .with("outcome", failure == null ? response.status() : "unknown: " + failure.getMessage())
-                        .log(log, Level.INFO));
+                .whenComplete((response, failure) -> recordOutcome(order, response, failure));
+    }
+
+    private void recordOutcome(StageOrder order, BufferedResponse response, Throwable failure) {
+        if (failure == null) {
+            context.statements().recordStatusAnswer(order.engine(), response);
+        }
+        Event.named("stage_order")
+                .with("engine", order.engine().entry().id())
+                .with("stage", order.stage())
+                .with("number", order.fencingToken())
+                .with("expected_orders", order.acceptedOrders())
+                .with("outcome", failure == null ? response.status() : "unknown: " + failure.getMessage())
+                .log(log, Level.INFO);
     }
 
     /**
