Send callers elsewhere while no engine answers this instance and others work there

What callers saw: instances that were partitioned from all servers refused each request within milliseconds and stayed ready, so that callers kept coming; one hop away the same requests were served.

Cause: an instance counted as cut off only if the store was out of reach too.

Now an instance also counts as cut off when three engines or more have left polls unanswered since the last answer of any, for a second, while other instances report open work at the engines. Engines that nobody reaches change nothing: a refusal here is as good as one there. One engine that pauses changes nothing.

--- a/src/main/java/org/verbenatray/instance/CutOffDetector.java
+++ b/src/main/java/org/verbenatray/instance/CutOffDetector.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
+import java.util.function.Predicate;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
@@ -11,9 +12,9 @@
 import org.verbenatray.time.Ticker;
 
 /**
- * Detects that this instance is cut off: the list of servers and at least half of the engines are unreachable. It is
- * then not ready, since an instance of another failure domain serves callers better. An unreachable list alone or
- * unreachable engines alone don't count.
+ * Detects that this instance is cut off: the list of servers and at least half of the engines are unreachable, or no
+ * engine answers while other instances have work there. It is then not ready, since another instance serves callers
+ * better. An unreachable list alone or engines that nobody reaches don't count.
  */
 final class CutOffDetector {
     /** The time in milliseconds for which the list must have been unreachable. */
@@ -28,20 +29,32 @@
 
     private final BackendDirectory directory;
 
+    private final EngineReach engineReach;
+
     /** The time from which the list counts as lost, null while it can be read. */
     private volatile Deadline listLostFrom;
 
     /** The result of the last update; written on the thread of the directory. */
     private volatile boolean cutOff;
 
-    private CutOffDetector(Ticker ticker, BackendDirectory directory) {
+    private CutOffDetector(Ticker ticker, BackendDirectory directory, Predicate<Backend> othersWorkAt) {
         this.ticker = ticker;
         this.directory = directory;
+        this.engineReach = EngineReach.create(ticker, () -> engines().stream().anyMatch(othersWorkAt));
+    }
+
+    /**
+     * Creates a detector that counts everything as reachable.
+     *
+     * @param othersWorkAt whether other instances have open work at an engine
+     */
+    static CutOffDetector of(Ticker ticker, BackendDirectory directory, Predicate<Backend> othersWorkAt) {
+        return new CutOffDetector(ticker, directory, othersWorkAt);
     }
 
-    /** Creates a detector that counts everything as reachable. */
-    static CutOffDetector of(Ticker ticker, BackendDirectory directory) {
-        return new CutOffDetector(ticker, directory);
+    /** Records whether an engine has answered a poll. */
+    void onPoll(Backend engine, boolean answered) {
+        engineReach.onPoll(engine.entry().bootId(), answered);
     }
 
     /** Records that the list of servers was read. */
@@ -56,14 +69,23 @@
         }
     }
 
-    /** Updates the state and logs a change; call on the thread of the directory. */
+    /**
+     * Updates the state and logs a change; call on the thread of the directory. Marks all engines as unreachable if
+     * this instance is partitioned from them, so that requests are rejected at once instead of waiting for an engine
+     * whose next poll is still due.
+     */
     void update() {
-        boolean now = listLostFrom != null
-                && listLostFrom.hasPassed(ticker.nanos())
-                && unreachableShare() >= MIN_UNREACHABLE_SHARE;
+        boolean partitioned = engineReach.update(engines().size());
+        if (partitioned) {
+            engines().forEach(Backend::markUnreachable);
+        }
+        boolean listLost = listLostFrom != null && listLostFrom.hasPassed(ticker.nanos());
+        boolean now = partitioned || listLost && unreachableShare() >= MIN_UNREACHABLE_SHARE;
         if (now != cutOff) {
             Event.named(now ? "cut_off" : "in_reach")
                     .with("engines_out_of_reach", unreachableShare())
+                    .with("list_lost", listLost)
+                    .with("others_reach_engines", partitioned)
                     .log(log, Level.WARNING);
         }
         cutOff = now;
@@ -76,10 +98,14 @@
 
     /** Returns the share of unreachable engines, zero when there are no engines. */
     private double unreachableShare() {
-        List<Backend> engines = directory.all().stream()
-                .filter(backend -> backend.entry().stage() != BackendStage.PLAIN)
-                .toList();
+        List<Backend> engines = engines();
         long unreachable = engines.stream().filter(Backend::unreachable).count();
         return engines.isEmpty() ? 0 : (double) unreachable / engines.size();
     }
+
+    private List<Backend> engines() {
+        return directory.all().stream()
+                .filter(backend -> backend.entry().stage() != BackendStage.PLAIN)
+                .toList();
+    }
 }
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -14,6 +14,7 @@
 import org.verbenatray.continuation.RecentVersions;
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.limits.ServerLimits;
+import org.verbenatray.openwork.EngineWork;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.placement.PrefillTimeModel;
@@ -128,7 +129,7 @@
         this.metrics = metrics;
         this.catalog = CurrentCatalog.empty(loop.ticker());
         this.directory = BackendDirectory.empty(loop.ticker(), this::onBackendEnded);
-        this.cutOffDetector = CutOffDetector.of(loop.ticker(), directory);
+        this.cutOffDetector = CutOffDetector.of(loop.ticker(), directory, this::othersWorkAt);
         this.crashesDue = Deadline.afterMillis(loop.ticker().nanos(), MAX_CRASHES_WAIT_MILLIS);
         this.crashes = CrashLedger.create(loop.ticker(), cleared -> crashExchange.onCleared(cleared));
         this.serverRuns = ServerRuns.create(loop.ticker(), this::onCrashFound);
@@ -149,7 +150,8 @@
                 dialect,
                 directory,
                 planner.prefixCacheIndex(),
-                statements);
+                statements,
+                cutOffDetector::onPoll);
         this.context = createContext(dialect, chooser, statements);
         this.handler = RelayHandler.create(context);
         this.server = startServer();
@@ -209,6 +211,10 @@
                 recentVersions, directory, sharing::homes, sharing::send, loop.ticker(), loop.scheduler());
     }
 
+    private boolean othersWorkAt(Backend engine) {
+        return !sharing.remoteWork(engine.entry().bootId()).equals(EngineWork.NONE);
+    }
+
     private ServerLimits createLimits() {
         return ServerLimits.create(
                 new ServerLimits.Sender(settings.name(), System.currentTimeMillis(), sharing::send),
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -46,6 +47,9 @@
     private final PrefixCacheIndex prefixCacheIndex;
     private final ServerStatements statements;
 
+    /** Receives each polled engine and whether it has answered. */
+    private final BiConsumer<Backend, Boolean> onPoll;
+
     /** Index of the engine polled last. */
     private int lastIndex;
 
@@ -56,7 +60,8 @@
             RelayDialect dialect,
             BackendDirectory directory,
             PrefixCacheIndex prefixMemory,
-            ServerStatements statements) {
+            ServerStatements statements,
+            BiConsumer<Backend, Boolean> onPoll) {
         this.transport = transport;
         this.thread = thread;
         this.ticker = ticker;
@@ -64,9 +69,14 @@
         this.directory = directory;
         this.prefixCacheIndex = prefixMemory;
         this.statements = statements;
+        this.onPoll = onPoll;
     }
 
-    /** Creates a poller that runs on the given thread. */
+    /**
+     * Creates a poller that runs on the given thread.
+     *
+     * @param onPoll receives each polled engine and whether it has answered
+     */
     public static LoadPoller create(
             HttpTransport transport,
             XnioIoThread thread,
@@ -74,8 +84,9 @@
             RelayDialect dialect,
             BackendDirectory directory,
             PrefixCacheIndex prefixMemory,
-            ServerStatements statements) {
-        return new LoadPoller(transport, thread, ticker, dialect, directory, prefixMemory, statements);
+            ServerStatements statements,
+            BiConsumer<Backend, Boolean> onPoll) {
+        return new LoadPoller(transport, thread, ticker, dialect, directory, prefixMemory, statements, onPoll);
     }
 
     /** Polls the next engine and returns the delay in milliseconds until the next poll. */
@@ -113,6 +124,7 @@
         Deadline deadline = Deadline.afterMillis(ticker.nanos(), RESPONSE_TIMEOUT_MILLIS);
         transport.call(call, thread, deadline, MAX_RESPONSE_BYTES).whenComplete((response, failure) -> {
             recordReachability(backend, failure);
+            onPoll.accept(backend, failure == null);
             if (failure == null) {
                 statements.recordStatusAnswer(backend, response);
             }
--- a/src/test/java/org/verbenatray/instance/CutOffDetectorTest.java
+++ b/src/test/java/org/verbenatray/instance/CutOffDetectorTest.java
@@ -20,12 +20,15 @@
 
     private CutOffDetector detector;
 
+    private boolean othersWork;
+
     @BeforeMethod
     public void start() {
         time = new ManualTime();
         directory = BackendDirectory.empty(time, ended -> {});
         directory.replace(List.of(listing("e1"), listing("e2"), listing("e3")));
-        detector = CutOffDetector.of(time, directory);
+        othersWork = false;
+        detector = CutOffDetector.of(time, directory, engine -> othersWork);
     }
 
     @Test
@@ -66,6 +69,58 @@
         Assert.assertFalse(engine.paused(time.nanos()));
     }
 
+    @Test
+    public void enginesThatAnswerNothingWhileOthersWorkThereCutOffTheInstanceUntilOneAnswers() {
+        othersWork = true;
+        poll(true);
+        time.advanceMillis(900);
+        poll(false);
+        Assert.assertFalse(updateAndRead());
+        time.advanceMillis(100);
+        Assert.assertTrue(updateAndRead());
+        detector.onPoll(directory.find("e2").orElseThrow(), true);
+        Assert.assertFalse(updateAndRead());
+    }
+
+    @Test
+    public void oneSilentEngineDoesNotCutOffTheInstance() {
+        othersWork = true;
+        poll(true);
+        for (int round = 0; round < 20; round++) {
+            time.advanceMillis(300);
+            detector.onPoll(directory.find("e1").orElseThrow(), false);
+            detector.onPoll(directory.find("e2").orElseThrow(), true);
+            Assert.assertFalse(updateAndRead());
+        }
+    }
+
+    @Test
+    public void enginesThatAnswerNobodyDoNotCutOffTheInstance() {
+        poll(true);
+        time.advanceMillis(5_000);
+        poll(false);
+        Assert.assertFalse(updateAndRead());
+    }
+
+    @Test
+    public void anInstanceCutOffFromItsEnginesIsNotReadyAgainBetweenTwoReportsOfOthers() {
+        othersWork = true;
+        poll(true);
+        time.advanceMillis(1_000);
+        poll(false);
+        Assert.assertTrue(updateAndRead());
+        othersWork = false;
+        time.advanceMillis(2_000);
+        Assert.assertTrue(updateAndRead());
+        time.advanceMillis(1_500);
+        Assert.assertFalse(updateAndRead());
+    }
+
+    /** Polls all engines with the same result. */
+    private void poll(boolean answered) {
+        directory.all().forEach(engine -> detector.onPoll(engine, answered));
+    }
+
     private boolean updateAndRead() {
         detector.update();
         return detector.isCutOff();
