Send callers elsewhere while no new connection to servers opens and others work there

Cause: the evidence of a partition was the answer of a poll, which says nothing of new connections. Now three servers to which no new connection could be opened since the last one that was, for a second, count like silent engines, if others have work there. After the first failure the polls for cache changes open new connections, so that one server that is down does not look like a partition and the end of one is seen. Engines that answer on kept connections stay reachable, since requests that may be repeated are still served there.

EngineReach is ServerReach, as it judges plain servers too; what shows reach is passed by the interface ReachListener.

--- a/src/main/java/org/verbenatray/instance/CutOffDetector.java
+++ b/src/main/java/org/verbenatray/instance/CutOffDetector.java
@@ -7,16 +7,17 @@
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
+import org.verbenatray.relay.ReachListener;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
 
 /**
  * Detects that this instance is cut off: the list of servers and at least half of the engines are unreachable, or no
- * engine answers while other instances have work there. It is then not ready, since another instance serves callers
- * better. An unreachable list alone or engines that nobody reaches don't count.
+ * server can be reached, or only over kept connections, while other instances have work there. It is then not ready,
+ * since another instance serves callers better. An unreachable list alone or servers that nobody reaches don't count.
  */
-final class CutOffDetector {
+final class CutOffDetector implements ReachListener {
     /** The time in milliseconds for which the list must have been unreachable. */
     private static final long LIST_OUTAGE_MILLIS = 1_000;
 
@@ -29,7 +30,7 @@
 
     private final BackendDirectory directory;
 
-    private final EngineReach engineReach;
+    private final ServerReach serverReach;
 
     /** The time from which the list counts as lost, null while it can be read. */
     private volatile Deadline listLostFrom;
@@ -40,7 +41,7 @@
     private CutOffDetector(Ticker ticker, BackendDirectory directory, Predicate<Backend> othersWorkAt) {
         this.ticker = ticker;
         this.directory = directory;
-        this.engineReach = EngineReach.create(ticker, () -> engines().stream().anyMatch(othersWorkAt));
+        this.serverReach = ServerReach.create(ticker, () -> engines().stream().anyMatch(othersWorkAt));
     }
 
     /**
@@ -52,9 +53,24 @@
         return new CutOffDetector(ticker, directory, othersWorkAt);
     }
 
-    /** Records whether an engine has answered a poll. */
-    void onPoll(Backend engine, boolean answered) {
-        engineReach.onPoll(engine.entry().bootId(), answered);
+    @Override
+    public void onPoll(Backend engine, boolean answered) {
+        serverReach.onPoll(engine.entry().bootId(), answered);
+    }
+
+    @Override
+    public void onConnected() {
+        serverReach.onConnected();
+    }
+
+    @Override
+    public void onNotConnected(Backend server) {
+        serverReach.onNotConnected(server.entry().bootId());
+    }
+
+    @Override
+    public boolean suspectsNewConnections() {
+        return serverReach.suspectsNewConnections();
     }
 
     /** Records that the list of servers was read. */
@@ -71,12 +87,12 @@
 
     /**
      * Updates the state and logs a change; call on the thread of the directory. Marks all engines as unreachable if
-     * this instance is partitioned from them, so that requests are rejected at once instead of waiting for an engine
-     * whose next poll is still due.
+     * this instance is partitioned and none answers, so that requests are rejected at once instead of waiting for an
+     * engine whose next poll is still due.
      */
     void update() {
-        boolean partitioned = engineReach.update(engines().size());
-        if (partitioned) {
+        boolean partitioned = serverReach.update(engines().size());
+        if (serverReach.enginesSilent()) {
             engines().forEach(Backend::markUnreachable);
         }
         boolean listLost = listLostFrom != null && listLostFrom.hasPassed(ticker.nanos());
@@ -85,7 +101,7 @@
             Event.named(now ? "cut_off" : "in_reach")
                     .with("engines_out_of_reach", unreachableShare())
                     .with("list_lost", listLost)
-                    .with("others_reach_engines", partitioned)
+                    .with("others_reach_servers", partitioned)
                     .log(log, Level.WARNING);
         }
         cutOff = now;
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -151,7 +151,7 @@
                 directory,
                 planner.prefixCacheIndex(),
                 statements,
-                cutOffDetector::onPoll);
+                cutOffDetector);
         this.context = createContext(dialect, chooser, statements);
         this.handler = RelayHandler.create(context);
         this.server = startServer();
@@ -180,7 +180,8 @@
                 CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns, statements),
                 continuations,
                 limits,
-                statements);
+                statements,
+                cutOffDetector);
     }
 
     private RelayServer startServer() {
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -6,6 +6,7 @@
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.servers.Cancellation;
+import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ResponseBody;
 import org.verbenatray.servers.ResponseHead;
@@ -157,6 +158,9 @@
     @Override
     public void onSending() {
         sendingStarted = true;
+        if (options.connectionUse() == ConnectionUse.NEW) {
+            context.reach().onConnected();
+        }
         evidence.recordSending();
     }
 
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -4,7 +4,6 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -47,8 +46,7 @@
     private final PrefixCacheIndex prefixCacheIndex;
     private final ServerStatements statements;
 
-    /** Receives each polled engine and whether it has answered. */
-    private final BiConsumer<Backend, Boolean> onPoll;
+    private final ReachListener reach;
 
     /** Index of the engine polled last. */
     private int lastIndex;
@@ -61,7 +59,7 @@
             BackendDirectory directory,
             PrefixCacheIndex prefixMemory,
             ServerStatements statements,
-            BiConsumer<Backend, Boolean> onPoll) {
+            ReachListener reach) {
         this.transport = transport;
         this.thread = thread;
         this.ticker = ticker;
@@ -69,14 +67,10 @@
         this.directory = directory;
         this.prefixCacheIndex = prefixMemory;
         this.statements = statements;
-        this.onPoll = onPoll;
+        this.reach = reach;
     }
 
-    /**
-     * Creates a poller that runs on the given thread.
-     *
-     * @param onPoll receives each polled engine and whether it has answered
-     */
+    /** Creates a poller that runs on the given thread. */
     public static LoadPoller create(
             HttpTransport transport,
             XnioIoThread thread,
@@ -85,8 +79,8 @@
             BackendDirectory directory,
             PrefixCacheIndex prefixMemory,
             ServerStatements statements,
-            BiConsumer<Backend, Boolean> onPoll) {
-        return new LoadPoller(transport, thread, ticker, dialect, directory, prefixMemory, statements, onPoll);
+            ReachListener reach) {
+        return new LoadPoller(transport, thread, ticker, dialect, directory, prefixMemory, statements, reach);
     }
 
     /** Polls the next engine and returns the delay in milliseconds until the next poll. */
@@ -107,24 +101,40 @@
         send(
                 backend,
                 dialect.load(backend),
-                body -> dialect.load(body).ifPresent(load -> backend.updateLoad(load, ticker.nanos())));
+                body -> dialect.load(body).ifPresent(load -> backend.updateLoad(load, ticker.nanos())),
+                failure -> recordPoll(backend, failure));
     }
 
-    /** Requests the changes of the prefix cache since the last known position. */
+    /**
+     * Requests the changes of the prefix cache since the last known position, on a new connection while it is doubtful
+     * whether any can be opened.
+     */
     private void pollCacheChanges(Backend backend) {
         String boot = backend.entry().bootId();
+        HttpCall call = dialect.cacheChanges(backend, prefixCacheIndex.nextChangeNumber(boot));
+        boolean opensConnection = reach.suspectsNewConnections();
         send(
                 backend,
-                dialect.cacheChanges(backend, prefixCacheIndex.nextChangeNumber(boot)),
-                body -> dialect.cacheChanges(body).ifPresent(changes -> prefixCacheIndex.applyChanges(boot, changes)));
+                opensConnection ? call.onNewConnection() : call,
+                body -> dialect.cacheChanges(body).ifPresent(changes -> prefixCacheIndex.applyChanges(boot, changes)),
+                failure -> {
+                    if (opensConnection) {
+                        recordNewConnection(backend, failure);
+                    } else {
+                        recordPoll(backend, failure);
+                    }
+                });
     }
 
-    /** Sends a request and passes the body of a 200 response to the handler. */
-    private void send(Backend backend, HttpCall call, Consumer<byte[]> handler) {
+    /**
+     * Sends a request and passes the body of a 200 response to the handler.
+     *
+     * @param onDone called before it, with the failure, or with null after a response
+     */
+    private void send(Backend backend, HttpCall call, Consumer<byte[]> handler, Consumer<Throwable> onDone) {
         Deadline deadline = Deadline.afterMillis(ticker.nanos(), RESPONSE_TIMEOUT_MILLIS);
         transport.call(call, thread, deadline, MAX_RESPONSE_BYTES).whenComplete((response, failure) -> {
-            recordReachability(backend, failure);
-            onPoll.accept(backend, failure == null);
+            onDone.accept(failure);
             if (failure == null) {
                 statements.recordStatusAnswer(backend, response);
             }
@@ -140,6 +150,20 @@
         });
     }
 
+    private void recordPoll(Backend backend, Throwable failure) {
+        recordReachability(backend, failure);
+        reach.onPoll(backend, failure == null);
+    }
+
+    /** Records whether a new connection could be opened. */
+    private void recordNewConnection(Backend backend, Throwable failure) {
+        if (failure == null) {
+            reach.onConnected();
+        } else if (failure instanceof ServerFailure known && known.kind() == ServerFailure.Kind.NOT_CONNECTED) {
+            reach.onNotConnected(backend);
+        }
+    }
+
     /** Records whether an engine is reachable. A connection reset leaves the state as it is. */
     private static void recordReachability(Backend backend, Throwable failure) {
         if (failure == null) {
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -42,6 +42,7 @@
  * @param continuations knows the software versions at which streams may be continued
  * @param limits the limits that servers state
  * @param statements records what servers state in their answers
+ * @param reach receives what shows whether this instance reaches the servers
  */
 public record RelayContext(
         HttpTransport transport,
@@ -65,4 +66,5 @@
         CrashProbe crashProbe,
         StreamContinuations continuations,
         ServerLimits limits,
-        ServerStatements statements) {}
+        ServerStatements statements,
+        ReachListener reach) {}
--- a/src/main/java/org/verbenatray/relay/ServerHealth.java
+++ b/src/main/java/org/verbenatray/relay/ServerHealth.java
@@ -12,6 +12,7 @@
         long now = context.ticker().nanos();
         switch (outcome.kind()) {
             case NOT_SENT -> {
+                context.reach().onNotConnected(backend);
                 backend.recordFailure(now);
                 if (backend.entry().stage() != BackendStage.PLAIN) {
                     backend.markUnreachable();
--- a/src/test/java/org/verbenatray/platform/PartitionedInstanceTest.java
+++ b/src/test/java/org/verbenatray/platform/PartitionedInstanceTest.java
@@ -20,6 +20,7 @@
 import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Request;
 import org.verbenatray.relay.RelayDialect;
+import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.time.Ticker;
 
@@ -29,6 +30,9 @@
 
     private static final int INSTANCES = 2;
 
+    /** An address at which nothing listens. */
+    private static final String UNUSED_ADDRESS = "127.0.0.1:1";
+
     /** The time for which an engine works on a request, in milliseconds. */
     private static final long WORK_MILLIS = 200;
 
@@ -41,12 +45,16 @@
     /** Accepts connections and never answers, as a peer behind a partition. */
     private ScriptedServer silence;
 
+    /** Whether the servers refuse new connections of each instance, while kept ones live on. */
+    private volatile boolean[] refusedNewConnections;
+
     /** Whether each instance is partitioned from the engines. */
     private volatile boolean[] partitioned;
 
     @BeforeMethod
     public void start() throws Exception {
         partitioned = new boolean[INSTANCES];
+        refusedNewConnections = new boolean[INSTANCES];
         callers = Executors.newCachedThreadPool();
         silence = ScriptedServer.start((request, connection, out) -> {});
         store = FakeStore.startOnPorts(INSTANCES);
@@ -95,6 +103,20 @@
         RelayFixture.waitUntil(cutOff::isReady);
     }
 
+    /** Polls on kept connections were answered, so that the instance counted as connected. */
+    @Test
+    public void callersOfAnInstanceWhoseNewConnectionsToServersAreRefusedAreSentToOthers() throws Exception {
+        RelayInstance cutOff = instances.get(0);
+        refusedNewConnections[0] = true;
+        RelayFixture.waitUntil(() -> {
+            callOther();
+            callers.submit(() -> RelayFixture.exchange(cutOff, unrepeatableRequest()));
+            return !cutOff.isReady();
+        });
+        refusedNewConnections[0] = false;
+        RelayFixture.waitUntil(cutOff::isReady);
+    }
+
     @Test
     public void anInstanceStaysReadyWhileNoOtherReachesAnEngineEither() throws Exception {
         partition(0, true);
@@ -123,8 +145,16 @@
     }
 
     private String request() {
+        return requestTo("/resume/x");
+    }
+
+    private String unrepeatableRequest() {
+        return requestTo("/stream/x");
+    }
+
+    private String requestTo(String path) {
         int number = requestNumber.incrementAndGet();
-        return RelayFixture.postRequest("/resume/x", "id" + number, "Token-Count: 35,5\r\n", "body" + number);
+        return RelayFixture.postRequest(path, "id" + number, "Token-Count: 35,5\r\n", "body" + number);
     }
 
     private RelayInstance startInstance(int number) {
@@ -146,22 +176,32 @@
                 (proxy, called, arguments) -> {
                     try {
                         Object result = called.invoke(real, arguments);
-                        return result instanceof HttpCall call && partitioned[instance] ? toSilence(call) : result;
+                        return result instanceof HttpCall call ? redirect(instance, call) : result;
                     } catch (InvocationTargetException e) {
                         throw e.getCause();
                     }
                 });
     }
 
-    private HttpCall toSilence(HttpCall call) {
+    /** Polls for cache changes stand for those that open a connection; the relay decides that after the translation. */
+    private HttpCall redirect(int instance, HttpCall call) {
+        if (partitioned[instance]) {
+            return withAddress(call, silence.address(), "/silent");
+        }
+        boolean opens = call.connectionUse() == ConnectionUse.NEW || call.path().startsWith("/kv-events");
+        boolean refused = refusedNewConnections[instance] && opens;
+        return refused ? withAddress(call, UNUSED_ADDRESS, "/refused") : call;
+    }
+
+    private static HttpCall withAddress(HttpCall call, String address, String pool) {
         return new HttpCall(
                 call.method(),
-                URI.create("http://" + silence.address()),
+                URI.create("http://" + address),
                 call.path(),
                 call.headers(),
                 call.body(),
                 call.connectionUse(),
-                call.pool() + "/silent");
+                call.pool() + pool);
     }
 
     private static void serve(Request request, OutputStream out) throws IOException {
