--- a/src/main/java/org/verbenatray/instance/ServerReach.java
+++ b/src/main/java/org/verbenatray/instance/ServerReach.java
@@ -12,8 +12,11 @@
  * may outlive a partition. Used on one thread.
  */
 final class ServerReach {
-    /** The time in milliseconds without a success; a single sound server may pause longer. */
-    private static final long FAILING_MILLIS = 1_000;
+    /**
+     * The time in milliseconds without a success. A single sound server may pause longer, but not several at once; the
+     * readiness checks must fail twice before callers are sent elsewhere.
+     */
+    private static final long FAILING_MILLIS = 500;
 
     /** The number of servers that must have failed, if there are so many engines. */
     private static final int MIN_FAILED_SERVERS = 3;
