--- a/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingRequestTest.java
@@ -10,6 +10,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.verbenatray.instance.RelayInstance;
+import org.verbenatray.instance.RelayInstanceState.BackendState;
 import org.verbenatray.platform.FakeStore.Fault;
 import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Script;
@@ -94,6 +95,7 @@
             int ended = round;
             send(0, "/unsafe/x", "poison", 300);
             RelayFixture.waitUntil(() -> crashesKnown(0) == ended);
+            drainReachedServers();
         }
         Assert.assertTrue(send(0, "/unsafe/x", "poison").contains("crashes_servers"));
     }
@@ -129,6 +131,7 @@
             int ended = round;
             sendAndLeave("/safe/x", "poison");
             RelayFixture.waitUntil(() -> crashesKnown(0) == ended);
+            drainReachedServers();
         }
         Assert.assertTrue(send(0, "/safe/x", "poison").contains("crashes_servers"));
     }
@@ -262,6 +265,24 @@
                 () -> instances.get(0).readState().get().backends().size() == left);
     }
 
+    /**
+     * Marks the reached servers as draining, so that the next request reaches another one: a server that hangs may be
+     * chosen again while it is listed as ready.
+     */
+    private void drainReachedServers() throws Exception {
+        for (int number = 0; number < SERVERS; number++) {
+            if (isReached(servers.get(number))) {
+                ServerListing listing = ServerListing.plain("s" + number, servers.get(number));
+                store.put("keyed.servers", listing.id(), listing.entryJson("draining", 2));
+            }
+        }
+        long reached = serversReached();
+        RelayFixture.waitUntil(() -> instances.get(0).readState().get().backends().stream()
+                        .filter(BackendState::leaving)
+                        .count()
+                == reached);
+    }
+
     /** Makes each server crash when the request arrives. */
     private void crashOnArrival() {
         for (ScriptedServer server : servers) {
