Test that fails: an instance goes unready while requests of another hang at silent engines

Found when the landing was checked: ServerReach takes open work that others report as proof that they reach the engines, but requests that hang there are open work too. When the engines answer nobody, each instance takes itself for partitioned. The earlier case looked at readiness only after both instances had marked all engines as unreachable, when no work was left, and so missed it.

--- a/src/test/java/org/verbenatray/platform/PartitionedInstanceTest.java
+++ b/src/test/java/org/verbenatray/platform/PartitionedInstanceTest.java
@@ -128,6 +128,17 @@
         }
     }
 
+    /** Requests of the other instance that hang at the engines are open work there, but reach no engine. */
+    @Test
+    public void anInstanceStaysReadyWhileRequestsOfAnotherHangAtTheEngines() throws Exception {
+        partition(0, true);
+        partition(1, true);
+        for (int round = 0; round < 300; round++) {
+            callOther();
+            Assert.assertTrue(instances.get(0).isReady(), "not ready in round " + round);
+        }
+    }
+
     private boolean refused(int instance) throws IOException {
         return RelayFixture.exchange(instances.get(instance), request()).contains("no_server_in_reach");
     }
