Take as evidence of a partition only engines that answer others after they failed here

What callers would have seen: when all engines fall silent for everybody, each instance took itself for partitioned and was not ready; with one engine left of many, an instance marked it unreachable for half of each second.

Cause: the evidence was not about the same thing on both sides. Open work of others may hang, and the time since the last answer of any engine is long when few engines are left. Now instances report when each engine last answered them (a field of the work notice, 2 to 3 bytes an engine), and three engines must have answered others at least 100 ms after they failed here, with no answer here since. Old news (3 s) is no evidence.

An older instance skips the new field and is no source of evidence.

--- a/src/main/java/org/verbenatray/backends/Backend.java
+++ b/src/main/java/org/verbenatray/backends/Backend.java
@@ -1,6 +1,7 @@
 package org.verbenatray.backends;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.verbenatray.openwork.EngineWork;
 import org.verbenatray.time.Deadline;
 
@@ -58,6 +59,9 @@
     /** The time of the last update of the delay. */
     private long delayNanos;
 
+    /** The time of the last answer to any call of this instance; null before the first. */
+    private Long answeredNanos;
+
     private Backend(BackendEntry entry) {
         this.entry = entry;
         this.leaving = entry.leaving();
@@ -172,6 +176,16 @@
         return unreachable;
     }
 
+    /** Records that the server has answered a call of this instance, with whatever response. */
+    public void recordAnswer(long nowNanos) {
+        answeredNanos = nowNanos;
+    }
+
+    /** Returns how many milliseconds ago the server last answered a call of this instance; empty if it never did. */
+    public OptionalLong answeredAgoMillis(long nowNanos) {
+        return answeredNanos == null ? OptionalLong.empty() : OptionalLong.of((nowNanos - answeredNanos) / 1_000_000);
+    }
+
     /** Returns the moving average of failed responses, 0 to 1. */
     public double failureRate() {
         return failureRate;
--- a/src/main/java/org/verbenatray/backends/BackendDirectory.java
+++ b/src/main/java/org/verbenatray/backends/BackendDirectory.java
@@ -172,6 +172,12 @@
         return Optional.ofNullable(byId.get(id));
     }
 
+    /** Returns the server whose current start has the given boot id, if there is one. */
+    public Optional<Backend> findBoot(String bootId) {
+        return find(bootId.substring(0, Math.max(0, bootId.lastIndexOf('@'))))
+                .filter(backend -> backend.entry().bootId().equals(bootId));
+    }
+
     /** Marks a server as leaving, logs its end and reports it. */
     private void end(Backend backend, String why) {
         backend.markLeaving();
--- a/src/main/java/org/verbenatray/instance/CutOffDetector.java
+++ b/src/main/java/org/verbenatray/instance/CutOffDetector.java
@@ -3,7 +3,6 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
-import java.util.function.Predicate;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
@@ -14,7 +13,7 @@
 
 /**
  * Detects that this instance is cut off: the list of servers and at least half of the engines are unreachable, or no
- * server can be reached, or only over kept connections, while other instances have work there. It is then not ready,
+ * server can be reached, or only over kept connections, while engines answer other instances. It is then not ready,
  * since another instance serves callers better. An unreachable list alone or servers that nobody reaches don't count.
  */
 final class CutOffDetector implements ReachListener {
@@ -38,19 +37,15 @@
     /** The result of the last update; written on the thread of the directory. */
     private volatile boolean cutOff;
 
-    private CutOffDetector(Ticker ticker, BackendDirectory directory, Predicate<Backend> othersWorkAt) {
+    private CutOffDetector(Ticker ticker, BackendDirectory directory) {
         this.ticker = ticker;
         this.directory = directory;
-        this.serverReach = ServerReach.create(ticker, () -> engines().stream().anyMatch(othersWorkAt));
+        this.serverReach = ServerReach.create(ticker);
     }
 
-    /**
-     * Creates a detector that counts everything as reachable.
-     *
-     * @param othersWorkAt whether other instances have open work at an engine
-     */
-    static CutOffDetector of(Ticker ticker, BackendDirectory directory, Predicate<Backend> othersWorkAt) {
-        return new CutOffDetector(ticker, directory, othersWorkAt);
+    /** Creates a detector that counts everything as reachable. */
+    static CutOffDetector of(Ticker ticker, BackendDirectory directory) {
+        return new CutOffDetector(ticker, directory);
     }
 
     @Override
@@ -70,7 +65,12 @@
 
     @Override
     public boolean suspectsNewConnections() {
-        return serverReach.suspectsNewConnections();
+        return serverReach.isSuspicious();
+    }
+
+    /** Records that an engine answered another instance the given number of milliseconds ago. */
+    void onAnsweredOther(String boot, long agoMillis) {
+        serverReach.onAnsweredOther(boot, agoMillis);
     }
 
     /** Records that the list of servers was read. */
@@ -91,9 +91,11 @@
      * engine whose next poll is still due.
      */
     void update() {
-        boolean partitioned = serverReach.update(engines().size());
-        if (serverReach.enginesSilent()) {
-            engines().forEach(Backend::markUnreachable);
+        List<Backend> engines = engines();
+        serverReach.removeExpired();
+        boolean partitioned = serverReach.isPartitioned(engines.size());
+        if (serverReach.enginesSilent(engines.size())) {
+            engines.forEach(Backend::markUnreachable);
         }
         boolean listLost = listLostFrom != null && listLostFrom.hasPassed(ticker.nanos());
         boolean now = partitioned || listLost && unreachableShare() >= MIN_UNREACHABLE_SHARE;
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -14,7 +14,6 @@
 import org.verbenatray.continuation.RecentVersions;
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.limits.ServerLimits;
-import org.verbenatray.openwork.EngineWork;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.placement.PrefillTimeModel;
@@ -129,7 +128,7 @@
         this.metrics = metrics;
         this.catalog = CurrentCatalog.empty(loop.ticker());
         this.directory = BackendDirectory.empty(loop.ticker(), this::onBackendEnded);
-        this.cutOffDetector = CutOffDetector.of(loop.ticker(), directory, this::othersWorkAt);
+        this.cutOffDetector = CutOffDetector.of(loop.ticker(), directory);
         this.crashesDue = Deadline.afterMillis(loop.ticker().nanos(), MAX_CRASHES_WAIT_MILLIS);
         this.crashes = CrashLedger.create(loop.ticker(), cleared -> crashExchange.onCleared(cleared));
         this.serverRuns = ServerRuns.create(loop.ticker(), this::onCrashFound);
@@ -137,7 +136,7 @@
         LeastLoadedChooser chooser = LeastLoadedChooser.create(
                 settings.failureDomain(), () -> ThreadLocalRandom.current().nextDouble());
         PrefixCacheIndex prefixCacheIndex = PrefixCacheIndex.empty();
-        this.sharing = new WorkSharing(settings, loop, directory, prefixCacheIndex);
+        this.sharing = new WorkSharing(settings, loop, directory, prefixCacheIndex, cutOffDetector::onAnsweredOther);
         this.recentVersions = RecentVersions.create(directory, loop.ticker(), settings.leavingServerMillis());
         this.continuations = createContinuations();
         this.limits = createLimits();
@@ -212,10 +211,6 @@
                 recentVersions, directory, sharing::homes, sharing::send, loop.ticker(), loop.scheduler());
     }
 
-    private boolean othersWorkAt(Backend engine) {
-        return !sharing.remoteWork(engine.entry().bootId()).equals(EngineWork.NONE);
-    }
-
     private ServerLimits createLimits() {
         return ServerLimits.create(
                 new ServerLimits.Sender(settings.name(), System.currentTimeMillis(), sharing::send),
--- a/src/main/java/org/verbenatray/instance/ServerReach.java
+++ b/src/main/java/org/verbenatray/instance/ServerReach.java
@@ -1,108 +1,102 @@
 package org.verbenatray.instance;
 
-import java.util.HashSet;
-import java.util.Set;
-import java.util.function.BooleanSupplier;
-import org.verbenatray.time.Deadline;
+import java.util.HashMap;
+import java.util.Map;
 import org.verbenatray.time.Ticker;
 
 /**
- * Detects that this instance is partitioned from the servers while other instances have work there: for some time no
- * poll of several engines was answered, or no new connection to several servers could be opened, as kept connections
- * may outlive a partition. Used on one thread.
+ * Detects that this instance is partitioned from the servers: several engines answered other instances after they had
+ * failed here, and none has answered here since. Failed are polls without an answer, or new connections that could not
+ * be opened, as kept connections may outlive a partition. Engines that answer nobody are no evidence. Used on one
+ * thread.
  */
 final class ServerReach {
-    /**
-     * The time in milliseconds without a success. A single sound server may pause longer, but not several at once; the
-     * readiness checks must fail twice before callers are sent elsewhere.
-     */
-    private static final long FAILING_MILLIS = 500;
+    /** The number of engines that must have failed here and answered others, if there are so many. */
+    private static final int MIN_ENGINES = 3;
 
-    /** The number of servers that must have failed, if there are so many engines. */
-    private static final int MIN_FAILED_SERVERS = 3;
+    /** The time in nanoseconds after a failure from which an answer to others counts; notices take some time. */
+    private static final long MIN_LATER_NANOS = 100_000_000L;
 
-    /** The time in milliseconds after which servers count as down for all if no other instance has work there. */
-    private static final long MAX_IDLE_MILLIS = 3_000;
+    /** The age in nanoseconds beyond which an answer to another instance is no evidence. */
+    private static final long MAX_EVIDENCE_NANOS = 3_000_000_000L;
 
     private final Ticker ticker;
 
-    /** Whether other instances have work at the engines. */
-    private final BooleanSupplier othersHaveWork;
+    /** When each engine first left a poll unanswered since the last answer of any, by boot id. */
+    private final Map<String, Long> silentNanos = new HashMap<>();
 
-    /** The engines that have left a poll unanswered since the last answer of any, by boot id. */
-    private final Set<String> silent = new HashSet<>();
+    /** When each server first refused a new connection since the last one to any was opened, by boot id. */
+    private final Map<String, Long> refusedNanos = new HashMap<>();
 
-    /** The servers to which no new connection could be opened since the last one to any, by boot id. */
-    private final Set<String> refusing = new HashSet<>();
+    /** When each engine last answered another instance, as far as known, by boot id. */
+    private final Map<String, Long> answeredOthersNanos = new HashMap<>();
 
-    /** When the polls have failed for long enough. */
-    private Deadline silentFrom;
-
-    /** When new connections have failed for long enough. */
-    private Deadline refusingFrom;
-
-    /** When the servers count as down for all, unless others have work there. */
-    private Deadline idleFrom;
-
-    private boolean partitioned;
-
-    private ServerReach(Ticker ticker, BooleanSupplier othersHaveWork) {
+    private ServerReach(Ticker ticker) {
         this.ticker = ticker;
-        this.othersHaveWork = othersHaveWork;
-        this.silentFrom = Deadline.afterMillis(ticker.nanos(), FAILING_MILLIS);
-        this.refusingFrom = silentFrom;
     }
 
     /** Creates an object that counts the servers as reachable. */
-    static ServerReach create(Ticker ticker, BooleanSupplier othersHaveWork) {
-        return new ServerReach(ticker, othersHaveWork);
+    static ServerReach create(Ticker ticker) {
+        return new ServerReach(ticker);
     }
 
     /** Records whether an engine has answered a poll. */
     void onPoll(String boot, boolean answered) {
         if (answered) {
-            silent.clear();
-            silentFrom = Deadline.afterMillis(ticker.nanos(), FAILING_MILLIS);
+            silentNanos.clear();
         } else {
-            silent.add(boot);
+            silentNanos.putIfAbsent(boot, ticker.nanos());
         }
     }
 
     /** Records that a new connection was opened. */
     void onConnected() {
-        refusing.clear();
+        refusedNanos.clear();
     }
 
     /** Records that no new connection to a server could be opened. */
     void onNotConnected(String boot) {
-        if (refusing.isEmpty()) {
-            refusingFrom = Deadline.afterMillis(ticker.nanos(), FAILING_MILLIS);
-        }
-        refusing.add(boot);
+        refusedNanos.putIfAbsent(boot, ticker.nanos());
+    }
+
+    /** Records that an engine answered another instance the given number of milliseconds ago. */
+    void onAnsweredOther(String boot, long agoMillis) {
+        answeredOthersNanos.merge(boot, ticker.nanos() - agoMillis * 1_000_000, Math::max);
     }
 
-    /** Returns whether a new connection has failed since the last one was opened. */
-    boolean suspectsNewConnections() {
-        return !refusing.isEmpty();
+    /** Returns whether polls or new connections have failed lately, so that a new connection would show more. */
+    boolean isSuspicious() {
+        return !silentNanos.isEmpty() || !refusedNanos.isEmpty();
     }
 
-    /** Returns whether this instance was partitioned at the last update and no engine answers. */
-    boolean enginesSilent() {
-        return partitioned && silentFrom.hasPassed(ticker.nanos());
+    /** Returns whether engines that answer others leave the polls of this instance unanswered. */
+    boolean enginesSilent(int engines) {
+        return enoughAnswerOthers(silentNanos, engines);
     }
 
-    /** Updates the state and returns whether this instance is partitioned from the servers that others reach. */
-    boolean update(int engines) {
+    /** Returns whether this instance is partitioned from the servers that others reach. */
+    boolean isPartitioned(int engines) {
+        return enginesSilent(engines) || enoughAnswerOthers(refusedNanos, engines);
+    }
+
+    /** Removes what is too old to be evidence. */
+    void removeExpired() {
         long now = ticker.nanos();
-        int minServers = Math.max(1, Math.min(MIN_FAILED_SERVERS, engines));
-        boolean failing = silent.size() >= minServers && silentFrom.hasPassed(now)
-                || refusing.size() >= minServers && refusingFrom.hasPassed(now);
-        if (othersHaveWork.getAsBoolean()) {
-            idleFrom = Deadline.afterMillis(now, MAX_IDLE_MILLIS);
-            partitioned = failing;
-        } else {
-            partitioned = partitioned && failing && !idleFrom.hasPassed(now);
-        }
-        return partitioned;
+        answeredOthersNanos.values().removeIf(answered -> now - answered > MAX_EVIDENCE_NANOS);
+    }
+
+    /** Returns whether enough of the engines that failed here have answered others since. */
+    private boolean enoughAnswerOthers(Map<String, Long> failedNanos, int engines) {
+        long answeringOthers = failedNanos.entrySet().stream()
+                .filter(failed -> answeredOtherSince(failed.getKey(), failed.getValue()))
+                .count();
+        return answeringOthers >= Math.max(1, Math.min(MIN_ENGINES, engines));
+    }
+
+    private boolean answeredOtherSince(String boot, long sinceNanos) {
+        Long answered = answeredOthersNanos.get(boot);
+        return answered != null
+                && answered - sinceNanos >= MIN_LATER_NANOS
+                && ticker.nanos() - answered <= MAX_EVIDENCE_NANOS;
     }
 }
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -7,6 +7,8 @@
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.BiConsumer;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
@@ -42,6 +44,9 @@
 
     private final BackendDirectory directory;
 
+    /** Receives how many milliseconds ago an engine answered another instance, by its boot id. */
+    private final BiConsumer<String, Long> onAnsweredOther;
+
     private final ExchangePeers exchangePeers;
 
     private final FleetShare fleetShare;
@@ -74,11 +79,13 @@
             RelayInstanceSettings settings,
             EventLoop loop,
             BackendDirectory directory,
-            PrefixCacheIndex prefixCacheIndex) {
+            PrefixCacheIndex prefixCacheIndex,
+            BiConsumer<String, Long> onAnsweredOther) {
         this.settings = settings;
         this.loop = loop;
         this.directory = directory;
         this.prefixCacheIndex = prefixCacheIndex;
+        this.onAnsweredOther = onAnsweredOther;
         this.exchangePeers = ExchangePeers.of(settings.name(), settings.failureDomain());
         this.fleetShare = FleetShare.create(loop.ticker());
         this.remoteWork = RemoteWork.create(loop.ticker(), exchangePeers::sampleWeight);
@@ -111,7 +118,11 @@
         continuations.setOwnAddress(address);
         exchange = WorkExchange.start(
                 new WorkExchange.LocalInstance(
-                        settings.name(), System.currentTimeMillis(), this::ownWork, crashes::toTell),
+                        settings.name(),
+                        System.currentTimeMillis(),
+                        this::ownWork,
+                        this::answeredAgoMillis,
+                        crashes::toTell),
                 exchangePeers,
                 remoteWork,
                 port::send,
@@ -209,9 +220,18 @@
                     .forEach(placement -> prefixCacheIndex.recordReported(
                             placement.bootId(), placement.processed(), placement.blockTokens()));
             notice.crashes().forEach(crashExchange::receive);
+            notice.answeredAgoMillis().forEach(onAnsweredOther);
         });
     }
 
+    /** Returns how many milliseconds ago an engine last answered this instance; empty if it never did. */
+    private OptionalLong answeredAgoMillis(String boot) {
+        return directory
+                .findBoot(boot)
+                .map(engine -> engine.answeredAgoMillis(loop.ticker().nanos()))
+                .orElse(OptionalLong.empty());
+    }
+
     /** Returns the work of this instance by engine boot, without engines where it has none. */
     private Map<String, EngineWork> ownWork() {
         Map<String, EngineWork> work = new LinkedHashMap<>();
--- a/src/main/java/org/verbenatray/openwork/WorkExchange.java
+++ b/src/main/java/org/verbenatray/openwork/WorkExchange.java
@@ -10,8 +10,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.verbenatray.resilience.Crash;
 import org.verbenatray.telemetry.Event;
@@ -55,6 +57,9 @@
     /** Supplies the work of this instance by boot id, for engines where it is not zero. */
     private final Supplier<Map<String, EngineWork>> localWork;
 
+    /** Returns how many milliseconds ago the engine with the given boot id last answered; empty if it never did. */
+    private final Function<String, OptionalLong> answeredAgoMillis;
+
     /** Supplies the crashes to tell the peers, most important first. */
     private final Supplier<List<Crash>> crashesToTell;
 
@@ -86,6 +91,7 @@
         this.instance = self.instance();
         this.incarnation = self.incarnation();
         this.localWork = self.work();
+        this.answeredAgoMillis = self.answeredAgoMillis();
         this.crashesToTell = self.crashes();
         this.peers = peers;
         this.remoteWork = remoteWork;
@@ -180,20 +186,37 @@
 
     /** Sends one notice to all peers. */
     private void send(Map<String, EngineWork> engines, List<Crash> crashes) {
-        byte[] datagram = WorkNoticeCodec.encode(
-                new WorkNotice(instance, incarnation, sequence++, engines, List.copyOf(placements), crashes));
+        byte[] datagram = WorkNoticeCodec.encode(new WorkNotice(
+                instance,
+                incarnation,
+                sequence++,
+                engines,
+                answeredAgo(engines.keySet()),
+                List.copyOf(placements),
+                crashes));
         placements.clear();
         peers.selectedAddresses().forEach(address -> sender.accept(address, datagram));
     }
 
+    private Map<String, Long> answeredAgo(Set<String> engines) {
+        Map<String, Long> ages = new LinkedHashMap<>();
+        engines.forEach(boot -> answeredAgoMillis.apply(boot).ifPresent(age -> ages.put(boot, age)));
+        return ages;
+    }
+
     /**
      * This instance as the sender of notices.
      *
      * @param instance the name of the instance
      * @param incarnation a number that increases with each start of its process
      * @param work supplies its work by the boot id of the engine, for engines where it is not zero
+     * @param answeredAgoMillis returns how many milliseconds ago the engine with the given boot id last answered it
      * @param crashes supplies the crashes to tell the peers, most important first
      */
     public record LocalInstance(
-            String instance, long incarnation, Supplier<Map<String, EngineWork>> work, Supplier<List<Crash>> crashes) {}
+            String instance,
+            long incarnation,
+            Supplier<Map<String, EngineWork>> work,
+            Function<String, OptionalLong> answeredAgoMillis,
+            Supplier<List<Crash>> crashes) {}
 }
--- a/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
+++ b/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
@@ -53,6 +53,9 @@
     /** The number of open requests, in the work at an engine. */
     private static final int OPEN_REQUESTS = 4;
 
+    /** How many milliseconds ago the engine last answered, in the work at an engine; missing if it never did. */
+    private static final int ANSWERED_AGO_MILLIS = 5;
+
     private WorkNoticeCodec() {}
 
     /** Encodes a notice. */
@@ -64,7 +67,7 @@
             out.writeUInt64(INCARNATION, notice.incarnation());
             out.writeUInt64(SEQUENCE, notice.sequence());
             for (Map.Entry<String, EngineWork> engine : notice.workByEngine().entrySet()) {
-                out.writeByteArray(ENGINE, encodeEngine(engine.getKey(), engine.getValue()));
+                out.writeByteArray(ENGINE, encodeEngine(notice, engine.getKey(), engine.getValue()));
             }
             for (PromptPlacement placement : notice.placements()) {
                 out.writeByteArray(PLACEMENT, encodePlacement(placement));
@@ -90,6 +93,7 @@
         long incarnation = 0;
         long sequence = 0;
         Map<String, EngineWork> engines = new LinkedHashMap<>();
+        Map<String, Long> answeredAgoMillis = new LinkedHashMap<>();
         List<PromptPlacement> placements = new ArrayList<>();
         List<Crash> crashes = new ArrayList<>();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
@@ -97,33 +101,39 @@
                 case INSTANCE -> instance = in.readString();
                 case INCARNATION -> incarnation = in.readUInt64();
                 case SEQUENCE -> sequence = in.readUInt64();
-                case ENGINE -> decodeEngine(in.readByteArray(), engines);
+                case ENGINE -> decodeEngine(in.readByteArray(), engines, answeredAgoMillis);
                 case PLACEMENT -> placements.add(decodePlacement(in.readByteArray()));
                 case CRASH -> crashes.add(decodeCrash(in.readByteArray()));
                 default -> in.skipField(tag);
             }
         }
-        return new WorkNotice(instance, incarnation, sequence, engines, placements, crashes);
+        return new WorkNotice(instance, incarnation, sequence, engines, answeredAgoMillis, placements, crashes);
     }
 
     /** Encodes the work at one engine. */
-    private static byte[] encodeEngine(String bootId, EngineWork work) throws IOException {
+    private static byte[] encodeEngine(WorkNotice notice, String bootId, EngineWork work) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         CodedOutputStream out = CodedOutputStream.newInstance(bytes);
         out.writeString(BOOT_ID, bootId);
         out.writeUInt64(REGULAR_MICROS, work.regularMicros());
         out.writeUInt64(DEFERRED_MICROS, work.deferredMicros());
         out.writeUInt32(OPEN_REQUESTS, work.openRequests());
+        Long answeredAgo = notice.answeredAgoMillis().get(bootId);
+        if (answeredAgo != null) {
+            out.writeUInt64(ANSWERED_AGO_MILLIS, answeredAgo);
+        }
         out.flush();
         return bytes.toByteArray();
     }
 
-    /** Decodes the work at one engine and adds it to the map. */
-    private static void decodeEngine(byte[] bytes, Map<String, EngineWork> engines) throws IOException {
+    /** Decodes the work at one engine and when it last answered, and adds both to the maps. */
+    private static void decodeEngine(byte[] bytes, Map<String, EngineWork> engines, Map<String, Long> answeredAgoMillis)
+            throws IOException {
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         String bootId = "";
         long regularMicros = 0;
         long deferredMicros = 0;
+        long answeredAgo = -1;
         int openRequests = 0;
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
@@ -131,10 +141,14 @@
                 case REGULAR_MICROS -> regularMicros = in.readUInt64();
                 case DEFERRED_MICROS -> deferredMicros = in.readUInt64();
                 case OPEN_REQUESTS -> openRequests = in.readUInt32();
+                case ANSWERED_AGO_MILLIS -> answeredAgo = in.readUInt64();
                 default -> in.skipField(tag);
             }
         }
         engines.put(bootId, new EngineWork(regularMicros, deferredMicros, openRequests));
+        if (answeredAgo >= 0) {
+            answeredAgoMillis.put(bootId, answeredAgo);
+        }
     }
 
     private static byte[] encodeCrash(Crash crash) throws IOException {
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -169,6 +169,7 @@
         head = context.dialect().parseHead(call.request(), responseHead);
         endsWithConnection = responseHead.endsWithConnection();
         recordProgress();
+        options.backend().recordAnswer(context.ticker().nanos());
         context.statements().recordAnswer(options.backend(), head);
         if (!head.matchesRequestId()) {
             rejectResponse("the response carries the id of another request");
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -152,13 +152,21 @@
 
     private void recordPoll(Backend backend, Throwable failure) {
         recordReachability(backend, failure);
-        reach.onPoll(backend, failure == null);
+        recordAnswer(backend, failure == null);
+    }
+
+    private void recordAnswer(Backend backend, boolean answered) {
+        if (answered) {
+            backend.recordAnswer(ticker.nanos());
+        }
+        reach.onPoll(backend, answered);
     }
 
     /** Records whether a new connection could be opened. */
     private void recordNewConnection(Backend backend, Throwable failure) {
         if (failure == null) {
             reach.onConnected();
+            recordAnswer(backend, true);
         } else if (failure instanceof ServerFailure known && known.kind() == ServerFailure.Kind.NOT_CONNECTED) {
             reach.onNotConnected(backend);
         }
--- a/src/main/java/org/verbenatray/relay/ReachListener.java
+++ b/src/main/java/org/verbenatray/relay/ReachListener.java
@@ -13,6 +13,6 @@
     /** Called when no new connection to a server could be opened. */
     void onNotConnected(Backend server);
 
-    /** Returns whether new connections have failed lately, so that opening one would show more. */
+    /** Returns whether polls or new connections have failed lately, so that opening a connection would show more. */
     boolean suspectsNewConnections();
 }
