--- a/src/main/java/org/verbenatray/limits/LimitSharers.java
+++ b/src/main/java/org/verbenatray/limits/LimitSharers.java
@@ -11,9 +11,10 @@
  * @param complete whether the list of instances was read; otherwise there may be others that are not known
  */
 public record LimitSharers(Map<String, InetSocketAddress> others, boolean self, boolean complete) {
+    /** Enough that some outlive a failure domain. */
     private static final int MIN_SHARERS = 6;
 
-    /** Bounds the notices, since each sharer tells all others of what it sends. */
+    /** Bounds the notices, since each sharer reports to all others what it sends. */
     private static final int MAX_SHARERS = 24;
 
     /** The sharers per request a second, so that the callers of the sharers can use the rate. */
--- a/src/main/java/org/verbenatray/limits/LimitStatement.java
+++ b/src/main/java/org/verbenatray/limits/LimitStatement.java
@@ -10,7 +10,7 @@
  * @param atNanos when the answer arrived that stated it, in nanoseconds of the ticker
  */
 record LimitStatement(OptionalDouble requestsPerSecond, long atNanos) {
-    /** Relative change of a limit from which on it is told to the other instances at once. */
+    /** Relative change of a limit from which on it is reported to the other instances at once. */
     private static final double NOTABLE_CHANGE = 0.1;
 
     /** Returns whether another statement differs so much that the other instances should know at once. */
--- a/src/main/java/org/verbenatray/limits/ServerLimits.java
+++ b/src/main/java/org/verbenatray/limits/ServerLimits.java
@@ -24,9 +24,9 @@
 /**
  * Keeps the limits that servers state: the requests a second that a server takes from all instances together.
  *
- * <p>A few instances share the rate of each server and tell one another how many requests they have sent to it; the
- * others send theirs elsewhere while the limit lasts. What a server states is passed on from instance to instance with
- * its age, and the newest statement counts. Not thread-safe: all calls come from one thread.
+ * <p>A few instances share the rate of each server and report to one another how many requests they have sent to it;
+ * the others send theirs elsewhere while the limit lasts. What a server states is passed on from instance to instance
+ * with its age, and the newest statement counts. Not thread-safe: all calls come from one thread.
  */
 public final class ServerLimits {
     /** Time for which reports are collected into one notice. */
@@ -47,10 +47,10 @@
     /** Number of statements passed on then, which bounds the notices; each has its turn. */
     private static final int STATEMENTS_PER_REPETITION = 16;
 
-    /** Age from which on an instance that is no sharer does not believe a statement, as its end may have been lost. */
+    /** Age from which on an instance that is no sharer ignores a statement, as its end may have been lost. */
     private static final long MAX_AGE_MILLIS = 60_000;
 
-    /** Age from which on no instance believes a statement: nobody has had an answer of the server for so long. */
+    /** Age from which on every instance ignores a statement: nobody has had an answer of the server for so long. */
     private static final long MAX_SHARER_AGE_MILLIS = 120_000;
 
     /** Largest additional age, so that not all instances try the server at the same time. */
@@ -147,7 +147,7 @@
         if (rate != null) {
             rate.recordSending(ticker.nanos());
             boolean large = statements.get(boot).requestsPerSecond().orElse(0) >= LARGE_LIMIT;
-            tellSharers(rate, boot, large ? LARGE_LIMIT_BATCH_MILLIS : BATCH_MILLIS);
+            reportToSharers(rate, boot, large ? LARGE_LIMIT_BATCH_MILLIS : BATCH_MILLIS);
         }
     }
 
@@ -220,14 +220,14 @@
 
     private void receive(LimitNotice notice, LimitNotice.Report report) {
         long now = ticker.nanos();
-        LimitStatement told = new LimitStatement(report.requestsPerSecond(), now - report.ageMillis() * 1_000_000);
+        LimitStatement reported = new LimitStatement(report.requestsPerSecond(), now - report.ageMillis() * 1_000_000);
         LimitStatement known = statements.get(report.boot());
-        if (!isExpired(report.boot(), told, now) && (known == null || told.atNanos() - known.atNanos() > 0)) {
-            apply(report.boot(), told, notice.instance());
+        if (!isExpired(report.boot(), reported, now) && (known == null || reported.atNanos() - known.atNanos() > 0)) {
+            apply(report.boot(), reported, notice.instance());
         }
         SharedRate rate = rates.get(report.boot());
         if (rate != null) {
-            rate.recordTold(notice.instance(), notice.incarnation(), report.sent(), now);
+            rate.recordReport(notice.instance(), notice.incarnation(), report.sent(), now);
         }
     }
 
@@ -242,8 +242,8 @@
         boolean changed = known == null ? statement.requestsPerSecond().isPresent() : statement.differsNotably(known);
         if (changed) {
             logChange(boot, statement, source);
-            tell(peers.get(), boot, BATCH_MILLIS);
-            Optional.ofNullable(rates.get(boot)).ifPresent(rate -> tellSharers(rate, boot, BATCH_MILLIS));
+            scheduleReport(peers.get(), boot, BATCH_MILLIS);
+            Optional.ofNullable(rates.get(boot)).ifPresent(rate -> reportToSharers(rate, boot, BATCH_MILLIS));
         }
     }
 
@@ -266,13 +266,13 @@
         confirm();
     }
 
-    /** Tells all sharers that this instance lives, passes statements on again, and drops those that are too old. */
+    /** Reports to all sharers what this instance has sent, passes statements on again, and drops the oldest ones. */
     private void confirm() {
         long now = ticker.nanos();
         List.copyOf(statements.keySet()).forEach(boot -> removeExpired(boot, now));
         rates.forEach((boot, rate) -> {
             rate.setSharers(sharersOf(boot), now);
-            tellSharers(rate, boot, BATCH_MILLIS);
+            reportToSharers(rate, boot, BATCH_MILLIS);
         });
         confirmations++;
         if (confirmations % CONFIRMATIONS_PER_REPETITION == 0) {
@@ -288,7 +288,7 @@
         }
     }
 
-    /** Returns whether a statement is too old to be believed. */
+    /** Returns whether a statement is too old to be used. */
     private boolean isExpired(String boot, LimitStatement statement, long now) {
         SharedRate rate = rates.get(boot);
         boolean shares = rate != null && rate.sharers().self();
@@ -306,19 +306,19 @@
         List<String> boots = new ArrayList<>(rates.keySet());
         Collections.sort(boots);
         for (int count = 0; count < Math.min(STATEMENTS_PER_REPETITION, boots.size()); count++) {
-            tell(peers.get(), boots.get(nextRepeated % boots.size()), BATCH_MILLIS);
+            scheduleReport(peers.get(), boots.get(nextRepeated % boots.size()), BATCH_MILLIS);
             nextRepeated = (nextRepeated + 1) % boots.size();
         }
     }
 
-    private void tellSharers(SharedRate rate, String boot, long delayMillis) {
+    private void reportToSharers(SharedRate rate, String boot, long delayMillis) {
         if (rate.sharers().self()) {
-            tell(rate.sharers().others().values(), boot, delayMillis);
+            scheduleReport(rate.sharers().others().values(), boot, delayMillis);
         }
     }
 
     /** Schedules a report on a server to the given instances. */
-    private void tell(Collection<InetSocketAddress> addresses, String boot, long delayMillis) {
+    private void scheduleReport(Collection<InetSocketAddress> addresses, String boot, long delayMillis) {
         if (addresses.isEmpty()) {
             return;
         }
--- a/src/main/java/org/verbenatray/limits/SharedRate.java
+++ b/src/main/java/org/verbenatray/limits/SharedRate.java
@@ -6,8 +6,8 @@
 /**
  * The limit of one server as this instance may use it: a leaky bucket that the requests of all sharers fill.
  *
- * <p>The sharers tell one another how many requests they have sent. For the time since a sharer last told it, it is
- * taken to use an equal part of the rate; so the parts add up to the rate whatever notices are lost. Used on one
+ * <p>The sharers report to one another how many requests they have sent. For the time since its last report, a sharer
+ * is taken to use an equal part of the rate; so the parts add up to the rate whatever notices are lost. Used on one
  * thread.
  */
 final class SharedRate {
@@ -20,8 +20,8 @@
     /** Time in seconds whose requests may be sent at once beyond that. */
     private static final double BURST_SECONDS = 0.5;
 
-    /** What the other sharers have told, by name. */
-    private final Map<String, Teller> tellers = new HashMap<>();
+    /** The last report of each other sharer, by name. */
+    private final Map<String, SharerReport> reports = new HashMap<>();
 
     private double requestsPerSecond;
 
@@ -55,8 +55,8 @@
     void setSharers(LimitSharers newSharers, long nowNanos) {
         drain(nowNanos);
         sharers = newSharers;
-        tellers.keySet().retainAll(newSharers.others().keySet());
-        newSharers.others().keySet().forEach(name -> tellers.computeIfAbsent(name, key -> new Teller(nowNanos)));
+        reports.keySet().retainAll(newSharers.others().keySet());
+        newSharers.others().keySet().forEach(name -> reports.computeIfAbsent(name, key -> new SharerReport(nowNanos)));
     }
 
     /** Returns the instances that share the rate. */
@@ -93,22 +93,22 @@
         level++;
     }
 
-    /** Records how many requests another sharer has sent in all, as it tells; older notices change nothing. */
-    void recordTold(String instance, long incarnation, long total, long nowNanos) {
-        Teller teller = tellers.get(instance);
-        if (teller == null || incarnation < teller.incarnation) {
+    /** Records how many requests another sharer has sent in all, as it reports; older reports change nothing. */
+    void recordReport(String instance, long incarnation, long total, long nowNanos) {
+        SharerReport report = reports.get(instance);
+        if (report == null || incarnation < report.incarnation) {
             return;
         }
         drain(nowNanos);
-        if (incarnation > teller.incarnation) {
-            teller.incarnation = incarnation;
-            teller.total = Math.max(0, total - 1);
+        if (incarnation > report.incarnation) {
+            report.incarnation = incarnation;
+            report.total = Math.max(0, total - 1);
         }
-        if (total >= teller.total) {
-            double assumed = part() * (nowNanos - teller.toldNanos) / 1e9;
-            level = Math.max(0, level - assumed) + total - teller.total;
-            teller.total = total;
-            teller.toldNanos = nowNanos;
+        if (total >= report.total) {
+            double assumed = part() * (nowNanos - report.reportedNanos) / 1e9;
+            level = Math.max(0, level - assumed) + total - report.total;
+            report.total = total;
+            report.reportedNanos = nowNanos;
         }
     }
 
@@ -117,7 +117,7 @@
         return BURST_REQUESTS + BURST_SECONDS * requestsPerSecond;
     }
 
-    /** Drains the part of this instance; the parts of the others are drained when they tell what they have used. */
+    /** Drains the part of this instance; the parts of the others are drained when they report what they have used. */
     private void drain(long nowNanos) {
         level = Math.max(0, level - part() * (nowNanos - updatedNanos) / 1e9);
         updatedNanos = nowNanos;
@@ -128,20 +128,20 @@
         return sharers == null ? 0 : requestsPerSecond / Math.max(1, sharers.count());
     }
 
-    /** What another sharer has told. */
-    private static final class Teller {
-        /** The start of its process that told last; zero before the first notice. */
+    /** The last report of another sharer. */
+    private static final class SharerReport {
+        /** The start of its process that reported last; -1 before the first report. */
         private long incarnation;
 
         /** The requests that it has sent. */
         private long total;
 
-        /** When it last told, in nanoseconds of the ticker. */
-        private long toldNanos;
+        /** When it last reported, in nanoseconds of the ticker. */
+        private long reportedNanos;
 
-        Teller(long nowNanos) {
+        SharerReport(long nowNanos) {
             this.incarnation = -1;
-            this.toldNanos = nowNanos;
+            this.reportedNanos = nowNanos;
         }
     }
 }
--- a/src/test/java/org/verbenatray/platform/PartitionedInstanceTest.java
+++ b/src/test/java/org/verbenatray/platform/PartitionedInstanceTest.java
@@ -70,10 +70,7 @@
         for (int number = 0; number < INSTANCES; number++) {
             instances.add(startInstance(number));
         }
-        for (RelayInstance instance : instances) {
-            RelayFixture.waitUntil(
-                    () -> instance.isReady() && instance.readState().get().peers() == INSTANCES - 1);
-        }
+        RelayFixture.waitUntilConnected(instances);
     }
 
     @AfterMethod(alwaysRun = true)
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -252,6 +253,13 @@
         }
     }
 
+    /** Waits until all of the given instances are ready and exchange their work with one another. */
+    static void waitUntilConnected(List<RelayInstance> instances) throws Exception {
+        for (RelayInstance instance : instances) {
+            waitUntil(() -> instance.isReady() && instance.readState().get().peers() == instances.size() - 1);
+        }
+    }
+
     @Override
     public void close() {
         instance.close();
--- a/src/test/java/org/verbenatray/platform/ServerLimitTest.java
+++ b/src/test/java/org/verbenatray/platform/ServerLimitTest.java
@@ -52,10 +52,7 @@
         for (int number = 0; number < INSTANCES; number++) {
             instances.add(RelayFixture.startInstance(store.address(number), "m" + number));
         }
-        for (RelayInstance instance : instances) {
-            RelayFixture.waitUntil(
-                    () -> instance.isReady() && instance.readState().get().peers() == INSTANCES - 1);
-        }
+        RelayFixture.waitUntilConnected(instances);
     }
 
     @AfterMethod(alwaysRun = true)
