Let callers that still write read their refusal before the connection is closed

Cause: HttpTransport set io.undertow.max-drain-time to 1 ms for the whole process, so that a cancelled connection to a server closes in both directions at once, as servers work on until then. The same property is how long the HTTP server lingers when it closes a caller's connection: with 1 ms it closed with bytes unread, which resets the connection and discards what the caller had not read yet. Other answers with Connection: close to callers that send more were at the same risk.

Ruled out: the load of the machine as the cause.

Now a connection to a server is closed by closing its socket, and the process-wide property is gone; the HTTP server lingers as by default.

--- a/src/main/java/org/verbenatray/servers/ConnectionOpener.java
+++ b/src/main/java/org/verbenatray/servers/ConnectionOpener.java
@@ -30,8 +30,11 @@
 
     private final ByteBufferPool buffers;
 
-    /** The incoming bytes of the connection that is being handed to the client; null at other times. */
-    private BoundedSource opened;
+    /** The connection that is being handed to the client; null at other times. */
+    private StreamConnection opened;
+
+    /** The incoming bytes of that connection. */
+    private BoundedSource openedSource;
 
     ConnectionOpener(XnioIoThread thread, ByteBufferPool buffers) {
         super(thread.getWorker(), thread.getNumber());
@@ -44,7 +47,7 @@
         ClientCallback<ClientConnection> callback = new ClientCallback<>() {
             @Override
             public void completed(ClientConnection connection) {
-                onOpen.accept(new ServerConnection(connection, opened));
+                onOpen.accept(new ServerConnection(connection, opened, openedSource));
             }
 
             @Override
@@ -62,10 +65,13 @@
         return thread.openStreamConnection(
                 destination,
                 connection -> {
-                    opened = new BoundedSource(connection.getSourceChannel().getConduit());
-                    connection.getSourceChannel().setConduit(opened);
+                    opened = connection;
+                    openedSource =
+                            new BoundedSource(connection.getSourceChannel().getConduit());
+                    connection.getSourceChannel().setConduit(openedSource);
                     listener.handleEvent(connection);
                     opened = null;
+                    openedSource = null;
                 },
                 options);
     }
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -29,12 +29,6 @@
     /** The connect timeout, far above any round-trip time between failure domains. */
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
 
-    /** Undertow's system property for how long it waits for the other side when it closes a connection, in ms. */
-    private static final String DRAIN_PROPERTY = "io.undertow.max-drain-time";
-
-    /** Servers continue a request until its connection is closed in both directions, so the wait must be short. */
-    private static final String MAX_DRAIN_MILLIS = "1";
-
     private final XnioWorker worker;
 
     private final ByteBufferPool buffers;
@@ -56,10 +50,7 @@
         this.ticker = ticker;
     }
 
-    /**
-     * Returns a transport on the I/O threads of a worker, without a bound on the sum of its responses. Sets a system
-     * property that applies to the whole process.
-     */
+    /** Returns a transport on the I/O threads of a worker, without a bound on the sum of its responses. */
     public static HttpTransport create(XnioWorker worker, ByteBufferPool buffers, Ticker ticker) {
         return create(worker, buffers, ticker, ResponseMemory.unbounded());
     }
@@ -67,7 +58,6 @@
     /** Returns a transport as {@link #create(XnioWorker, ByteBufferPool, Ticker)} with a memory for its responses. */
     public static HttpTransport create(
             XnioWorker worker, ByteBufferPool buffers, Ticker ticker, ResponseMemory responseMemory) {
-        System.setProperty(DRAIN_PROPERTY, MAX_DRAIN_MILLIS);
         return new HttpTransport(worker, buffers, ticker, responseMemory);
     }
 
--- a/src/main/java/org/verbenatray/servers/ServerConnection.java
+++ b/src/main/java/org/verbenatray/servers/ServerConnection.java
@@ -1,27 +1,28 @@
 package org.verbenatray.servers;
 
 import io.undertow.client.ClientConnection;
-import java.io.IOException;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
 
 /**
  * An open connection to a server.
  *
  * @param client the connection
+ * @param socket the connection below it
  * @param source its incoming bytes
  */
-record ServerConnection(ClientConnection client, BoundedSource source) {
+record ServerConnection(ClientConnection client, StreamConnection socket, BoundedSource source) {
     /** Returns whether the connection is open. */
     boolean isOpen() {
         return client.isOpen();
     }
 
-    /** Closes the connection in both directions, whatever the server still sends, and ignores errors. */
+    /**
+     * Closes the connection in both directions at once and ignores errors. The client itself would close only the
+     * sending half and wait for the server, which continues a request until both halves are closed.
+     */
     void close() {
         source.end();
-        try {
-            client.close();
-        } catch (IOException e) {
-            // The connection is discarded in any case.
-        }
+        IoUtils.safeClose(socket);
     }
 }
