Mark the end of streams whose connection is closed after them

Cause: the HTTP server sends a response without a length in chunks only on a connection that stays open. Otherwise the end of the connection is the end of the response, and an aborted one ends in the same way. Found while a forwarded stream was tested at a cut-off instance.

Ruled out: that the relay wrote a last chunk for a cut stream; the raw bytes showed no chunks at all.

Now streams to HTTP/1.1 callers are chunked in each case.

Test: aStreamWhoseConnectionIsClosedAfterItTellsACutFromItsEnd, red before (the body begins where a chunk size is due), green now; StreamRelayTest, ShutdownTest, DrainFlushTest and LargeEventTest green.

--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -4,8 +4,10 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.ImmediatePooledByteBuffer;
+import io.undertow.util.Protocols;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Map;
@@ -111,9 +113,16 @@
         exchange.getResponseSender().send(ByteBuffer.wrap(body));
     }
 
-    /** Starts a stream; does nothing if a response was started or the caller has disconnected. */
+    /**
+     * Starts a stream; does nothing if a response was started or the caller has disconnected. The stream is chunked also
+     * if its connection is closed after it: where the end of the connection marks the end of the response, a stream
+     * that is cut looks complete.
+     */
     void startStream(int status, Map<String, String> headers) {
         if (writeHead(status, headers)) {
+            if (exchange.getProtocol().equals(Protocols.HTTP_1_1)) {
+                exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+            }
             channel = exchange.getResponseChannel();
         }
     }
--- a/src/test/java/org/verbenatray/platform/ClosedConnectionTest.java
+++ b/src/test/java/org/verbenatray/platform/ClosedConnectionTest.java
@@ -49,4 +49,44 @@
             }
         }
     }
+
+    /** Without a mark of its end, a stream that was cut after a whole event looked complete. */
+    @Test
+    public void aStreamWhoseConnectionIsClosedAfterItTellsACutFromItsEnd() throws Exception {
+        Script cut = (request, connection, out) -> {
+            out.write(ScriptedServer.streamHead(request));
+            out.write(ScriptedServer.eventChunk(1, "a"));
+            out.flush();
+            connection.close();
+        };
+        Assert.assertFalse(streamOnClosedConnection(cut).whole());
+        Script whole = (request, connection, out) -> {
+            out.write(ScriptedServer.streamHead(request));
+            out.write(ScriptedServer.eventChunk(1, "a"));
+            out.write(ScriptedServer.lastChunk());
+        };
+        CallerReply reply = streamOnClosedConnection(whole);
+        Assert.assertTrue(reply.whole() && reply.closesConnection(), reply.toString());
+        Assert.assertEquals(reply.body(), "id: 1\ndata: a\n\n");
+    }
+
+    /** Returns the response to a request for a stream whose caller closes the connection after it. */
+    private static CallerReply streamOnClosedConnection(Script generation) throws Exception {
+        Script script = (request, connection, out) -> {
+            if (request.line().startsWith("GET")) {
+                out.write(ScriptedServer.response(request, 200, "", "{}"));
+            } else {
+                generation.serve(request, connection, out);
+            }
+        };
+        try (ScriptedServer engine = ScriptedServer.start(script);
+                RelayFixture relay = RelayFixture.startReady(ServerListing.engine("e1", "decode", engine));
+                Socket caller = relay.connect()) {
+            RelayFixture.send(caller, RelayFixture.postRequest("/stream/x", "id1", "Connection: close\r\n", "body"));
+            InputStream in = new BufferedInputStream(caller.getInputStream());
+            CallerReply reply = CallerReply.read(in);
+            Assert.assertEquals(reply.headers().get("transfer-encoding"), "chunked");
+            return reply;
+        }
+    }
 }
