Discard what a caller still sends after its last response instead of resetting it

Cause, by stack traces at the close: (1) when a request is not read to its end, the HTTP server closes the reading half of the connection as soon as the refusal is written, and bytes that arrive then reset it; (2) its wait for the caller to close ends at the first byte.

Now the caller's connection discards what arrives once a request is not read further or its last response is written, up to 16 MiB, until the caller closes or the server's wait of 10 s ends.

--- a/src/main/java/org/verbenatray/relay/CallerConnection.java
+++ b/src/main/java/org/verbenatray/relay/CallerConnection.java
@@ -27,6 +27,11 @@
                     + REASON.length() + "\r\n\r\n" + REASON)
             .getBytes(StandardCharsets.US_ASCII);
 
+    /** The bytes that are discarded of a caller that writes on after its last response. */
+    private static final long MAX_DISCARDED_BYTES = 16L * 1024 * 1024;
+
+    private static final int DISCARD_BUFFER_BYTES = 16 * 1024;
+
     private static final Logger log = System.getLogger(CallerConnection.class.getName());
 
     private final StreamConnection connection;
@@ -38,6 +43,8 @@
 
     private final Ticker ticker;
 
+    private final WatchedSource source;
+
     /** The open request, null between requests. */
     private HttpServerExchange open;
 
@@ -46,15 +53,13 @@
         this.socket = connection.getSinkChannel().getConduit();
         this.pace = CallerPace.connectedAt(patience, ticker.nanos());
         this.ticker = ticker;
+        this.source = new WatchedSource(connection.getSourceChannel().getConduit());
     }
 
     /** Starts to watch a connection, before any byte of it is read. */
     static CallerConnection watch(StreamConnection connection, CallerPatience patience, Ticker ticker) {
         CallerConnection watched = new CallerConnection(connection, patience, ticker);
-        connection
-                .getSourceChannel()
-                .setConduit(
-                        watched.new WatchedSource(connection.getSourceChannel().getConduit()));
+        connection.getSourceChannel().setConduit(watched.source);
         return watched;
     }
 
@@ -70,6 +75,7 @@
         exchange.addExchangeCompleteListener((ended, next) -> {
             open = null;
             pace.responseEnded(ticker.nanos());
+            source.discarding = !ended.isPersistent();
             next.proceed();
         });
     }
@@ -129,28 +135,66 @@
         }
     }
 
-    /** Passes reads on and records those that return bytes. */
+    /**
+     * Passes reads on and records those that return bytes. Once a request is not read any further, or the last response
+     * of the connection is written, it discards what still arrives: the HTTP server waits some seconds for the caller to
+     * close, but closes at the first byte, and a close with unread bytes resets the connection, so that the caller loses
+     * the response.
+     */
     private final class WatchedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
+        private boolean inputEnded;
+
+        private boolean discarding;
+
+        private long discardedBytes;
+
         WatchedSource(StreamSourceConduit next) {
             super(next);
         }
 
         @Override
         public int read(ByteBuffer target) throws IOException {
-            int count = super.read(target);
-            if (count > 0) {
-                pace.bytesRead(ticker.nanos());
+            if (discarding) {
+                return discard();
             }
+            int count = super.read(target);
+            record(count);
             return count;
         }
 
         @Override
         public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+            if (discarding) {
+                return discard();
+            }
             long count = super.read(targets, offset, length);
+            record(count);
+            return count;
+        }
+
+        private void record(long count) {
+            inputEnded = count < 0;
             if (count > 0) {
                 pace.bytesRead(ticker.nanos());
             }
-            return count;
+        }
+
+        /** Called when a request is not read to its end; the connection itself is closed by the HTTP server later. */
+        @Override
+        public void terminateReads() throws IOException {
+            if (inputEnded) {
+                super.terminateReads();
+            }
+            discarding = true;
+        }
+
+        /** Reads what has arrived; returns zero, or -1 at the end of the input and when there is too much of it. */
+        private int discard() throws IOException {
+            ByteBuffer buffer = ByteBuffer.allocate(DISCARD_BUFFER_BYTES);
+            int count = super.read(buffer);
+            inputEnded = count < 0;
+            discardedBytes += Math.max(0, count);
+            return inputEnded || discardedBytes > MAX_DISCARDED_BYTES ? -1 : 0;
         }
     }
 }
