Serve callers of a partitioned instance through another instance

Cause: such an instance had one answer only, to send its callers away; one hop to an instance that reaches the servers would serve them.

Change: PeerRelay sends a request that no server has received to an instance that told lately of engines that answer it (ReachingPeers: same failure domain first), over a new connection to its internal port, which has the number of the datagram port. That one decides all: its route, its attempts, its limits, crash ledger and budget; its response passes as it is. At once while the instance is partitioned; else, while polls or new connections fail, in place of a refusal. A forwarded request is never forwarded again: an instance that stops, is cut off or has 128 of them open declines, and another is asked, three in all. Sent and not declined, a request is never sent again; a break is then 502 or a cut stream. The caller's leaving closes the connection, at which the other cancels. Each request is counted for the retry budget once, at the instance that received it.

Ruled out: two hops (a partitioned one could be asked by another without end); the choice of any listed instance (without evidence that it reaches servers, all would ask all during an outage of the engines).

--- a/src/main/java/org/verbenatray/instance/CutOffDetector.java
+++ b/src/main/java/org/verbenatray/instance/CutOffDetector.java
@@ -34,6 +34,9 @@
     /** The time from which the list counts as lost, null while it can be read. */
     private volatile Deadline listLostFrom;
 
+    /** Whether this instance was partitioned from the servers at the last update. */
+    private boolean partitioned;
+
     /** The result of the last update; written on the thread of the directory. */
     private volatile boolean cutOff;
 
@@ -93,7 +96,7 @@
     void update() {
         List<Backend> engines = engines();
         serverReach.removeExpired();
-        boolean partitioned = serverReach.isPartitioned(engines.size());
+        partitioned = serverReach.isPartitioned(engines.size());
         if (serverReach.enginesSilent(engines.size())) {
             engines.forEach(Backend::markUnreachable);
         }
@@ -114,6 +117,11 @@
         return cutOff;
     }
 
+    /** Returns whether others reached the servers at the last update, and this instance did not. */
+    boolean isPartitioned() {
+        return partitioned;
+    }
+
     /** Returns the share of unreachable engines, zero when there are no engines. */
     private double unreachableShare() {
         List<Backend> engines = engines();
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -100,6 +101,8 @@
 
     private final WorkSharing sharing;
 
+    private final ReachingPeers reachingPeers;
+
     private final LoadPoller loadPoller;
 
     private final RelayHandler handler;
@@ -136,7 +139,14 @@
         LeastLoadedChooser chooser = LeastLoadedChooser.create(
                 settings.failureDomain(), () -> ThreadLocalRandom.current().nextDouble());
         PrefixCacheIndex prefixCacheIndex = PrefixCacheIndex.empty();
-        this.sharing = new WorkSharing(settings, loop, directory, prefixCacheIndex, cutOffDetector::onAnsweredOther);
+        this.sharing = new WorkSharing(
+                settings, loop, directory, prefixCacheIndex, this::onAnsweredOther, this::listenForInstances);
+        this.reachingPeers = new ReachingPeers(
+                settings.failureDomain(),
+                cutOffDetector::isPartitioned,
+                sharing::find,
+                () -> ThreadLocalRandom.current().nextDouble(),
+                loop.ticker());
         this.recentVersions = RecentVersions.create(directory, loop.ticker(), settings.leavingServerMillis());
         this.continuations = createContinuations();
         this.limits = createLimits();
@@ -180,7 +190,8 @@
                 continuations,
                 limits,
                 statements,
-                cutOffDetector);
+                cutOffDetector,
+                reachingPeers);
     }
 
     private RelayServer startServer() {
@@ -413,6 +424,15 @@
         server.applyLimits(routes.limits());
     }
 
+    private void onAnsweredOther(String instance, String boot, long agoMillis) {
+        cutOffDetector.onAnsweredOther(boot, agoMillis);
+        reachingPeers.recordAnswer(instance, agoMillis);
+    }
+
+    private void listenForInstances(InetSocketAddress address) {
+        server.listenForInstances(address, handler::handleForwarded);
+    }
+
     /** Removes all state of one boot of a backend server that has ended. */
     private void onBackendEnded(Backend backend) {
         String boot = backend.entry().bootId();
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -1,14 +1,16 @@
 package org.verbenatray.instance;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
@@ -36,6 +38,9 @@
  * on one thread.
  */
 final class WorkSharing implements AutoCloseable {
+    /** The number of ports that are tried where the system chooses them. */
+    private static final int MAX_CHOSEN_PORTS = 10;
+
     private static final Logger log = System.getLogger(WorkSharing.class.getName());
 
     private final RelayInstanceSettings settings;
@@ -44,8 +49,11 @@
 
     private final BackendDirectory directory;
 
-    /** Receives how many milliseconds ago an engine answered another instance, by its boot id. */
-    private final BiConsumer<String, Long> onAnsweredOther;
+    /** Receives the answers of engines to other instances. */
+    private final AnswerListener onAnsweredOther;
+
+    /** Accepts requests that other instances forward, at the address where this one receives datagrams. */
+    private final Consumer<InetSocketAddress> forwardingListener;
 
     private final ExchangePeers exchangePeers;
 
@@ -80,12 +88,14 @@
             EventLoop loop,
             BackendDirectory directory,
             PrefixCacheIndex prefixCacheIndex,
-            BiConsumer<String, Long> onAnsweredOther) {
+            AnswerListener onAnsweredOther,
+            Consumer<InetSocketAddress> forwardingListener) {
         this.settings = settings;
         this.loop = loop;
         this.directory = directory;
         this.prefixCacheIndex = prefixCacheIndex;
         this.onAnsweredOther = onAnsweredOther;
+        this.forwardingListener = forwardingListener;
         this.exchangePeers = ExchangePeers.of(settings.name(), settings.failureDomain());
         this.fleetShare = FleetShare.create(loop.ticker());
         this.remoteWork = RemoteWork.create(loop.ticker(), exchangePeers::sampleWeight);
@@ -104,8 +114,8 @@
         limits = serverLimits;
         continuations = streamContinuations;
         try {
-            port = DatagramPort.open(loop.worker(), settings.workExchangeAddress(), this::onDatagram);
-        } catch (IOException e) {
+            port = openPorts();
+        } catch (IOException | UncheckedIOException e) {
             Event.named("work_not_shared")
                     .with("address", settings.workExchangeAddress())
                     .with("why", e.getMessage())
@@ -138,6 +148,33 @@
                 loop.scheduler());
     }
 
+    /**
+     * Opens the port for datagrams and the one for forwarded requests, which have the same number. Where the system
+     * chooses it, another process may have the second one, so that a few numbers are tried.
+     */
+    private DatagramPort openPorts() throws IOException {
+        InetSocketAddress configured = settings.workExchangeAddress();
+        int attempts = configured.getPort() == 0 ? MAX_CHOSEN_PORTS : 1;
+        while (true) {
+            DatagramPort datagrams = DatagramPort.open(loop.worker(), configured, this::onDatagram);
+            try {
+                forwardingListener.accept(new InetSocketAddress(configured.getHostString(), datagrams.portNumber()));
+                return datagrams;
+            } catch (UncheckedIOException e) {
+                datagrams.close();
+                attempts--;
+                if (attempts == 0) {
+                    throw e;
+                }
+            }
+        }
+    }
+
+    /** Returns the list entry of another instance; empty if it is not listed. */
+    Optional<ListedInstance> find(String instance) {
+        return exchangePeers.find(instance);
+    }
+
     /** Returns the work of the other instances at one boot of an engine. */
     EngineWork remoteWork(String boot) {
         return remoteWork.workAt(boot);
@@ -220,7 +257,8 @@
                     .forEach(placement -> prefixCacheIndex.recordReported(
                             placement.bootId(), placement.processed(), placement.blockTokens()));
             notice.crashes().forEach(crashExchange::receive);
-            notice.answeredAgoMillis().forEach(onAnsweredOther);
+            notice.answeredAgoMillis()
+                    .forEach((boot, agoMillis) -> onAnsweredOther.onAnswer(notice.instance(), boot, agoMillis));
         });
     }
 
@@ -243,4 +281,11 @@
         }
         return work;
     }
+
+    /** Receives answers of engines to other instances. */
+    @FunctionalInterface
+    interface AnswerListener {
+        /** Called when an engine is known to have answered an instance the given number of milliseconds ago. */
+        void onAnswer(String instance, String boot, long agoMillis);
+    }
 }
--- a/src/main/java/org/verbenatray/openwork/ExchangePeers.java
+++ b/src/main/java/org/verbenatray/openwork/ExchangePeers.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.verbenatray.continuation.StreamHomes;
@@ -87,6 +88,11 @@
         return selectedAddresses;
     }
 
+    /** Returns the list entry of another instance; empty if it is not listed. */
+    public Optional<ListedInstance> find(String instance) {
+        return Optional.ofNullable(others.get(instance));
+    }
+
     /** Returns the number of instances that each selected peer represents, 1 if there is none. */
     public double sampleWeight() {
         return selectedAddresses.isEmpty() ? 1 : (double) others.size() / selectedAddresses.size();
--- a/src/main/java/org/verbenatray/platform/PlatformProtocol.java
+++ b/src/main/java/org/verbenatray/platform/PlatformProtocol.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -181,6 +182,15 @@
                 options.backend().entry().bootId());
     }
 
+    @Override
+    public HttpCall forwardToInstance(RelayRequest request, URI instance, long timeoutMillis) {
+        Map<String, String> headers = new LinkedHashMap<>(request.headers());
+        headers.put(DEADLINE_MILLIS, Long.toString(timeoutMillis));
+        request.lastEventId().ifPresent(last -> headers.put(LAST_EVENT_ID, last));
+        return HttpCall.create(request.method(), instance, request.target(), headers, request.body())
+                .onNewConnection();
+    }
+
     @Override
     public ServerResponseHead parseHead(RelayRequest request, ResponseHead head) {
         HeaderMap headers = head.headers();
--- /dev/null
+++ b/src/main/java/org/verbenatray/relay/CallRecord.java
@@ -0,0 +1,84 @@
+package org.verbenatray.relay;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import org.verbenatray.backends.BackendEntry;
+import org.verbenatray.telemetry.Event;
+
+/** What is told of one call in its log line and in the metrics. Used on one thread. */
+final class CallRecord {
+    private static final Logger log = System.getLogger(CallRecord.class.getName());
+
+    private final RelayContext context;
+    private final MatchedRequest matched;
+
+    /** Attempts and further fields, for the log line of the final response. */
+    private final StringBuilder fields = new StringBuilder();
+
+    /** When the first byte of the response was relayed, in nanoseconds of the ticker; zero before that. */
+    private long firstByteNanos;
+
+    CallRecord(RelayContext context, MatchedRequest matched) {
+        this.context = context;
+        this.matched = matched;
+    }
+
+    /** Adds a field to the log line. */
+    void add(String key, Object value) {
+        fields.append(' ').append(key).append('=').append(value);
+    }
+
+    /** Adds the outcome of an attempt at a server. */
+    void addAttempt(String service, BackendEntry server, ForwardOutcome outcome) {
+        fields.append(' ').append(server.id());
+        if (!server.softwareVersion().isEmpty()) {
+            fields.append('/').append(server.softwareVersion());
+        }
+        fields.append('=').append(outcome.kind());
+        if (outcome.status() > 0) {
+            fields.append(':').append(outcome.status());
+        }
+        context.metrics().recordForward(service, outcome.kind().name());
+    }
+
+    /** Adds the time to the first byte of the response. */
+    void addFirstByte() {
+        firstByteNanos = context.ticker().nanos();
+        context.metrics().recordFirstByte(matched.route().kind().name(), sinceReceiptNanos(firstByteNanos) / 1e9);
+    }
+
+    /** Writes the log line and the metrics of the final response. */
+    void write(RequestEnd end, String outcome, int status, CallSuspects suspects, boolean budgetSpent) {
+        long now = context.ticker().nanos();
+        RelayRequest request = matched.request();
+        context.metrics().recordResponse(matched.route().kind().name(), outcome, sinceReceiptNanos(now) / 1e9);
+        Event event = Event.named("answer")
+                .with("id", request.id())
+                .with("route", matched.route().name())
+                .with("version", matched.catalogVersion())
+                .with("service", matched.service())
+                .with("outcome", outcome)
+                .with("status", status)
+                .with("end", end.label())
+                .with("ms", sinceReceiptNanos(now) / 1_000_000);
+        if (firstByteNanos > 0) {
+            event.with("first_ms", sinceReceiptNanos(firstByteNanos) / 1_000_000);
+        }
+        request.continuedRequestId().ifPresent(first -> event.with("continues", first));
+        request.lastEventId().ifPresent(last -> event.with("after_event", last));
+        suspects.addTo(event);
+        if (matched.forwarded()) {
+            event.with("from", request.caller());
+        }
+        if (budgetSpent) {
+            fields.append(" budget=spent");
+        }
+        event.with("left_ms", matched.deadline().remainingMillis(now))
+                .with("tried", fields.toString().trim());
+        event.log(log, Level.INFO);
+    }
+
+    private long sinceReceiptNanos(long nanos) {
+        return nanos - matched.request().receivedNanos();
+    }
+}
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -20,7 +20,7 @@
  * One attempt to forward a request to one backend server. Enforces the timeouts, validates the response and keeps the
  * open-work counts of the server. Used on one thread.
  */
-final class ForwardAttempt implements ResponseListener {
+final class ForwardAttempt implements ResponseListener, RunningAttempt {
     /** Largest response that is not a stream. */
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
@@ -129,18 +129,18 @@
         return options.backend();
     }
 
-    /** Returns whether the server may have received the request. */
-    boolean sendingStarted() {
+    @Override
+    public boolean sendingStarted() {
         return sendingStarted;
     }
 
-    /** Returns whether the server only does the prefill, so that the request does not run there. */
-    boolean prefillOnly() {
+    @Override
+    public boolean prefillOnly() {
         return options.prefillOnly();
     }
 
-    /** Cancels the attempt without reporting an outcome; a request that is not yet sent is never sent. */
-    void cancel() {
+    @Override
+    public void cancel() {
         if (!closed) {
             close();
             cancellation.cancel();
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -387,7 +387,7 @@
     private void giveUp(String outcome) {
         deadlineTimer.remove();
         releasePrefilledPrompt();
-        call.giveUp(outcome, RETRY_AFTER_MILLIS);
+        call.giveUpUnlessForwarded(outcome, RETRY_AFTER_MILLIS);
     }
 
     /** Gives up when the deadline has passed. */
--- /dev/null
+++ b/src/main/java/org/verbenatray/relay/PeerRelay.java
@@ -0,0 +1,253 @@
+package org.verbenatray.relay;
+
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.verbenatray.relay.CallerResponse.DisconnectCause;
+import org.verbenatray.servers.Cancellation;
+import org.verbenatray.servers.HttpCall;
+import org.verbenatray.servers.ResponseBody;
+import org.verbenatray.servers.ResponseHead;
+import org.verbenatray.servers.ResponseListener;
+import org.verbenatray.servers.ResponseMemory;
+import org.verbenatray.servers.ServerFailure;
+import org.xnio.XnioIoThread;
+
+/**
+ * Relays a request that no server has received through another instance, which reaches the servers. That one makes all
+ * decisions, so its response is passed on as it is; it does not forward the request again. Another instance is tried
+ * only while the request was not sent, or was declined. Used on one thread.
+ */
+final class PeerRelay implements ResponseListener, RunningAttempt {
+    /** The largest number of instances that are asked to serve one request. */
+    private static final int MAX_INSTANCES = 3;
+
+    /** Time of the caller that is kept for the way back from the other instance. */
+    private static final long RETURN_MILLIS = 20;
+
+    /** Largest response that is not a stream. */
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+    /** Largest event of a stream. */
+    private static final int MAX_EVENT_BYTES = 10 * 1024 * 1024;
+
+    private final RelayContext context;
+    private final RelayCall call;
+
+    /** Ends the call as if there were no other instances. */
+    private final Runnable withoutInstances;
+
+    private final List<URI> tried = new ArrayList<>();
+
+    /** Body of a response that is not a stream. */
+    private final ResponseBody body = new ResponseBody();
+
+    private final EventSplitter splitter = new EventSplitter();
+
+    /** The retained bytes of the response, as a share of the memory of all responses. */
+    private final ResponseMemory.Share share;
+
+    private XnioIoThread.Key deadlineTimer;
+
+    private Cancellation cancellation = () -> {};
+
+    /** Head of the response; null before it arrives. */
+    private ServerResponseHead head;
+
+    /** Whether the response ends with its connection, so that a broken one looks complete. */
+    private boolean endsWithConnection;
+
+    private boolean sendingStarted;
+
+    /** Whether the attempt at the last instance has ended. */
+    private boolean closed = true;
+
+    private PeerRelay(RelayContext context, RelayCall call, Runnable withoutInstances) {
+        this.context = context;
+        this.call = call;
+        this.withoutInstances = withoutInstances;
+        this.share = context.transport()
+                .responseMemory()
+                .open(() -> context.thread().execute(call.guard().wrap(() -> fail("memory"))));
+    }
+
+    /**
+     * Forwards a call to another instance, or runs the given task if that is not possible: no instance is known to reach
+     * the servers, the request may have run, or another instance has forwarded it to this one.
+     */
+    static void startOrElse(RelayContext context, RelayCall call, Runnable withoutInstances) {
+        if (call.forwarded() || call.owed() || call.finished()) {
+            withoutInstances.run();
+            return;
+        }
+        PeerRelay relay = new PeerRelay(context, call, withoutInstances);
+        Optional<URI> instance = context.reachingInstances().choose(relay.tried);
+        if (instance.isEmpty() || call.remainingMillis() <= RETURN_MILLIS) {
+            withoutInstances.run();
+            return;
+        }
+        call.response().onDisconnect(relay::callerDisconnected);
+        relay.deadlineTimer = context.thread()
+                .executeAfter(
+                        call.guard().wrap(relay::handleDeadline), call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
+        relay.send(instance.get());
+    }
+
+    private void send(URI instance) {
+        tried.add(instance);
+        closed = false;
+        sendingStarted = false;
+        call.setRunning(this);
+        HttpCall forward = context.dialect()
+                .forwardToInstance(call.request(), instance, Math.max(1, call.remainingMillis() - RETURN_MILLIS));
+        cancellation = context.transport()
+                .exchange(forward, context.thread(), call.guard().wrap(this));
+    }
+
+    @Override
+    public boolean sendingStarted() {
+        return sendingStarted;
+    }
+
+    @Override
+    public boolean prefillOnly() {
+        return false;
+    }
+
+    @Override
+    public void cancel() {
+        if (!closed) {
+            close();
+            cancellation.cancel();
+        }
+    }
+
+    @Override
+    public void onSending() {
+        sendingStarted = true;
+    }
+
+    @Override
+    public void onHead(ResponseHead responseHead) {
+        head = context.dialect().parseHead(call.request(), responseHead);
+        endsWithConnection = responseHead.endsWithConnection();
+        if (!head.matchesRequestId()) {
+            fail("answer_of_another_request");
+        } else if (head.status() < 300 && !head.authentic()) {
+            fail("answer_without_server");
+        }
+    }
+
+    @Override
+    public void onBody(ByteBuffer piece) {
+        if (closed) {
+            return;
+        }
+        if (head.eventStream()) {
+            splitter.feed(piece, event -> {
+                if (!closed) {
+                    call.relayEvent(head, event);
+                }
+            });
+            call.response().writeBuffered();
+            share.set(splitter.partialBytes());
+        } else {
+            body.add(piece);
+            share.set(body.capacityBytes());
+        }
+        if (body.size() > MAX_BODY_BYTES || splitter.partialBytes() > MAX_EVENT_BYTES) {
+            fail("answer_too_large");
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        if (closed) {
+            return;
+        }
+        if (endsWithConnection || head.eventStream() && splitter.isInsideEvent()) {
+            fail("answer_incomplete");
+        } else if (ForwardedRequests.isDeclined(head)) {
+            tryNext();
+        } else if (head.eventStream()) {
+            end();
+            call.endStream(head);
+        } else {
+            byte[] bytes = body.toByteArray();
+            end();
+            call.relayForwarded(head, bytes);
+        }
+    }
+
+    @Override
+    public void onFailure(ServerFailure failure) {
+        if (sendingStarted) {
+            fail("instance_failed");
+        } else {
+            tryNext();
+        }
+    }
+
+    /** Asks another instance after one that has not received the request, or has declined it. */
+    private void tryNext() {
+        close();
+        body.clear();
+        Optional<URI> next =
+                tried.size() < MAX_INSTANCES ? context.reachingInstances().choose(tried) : Optional.empty();
+        if (next.isPresent() && call.remainingMillis() > RETURN_MILLIS) {
+            send(next.get());
+            return;
+        }
+        end();
+        withoutInstances.run();
+    }
+
+    /** Ends the call after a failure at which the request may have run. */
+    private void fail(String outcome) {
+        if (closed) {
+            return;
+        }
+        cancellation.cancel();
+        call.recordPossibleRun();
+        end();
+        call.giveUp(outcome, 0);
+    }
+
+    /** Gives up when the deadline has passed. */
+    private void handleDeadline() {
+        if (call.finished() || closed) {
+            return;
+        }
+        cancellation.cancel();
+        if (sendingStarted) {
+            call.recordPossibleRun();
+        }
+        end();
+        call.giveUp("timeout", 0);
+    }
+
+    /** Cancels the attempt when the caller has disconnected; the other instance sees its connection end. */
+    private void callerDisconnected(DisconnectCause cause) {
+        cancel();
+        if (sendingStarted) {
+            call.recordPossibleRun();
+        }
+        end();
+        call.callerDisconnected(cause);
+    }
+
+    /** Ends the attempt and the deadline timer. */
+    private void end() {
+        close();
+        deadlineTimer.remove();
+    }
+
+    private void close() {
+        closed = true;
+        share.close();
+        call.setRunning(null);
+    }
+}
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -166,7 +166,7 @@
             call.relayResponse(errorResponse);
             return;
         }
-        call.giveUp(outcome, RETRY_AFTER_MILLIS);
+        call.giveUpUnlessForwarded(outcome, RETRY_AFTER_MILLIS);
     }
 
     /** Gives up when the deadline has passed. */
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -1,18 +1,13 @@
 package org.verbenatray.relay;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.verbenatray.backends.Backend;
-import org.verbenatray.backends.BackendEntry;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
-import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 
 /**
@@ -44,12 +39,10 @@
     /** Time for which a request that may have run and has no response waits for a server. */
     private static final long MAX_UNSTARTED_WAIT_MILLIS = 600;
 
-    private static final Logger log = System.getLogger(RelayCall.class.getName());
-
     private final RelayContext context;
+    private final MatchedRequest matched;
     private final RelayRequest request;
     private final Route route;
-    private final long catalogVersion;
     private final String service;
     private final Deadline deadline;
     private final CallerResponse response;
@@ -67,8 +60,7 @@
     /** Notified once, of how the request has ended. */
     private final Consumer<RequestEnd> onFinished;
 
-    /** Attempts and further fields, for the log line of the final response. */
-    private final StringBuilder logFields = new StringBuilder();
+    private final CallRecord record;
 
     private final CallAttempts attempts;
 
@@ -78,30 +70,25 @@
     /** How the last attempt ended, null before that. */
     private ForwardOutcome.Kind lastOutcome;
 
-    /** When the first byte of the response was relayed, in nanoseconds of the ticker; zero before that. */
-    private long firstByteNanos;
-
     /** The attempt whose outcome is not recorded, null if none. */
-    private ForwardAttempt running;
+    private RunningAttempt running;
 
     private boolean finished;
 
     /** Creates a call. */
     RelayCall(
             RelayContext context,
-            RelayRequest request,
-            Route route,
-            long catalogVersion,
-            Deadline deadline,
+            MatchedRequest matched,
             CallerResponse response,
             RequestGuard guard,
             Consumer<RequestEnd> onFinished) {
         this.context = context;
-        this.request = request;
-        this.route = route;
-        this.catalogVersion = catalogVersion;
-        this.service = route.serviceFor(request.id().hashCode());
-        this.deadline = deadline;
+        this.matched = matched;
+        this.request = matched.request();
+        this.route = matched.route();
+        this.service = matched.service();
+        this.deadline = matched.deadline();
+        this.record = new CallRecord(context, matched);
         this.attempts = CallAttempts.create(route, () -> context.retryBudgets().apply(service));
         this.response = response;
         this.ownHeaders = OwnResponseHeaders.of(context);
@@ -197,8 +184,9 @@
         }
         attempts.recordSending();
         context.limits().recordSending(options.backend().entry().bootId());
-        running = ForwardAttempt.send(context, this, options, work, timeouts, guard.wrap(listener));
-        return Optional.of(running);
+        ForwardAttempt attempt = ForwardAttempt.send(context, this, options, work, timeouts, guard.wrap(listener));
+        running = attempt;
+        return Optional.of(attempt);
     }
 
     /** Returns whether the request, or a part of its prompt, has crashed so many servers that it must not be sent. */
@@ -287,7 +275,8 @@
         } else {
             attempts.recordDelivery(countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN);
         }
-        recordServerOutcome(attempt.backend(), outcome);
+        record.addAttempt(service, attempt.backend().entry(), outcome);
+        ServerHealth.record(context, attempt.backend(), outcome);
         if (countsAsRun && outcome.isSuccess() && outcome.proved()) {
             suspects.recordSuccess();
         }
@@ -295,7 +284,24 @@
 
     /** Adds a field to the log line of the final response. */
     void addLogField(String key, Object value) {
-        logFields.append(' ').append(key).append('=').append(value);
+        record.add(key, value);
+    }
+
+    /** Returns whether another instance received the request from its caller, so that it is not forwarded again. */
+    boolean forwarded() {
+        return matched.forwarded();
+    }
+
+    /** Records the attempt that sends the request to another instance, null once it has ended. */
+    void setRunning(RunningAttempt attempt) {
+        running = attempt;
+    }
+
+    /** Relays a complete response of another instance, which is a server's response or a refusal of its own. */
+    void relayForwarded(ServerResponseHead head, byte[] body) {
+        record.addFirstByte();
+        response.send(head.status(), ownHeaders.withConnection(head.headers()), body);
+        finish(head.authentic() ? RequestEnd.ANSWERED : RequestEnd.REFUSED, "forwarded", head.status());
     }
 
     /** Relays a complete response of a server to the caller. */
@@ -305,7 +311,7 @@
             giveUp("unproved_refusal", 0);
             return;
         }
-        recordFirstByte();
+        record.addFirstByte();
         response.send(head.status(), ownHeaders.withConnection(head.headers()), outcome.body());
         finish(RequestEnd.ANSWERED, "answered", head.status());
     }
@@ -313,7 +319,7 @@
     /** Relays the next event of a stream to the caller. */
     void relayEvent(ServerResponseHead head, StreamEvent event) {
         if (!response.started()) {
-            recordFirstByte();
+            record.addFirstByte();
             response.startStream(head.status(), ownHeaders.withConnection(head.headers()));
         }
         response.write(event.bytes());
@@ -347,6 +353,18 @@
         }
     }
 
+    /**
+     * Gives up with the given outcome, unless servers may be out of reach of this instance only: a request that none has
+     * received is then forwarded to an instance that reaches them.
+     */
+    void giveUpUnlessForwarded(String outcome, long retryAfterMillis) {
+        if (context.reach().suspectsNewConnections()) {
+            PeerRelay.startOrElse(context, this, () -> giveUp(outcome, retryAfterMillis));
+        } else {
+            giveUp(outcome, retryAfterMillis);
+        }
+    }
+
     /**
      * Ends the call after an exception in one of its steps: with 503 if the request has not run, with 502 if it may
      * have run, or by closing the connection of a response that has begun.
@@ -425,27 +443,6 @@
         finish(end, outcome, status);
     }
 
-    /** Records the time to first byte. */
-    private void recordFirstByte() {
-        firstByteNanos = context.ticker().nanos();
-        context.metrics().recordFirstByte(route.kind().name(), (firstByteNanos - request.receivedNanos()) / 1e9);
-    }
-
-    /** Logs an outcome and updates the health of its server. */
-    private void recordServerOutcome(Backend backend, ForwardOutcome outcome) {
-        BackendEntry entry = backend.entry();
-        logFields.append(' ').append(entry.id());
-        if (!entry.softwareVersion().isEmpty()) {
-            logFields.append('/').append(entry.softwareVersion());
-        }
-        logFields.append('=').append(outcome.kind());
-        if (outcome.status() > 0) {
-            logFields.append(':').append(outcome.status());
-        }
-        context.metrics().recordForward(service, outcome.kind().name());
-        ServerHealth.record(context, backend, outcome);
-    }
-
     /** Finishes the call: writes its log line and its metrics, once. */
     private void finish(RequestEnd end, String outcome, int status) {
         if (finished) {
@@ -454,28 +451,6 @@
         finished = true;
         attempts.releaseRetry();
         onFinished.accept(end);
-        long now = context.ticker().nanos();
-        context.metrics().recordResponse(route.kind().name(), outcome, (now - request.receivedNanos()) / 1e9);
-        Event event = Event.named("answer")
-                .with("id", request.id())
-                .with("route", route.name())
-                .with("version", catalogVersion)
-                .with("service", service)
-                .with("outcome", outcome)
-                .with("status", status)
-                .with("end", end.label())
-                .with("ms", (now - request.receivedNanos()) / 1_000_000);
-        if (firstByteNanos > 0) {
-            event.with("first_ms", (firstByteNanos - request.receivedNanos()) / 1_000_000);
-        }
-        request.continuedRequestId().ifPresent(first -> event.with("continues", first));
-        request.lastEventId().ifPresent(last -> event.with("after_event", last));
-        suspects.addTo(event);
-        if (attempts.exhausted()) {
-            logFields.append(" budget=spent");
-        }
-        event.with("left_ms", deadline.remainingMillis(now))
-                .with("tried", logFields.toString().trim());
-        event.log(log, Level.INFO);
+        record.write(end, outcome, status, suspects, attempts.exhausted());
     }
 }
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -43,6 +43,7 @@
  * @param limits the limits that servers state
  * @param statements records what servers state in their answers
  * @param reach receives what shows whether this instance reaches the servers
+ * @param reachingInstances the instances that serve requests which this one can't send to a server
  */
 public record RelayContext(
         HttpTransport transport,
@@ -67,4 +68,5 @@
         StreamContinuations continuations,
         ServerLimits limits,
         ServerStatements statements,
-        ReachListener reach) {}
+        ReachListener reach,
+        ReachingInstances reachingInstances) {}
--- a/src/main/java/org/verbenatray/relay/RelayDialect.java
+++ b/src/main/java/org/verbenatray/relay/RelayDialect.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import java.net.URI;
 import java.util.Optional;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendLoad;
@@ -19,6 +20,9 @@
     /** Returns the call that forwards a request to a backend server. */
     HttpCall forward(RelayRequest request, ForwardOptions options);
 
+    /** Returns the call that sends a request to another instance, whose caller waits for the given time. */
+    HttpCall forwardToInstance(RelayRequest request, URI instance, long timeoutMillis);
+
     /** Returns the parsed head of a server's response to the given request. */
     ServerResponseHead parseHead(RelayRequest request, ResponseHead head);
 
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -19,7 +19,6 @@
 import org.verbenatray.catalog.Route;
 import org.verbenatray.catalog.RouteKind;
 import org.verbenatray.telemetry.Event;
-import org.verbenatray.time.Deadline;
 import org.xnio.IoUtils;
 
 /** Handles callers' requests: validates them, buffers their bodies, matches their routes and starts relaying. */
@@ -39,11 +38,14 @@
 
     private final RequestCounts counts;
 
+    private final ForwardedRequests forwarded;
+
     private final UnsentResponses unsentResponses = UnsentResponses.create();
 
     private RelayHandler(RelayContext context) {
         this.context = context;
         this.counts = RequestCounts.create(context.metrics());
+        this.forwarded = ForwardedRequests.create(context.closingConnections());
     }
 
     /** Creates a handler. */
@@ -64,11 +66,24 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         RequestGuard guard = RequestGuard.create(() -> endFailed(exchange, end -> {}));
-        guard.run(() -> receive(exchange, guard));
+        guard.run(() -> receive(exchange, guard, false));
+    }
+
+    /** Handles a request that another instance forwards because it reaches no server. */
+    public void handleForwarded(HttpServerExchange exchange) {
+        RequestGuard guard = RequestGuard.create(() -> endFailed(exchange, end -> {}));
+        guard.run(() -> {
+            if (!forwarded.accept(exchange)) {
+                exchange.getResponseHeaders().put(ForwardedRequests.DECLINED, "1");
+                reject(exchange, 503, "another instance serves this better", STOPPING_RETRY_AFTER_MILLIS);
+                return;
+            }
+            receive(exchange, guard, true);
+        });
     }
 
     /** Checks the head of a request and starts to read its body. */
-    private void receive(HttpServerExchange exchange, RequestGuard guard) {
+    private void receive(HttpServerExchange exchange, RequestGuard guard, boolean isForwarded) {
         long receivedNanos = context.ticker().nanos();
         if (context.closingConnections().getAsBoolean()) {
             exchange.setPersistent(false);
@@ -97,15 +112,15 @@
         }
         exchange.setMaxEntitySize(maxBodyBytes);
         exchange.getRequestReceiver().setMaxBufferSize((int) Math.min(maxBodyBytes, Integer.MAX_VALUE));
-        exchange.dispatch(SameThreadExecutor.INSTANCE, guard.wrap(() -> readBody(exchange, guard, receivedNanos)));
+        Receipt receipt = new Receipt(receivedNanos, isForwarded);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, guard.wrap(() -> readBody(exchange, guard, receipt)));
     }
 
-    private void readBody(HttpServerExchange exchange, RequestGuard guard, long receivedNanos) {
+    private void readBody(HttpServerExchange exchange, RequestGuard guard, Receipt receipt) {
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (done, body) -> done.dispatch(
-                                SameThreadExecutor.INSTANCE,
-                                guard.wrap(() -> startRelay(done, body, guard, receivedNanos))),
+                                SameThreadExecutor.INSTANCE, guard.wrap(() -> startRelay(done, body, guard, receipt))),
                         (failed, e) -> failed.dispatch(
                                 SameThreadExecutor.INSTANCE, guard.wrap(() -> handleReadFailure(failed, e))));
     }
@@ -131,11 +146,11 @@
     }
 
     /** Matches the route of a request and starts relaying it. */
-    private void startRelay(HttpServerExchange exchange, byte[] body, RequestGuard guard, long receivedNanos) {
+    private void startRelay(HttpServerExchange exchange, byte[] body, RequestGuard guard, Receipt receipt) {
         counts.recordRead();
         unsentResponses.add(exchange);
         guard.setEnding(() -> endFailed(exchange, counts::recordEnd));
-        Optional<RelayRequest> parsedRequest = context.dialect().readRequest(exchange, body, receivedNanos);
+        Optional<RelayRequest> parsedRequest = context.dialect().readRequest(exchange, body, receipt.nanos());
         if (parsedRequest.isEmpty()) {
             refuse(exchange, 400, "the request carries no id");
             return;
@@ -148,25 +163,24 @@
             refuse(exchange, 404, "no route of version " + catalog.version() + " matches this host and path");
             return;
         }
-        Route route = matchedRoute.get();
-        Deadline deadline = Deadline.afterMillis(receivedNanos, route.timeoutMillis());
-        if (request.deadline().isPresent() && request.deadline().get().atNanos() - deadline.atNanos() < 0) {
-            deadline = request.deadline().get();
-        }
-        RelayCall call = new RelayCall(
-                context,
-                request,
-                route,
-                catalog.version(),
-                deadline,
-                CallerResponse.to(exchange, guard),
-                guard,
-                counts::recordEnd);
+        MatchedRequest matched = MatchedRequest.of(request, matchedRoute.get(), catalog.version(), receipt.forwarded());
+        RelayCall call = new RelayCall(context, matched, CallerResponse.to(exchange, guard), guard, counts::recordEnd);
         guard.setEnding(call::fail);
-        context.retryBudgets().apply(call.service()).recordRequest();
+        if (!receipt.forwarded()) {
+            context.retryBudgets().apply(call.service()).recordRequest();
+        }
         if (call.crashesServers()) {
             call.giveUpCrashing();
-        } else if (route.kind() == RouteKind.STREAMING) {
+        } else if (context.reachingInstances().areNeeded()) {
+            PeerRelay.startOrElse(context, call, () -> start(call));
+        } else {
+            start(call);
+        }
+    }
+
+    /** Starts to relay a call to the servers of its service. */
+    private void start(RelayCall call) {
+        if (call.route().kind() == RouteKind.STREAMING) {
             GenerationRelay.start(context, call);
         } else {
             PlainRelay.start(context, call);
@@ -235,4 +249,12 @@
         }
         return total;
     }
+
+    /**
+     * How a request was received.
+     *
+     * @param nanos when its head was read, in nanoseconds of the ticker
+     * @param forwarded whether another instance forwards it
+     */
+    private record Receipt(long nanos, boolean forwarded) {}
 }
--- a/src/main/java/org/verbenatray/relay/RelayServer.java
+++ b/src/main/java/org/verbenatray/relay/RelayServer.java
@@ -12,7 +12,10 @@
 import org.verbenatray.web.Responses;
 import org.xnio.XnioWorker;
 
-/** The HTTP listeners of a relay instance: for callers, for readiness checks, and for metrics and state. */
+/**
+ * The HTTP listeners of a relay instance: for callers, for requests that other instances forward, for readiness checks,
+ * and for metrics and state.
+ */
 public final class RelayServer implements AutoCloseable {
     /** Largest total size of the headers that is read; the catalog may allow less. */
     private static final int MAX_HEADER_BYTES = 64 * 1024;
@@ -26,12 +29,24 @@
     /** Time that open exchanges get once the listeners are closed. */
     private static final int SHUTDOWN_TIMEOUT_MILLIS = 100;
 
+    private final XnioWorker worker;
+
+    private final Ticker ticker;
+
     private final CallerListener callers;
 
+    /** Accepts requests that other instances forward; null before it is opened. */
+    private CallerListener instances;
+
+    /** The last limits of the configuration; null before the first. */
+    private CallerLimits limits;
+
     /** Serves readiness, metrics and state. */
     private final Undertow server;
 
-    private RelayServer(CallerListener callers, Undertow server) {
+    private RelayServer(XnioWorker worker, Ticker ticker, CallerListener callers, Undertow server) {
+        this.worker = worker;
+        this.ticker = ticker;
         this.callers = callers;
         this.server = server;
     }
@@ -73,6 +88,8 @@
                 .build();
         server.start();
         return new RelayServer(
+                worker,
+                ticker,
                 CallerListener.start(
                         worker, ticker, addresses.callers(), MAX_HEADER_BYTES, new HttpContinueReadHandler(callers)),
                 server);
@@ -83,14 +100,32 @@
         return callers.address();
     }
 
-    /** Applies the limits of a newer configuration to the connections of callers. Called on the I/O thread. */
-    public void applyLimits(CallerLimits limits) {
-        callers.apply(limits);
+    /**
+     * Starts to accept requests that other instances forward; fails with an {@link java.io.UncheckedIOException} if the
+     * address cannot be bound. Called on the I/O thread.
+     */
+    public void listenForInstances(InetSocketAddress address, HttpHandler handler) {
+        instances = CallerListener.start(worker, ticker, address, MAX_HEADER_BYTES, handler);
+        if (limits != null) {
+            instances.apply(limits);
+        }
+    }
+
+    /** Applies the limits of a newer configuration to the connections. Called on the I/O thread. */
+    public void applyLimits(CallerLimits newLimits) {
+        limits = newLimits;
+        callers.apply(newLimits);
+        if (instances != null) {
+            instances.apply(newLimits);
+        }
     }
 
     @Override
     public void close() {
         callers.close();
+        if (instances != null) {
+            instances.close();
+        }
         server.stop();
     }
 
