--- a/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
@@ -134,7 +134,10 @@
         StringBuilder text = new StringBuilder();
         while (!text.toString().endsWith(end)) {
             int next = in.read();
-            Assert.assertTrue(next >= 0, "the connection ended after " + text.toString().replace("\r", "\\r").replace("\n", "\\n"));
+            Assert.assertTrue(
+                    next >= 0,
+                    "the connection ended after "
+                            + text.toString().replace("\r", "\\r").replace("\n", "\\n"));
             text.append((char) next);
         }
         return text.toString();
