--- a/src/main/java/org/verbenatray/relay/CallerConnection.java
+++ b/src/main/java/org/verbenatray/relay/CallerConnection.java
@@ -137,9 +137,9 @@
 
     /**
      * Passes reads on and records those that return bytes. Once a request is not read any further, or the last response
-     * of the connection is written, it discards what still arrives: the HTTP server waits some seconds for the caller to
-     * close, but closes at the first byte, and a close with unread bytes resets the connection, so that the caller loses
-     * the response.
+     * of the connection is written, it discards what still arrives: the HTTP server waits some seconds for the caller
+     * to close, but closes at the first byte, and a close with unread bytes resets the connection, so that the caller
+     * loses the response.
      */
     private final class WatchedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
         private boolean inputEnded;
--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -114,9 +114,9 @@
     }
 
     /**
-     * Starts a stream; does nothing if a response was started or the caller has disconnected. The stream is chunked also
-     * if its connection is closed after it: where the end of the connection marks the end of the response, a stream
-     * that is cut looks complete.
+     * Starts a stream; does nothing if a response was started or the caller has disconnected. The stream is chunked
+     * also if its connection is closed after it: where the end of the connection marks the end of the response, a
+     * stream that is cut looks complete.
      */
     void startStream(int status, Map<String, String> headers) {
         if (writeHead(status, headers)) {
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -354,8 +354,8 @@
     }
 
     /**
-     * Gives up with the given outcome, unless servers may be out of reach of this instance only: a request that none has
-     * received is then forwarded to an instance that reaches them.
+     * Gives up with the given outcome, unless servers may be out of reach of this instance only: a request that none
+     * has received is then forwarded to an instance that reaches them.
      */
     void giveUpUnlessForwarded(String outcome, long retryAfterMillis) {
         if (context.reach().suspectsNewConnections()) {
--- a/src/test/java/org/verbenatray/platform/UnreadableBodyTest.java
+++ b/src/test/java/org/verbenatray/platform/UnreadableBodyTest.java
@@ -36,7 +36,9 @@
         assertRefused(CHUNKED_HEAD + chunk.repeat(5) + "0\r\n\r\n", 413);
     }
 
-    /** The connection was closed under the caller, so that the reset discarded the refusal before the caller read it. */
+    /**
+     * The connection was closed under the caller, so that the reset discarded the refusal before the caller read it.
+     */
     @Test
     public void aCallerThatWritesOnAfterItsBodyWasRefusedStillReceivesTheRefusal() throws Exception {
         String chunk = new String(ScriptedServer.chunk("x".repeat(30_000)), StandardCharsets.ISO_8859_1);
