Know plain servers that cannot be connected to, instead of finding it out by each request

Cause: a plain server that refused or swallowed a connection was only paused, and paused servers are tried if all are. Engines have polls, which find out when one is reachable again; plain servers had nothing, so each request had to find out.

Now a failed connection makes a plain server unreachable: it gets no requests until ConnectProbe, which tries it each 0.25 s, has connected; the connection is kept for a request. If no server of a service is reachable, the request is forwarded to another instance, or refused at once.

Ruled out: the engines' evidence of a partition (ServerReach); this instance reached its engines, and its new connections to them cleared it.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -19,6 +19,7 @@
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.placement.PrefillTimeModel;
 import org.verbenatray.placement.PrefixCacheIndex;
+import org.verbenatray.relay.ConnectProbe;
 import org.verbenatray.relay.CrashProbe;
 import org.verbenatray.relay.FirstAttemptEstimator;
 import org.verbenatray.relay.LargePromptShare;
@@ -187,6 +188,7 @@
                 FirstAttemptEstimator.create(),
                 LargePromptShare.create(),
                 CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns, statements),
+                ConnectProbe.create(loop.transport(), loop.thread()),
                 continuations,
                 limits,
                 statements,
--- a/src/main/java/org/verbenatray/relay/CallServers.java
+++ b/src/main/java/org/verbenatray/relay/CallServers.java
@@ -25,6 +25,12 @@
                 .toList();
     }
 
+    /** Returns whether there are servers that are not leaving, but none of them could be reached lately. */
+    boolean noneReachable() {
+        List<Backend> servers = context.directory().usable(service);
+        return !servers.isEmpty() && servers.stream().allMatch(Backend::unreachable);
+    }
+
     /** Returns whether its limit keeps requests from a server now. */
     boolean limitsReached() {
         return !context.directory().usable(service).stream().allMatch(this::withinLimit);
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -112,7 +112,7 @@
 
     private Optional<Backend> bestServerExcept(List<Backend> excluded) {
         List<Backend> candidates = call.servers().usable().stream()
-                .filter(backend -> backend.entry().stage() != BackendStage.PREFILL)
+                .filter(backend -> backend.entry().stage() != BackendStage.PREFILL && !backend.unreachable())
                 .toList();
         return context.chooser().choose(candidates, excluded, context.ticker().nanos());
     }
@@ -155,7 +155,7 @@
             deadlineTimer.remove();
             call.giveUpAtLimits();
         } else {
-            giveUp("no_server");
+            giveUp(call.servers().noneReachable() ? "no_server_in_reach" : "no_server");
         }
     }
 
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -358,7 +358,7 @@
      * has received is then forwarded to an instance that reaches them.
      */
     void giveUpUnlessForwarded(String outcome, long retryAfterMillis) {
-        if (context.reach().suspectsNewConnections()) {
+        if (context.reach().suspectsNewConnections() || servers.noneReachable()) {
             PeerRelay.startOrElse(context, this, () -> giveUp(outcome, retryAfterMillis));
         } else {
             giveUp(outcome, retryAfterMillis);
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -39,6 +39,7 @@
  * @param firstAttempts estimates how long ago callers sent their first attempts
  * @param largePrompts decides which large prompts are scheduled with regular priority
  * @param crashProbe detects crashed servers
+ * @param connectProbe finds out when servers that could not be connected to are reachable again
  * @param continuations knows the software versions at which streams may be continued
  * @param limits the limits that servers state
  * @param statements records what servers state in their answers
@@ -65,6 +66,7 @@
         FirstAttemptEstimator firstAttempts,
         LargePromptShare largePrompts,
         CrashProbe crashProbe,
+        ConnectProbe connectProbe,
         StreamContinuations continuations,
         ServerLimits limits,
         ServerStatements statements,
--- a/src/main/java/org/verbenatray/relay/ServerHealth.java
+++ b/src/main/java/org/verbenatray/relay/ServerHealth.java
@@ -14,8 +14,9 @@
             case NOT_SENT -> {
                 context.reach().onNotConnected(backend);
                 backend.recordFailure(now);
-                if (backend.entry().stage() != BackendStage.PLAIN) {
-                    backend.markUnreachable();
+                backend.markUnreachable();
+                if (backend.entry().stage() == BackendStage.PLAIN) {
+                    context.connectProbe().watch(backend);
                 }
             }
             case SILENT, BROKEN -> {
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -1,6 +1,7 @@
 package org.verbenatray.servers;
 
 import io.undertow.connector.ByteBufferPool;
+import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -9,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
 import org.xnio.XnioIoThread;
@@ -162,26 +164,52 @@
         startOnNewConnection(call, thread, exchange);
     }
 
+    /**
+     * Opens a connection and adds it to a pool; the future fails with a {@link ServerFailure} if that is not possible
+     * within the connect timeout.
+     */
+    public CompletableFuture<Void> connect(URI address, XnioIoThread thread, String pool) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        open(
+                address,
+                thread,
+                connection -> {
+                    release(thread, pool, connection);
+                    done.complete(null);
+                },
+                done::completeExceptionally);
+        return done;
+    }
+
     /** Starts the exchange on a new connection, or fails it after the connect timeout. */
     void startOnNewConnection(HttpCall call, XnioIoThread thread, HttpExchange exchange) {
+        open(call.address(), thread, connection -> exchange.start(connection, false), exchange::fail);
+    }
+
+    /**
+     * Opens a connection. The failure is reported after the connect timeout at the latest; a connection that is opened
+     * later is passed on all the same.
+     */
+    private void open(
+            URI address, XnioIoThread thread, Consumer<ServerConnection> onOpen, Consumer<ServerFailure> onFailure) {
         XnioIoThread.Key timer = thread.executeAfter(
-                () -> exchange.fail(ServerFailure.create(
+                () -> onFailure.accept(ServerFailure.create(
                         ServerFailure.Kind.NOT_CONNECTED,
-                        "no connection to " + call.address() + " within " + CONNECT_TIMEOUT_MILLIS + " ms")),
+                        "no connection to " + address + " within " + CONNECT_TIMEOUT_MILLIS + " ms")),
                 CONNECT_TIMEOUT_MILLIS,
                 TimeUnit.MILLISECONDS);
         openers.computeIfAbsent(thread, key -> new ConnectionOpener(key, buffers))
                 .open(
-                        call.address(),
+                        address,
                         connection -> {
                             timer.remove();
-                            exchange.start(connection, false);
+                            onOpen.accept(connection);
                         },
                         e -> {
                             timer.remove();
-                            exchange.fail(ServerFailure.create(
+                            onFailure.accept(ServerFailure.create(
                                     ServerFailure.Kind.NOT_CONNECTED,
-                                    "cannot connect to " + call.address() + ": " + e.getMessage(),
+                                    "cannot connect to " + address + ": " + e.getMessage(),
                                     e));
                         });
     }
--- a/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
@@ -115,6 +115,23 @@
         }
     }
 
+    @Test
+    public void requestsToAServiceThatOnlyThisInstanceDoesNotReachAreForwarded() throws Exception {
+        fleet.refuseByPlainServer(2, true);
+        for (int number = 0; number < 10; number++) {
+            keepAnswering();
+            String id = "plain" + number;
+            String response =
+                    RelayFixture.exchange(fleet.instance(2), RelayFixture.postRequest("/unsafe/x", id, "", "b"));
+            Assert.assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            Assert.assertEquals(
+                    fleet.plainServer().requests().stream()
+                            .filter(request -> request.header("request-id").equals(id))
+                            .count(),
+                    1);
+        }
+    }
+
     /** Makes engines answer both other instances, which tell the partitioned one of it. */
     private void keepAnswering() throws InterruptedException {
         for (int round = 0; round < 3; round++) {
--- a/src/test/java/org/verbenatray/platform/PartitionableFleet.java
+++ b/src/test/java/org/verbenatray/platform/PartitionableFleet.java
@@ -41,21 +41,32 @@
     /** Accepts connections and never answers, as a peer behind a partition. */
     private final ScriptedServer silence;
 
+    /** The only server of the plain service. */
+    private final ScriptedServer plainServer;
+
     /** Serves the generation requests of all engines. */
     private volatile Script generation = PartitionableFleet::generate;
 
     /** Whether the servers refuse new connections of each instance, while kept ones live on. */
     private volatile boolean[] refusedNewConnections;
 
+    /** Whether the plain server refuses the connections of each instance. */
+    private volatile boolean[] refusedByPlainServer;
+
     /** Whether each instance is partitioned from the engines. */
     private volatile boolean[] partitioned;
 
     private PartitionableFleet(int instanceCount) throws IOException {
         partitioned = new boolean[instanceCount];
         refusedNewConnections = new boolean[instanceCount];
+        refusedByPlainServer = new boolean[instanceCount];
         silence = ScriptedServer.start((request, connection, out) -> {});
         store = FakeStore.startOnPorts(instanceCount);
         store.put("keyed.op", "config", RelayFixture.configurationJson(1));
+        plainServer =
+                ScriptedServer.start((request, connection, out) -> out.write(ScriptedServer.okResponse(request, "ok")));
+        ServerListing plain = ServerListing.plain("p0", plainServer);
+        store.put("keyed.servers", plain.id(), plain.entryJson("ready", 1));
         for (int number = 0; number < ENGINES; number++) {
             ScriptedServer engine = ScriptedServer.start(this::serve);
             engines.add(engine);
@@ -112,6 +123,18 @@
         refusedNewConnections = changed;
     }
 
+    /** Makes the plain server refuse all connections of an instance, or ends that. */
+    void refuseByPlainServer(int instance, boolean value) {
+        boolean[] changed = refusedByPlainServer.clone();
+        changed[instance] = value;
+        refusedByPlainServer = changed;
+    }
+
+    /** Returns the plain server. */
+    ScriptedServer plainServer() {
+        return plainServer;
+    }
+
     /** Sends a request to an instance without waiting for its answer, and pauses briefly. */
     void call(int instance, String request) throws InterruptedException {
         callers.submit(() -> RelayFixture.exchange(instances.get(instance), request));
@@ -143,6 +166,7 @@
         for (ScriptedServer engine : engines) {
             engine.close();
         }
+        plainServer.close();
         silence.close();
         store.close();
     }
@@ -179,6 +203,9 @@
         if (partitioned[instance]) {
             return withAddress(call, silence.address(), "/silent");
         }
+        if (refusedByPlainServer[instance] && call.address().getAuthority().equals(plainServer.address())) {
+            return withAddress(call, UNUSED_ADDRESS, "/refused");
+        }
         boolean opens = call.connectionUse() == ConnectionUse.NEW || call.path().startsWith("/kv-events");
         boolean refused = refusedNewConnections[instance] && opens;
         return refused ? withAddress(call, UNUSED_ADDRESS, "/refused") : call;
