Read the lease at intervals instead of waiting for each renewal

Now such a process reads the lease each 4 to 5 s without waiting, and at the time when it may claim. The part that differs from process to process keeps a hundred of them from claiming at once. A failed call is repeated after 3 to 4 s. Authority, term and takeover delay are as they were; a lease is taken over up to 1 s later than before.

Ruled out: fewer processes that watch (a choice by the list of instances, which lags in the moments when a lease is lost).

--- a/src/main/java/org/verbenatray/authority/LogLease.java
+++ b/src/main/java/org/verbenatray/authority/LogLease.java
@@ -36,11 +36,17 @@
     /** The wait of a new holder before it acts, since late orders of the former one may arrive, in milliseconds. */
     private static final long TAKEOVER_DELAY_MILLIS = 9_000;
 
-    /** The longest time that one read waits for a new record, in milliseconds. */
-    private static final long MAX_READ_WAIT_MILLIS = 2_500;
+    /**
+     * The time between two reads of a process that does not hold the lease, in milliseconds. A read that waits for the
+     * next record would end at each renewal, at all processes.
+     */
+    private static final long READ_INTERVAL_MILLIS = 4_000;
+
+    /** The part of the time between two reads, and before a claim, that differs from process to process. */
+    private static final long SPREAD_MILLIS = 1_000;
 
     /** The delay before the lease is read again after a failed call, in milliseconds. */
-    private static final long RETRY_DELAY_MILLIS = 1_000;
+    private static final long RETRY_DELAY_MILLIS = 3_000;
 
     private static final Logger log = System.getLogger(LogLease.class.getName());
 
@@ -90,7 +96,7 @@
     public static LogLease start(
             ConditionalLog leaseLog, String holder, Ticker ticker, LongSupplier wallMillis, Scheduler scheduler) {
         LogLease lease = new LogLease(leaseLog, holder, ticker, wallMillis, scheduler);
-        lease.watch(0);
+        lease.watch();
         return lease;
     }
 
@@ -113,14 +119,14 @@
         return valid ? OptionalLong.of(fencingToken) : OptionalLong.empty();
     }
 
-    /** Reads new records, and claims the lease if its term has expired; waits up to the given time for a record. */
-    private void watch(long waitMillis) {
+    /** Reads new records, and claims the lease if its term has expired. */
+    private void watch() {
         if (stopped || fencingToken >= 0) {
             return;
         }
-        leaseLog.read(endOffset, waitMillis).whenComplete((tail, failure) -> {
+        leaseLog.read(endOffset, 0).whenComplete((tail, failure) -> {
             if (failure != null) {
-                schedule(RETRY_DELAY_MILLIS, () -> watch(0));
+                schedule(RETRY_DELAY_MILLIS + spreadMillis(), this::watch);
                 return;
             }
             boolean first = claimAt == null;
@@ -129,14 +135,20 @@
             }
             boolean unclaimed = tail.end() == 0;
             endOffset = tail.end();
-            if (claimAt.hasPassed(ticker.nanos())) {
+            long untilClaimMillis = claimAt.remainingMillis(ticker.nanos());
+            if (untilClaimMillis <= 0) {
                 claim(unclaimed ? 0 : TAKEOVER_DELAY_MILLIS);
             } else {
-                schedule(1, () -> watch(Math.min(MAX_READ_WAIT_MILLIS, claimAt.remainingMillis(ticker.nanos()) + 1)));
+                schedule(Math.min(READ_INTERVAL_MILLIS, untilClaimMillis) + spreadMillis(), this::watch);
             }
         });
     }
 
+    /** Returns the part of a delay that differs from process to process, so that they do not call at once. */
+    private long spreadMillis() {
+        return Math.floorMod(holder.hashCode(), SPREAD_MILLIS);
+    }
+
     /** Claims the lease, to act on it only after the given delay. */
     private void claim(long waitMillis) {
         Deadline actFrom = Deadline.afterMillis(ticker.nanos(), waitMillis);
@@ -186,7 +198,7 @@
         }
         fencingToken = -1;
         claimAt = Deadline.afterMillis(ticker.nanos(), TERM_MILLIS);
-        schedule(RETRY_DELAY_MILLIS, () -> watch(0));
+        schedule(RETRY_DELAY_MILLIS + spreadMillis(), this::watch);
     }
 
     private void schedule(long millis, Runnable task) {
--- a/src/test/java/org/verbenatray/authority/LogLeaseTest.java
+++ b/src/test/java/org/verbenatray/authority/LogLeaseTest.java
@@ -84,6 +84,20 @@
         Assert.assertTrue(time.nanos() - stoppedNanos >= 15_000_000_000L);
     }
 
+    /** Each renewal ended a waiting read of each process, so that the lease cost a call a second and process. */
+    @Test
+    public void processesThatDoNotHoldTheLeaseReadItRarely() {
+        start("a");
+        for (int number = 0; number < 20; number++) {
+            start("other" + number);
+        }
+        time.advanceMillis(10_000);
+        int before = log.reads;
+        time.advanceMillis(60_000);
+        int readsEach = (log.reads - before) / 20;
+        Assert.assertTrue(readsEach <= 15, "reads of each process in 60 s: " + readsEach);
+    }
+
     private LogLease start(String name) {
         return LogLease.start(log.of(name), name, time, () -> time.nanos() / 1_000_000 + wallLeadMillis, time);
     }
@@ -92,6 +106,7 @@
     private static final class FakeLog {
         private final List<byte[]> records = new ArrayList<>();
         private String rejectedName = "";
+        private int reads;
 
         private ConditionalLog of(String name) {
             return new ConditionalLog() {
@@ -115,6 +130,7 @@
 
                 @Override
                 public CompletableFuture<Tail> read(long from, long waitMillis) {
+                    reads++;
                     return CompletableFuture.completedFuture(new Tail(
                             records.size(),
                             List.copyOf(records.subList((int) Math.min(from, records.size()), records.size()))));
