Make fewer calls to a store that does not answer, and for crashes in series

Cause: each followed topic repeated a failed call after 250 ms, so that an instance made 13 calls a second during an outage, several times what it makes in service; each record of a crash ended the waiting read of each instance, up to 20 times a second; crashes that could not be written were tried each 0.1 s as long as new ones came.

Now the followers of an instance share a RetryPacer: while the store does not answer one call at a time is made, after 0.25 to 1 s, and its first answer lets all topics go on. Crashes are read at most twice a second, with a longer wait while there are none; instances tell one another of them directly meanwhile. After a failed write nothing is written for 0.7 s.

Ruled out: longer pauses than 1 s (a configuration that is accepted right after an outage must be in force within the bound); one topic for crashes and instances (saves 0.1 calls a second).

FakeKeyedLog can wait for records now, as the store does; without that the new pace of reads looked like a delay of each record. Three cases of CrashExchangeTest run with it, their bounds unchanged.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
 import org.verbenatray.authority.LogLease;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -38,6 +39,7 @@
 import org.verbenatray.resilience.ServerRuns;
 import org.verbenatray.servers.ResponseMemory;
 import org.verbenatray.state.KeyedFollower;
+import org.verbenatray.state.RetryPacer;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 
@@ -355,11 +357,14 @@
 
     /** Starts to follow the platform's logs and to run the periodic tasks. */
     private void startFollowing() {
+        DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
+        RetryPacer pacer = RetryPacer.create(random, loop.ticker(), loop.scheduler());
         KeyedFollower.start(
                 "routes",
                 platform.routes(),
                 new RoutesListener(platform.routesDecoder(), catalog, this::onRoutesChanged),
                 () -> settings.routesPollTiming(),
+                pacer,
                 loop.ticker(),
                 loop.scheduler());
         KeyedFollower.start(
@@ -367,17 +372,14 @@
                 platform.servers(),
                 new ServersListener(platform.serverDecoder(), directory, cutOffDetector, recentVersions),
                 () -> settings.serversPollTiming(),
+                pacer,
                 loop.ticker(),
                 loop.scheduler());
         lease = LogLease.start(
                 platform.lease(), settings.name(), loop.ticker(), System::currentTimeMillis, loop.scheduler());
-        crashExchange = CrashExchange.start(
-                platform.crashReports(),
-                crashes,
-                () -> ThreadLocalRandom.current().nextDouble(),
-                loop.ticker(),
-                loop.scheduler());
-        sharing.start(platform.instances(), crashExchange, continuations, limits);
+        crashExchange =
+                CrashExchange.start(platform.crashReports(), crashes, random, pacer, loop.ticker(), loop.scheduler());
+        sharing.start(platform.instances(), pacer, crashExchange, continuations, limits);
         limits.startConfirming();
         runMaintenance();
         pollLoads();
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -31,6 +31,7 @@
 import org.verbenatray.placement.PrefixCacheIndex;
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.resilience.CrashExchange;
+import org.verbenatray.state.RetryPacer;
 import org.verbenatray.telemetry.Event;
 
 /**
@@ -107,6 +108,7 @@
      */
     void start(
             KeyedLog instances,
+            RetryPacer pacer,
             CrashExchange crashes,
             StreamContinuations streamContinuations,
             ServerLimits serverLimits) {
@@ -144,6 +146,7 @@
                 new ListedInstance(address, settings.failureDomain()),
                 exchangePeers,
                 fleetShare,
+                pacer,
                 loop.ticker(),
                 loop.scheduler());
     }
--- a/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
+++ b/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.state.KeyedFollower;
+import org.verbenatray.state.RetryPacer;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Scheduler;
@@ -80,12 +81,13 @@
             ListedInstance entry,
             ExchangePeers peers,
             FleetShare share,
+            RetryPacer pacer,
             Ticker ticker,
             Scheduler scheduler) {
         InstanceRegistration registration =
                 new InstanceRegistration(instanceList, self, entry, peers, share, ticker, scheduler);
         registration.register();
-        KeyedFollower.start("instances", instanceList, registration, () -> POLL_TIMING, ticker, scheduler);
+        KeyedFollower.start("instances", instanceList, registration, () -> POLL_TIMING, pacer, ticker, scheduler);
         return registration;
     }
 
--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -14,6 +14,7 @@
 import java.util.stream.Stream;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.state.KeyedFollower;
+import org.verbenatray.state.RetryPacer;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Scheduler;
@@ -29,8 +30,11 @@
  * thread.
  */
 public final class CrashExchange implements KeyedFollower.Listener {
-    /** Short enough that a read whose connection has gone silent is repeated within 3 s. */
-    private static final KeyedFollower.PollTiming POLL_TIMING = new KeyedFollower.PollTiming(50, 1_500);
+    /**
+     * Records of many crashes at once end few reads. A read whose connection has gone silent is repeated after some
+     * seconds; meanwhile the instances that know of crashes tell of them directly.
+     */
+    private static final KeyedFollower.PollTiming POLL_TIMING = new KeyedFollower.PollTiming(500, 5_000);
 
     private static final long FLUSH_INTERVAL_MILLIS = 100;
 
@@ -81,6 +85,9 @@
     /** Whether the last write succeeded; limits the log to one line for consecutive failures. */
     private boolean writable = true;
 
+    /** The time before which nothing is written, after a failed write. */
+    private Deadline nextWrite = new Deadline(0);
+
     private CrashExchange(
             KeyedLog records, CrashLedger ledger, DoubleSupplier random, Ticker ticker, Scheduler scheduler) {
         this.records = records;
@@ -92,9 +99,14 @@
 
     /** Starts to follow the records of the log and to write those that it lacks. */
     public static CrashExchange start(
-            KeyedLog records, CrashLedger ledger, DoubleSupplier random, Ticker ticker, Scheduler scheduler) {
+            KeyedLog records,
+            CrashLedger ledger,
+            DoubleSupplier random,
+            RetryPacer pacer,
+            Ticker ticker,
+            Scheduler scheduler) {
         CrashExchange exchange = new CrashExchange(records, ledger, random, ticker, scheduler);
-        KeyedFollower.start("crashes", records, exchange, () -> POLL_TIMING, ticker, scheduler);
+        KeyedFollower.start("crashes", records, exchange, () -> POLL_TIMING, pacer, ticker, scheduler);
         exchange.flush();
         return exchange;
     }
@@ -191,6 +203,9 @@
     }
 
     private void writeDue() {
+        if (!nextWrite.hasPassed(ticker.nanos())) {
+            return;
+        }
         List<Crash> toWrite = takeDue(unwritten);
         attempted.addAll(toWrite);
         List<Crash> toDelete = takeDue(deletions);
@@ -212,6 +227,7 @@
                         .log(log, Level.WARNING);
             }
             writable = failure == null;
+            nextWrite = Deadline.afterMillis(ticker.nanos(), writable ? 0 : RETRY_DELAY_MILLIS);
         });
     }
 
--- a/src/main/java/org/verbenatray/state/KeyedFollower.java
+++ b/src/main/java/org/verbenatray/state/KeyedFollower.java
@@ -21,9 +21,6 @@
  * <p>Not thread-safe: it runs on the thread of its scheduler, and the futures of the log must complete on that thread.
  */
 public final class KeyedFollower {
-    /** The delay before a failed call is retried, in milliseconds. */
-    private static final long RETRY_MILLIS = 250;
-
     private static final Logger log = System.getLogger(KeyedFollower.class.getName());
 
     /** The name of the keyed log in log lines. */
@@ -35,6 +32,9 @@
     /** Returns the timing of reads; called before each of them, so it may change. */
     private final Supplier<PollTiming> timing;
 
+    /** Paces the calls after failures, with those of the other followers of the store. */
+    private final RetryPacer pacer;
+
     private final Ticker ticker;
     private final Scheduler scheduler;
 
@@ -51,12 +51,14 @@
             KeyedLog source,
             Listener listener,
             Supplier<PollTiming> timing,
+            RetryPacer pacer,
             Ticker ticker,
             Scheduler scheduler) {
         this.name = name;
         this.source = source;
         this.listener = listener;
         this.timing = timing;
+        this.pacer = pacer;
         this.ticker = ticker;
         this.scheduler = scheduler;
     }
@@ -67,9 +69,10 @@
             KeyedLog source,
             Listener listener,
             Supplier<PollTiming> timing,
+            RetryPacer pacer,
             Ticker ticker,
             Scheduler scheduler) {
-        KeyedFollower follower = new KeyedFollower(name, source, listener, timing, ticker, scheduler);
+        KeyedFollower follower = new KeyedFollower(name, source, listener, timing, pacer, ticker, scheduler);
         follower.readListing(Optional.empty(), new ArrayList<>());
         return follower;
     }
@@ -145,7 +148,7 @@
         }
         reachable = false;
         listener.onUnreachable();
-        scheduler.runAt(Deadline.afterMillis(ticker.nanos(), RETRY_MILLIS), retry);
+        pacer.retryLater(retry);
     }
 
     /** Records a successful call; logs the end of an outage. */
@@ -157,6 +160,7 @@
                     .log(log, Level.INFO);
         }
         reachable = true;
+        pacer.recordSuccess();
     }
 
     /** Receives the records of a keyed log. */
--- a/src/test/java/org/verbenatray/openwork/InstanceRegistrationTest.java
+++ b/src/test/java/org/verbenatray/openwork/InstanceRegistrationTest.java
@@ -7,6 +7,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.verbenatray.log.FakeKeyedLog;
+import org.verbenatray.state.RetryPacer;
 import org.verbenatray.time.ManualTime;
 
 /** Tests the registration, renewal and expiry of entries in the instance list. */
@@ -83,6 +84,7 @@
                 new ListedInstance(new InetSocketAddress("127.0.0.1", 7), "d1"),
                 peers,
                 FleetShare.create(time),
+                RetryPacer.create(() -> 0.5, time, time),
                 time,
                 time);
     }
--- a/src/test/java/org/verbenatray/resilience/CrashExchangeTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashExchangeTest.java
@@ -6,6 +6,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.verbenatray.log.FakeKeyedLog;
+import org.verbenatray.state.RetryPacer;
 import org.verbenatray.time.ManualTime;
 
 /** Tests for {@link CrashExchange}: two instances that share crashes through one log. */
@@ -22,7 +23,7 @@
     public void start() {
         time = new ManualTime();
         seed = 1;
-        log = new FakeKeyedLog();
+        log = FakeKeyedLog.waiting(time);
         finder = new Instance();
         other = new Instance();
         time.advanceMillis(1_000);
@@ -35,6 +36,30 @@
         Assert.assertEquals(other.ledger.crashCount("bad"), 1);
     }
 
+    /** Each record ended a waiting read at once, so that a crash under many requests cost each instance many calls. */
+    @Test
+    public void manyCrashesInSeriesCostTwoReadsASecond() {
+        int before = log.calls() - log.writes();
+        for (int number = 0; number < 100; number++) {
+            finder.find(new Crash("bad" + number, "s@" + number));
+            time.advanceMillis(100);
+        }
+        int reads = log.calls() - log.writes() - before;
+        Assert.assertTrue(reads <= 2 * 2 * 10 + 2, "reads of two instances in 10 s: " + reads);
+    }
+
+    /** While the log was down, each new crash was tried to be written at once. */
+    @Test
+    public void crashesThatCannotBeWrittenAreTriedTogetherAtAPace() {
+        log.setDown(true);
+        int before = log.calls();
+        for (int number = 0; number < 100; number++) {
+            finder.find(new Crash("bad" + number, "s@" + number));
+            time.advanceMillis(100);
+        }
+        Assert.assertTrue(log.calls() - before <= 50, "calls in 10 s of outage: " + (log.calls() - before));
+    }
+
     /** A record was dropped after four attempts, which is less than an outage of the store. */
     @Test
     public void aCrashThatIsFoundWhileTheLogIsDownIsWrittenAfterItsReturn() {
@@ -134,7 +159,8 @@
     private final class Instance {
         private final CrashLedger ledger = CrashLedger.create(time, this::onCleared);
         private final Random random = new Random(seed++ * 1_000_003);
-        private final CrashExchange exchange = CrashExchange.start(log, ledger, random::nextDouble, time, time);
+        private final CrashExchange exchange = CrashExchange.start(
+                log, ledger, random::nextDouble, RetryPacer.create(random::nextDouble, time, time), time, time);
 
         private void onCleared(List<Crash> cleared) {
             exchange.onCleared(cleared);
--- a/src/test/java/org/verbenatray/resilience/CrashKnowledgePropertiesTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashKnowledgePropertiesTest.java
@@ -7,6 +7,7 @@
 import net.jqwik.api.Property;
 import org.testng.Assert;
 import org.verbenatray.log.FakeKeyedLog;
+import org.verbenatray.state.RetryPacer;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.ManualTime;
 
@@ -141,7 +142,8 @@
 
             Instance(int startStep) {
                 this.startStep = startStep;
-                this.exchange = CrashExchange.start(log, ledger, random::nextDouble, time, time);
+                this.exchange = CrashExchange.start(
+                        log, ledger, random::nextDouble, RetryPacer.create(random::nextDouble, time, time), time, time);
             }
 
             /** Finds an end some time after it, if the process still runs. */
--- a/src/test/java/org/verbenatray/resilience/CrashingPartPropertiesTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashingPartPropertiesTest.java
@@ -7,6 +7,7 @@
 import net.jqwik.api.Property;
 import org.testng.Assert;
 import org.verbenatray.log.FakeKeyedLog;
+import org.verbenatray.state.RetryPacer;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.ManualTime;
 
@@ -211,7 +212,8 @@
         /** What one instance knows. */
         private final class Instance {
             private final CrashLedger ledger = CrashLedger.create(time, this::clear);
-            private final CrashExchange exchange = CrashExchange.start(log, ledger, random::nextDouble, time, time);
+            private final CrashExchange exchange = CrashExchange.start(
+                    log, ledger, random::nextDouble, RetryPacer.create(random::nextDouble, time, time), time, time);
 
             private void clear(List<Crash> cleared) {
                 exchange.onCleared(cleared);
--- a/src/test/java/org/verbenatray/resilience/RetryAllowancePropertiesTest.java
+++ b/src/test/java/org/verbenatray/resilience/RetryAllowancePropertiesTest.java
@@ -19,6 +19,7 @@
 import org.verbenatray.openwork.FleetShare;
 import org.verbenatray.openwork.InstanceRegistration;
 import org.verbenatray.openwork.ListedInstance;
+import org.verbenatray.state.RetryPacer;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.ManualTime;
 
@@ -140,6 +141,7 @@
                     new ListedInstance(new InetSocketAddress("127.0.0.1", 7), "d1"),
                     ExchangePeers.of(name, "d1"),
                     share,
+                    RetryPacer.create(() -> 0.5, time, time),
                     time,
                     time);
         }
