Share the polls of engines among instances

Now instances tell the others of their failure domain (or all, where a domain has fewer than five) what an engine reports. PollSchedule decides from the age of the newest report and the place of the instance in the engine's order who polls: the first each second, the next if nothing was told for 1.5 s, and so on. An engine that this instance could not reach, or that another could not reach, it polls itself; while it is doubtful whether it reaches any, it polls all. Told answers of engines also are evidence for ServerReach, beside open work.

Ruled out: fewer polls by each (the age grows with the fleet); a leader that polls for all (its loss would cost all knowledge at once); asking an engine only when work goes there (the report would come after the placement).

Cost: an engine is polled once a second and domain, whatever the number of instances; each instance gets a report of each engine each second, about 60 bytes and its cache changes.

Tests: PollScheduleTest (6, 30, 95 and 300 instances in simulated time with 1% of notices lost: at most 1.1 polls a second of an engine and group, no report older than 3 s; the same when half of the instances end, and at one that hears nothing).

--- a/src/main/java/org/verbenatray/backends/Backend.java
+++ b/src/main/java/org/verbenatray/backends/Backend.java
@@ -114,10 +114,12 @@
         return new EngineWork(regularMicros, deferredMicros, openRequests);
     }
 
-    /** Stores the load that the engine reported at the given time. */
-    public void updateLoad(BackendLoad newLoad, long nowNanos) {
-        load = newLoad;
-        loadNanos = nowNanos;
+    /** Stores the load that the engine reported at the given time, unless a later one is known. */
+    public void updateLoad(BackendLoad newLoad, long reportedNanos) {
+        if (load == null || reportedNanos - loadNanos >= 0) {
+            load = newLoad;
+            loadNanos = reportedNanos;
+        }
     }
 
     /** Returns the last reported load of the engine, or empty if there is none or it is older than the given age. */
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -11,6 +11,7 @@
 import org.verbenatray.authority.LogLease;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
+import org.verbenatray.backends.EngineReport;
 import org.verbenatray.catalog.Catalog;
 import org.verbenatray.catalog.CurrentCatalog;
 import org.verbenatray.continuation.RecentVersions;
@@ -143,7 +144,13 @@
                 settings.failureDomain(), () -> ThreadLocalRandom.current().nextDouble());
         PrefixCacheIndex prefixCacheIndex = PrefixCacheIndex.empty();
         this.sharing = new WorkSharing(
-                settings, loop, directory, prefixCacheIndex, this::onAnsweredOther, this::listenForInstances);
+                settings,
+                loop,
+                directory,
+                prefixCacheIndex,
+                this::onAnsweredOther,
+                this::onTold,
+                this::listenForInstances);
         this.reachingPeers = new ReachingPeers(
                 settings.failureDomain(),
                 cutOffDetector::isPartitioned,
@@ -158,12 +165,12 @@
         this.loadPoller = LoadPoller.create(
                 loop.transport(),
                 loop.thread(),
-                loop.ticker(),
                 dialect,
                 directory,
                 planner.prefixCacheIndex(),
                 statements,
-                cutOffDetector);
+                cutOffDetector,
+                sharing.pollSharing());
         this.context = createContext(dialect, chooser, statements);
         this.handler = RelayHandler.create(context);
         this.server = startServer();
@@ -433,6 +440,10 @@
         reachingPeers.recordAnswer(instance, agoMillis);
     }
 
+    private void onTold(EngineReport report) {
+        loadPoller.onTold(report);
+    }
+
     private void listenForInstances(InetSocketAddress address) {
         server.listenForInstances(address, handler::handleForwarded);
     }
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -14,6 +14,7 @@
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
+import org.verbenatray.backends.EngineReport;
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.continuation.StreamHomes;
 import org.verbenatray.limits.LimitSharers;
@@ -27,9 +28,11 @@
 import org.verbenatray.openwork.ListedInstance;
 import org.verbenatray.openwork.PromptPlacement;
 import org.verbenatray.openwork.RemoteWork;
+import org.verbenatray.openwork.ReportExchange;
 import org.verbenatray.openwork.WorkExchange;
 import org.verbenatray.placement.PrefixCacheIndex;
 import org.verbenatray.placement.PromptShape;
+import org.verbenatray.relay.LoadPoller;
 import org.verbenatray.resilience.CrashExchange;
 import org.verbenatray.state.RetryPacer;
 import org.verbenatray.telemetry.Event;
@@ -69,6 +72,8 @@
     /** Null before the start and when no port could be opened. */
     private WorkExchange exchange;
 
+    private final ReportExchange reports;
+
     /** The crashes that instances tell one another while the log lacks them, null before the start. */
     private CrashExchange crashExchange;
 
@@ -90,6 +95,7 @@
             BackendDirectory directory,
             PrefixCacheIndex prefixCacheIndex,
             AnswerListener onAnsweredOther,
+            Consumer<EngineReport> onTold,
             Consumer<InetSocketAddress> forwardingListener) {
         this.settings = settings;
         this.loop = loop;
@@ -99,6 +105,21 @@
         this.forwardingListener = forwardingListener;
         this.exchangePeers = ExchangePeers.of(settings.name(), settings.failureDomain());
         this.fleetShare = FleetShare.create(loop.ticker());
+        this.reports = new ReportExchange(
+                settings.name(),
+                exchangePeers::groupAddresses,
+                this::send,
+                told -> {
+                    if (told.report().answered()) {
+                        onAnsweredOther.onAnswer(
+                                told.instance(),
+                                told.report().boot(),
+                                told.report().agoMillis());
+                    }
+                    onTold.accept(told.report());
+                },
+                loop.ticker(),
+                loop.scheduler());
         this.remoteWork = RemoteWork.create(loop.ticker(), exchangePeers::sampleWeight);
     }
 
@@ -173,6 +194,11 @@
         }
     }
 
+    /** Returns how this instance shares the polls of engines with others. */
+    LoadPoller.Sharing pollSharing() {
+        return new LoadPoller.Sharing(exchangePeers::placeInGroup, reports::tell);
+    }
+
     /** Returns the list entry of another instance; empty if it is not listed. */
     Optional<ListedInstance> find(String instance) {
         return exchangePeers.find(instance);
@@ -255,6 +281,10 @@
             limits.receive(datagram);
             return;
         }
+        if (ReportExchange.recognizes(datagram)) {
+            reports.receive(datagram);
+            return;
+        }
         exchange.receive(datagram).ifPresent(notice -> {
             notice.placements()
                     .forEach(placement -> prefixCacheIndex.recordReported(
--- a/src/main/java/org/verbenatray/openwork/ExchangePeers.java
+++ b/src/main/java/org/verbenatray/openwork/ExchangePeers.java
@@ -28,6 +28,9 @@
 public final class ExchangePeers {
     private static final int MAX_PEERS = 12;
 
+    /** The number of instances from which on a failure domain shares its polls by itself. */
+    private static final int MIN_GROUP = 5;
+
     /** The number of instances that keep a fact under a key: enough that some outlive a failure domain. */
     private static final int HOMES = 3;
 
@@ -44,6 +47,12 @@
     /** The sharers by server and number, kept until the list of instances changes. */
     private final Map<String, LimitSharers> limitSharers = new HashMap<>();
 
+    /** The places of this instance by key, kept until the list of instances changes. */
+    private final Map<String, Integer> places = new HashMap<>();
+
+    /** The other instances of the group of this one. */
+    private Map<String, ListedInstance> group = Map.of();
+
     /** Whether the list of instances was read. */
     private boolean listed;
 
@@ -122,6 +131,27 @@
         });
     }
 
+    /**
+     * Returns the addresses of the instances that share polls with this one: those of its failure domain, or all if
+     * these are few.
+     */
+    public Collection<InetSocketAddress> groupAddresses() {
+        return group.values().stream().map(ListedInstance::address).toList();
+    }
+
+    /**
+     * Returns the place of this instance in the order in which the group polls under the given key; zero is the first,
+     * and that of an instance that knows no other. All instances that see the same list derive the same order.
+     */
+    public int placeInGroup(String key) {
+        return places.computeIfAbsent(key, each -> {
+            long own = hash(each + "|" + self);
+            return (int) group.keySet().stream()
+                    .filter(other -> hash(each + "|" + other) < own)
+                    .count();
+        });
+    }
+
     /** Returns the given number of instances for a key, or all if there are not so many. */
     private Set<String> choose(String key, int count) {
         List<RankedInstance> ranked = rank(key);
@@ -175,6 +205,8 @@
      */
     private void select() {
         limitSharers.clear();
+        places.clear();
+        group = selectGroup();
         selectedAddresses = others.entrySet().stream()
                 .sorted(Comparator.comparingLong(other -> pairHash(other.getKey())))
                 .limit(MAX_PEERS)
@@ -182,6 +214,12 @@
                 .toList();
     }
 
+    private Map<String, ListedInstance> selectGroup() {
+        Map<String, ListedInstance> sameDomain = new TreeMap<>(others);
+        sameDomain.values().removeIf(instance -> !instance.domain().equals(ownDomain));
+        return sameDomain.size() + 1 >= MIN_GROUP ? sameDomain : Map.copyOf(others);
+    }
+
     /** Returns a hash of the pair of this and another instance, which is the same on both sides. */
     private long pairHash(String other) {
         String pair = self.compareTo(other) < 0 ? self + "|" + other : other + "|" + self;
--- /dev/null
+++ b/src/main/java/org/verbenatray/openwork/ReportNoticeCodec.java
@@ -0,0 +1,201 @@
+package org.verbenatray.openwork;
+
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.verbenatray.backends.BackendLoad;
+import org.verbenatray.backends.CacheChanges;
+import org.verbenatray.backends.EngineReport;
+
+/** Encodes and decodes notices of what engines report as protobuf messages; unknown fields are skipped. */
+final class ReportNoticeCodec {
+    /** First in each notice, and in no other kind of datagram on the same port. */
+    private static final int INSTANCE = 15;
+
+    /** A nested message with one report. */
+    private static final int REPORT = 2;
+
+    private static final int BOOT = 1;
+    private static final int AGO_MILLIS = 2;
+    private static final int ANSWERED = 3;
+
+    /** A nested message with the load. */
+    private static final int LOAD = 4;
+
+    /** A nested message with changes of the prefix cache. */
+    private static final int CHANGES = 5;
+
+    private static final int EPOCH = 1;
+    private static final int NEXT = 2;
+    private static final int GAP = 3;
+
+    /** The block of a change; its tokens follow. */
+    private static final int BLOCK = 4;
+
+    private static final int TOKENS = 5;
+
+    private static final int FIRST_BYTE = INSTANCE << 3 | WireFormat.WIRETYPE_LENGTH_DELIMITED;
+
+    private ReportNoticeCodec() {}
+
+    /** Returns whether a datagram holds a notice. */
+    static boolean recognizes(byte[] datagram) {
+        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+    }
+
+    /** Encodes a notice of encoded reports. */
+    static byte[] encode(String instance, List<byte[]> reports) {
+        return write(out -> {
+            out.writeString(INSTANCE, instance);
+            for (byte[] report : reports) {
+                out.writeByteArray(REPORT, report);
+            }
+        });
+    }
+
+    /** Encodes one report. */
+    static byte[] encodeReport(EngineReport report) {
+        return write(out -> {
+            out.writeString(BOOT, report.boot());
+            out.writeUInt64(AGO_MILLIS, report.agoMillis());
+            out.writeBool(ANSWERED, report.answered());
+            if (report.load().isPresent()) {
+                out.writeByteArray(LOAD, encodeLoad(report.load().get()));
+            }
+            if (report.changes().isPresent()) {
+                out.writeByteArray(CHANGES, encodeChanges(report.changes().get()));
+            }
+        });
+    }
+
+    /**
+     * Decodes a notice.
+     *
+     * @throws IOException if the bytes are not a valid notice
+     */
+    static Notice decode(byte[] bytes) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(bytes);
+        String instance = "";
+        List<EngineReport> reports = new ArrayList<>();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case INSTANCE -> instance = in.readString();
+                case REPORT -> reports.add(decodeReport(in.readByteArray()));
+                default -> in.skipField(tag);
+            }
+        }
+        return new Notice(instance, reports);
+    }
+
+    private static EngineReport decodeReport(byte[] bytes) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(bytes);
+        String boot = "";
+        long agoMillis = 0;
+        boolean answered = false;
+        Optional<BackendLoad> load = Optional.empty();
+        Optional<CacheChanges> changes = Optional.empty();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case BOOT -> boot = in.readString();
+                case AGO_MILLIS -> agoMillis = in.readUInt64();
+                case ANSWERED -> answered = in.readBool();
+                case LOAD -> load = Optional.of(decodeLoad(in.readByteArray()));
+                case CHANGES -> changes = Optional.of(decodeChanges(in.readByteArray()));
+                default -> in.skipField(tag);
+            }
+        }
+        return new EngineReport(boot, agoMillis, answered, load, changes);
+    }
+
+    /** Encodes a load: its fields in their order, numbered from 1. */
+    private static byte[] encodeLoad(BackendLoad load) {
+        return write(out -> {
+            out.writeInt32(1, load.waitingRequests());
+            out.writeInt32(2, load.runningRequests());
+            out.writeInt64(3, load.usedCacheTokens());
+            out.writeInt64(4, load.cacheCapacityTokens());
+            out.writeInt64(5, load.firstWaitingTokens());
+            out.writeBool(6, load.changingStage());
+            out.writeInt64(7, load.acceptedOrders());
+        });
+    }
+
+    private static BackendLoad decodeLoad(byte[] bytes) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(bytes);
+        long[] values = new long[8];
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            int field = WireFormat.getTagFieldNumber(tag);
+            if (field < values.length) {
+                values[field] = in.readInt64();
+            } else {
+                in.skipField(tag);
+            }
+        }
+        return new BackendLoad(
+                (int) values[1], (int) values[2], values[3], values[4], values[5], values[6] != 0, values[7]);
+    }
+
+    private static byte[] encodeChanges(CacheChanges changes) {
+        return write(out -> {
+            out.writeString(EPOCH, changes.epoch());
+            out.writeInt64(NEXT, changes.nextChangeNumber());
+            out.writeBool(GAP, changes.gap());
+            for (CacheChanges.Change change : changes.changes()) {
+                out.writeString(BLOCK, change.block());
+                out.writeInt32(TOKENS, change.tokens());
+            }
+        });
+    }
+
+    private static CacheChanges decodeChanges(byte[] bytes) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(bytes);
+        String epoch = "";
+        long next = 0;
+        boolean gap = false;
+        String block = "";
+        List<CacheChanges.Change> changes = new ArrayList<>();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case EPOCH -> epoch = in.readString();
+                case NEXT -> next = in.readInt64();
+                case GAP -> gap = in.readBool();
+                case BLOCK -> block = in.readString();
+                case TOKENS -> changes.add(new CacheChanges.Change(block, in.readInt32()));
+                default -> in.skipField(tag);
+            }
+        }
+        return new CacheChanges(epoch, next, gap, changes);
+    }
+
+    private static byte[] write(Writer writer) {
+        try {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+            writer.write(out);
+            out.flush();
+            return bytes.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory failed", e);
+        }
+    }
+
+    /** Writes the fields of a message. */
+    @FunctionalInterface
+    private interface Writer {
+        void write(CodedOutputStream out) throws IOException;
+    }
+
+    /**
+     * A notice.
+     *
+     * @param instance the name of its sender
+     * @param reports the reports
+     */
+    record Notice(String instance, List<EngineReport> reports) {}
+}
--- a/src/main/java/org/verbenatray/placement/PrefixCacheIndex.java
+++ b/src/main/java/org/verbenatray/placement/PrefixCacheIndex.java
@@ -57,6 +57,16 @@
         }
     }
 
+    /** Applies changes that another instance has read, unless later ones are known. */
+    public void applyTold(String bootId, CacheChanges changes) {
+        Position known = positions.get(bootId);
+        boolean outdated =
+                known != null && known.epoch().equals(changes.epoch()) && known.next() >= changes.nextChangeNumber();
+        if (!outdated) {
+            applyChanges(bootId, changes);
+        }
+    }
+
     /** Records that an engine was assigned a prompt, which it caches once it has processed it. */
     public void recordAssigned(String bootId, PromptShape prompt) {
         Map<String, Integer> blocks = blocksOf(assigned, bootId);
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -3,11 +3,14 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
+import org.verbenatray.backends.EngineReport;
 import org.verbenatray.placement.PrefixCacheIndex;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.HttpTransport;
@@ -18,15 +21,14 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Polls the engines, one at a time, for their load and for changes of their prefix cache. The poll rate is bounded
- * whatever the number of engines.
+ * Polls engines, one at a time, for their load and for changes of their prefix cache, tells the other instances what
+ * they report, and applies what those tell.
  */
 public final class LoadPoller {
-    /** Interval in which each engine is polled once while there are few engines. */
-    private static final long ROUND_INTERVAL_MILLIS = 1_000;
+    /** The time between two looks for engines while there are none. */
+    private static final long NO_ENGINES_MILLIS = 1_000;
 
-    /** Minimum interval between two polls, however many engines there are. */
-    private static final long MIN_POLL_INTERVAL_MILLIS = 60;
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     private static final long RESPONSE_TIMEOUT_MILLIS = 500;
 
@@ -48,61 +50,93 @@
 
     private final ReachListener reach;
 
-    /** Index of the engine polled last. */
-    private int lastIndex;
+    private final PollSchedule schedule;
+
+    /** Receives what engines report to this instance, for the others. */
+    private final Consumer<EngineReport> onReport;
 
     private LoadPoller(
             HttpTransport transport,
             XnioIoThread thread,
-            Ticker ticker,
             RelayDialect dialect,
             BackendDirectory directory,
             PrefixCacheIndex prefixMemory,
             ServerStatements statements,
-            ReachListener reach) {
+            ReachListener reach,
+            Sharing sharing) {
         this.transport = transport;
         this.thread = thread;
-        this.ticker = ticker;
+        this.ticker = transport.ticker();
         this.dialect = dialect;
         this.directory = directory;
         this.prefixCacheIndex = prefixMemory;
         this.statements = statements;
         this.reach = reach;
+        this.schedule = new PollSchedule(sharing.place());
+        this.onReport = sharing.onReport();
     }
 
     /** Creates a poller that runs on the given thread. */
     public static LoadPoller create(
             HttpTransport transport,
             XnioIoThread thread,
-            Ticker ticker,
             RelayDialect dialect,
             BackendDirectory directory,
             PrefixCacheIndex prefixMemory,
             ServerStatements statements,
-            ReachListener reach) {
-        return new LoadPoller(transport, thread, ticker, dialect, directory, prefixMemory, statements, reach);
+            ReachListener reach,
+            Sharing sharing) {
+        return new LoadPoller(transport, thread, dialect, directory, prefixMemory, statements, reach, sharing);
     }
 
-    /** Polls the next engine and returns the delay in milliseconds until the next poll. */
+    /** Polls the engine that is due, if any, and returns the delay in milliseconds until the next look. */
     public long pollNext() {
         List<Backend> engines = directory.all().stream()
                 .filter(backend -> !backend.leaving() && backend.entry().stage() != BackendStage.PLAIN)
                 .toList();
         if (engines.isEmpty()) {
-            return ROUND_INTERVAL_MILLIS;
+            return NO_ENGINES_MILLIS;
         }
-        lastIndex = (lastIndex + 1) % engines.size();
-        pollLoad(engines.get(lastIndex));
-        pollCacheChanges(engines.get(lastIndex));
-        return Math.max(MIN_POLL_INTERVAL_MILLIS, ROUND_INTERVAL_MILLIS / engines.size());
+        schedule.retain(engines);
+        boolean doubtful = reach.suspectsNewConnections();
+        schedule.next(engines, doubtful, ticker.nanos()).ifPresent(engine -> {
+            schedule.recordKnown(engine.entry().bootId(), ticker.nanos());
+            pollLoad(engine);
+            pollCacheChanges(engine);
+        });
+        return schedule.waitMillis(engines, doubtful, ticker.nanos());
+    }
+
+    /** Applies what an engine has reported to another instance. */
+    public void onTold(EngineReport report) {
+        Optional<Backend> engine = directory.findBoot(report.boot());
+        if (engine.isEmpty()) {
+            return;
+        }
+        if (!report.answered()) {
+            schedule.recordDoubt(report.boot());
+            return;
+        }
+        long reportedNanos = ticker.nanos() - report.agoMillis() * NANOS_PER_MILLI;
+        schedule.recordKnown(report.boot(), reportedNanos);
+        report.load().ifPresent(load -> engine.get().updateLoad(load, reportedNanos));
+        report.changes().ifPresent(changes -> prefixCacheIndex.applyTold(report.boot(), changes));
     }
 
     private void pollLoad(Backend backend) {
         send(
                 backend,
                 dialect.load(backend),
-                body -> dialect.load(body).ifPresent(load -> backend.updateLoad(load, ticker.nanos())),
-                failure -> recordPoll(backend, failure));
+                body -> dialect.load(body).ifPresent(load -> {
+                    backend.updateLoad(load, ticker.nanos());
+                    onReport.accept(EngineReport.ofLoad(backend.entry().bootId(), load));
+                }),
+                failure -> {
+                    recordPoll(backend, failure);
+                    if (failure != null) {
+                        onReport.accept(EngineReport.unanswered(backend.entry().bootId()));
+                    }
+                });
     }
 
     /**
@@ -116,7 +150,10 @@
         send(
                 backend,
                 opensConnection ? call.onNewConnection() : call,
-                body -> dialect.cacheChanges(body).ifPresent(changes -> prefixCacheIndex.applyChanges(boot, changes)),
+                body -> dialect.cacheChanges(body).ifPresent(changes -> {
+                    prefixCacheIndex.applyChanges(boot, changes);
+                    onReport.accept(EngineReport.ofChanges(boot, changes));
+                }),
                 failure -> {
                     if (opensConnection) {
                         recordNewConnection(backend, failure);
@@ -180,4 +217,12 @@
             backend.markUnreachable();
         }
     }
+
+    /**
+     * How instances share the polls.
+     *
+     * @param place returns the place of this instance in the order in which instances poll an engine, by its boot id
+     * @param onReport receives what engines report to this instance, for the others
+     */
+    public record Sharing(ToIntFunction<String> place, Consumer<EngineReport> onReport) {}
 }
--- /dev/null
+++ b/src/test/java/org/verbenatray/relay/PollScheduleTest.java
@@ -0,0 +1,167 @@
+package org.verbenatray.relay;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.BackendEntry;
+import org.verbenatray.backends.BackendStage;
+import org.verbenatray.openwork.ExchangePeers;
+import org.verbenatray.openwork.ListedInstance;
+
+/**
+ * The polls of all instances of a fleet that tell one another what engines report, in simulated time: their number, and
+ * the age of what each instance knows, also when instances end or lose notices.
+ */
+public final class PollScheduleTest {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private static final long STEP_MILLIS = 20;
+
+    /** The age up to which load reports are used, and a little more. */
+    private static final long MAX_AGE_MILLIS = 3_000;
+
+    /** The share of notices that are lost. */
+    private static final double LOSS = 0.01;
+
+    private final Random random = new Random(7);
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<Backend> engines = new ArrayList<>();
+    private long nowMillis;
+    private int polls;
+
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {{6, 13, 4}, {30, 20, 5}, {95, 47, 5}, {300, 60, 9}};
+    }
+
+    /** Each instance polled each engine, 31 calls a second and instance at 95 instances. */
+    @Test(dataProvider = "fleets")
+    public void pollsGrowWithTheEnginesAndDomainsOnly(int instances, int engineCount, int domains) {
+        start(instances, engineCount, domains);
+        run(5_000);
+        polls = 0;
+        long oldest = run(10_000);
+        int groups = instances / domains >= 5 ? domains : 1;
+        double each = polls / 10.0 / (engineCount * groups);
+        Assert.assertTrue(each <= 1.1, "polls a second of an engine and group: " + each);
+        Assert.assertTrue(oldest <= MAX_AGE_MILLIS, "age of the oldest report: " + oldest);
+    }
+
+    @Test(dataProvider = "fleets")
+    public void knowledgeIsRenewedWithinSecondsWhenHalfOfTheInstancesEnd(int instances, int engineCount, int domains) {
+        start(instances, engineCount, domains);
+        run(5_000);
+        for (int number = 0; number < instances; number += 2) {
+            nodes.get(number).ended = true;
+        }
+        long oldest = run(10_000);
+        Assert.assertTrue(oldest <= MAX_AGE_MILLIS, "age of the oldest report: " + oldest);
+        Assert.assertTrue(run(5_000) <= MAX_AGE_MILLIS);
+    }
+
+    @Test
+    public void anInstanceThatHearsNothingPollsByItself() {
+        start(95, 47, 5);
+        run(5_000);
+        Node deaf = nodes.get(3);
+        deaf.deaf = true;
+        run(10_000);
+        long oldest = engines.stream().mapToLong(deaf::ageMillis).max().orElseThrow();
+        Assert.assertTrue(oldest <= MAX_AGE_MILLIS, "age of the oldest report: " + oldest);
+    }
+
+    private void start(int instances, int engineCount, int domains) {
+        nodes.clear();
+        engines.clear();
+        nowMillis = 0;
+        for (int number = 0; number < engineCount; number++) {
+            engines.add(Backend.of(new BackendEntry(
+                    "e" + number,
+                    "engines",
+                    URI.create("http://10.0.0.1:1"),
+                    "z",
+                    BackendStage.DECODE,
+                    false,
+                    1,
+                    "v",
+                    1)));
+        }
+        Map<String, ListedInstance> listed = new HashMap<>();
+        for (int number = 0; number < instances; number++) {
+            listed.put(
+                    "i" + number,
+                    new ListedInstance(new InetSocketAddress("127.0.0.1", 1 + number), "d" + number % domains));
+        }
+        for (int number = 0; number < instances; number++) {
+            nodes.add(new Node(number, domains, listed));
+        }
+    }
+
+    /** Runs all instances for a time and returns the age of the oldest report at one that lives, after two seconds. */
+    private long run(long millis) {
+        long begin = nowMillis;
+        long oldest = 0;
+        while (nowMillis < begin + millis) {
+            nowMillis += STEP_MILLIS;
+            nodes.stream().filter(node -> !node.ended).forEach(Node::step);
+            if (nowMillis > begin + 2_000 && nowMillis % 500 == 0) {
+                for (Node node : nodes) {
+                    if (!node.ended && !node.deaf) {
+                        oldest = Math.max(
+                                oldest,
+                                engines.stream()
+                                        .mapToLong(node::ageMillis)
+                                        .max()
+                                        .orElseThrow());
+                    }
+                }
+            }
+        }
+        return oldest;
+    }
+
+    /** One instance. */
+    private final class Node {
+        private final ExchangePeers peers;
+        private final PollSchedule schedule;
+        private final Map<String, Long> reportedMillis = new HashMap<>();
+        private boolean ended;
+        private boolean deaf;
+
+        Node(int number, int domains, Map<String, ListedInstance> listed) {
+            peers = ExchangePeers.of("i" + number, "d" + number % domains);
+            peers.replace(listed);
+            schedule = new PollSchedule(peers::placeInGroup);
+        }
+
+        long ageMillis(Backend engine) {
+            return nowMillis - reportedMillis.getOrDefault(engine.entry().bootId(), 0L);
+        }
+
+        void step() {
+            schedule.next(engines, false, nowMillis * NANOS_PER_MILLI).ifPresent(engine -> {
+                polls++;
+                learn(engine);
+                for (InetSocketAddress address : peers.groupAddresses()) {
+                    Node other = nodes.get(address.getPort() - 1);
+                    if (!other.deaf && random.nextDouble() >= LOSS) {
+                        other.learn(engine);
+                    }
+                }
+            });
+        }
+
+        private void learn(Backend engine) {
+            schedule.recordKnown(engine.entry().bootId(), nowMillis * NANOS_PER_MILLI);
+            reportedMillis.put(engine.entry().bootId(), nowMillis);
+        }
+    }
+}
