Send what may not be repeated only on connections that the server has taken

Cause: each request that may not be repeated opened a new connection, wrote itself into it at once, and left it idle in the pool for 4 s. A server takes a limited number of connections from all callers, fewer while its queue is long, and resets those beyond it; the idle ones of all instances used them up, and the request was already written when the reset came. The resets counted as broken runs, so that sound servers were probed for a crash and requests without fault were suspected.

Now ConnectionUse.CONFIRMED: a pooled connection that was used within the last second and is quiet, else a new one, on which nothing is written until the reset of a full server would have come (the connect time and 2 ms, 10 ms at most). Such a reset is an outcome of its own, NOT_ADMITTED: nothing was sent, the server is passed over for 0.25 s as after a refusal, it is no failure, no evidence of a crash and no attempt. New connections of repeatable requests wait in the same way; calls to the store do not.

Ruled out: a status check before each request (priced, and it waits for a slot); older pooled connections (servers drop idle ones without notice, and what is written into them may have run).

--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -6,7 +6,6 @@
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.servers.Cancellation;
-import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ResponseBody;
 import org.verbenatray.servers.ResponseHead;
@@ -158,9 +157,6 @@
     @Override
     public void onSending() {
         sendingStarted = true;
-        if (options.connectionUse() == ConnectionUse.NEW) {
-            context.reach().onConnected();
-        }
         evidence.recordSending();
     }
 
@@ -228,8 +224,18 @@
 
     @Override
     public void onFailure(ServerFailure failure) {
-        boolean unsent = failure.kind() == ServerFailure.Kind.NOT_CONNECTED && !sendingStarted;
-        finish(unsent ? ForwardOutcome.Kind.NOT_SENT : ForwardOutcome.Kind.BROKEN, failure.getMessage());
+        finish(kindOf(failure), failure.getMessage());
+    }
+
+    private ForwardOutcome.Kind kindOf(ServerFailure failure) {
+        if (sendingStarted) {
+            return ForwardOutcome.Kind.BROKEN;
+        }
+        return switch (failure.kind()) {
+            case NOT_CONNECTED -> ForwardOutcome.Kind.NOT_SENT;
+            case NOT_ADMITTED -> ForwardOutcome.Kind.NOT_ADMITTED;
+            default -> ForwardOutcome.Kind.BROKEN;
+        };
     }
 
     /** Returns whether the response is delivered event by event. */
@@ -259,7 +265,7 @@
 
     private void recordEvidence(ForwardOutcome.Kind kind) {
         switch (kind) {
-            case NOT_SENT -> {}
+            case NOT_SENT, NOT_ADMITTED -> {}
             case NOT_RUN -> evidence.recordRefused();
             case BROKEN, SILENT -> evidence.recordLost();
             case ANSWERED, STREAM_ENDED -> {
--- a/src/main/java/org/verbenatray/relay/ForwardOutcome.java
+++ b/src/main/java/org/verbenatray/relay/ForwardOutcome.java
@@ -17,6 +17,8 @@
     public enum Kind {
         /** No byte of the request was sent. */
         NOT_SENT,
+        /** No byte of the request was sent, as the server takes no more connections now. */
+        NOT_ADMITTED,
         /** The server reports that it did not run the request. */
         NOT_RUN,
         /** The server sent a complete response. */
@@ -31,6 +33,11 @@
         SILENT
     }
 
+    /** Returns whether no byte of the request was sent. */
+    boolean unsent() {
+        return kind == Kind.NOT_SENT || kind == Kind.NOT_ADMITTED;
+    }
+
     /** Returns whether the server has run the request to its end with success. */
     boolean isSuccess() {
         return (kind == Kind.ANSWERED || kind == Kind.STREAM_ENDED) && status() < 300;
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -286,7 +286,7 @@
                 Optional.empty(),
                 Optional.ofNullable(prefilledPrompt),
                 Optional.ofNullable(lastEventId).or(() -> call.request().lastEventId()),
-                repeatable ? ConnectionUse.POOLED : ConnectionUse.NEW);
+                repeatable ? ConnectionUse.POOLED : ConnectionUse.CONFIRMED);
         sentNanos = context.ticker().nanos();
         PrefillWork work = prefilledPrompt == null && plan != null ? plan.work() : PrefillWork.NONE;
         send(options, work, call.responseTimeouts(), this);
@@ -359,7 +359,7 @@
     /** Retries at another engine, or gives up. */
     private void retry(ForwardAttempt ended, ForwardOutcome outcome) {
         decodeEngines.recordTried(ended.backend());
-        if (outcome.kind() != ForwardOutcome.Kind.NOT_SENT) {
+        if (!outcome.unsent()) {
             releasePrefilledPrompt();
         }
         continueOrGiveUp(outcome.kind().name().toLowerCase(Locale.ROOT));
@@ -481,8 +481,7 @@
                 decodePrefilled(backend, handle.get());
                 return;
             }
-            if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT
-                    || call.attempts().tryHoldRetry()) {
+            if (outcome.unsent() || call.attempts().tryHoldRetry()) {
                 plan();
                 return;
             }
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -140,7 +140,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 call.request().lastEventId(),
-                repeatable ? ConnectionUse.POOLED : ConnectionUse.NEW);
+                repeatable ? ConnectionUse.POOLED : ConnectionUse.CONFIRMED);
         attempt = call.send(options, PrefillWork.NONE, call.responseTimeouts(), this)
                 .orElse(null);
         if (attempt == null) {
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -270,7 +270,7 @@
     void recordOutcome(ForwardAttempt attempt, ForwardOutcome outcome, boolean countsAsRun) {
         running = null;
         lastOutcome = outcome.kind();
-        if (outcome.kind() == ForwardOutcome.Kind.NOT_SENT) {
+        if (outcome.unsent()) {
             attempts.recordNotSent();
         } else {
             attempts.recordDelivery(countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN);
--- a/src/main/java/org/verbenatray/relay/ServerHealth.java
+++ b/src/main/java/org/verbenatray/relay/ServerHealth.java
@@ -23,7 +23,7 @@
                 backend.recordFailure(now);
                 context.crashProbe().probe(backend);
             }
-            case NOT_RUN -> backend.recordRejection(now);
+            case NOT_RUN, NOT_ADMITTED -> backend.recordRejection(now);
             default -> {
                 if (outcome.status() >= 500) {
                     backend.recordErrorResponse();
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -28,6 +28,15 @@
     /** The lifetime of an idle connection; common servers close theirs after 5 s. */
     private static final long MAX_IDLE_MILLIS = 4_000;
 
+    /** The idle time up to which a connection counts as confirmed; servers drop idle ones without notice at times. */
+    private static final long MAX_CONFIRMED_IDLE_MILLIS = 1_000;
+
+    /** The time beyond a round trip in which a server that takes no more connections resets a new one. */
+    private static final long ADMISSION_MILLIS = 2;
+
+    /** The longest wait for the reset of a new connection. */
+    private static final long MAX_ADMISSION_MILLIS = 10;
+
     /** The connect timeout, far above any round-trip time between failure domains. */
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
 
@@ -143,7 +152,11 @@
     private void addIdle(XnioIoThread thread, String pool, ServerConnection connection) {
         Deque<IdleConnection> connections = idleOf(thread, pool);
         if (connection.isOpen() && connections.size() < MAX_IDLE_CONNECTIONS) {
-            connections.addLast(new IdleConnection(connection, Deadline.afterMillis(ticker.nanos(), MAX_IDLE_MILLIS)));
+            long now = ticker.nanos();
+            connections.addLast(new IdleConnection(
+                    connection,
+                    Deadline.afterMillis(now, MAX_CONFIRMED_IDLE_MILLIS),
+                    Deadline.afterMillis(now, MAX_IDLE_MILLIS)));
             return;
         }
         connection.close();
@@ -153,8 +166,14 @@
     private void startOnPooledConnection(HttpCall call, XnioIoThread thread, HttpExchange exchange) {
         if (call.connectionUse() != ConnectionUse.NEW) {
             Deque<IdleConnection> connections = idleOf(thread, call.pool());
+            boolean confirmed = call.connectionUse() == ConnectionUse.CONFIRMED;
             for (IdleConnection next = connections.pollLast(); next != null; next = connections.pollLast()) {
-                if (next.connection().isOpen() && !next.usableUntil().hasPassed(ticker.nanos())) {
+                if (confirmed
+                                && !next.confirmedUntil().hasPassed(ticker.nanos())
+                                && next.connection().isQuiet()
+                        || !confirmed
+                                && next.connection().isOpen()
+                                && !next.usableUntil().hasPassed(ticker.nanos())) {
                     exchange.start(next.connection(), true);
                     return;
                 }
@@ -183,7 +202,40 @@
 
     /** Starts the exchange on a new connection, or fails it after the connect timeout. */
     void startOnNewConnection(HttpCall call, XnioIoThread thread, HttpExchange exchange) {
-        open(call.address(), thread, connection -> exchange.start(connection, false), exchange::fail);
+        long startNanos = ticker.nanos();
+        open(
+                call.address(),
+                thread,
+                connection -> {
+                    if (call.connectionUse() == ConnectionUse.POOLED_WITH_RETRY) {
+                        exchange.start(connection, false);
+                    } else {
+                        startWhenAdmitted(connection, startNanos, thread, exchange);
+                    }
+                },
+                exchange::fail);
+    }
+
+    /**
+     * Starts the exchange on a new connection once a server that takes no more connections would have reset it. A
+     * request that was written before the reset may have run, one that was not has not.
+     */
+    private void startWhenAdmitted(
+            ServerConnection connection, long connectNanos, XnioIoThread thread, HttpExchange exchange) {
+        long roundTripMillis = (ticker.nanos() - connectNanos) / 1_000_000;
+        long waitMillis = Math.min(MAX_ADMISSION_MILLIS, roundTripMillis + ADMISSION_MILLIS);
+        thread.executeAfter(
+                () -> {
+                    if (connection.isQuiet()) {
+                        exchange.start(connection, false);
+                        return;
+                    }
+                    connection.close();
+                    exchange.fail(ServerFailure.create(
+                            ServerFailure.Kind.NOT_ADMITTED, "the server reset the new connection at once"));
+                },
+                waitMillis,
+                TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -229,7 +281,8 @@
      * An idle connection.
      *
      * @param connection the connection
+     * @param confirmedUntil the time up to which the server is expected to have kept the connection
      * @param usableUntil the time after which the server may close the connection
      */
-    private record IdleConnection(ServerConnection connection, Deadline usableUntil) {}
+    private record IdleConnection(ServerConnection connection, Deadline confirmedUntil, Deadline usableUntil) {}
 }
--- a/src/main/java/org/verbenatray/servers/ServerConnection.java
+++ b/src/main/java/org/verbenatray/servers/ServerConnection.java
@@ -1,6 +1,8 @@
 package org.verbenatray.servers;
 
 import io.undertow.client.ClientConnection;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 
@@ -17,6 +19,15 @@
         return client.isOpen();
     }
 
+    /** Returns whether the connection is open and the server has neither closed it nor sent anything unasked. */
+    boolean isQuiet() {
+        try {
+            return isOpen() && socket.getSourceChannel().read(ByteBuffer.allocate(1)) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /**
      * Closes the connection in both directions at once and ignores errors. The client itself would close only the
      * sending half and wait for the server, which continues a request until both halves are closed.
--- a/src/main/java/org/verbenatray/servers/ServerFailure.java
+++ b/src/main/java/org/verbenatray/servers/ServerFailure.java
@@ -28,6 +28,8 @@
     public enum Kind {
         /** No connection was established, so nothing was sent. */
         NOT_CONNECTED,
+        /** The server closed the new connection before anything was sent, as it takes no more of them. */
+        NOT_ADMITTED,
         /** The server is leaving; it rejected the call without running it. */
         LEAVING,
         /** The server is full; it rejected the call without running it. */
--- a/src/test/java/org/verbenatray/platform/ScriptedServer.java
+++ b/src/test/java/org/verbenatray/platform/ScriptedServer.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 
 /** A backend server on raw sockets that responds byte by byte as a script defines. */
 final class ScriptedServer implements AutoCloseable {
@@ -27,6 +28,9 @@
 
     private volatile boolean crashed;
 
+    /** Called with each connection when it was accepted. */
+    private volatile Consumer<Socket> acceptListener = connection -> {};
+
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
     /** The connections that the peer closed. */
@@ -72,6 +76,18 @@
         return requests;
     }
 
+    /** Sets what happens to each connection when it was accepted. */
+    void onAccept(Consumer<Socket> listener) {
+        acceptListener = listener;
+    }
+
+    /** Returns the number of connections that neither side has closed. */
+    long openCount() {
+        return connections.stream()
+                .filter(connection -> !connection.isClosed() && !closedByPeer.contains(connection))
+                .count();
+    }
+
     /** Returns the number of connections accepted so far. */
     int connectionCount() {
         return connections.size();
@@ -170,6 +186,7 @@
             try {
                 Socket connection = listener.accept();
                 connections.add(connection);
+                acceptListener.accept(connection);
                 Thread server = new Thread(() -> serve(connection), "scripted-connection");
                 server.setDaemon(true);
                 server.start();
