Share the reads of the list of servers among instances

Cause: each instance read the list of servers three times within the leaving bound, 0.75 to 1.5 calls a second and instance, and decoded each server's sign of life, 60 a second with 72 servers, whatever it does itself.

The first in the group's order reads at the pace as before; another reads by itself if it was told nothing that follows what it knows for 1.25 times the pace, later ones a little later, the latest within 1.7 times. What is told is applied like what is read; a notice that does not follow is left, and one too large is not sent.

Ruled out: two instances that read at the full pace (twice the calls, and the turn of the next one keeps the bound as well); waiting reads (each sign of life would end them); a reader of all domains (a cut between domains would leave one to its turns, which the order within a domain does not).

Tests: ReadExchangeTest (1, 2, 6, 19 and 41 instances, 2% of notices lost: reads of a group at most 1.2 times the full pace and 0.05 for each instance; each change known within the bound at each, also when readers end; deaf instances; notices that do not follow).

--- a/src/main/java/org/verbenatray/backends/BackendDirectory.java
+++ b/src/main/java/org/verbenatray/backends/BackendDirectory.java
@@ -99,14 +99,17 @@
         loaded = true;
     }
 
-    /** Adds or updates an entry, unless it is older than the known one or its server has ended. */
-    public void put(Listing listing) {
+    /**
+     * Adds or updates an entry, unless it is older than the known one or its server has ended. Returns whether it tells
+     * more than that its server lives.
+     */
+    public boolean put(Listing listing) {
         BackendEntry entry = listing.entry();
         Backend current = byId.get(entry.id());
         if (isOutdated(listing, current)) {
-            return;
+            return false;
         }
-        pendingRemoval.remove(entry.id());
+        boolean wasDoubtful = pendingRemoval.remove(entry.id());
         sequences.put(entry.bootId(), listing.sequence());
         if (current == null || !current.entry().bootId().equals(entry.bootId())) {
             if (current != null) {
@@ -115,14 +118,16 @@
             byId.put(entry.id(), Backend.of(entry));
             logChange("backend_listed", entry);
             rebuildUsable();
-            return;
+            return true;
         }
         if (!current.entry().equals(entry)) {
             boolean wasLeaving = current.leaving();
             current.update(entry);
             logChange(wasLeaving == current.leaving() ? "backend_changed" : "backend_leaving", entry);
             rebuildUsable();
+            return true;
         }
+        return wasDoubtful;
     }
 
     /** Returns true if the listing is older than the known entry of its server, or belongs to an ended process. */
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -374,19 +374,19 @@
                 pacer,
                 loop.ticker(),
                 loop.scheduler());
-        KeyedFollower.start(
+        KeyedFollower serverList = KeyedFollower.startShared(
                 "servers",
                 platform.servers(),
                 new ServersListener(platform.serverDecoder(), directory, cutOffDetector, recentVersions),
-                () -> settings.serversPollTiming(),
                 pacer,
+                sharing.serverListSharing(() -> settings.serversPollMillis()),
                 loop.ticker(),
                 loop.scheduler());
         lease = LogLease.start(
                 platform.lease(), settings.name(), loop.ticker(), System::currentTimeMillis, loop.scheduler());
         crashExchange =
                 CrashExchange.start(platform.crashReports(), crashes, random, pacer, loop.ticker(), loop.scheduler());
-        sharing.start(platform.instances(), pacer, crashExchange, continuations, limits);
+        sharing.start(platform.instances(), pacer, crashExchange, continuations, limits, serverList);
         limits.startConfirming();
         runMaintenance();
         pollLoads();
--- a/src/main/java/org/verbenatray/instance/RelayInstanceSettings.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstanceSettings.java
@@ -46,9 +46,9 @@
         return new PollTiming(ROUTES_POLL_INTERVAL_MILLIS, (long) (routePropagationMillis * ROUTES_LONG_POLL_SHARE));
     }
 
-    /** Returns the poll intervals for the list of servers. */
-    PollTiming serversPollTiming() {
-        return new PollTiming(leavingServerMillis / READS_PER_LEAVING_PERIOD, 0);
+    /** Returns the time between two reads of the list of servers, in milliseconds. */
+    long serversPollMillis() {
+        return leavingServerMillis / READS_PER_LEAVING_PERIOD;
     }
 
     /** Returns the number of retries that this instance may send per request of its own. */
--- a/src/main/java/org/verbenatray/instance/ServersListener.java
+++ b/src/main/java/org/verbenatray/instance/ServersListener.java
@@ -36,11 +36,16 @@
 
     @Override
     public void onRecord(KeyedLog.Entry entry) {
+        apply(entry);
+    }
+
+    @Override
+    public boolean apply(KeyedLog.Entry entry) {
         if (entry.value().isEmpty()) {
             directory.remove(entry.key());
-        } else {
-            decoder.apply(entry).ifPresent(directory::put);
+            return true;
         }
+        return decoder.apply(entry).map(directory::put).orElse(false);
     }
 
     @Override
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
@@ -27,6 +28,7 @@
 import org.verbenatray.openwork.InstanceRegistration;
 import org.verbenatray.openwork.ListedInstance;
 import org.verbenatray.openwork.PromptPlacement;
+import org.verbenatray.openwork.ReadExchange;
 import org.verbenatray.openwork.RemoteWork;
 import org.verbenatray.openwork.ReportExchange;
 import org.verbenatray.openwork.WorkExchange;
@@ -34,6 +36,7 @@
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.relay.LoadPoller;
 import org.verbenatray.resilience.CrashExchange;
+import org.verbenatray.state.KeyedFollower;
 import org.verbenatray.state.RetryPacer;
 import org.verbenatray.telemetry.Event;
 
@@ -42,6 +45,9 @@
  * on one thread.
  */
 final class WorkSharing implements AutoCloseable {
+    /** The key of the order in which instances read the list of servers. */
+    private static final String SERVER_LIST = "server-list";
+
     /** The number of ports that are tried where the system chooses them. */
     private static final int MAX_CHOSEN_PORTS = 10;
 
@@ -83,6 +89,9 @@
     /** The versions at which streams may be continued, null before the start. */
     private StreamContinuations continuations;
 
+    /** Follows the list of servers, null before the start. */
+    private KeyedFollower serverList;
+
     /** The limits that servers state, null before the start. */
     private ServerLimits limits;
 
@@ -132,7 +141,9 @@
             RetryPacer pacer,
             CrashExchange crashes,
             StreamContinuations streamContinuations,
-            ServerLimits serverLimits) {
+            ServerLimits serverLimits,
+            KeyedFollower serverListFollower) {
+        serverList = serverListFollower;
         crashExchange = crashes;
         limits = serverLimits;
         continuations = streamContinuations;
@@ -194,6 +205,12 @@
         }
     }
 
+    /** Returns how this instance shares the reads of the list of servers, at the given pace in milliseconds. */
+    KeyedFollower.ReadSharing serverListSharing(LongSupplier paceMillis) {
+        return new ReadExchange(
+                paceMillis, () -> exchangePeers.placeInGroup(SERVER_LIST), exchangePeers::groupAddresses, this::send);
+    }
+
     /** Returns how this instance shares the polls of engines with others. */
     LoadPoller.Sharing pollSharing() {
         return new LoadPoller.Sharing(exchangePeers::placeInGroup, reports::tell);
@@ -281,6 +298,10 @@
             limits.receive(datagram);
             return;
         }
+        if (ReadExchange.recognizes(datagram)) {
+            ReadExchange.receive(datagram, serverList);
+            return;
+        }
         if (ReportExchange.recognizes(datagram)) {
             reports.receive(datagram);
             return;
--- /dev/null
+++ b/src/main/java/org/verbenatray/openwork/ReadExchange.java
@@ -0,0 +1,151 @@
+package org.verbenatray.openwork;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.verbenatray.log.KeyedLog;
+import org.verbenatray.state.KeyedFollower;
+import org.verbenatray.state.KeyedFollower.PollTiming;
+import org.verbenatray.telemetry.Event;
+
+/**
+ * Shares the reads of one keyed log among the instances of a group: the first in its order reads at the full pace and
+ * tells the others what has changed; another one reads by itself if it was told nothing for longer than its turn. Used
+ * on one thread.
+ */
+public final class ReadExchange implements KeyedFollower.ReadSharing {
+    /** The age of what is known at which another instance reads, as a multiple of the full pace. */
+    private static final double TURN_FACTOR = 1.25;
+
+    /** The time by which each further instance waits longer, in milliseconds. */
+    private static final long TURN_STEP_MILLIS = 40;
+
+    /** The largest number of steps, which keeps the latest turn well within twice the full pace. */
+    private static final int MAX_STEPS = 6;
+
+    /** The largest notice; more changes are read by each instance itself. */
+    private static final int MAX_BYTES = 8_000;
+
+    /** First in each notice, and in no other kind of datagram on the same port. The field holds the first offset. */
+    private static final int FROM = 13;
+
+    private static final int TO = 2;
+
+    private static final int KEY = 3;
+
+    /** The value of the last key; missing if the key was deleted. */
+    private static final int VALUE = 4;
+
+    private static final int FIRST_BYTE = FROM << 3 | WireFormat.WIRETYPE_VARINT;
+
+    private static final Logger log = System.getLogger(ReadExchange.class.getName());
+
+    private final LongSupplier fullPaceMillis;
+
+    /** Returns the place of this instance in the order of readers. */
+    private final IntSupplier place;
+
+    private final Supplier<Collection<InetSocketAddress>> receivers;
+
+    private final BiConsumer<InetSocketAddress, byte[]> sender;
+
+    /** Creates an exchange; the full pace is the time between two reads in milliseconds. */
+    public ReadExchange(
+            LongSupplier fullPaceMillis,
+            IntSupplier place,
+            Supplier<Collection<InetSocketAddress>> receivers,
+            BiConsumer<InetSocketAddress, byte[]> sender) {
+        this.fullPaceMillis = fullPaceMillis;
+        this.place = place;
+        this.receivers = receivers;
+        this.sender = sender;
+    }
+
+    /** Returns whether a datagram holds changes of the log. */
+    public static boolean recognizes(byte[] datagram) {
+        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+    }
+
+    @Override
+    public PollTiming pollTiming() {
+        long pace = fullPaceMillis.getAsLong();
+        int position = place.getAsInt();
+        if (position == 0) {
+            return new PollTiming(pace, 0);
+        }
+        long turnMillis = (long) (pace * TURN_FACTOR) + TURN_STEP_MILLIS * Math.min(MAX_STEPS, position - 1);
+        return new PollTiming(turnMillis, 0);
+    }
+
+    @Override
+    public void tell(long from, long to, List<KeyedLog.Entry> changes) {
+        byte[] datagram = encode(from, to, changes);
+        if (datagram.length <= MAX_BYTES) {
+            receivers.get().forEach(address -> sender.accept(address, datagram));
+        }
+    }
+
+    /** Passes the changes in a datagram to a follower of the log; a malformed one is logged and dropped. */
+    public static void receive(byte[] datagram, KeyedFollower follower) {
+        try {
+            CodedInputStream in = CodedInputStream.newInstance(datagram);
+            long from = 0;
+            long to = 0;
+            List<KeyedLog.Entry> changes = new ArrayList<>();
+            for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+                switch (WireFormat.getTagFieldNumber(tag)) {
+                    case FROM -> from = in.readUInt64();
+                    case TO -> to = in.readUInt64();
+                    case KEY -> changes.add(new KeyedLog.Entry(in.readString(), Optional.empty()));
+                    case VALUE -> setLastValue(changes, in.readBytes());
+                    default -> in.skipField(tag);
+                }
+            }
+            follower.onTold(from, to, changes);
+        } catch (IOException e) {
+            Event.named("read_notice_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
+        }
+    }
+
+    private static void setLastValue(List<KeyedLog.Entry> changes, ByteString value) throws IOException {
+        if (changes.isEmpty()) {
+            throw new IOException("a value without a key");
+        }
+        int last = changes.size() - 1;
+        changes.set(last, new KeyedLog.Entry(changes.get(last).key(), Optional.of(value.toByteArray())));
+    }
+
+    private static byte[] encode(long from, long to, List<KeyedLog.Entry> changes) {
+        try {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+            out.writeUInt64(FROM, from);
+            out.writeUInt64(TO, to);
+            for (KeyedLog.Entry change : changes) {
+                out.writeString(KEY, change.key());
+                if (change.value().isPresent()) {
+                    out.writeByteArray(VALUE, change.value().get());
+                }
+            }
+            out.flush();
+            return bytes.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory failed", e);
+        }
+    }
+}
--- a/src/main/java/org/verbenatray/state/KeyedFollower.java
+++ b/src/main/java/org/verbenatray/state/KeyedFollower.java
@@ -38,9 +38,21 @@
     private final Ticker ticker;
     private final Scheduler scheduler;
 
+    /** Shares the reads with other instances; empty if this one reads everything itself. */
+    private final Optional<ReadSharing> sharing;
+
+    /** The changes that were read last, to be told to other instances. */
+    private final ToldChanges toldChanges = new ToldChanges();
+
     /** The offset of the next change to read. */
     private long nextOffset;
 
+    /** When the next changes are read, unless other instances tell them before. */
+    private Deadline readFrom;
+
+    /** Whether the whole listing was read, so that changes can be applied. */
+    private boolean listed;
+
     /** Whether the last call succeeded. */
     private boolean reachable = true;
 
@@ -52,15 +64,16 @@
             Listener listener,
             Supplier<PollTiming> timing,
             RetryPacer pacer,
-            Ticker ticker,
-            Scheduler scheduler) {
+            Optional<ReadSharing> sharing,
+            Timing time) {
         this.name = name;
         this.source = source;
         this.listener = listener;
         this.timing = timing;
         this.pacer = pacer;
-        this.ticker = ticker;
-        this.scheduler = scheduler;
+        this.sharing = sharing;
+        this.ticker = time.ticker();
+        this.scheduler = time.scheduler();
     }
 
     /** Starts to follow a keyed log and returns its follower. */
@@ -72,18 +85,56 @@
             RetryPacer pacer,
             Ticker ticker,
             Scheduler scheduler) {
-        KeyedFollower follower = new KeyedFollower(name, source, listener, timing, pacer, ticker, scheduler);
+        Timing time = new Timing(ticker, scheduler);
+        KeyedFollower follower = new KeyedFollower(name, source, listener, timing, pacer, Optional.empty(), time);
+        follower.readListing(Optional.empty(), new ArrayList<>());
+        return follower;
+    }
+
+    /** Starts to follow a keyed log whose changes instances tell one another. */
+    public static KeyedFollower startShared(
+            String name,
+            KeyedLog source,
+            Listener listener,
+            RetryPacer pacer,
+            ReadSharing sharing,
+            Ticker ticker,
+            Scheduler scheduler) {
+        Timing time = new Timing(ticker, scheduler);
+        KeyedFollower follower =
+                new KeyedFollower(name, source, listener, sharing::pollTiming, pacer, Optional.of(sharing), time);
         follower.readListing(Optional.empty(), new ArrayList<>());
         return follower;
     }
 
+    /**
+     * Applies changes that another instance has read, if they follow what is known, so that this instance need not read
+     * them.
+     *
+     * @param from the offset from which on the changes are complete
+     * @param to the offset up to which they were read
+     * @param changes the records in between that tell anything new
+     */
+    public void onTold(long from, long to, List<KeyedLog.Entry> changes) {
+        if (!listed || stopped || from > nextOffset || to < nextOffset) {
+            return;
+        }
+        if (to > nextOffset) {
+            toldChanges.clear();
+            nextOffset = to;
+            changes.forEach(listener::apply);
+        }
+        listener.onCaughtUp();
+        readFrom = Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis());
+    }
+
     /** Stops the follower after the call in progress. */
     public void stop() {
         stopped = true;
     }
 
     /** Reads the pages of the listing after the given key, then passes the whole listing to the listener. */
-    private void readListing(Optional<String> after, List<KeyedLog.Entry> listed) {
+    private void readListing(Optional<String> after, List<KeyedLog.Entry> entries) {
         if (stopped) {
             return;
         }
@@ -96,35 +147,61 @@
             if (after.isEmpty()) {
                 nextOffset = page.end();
             }
-            listed.addAll(page.entries());
+            entries.addAll(page.entries());
             if (page.more() && !page.entries().isEmpty()) {
                 readListing(
                         Optional.of(
                                 page.entries().get(page.entries().size() - 1).key()),
-                        listed);
+                        entries);
                 return;
             }
-            listener.onListing(listed);
-            scheduler.runAt(Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis()), this::readChanges);
+            listener.onListing(entries);
+            listed = true;
+            toldChanges.clear();
+            readFrom = Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis());
+            scheduler.runAt(readFrom, this::readWhenDue);
         });
     }
 
+    /** Reads the changes, or waits further if other instances have told them. */
+    private void readWhenDue() {
+        if (readFrom.hasPassed(ticker.nanos())) {
+            readChanges();
+        } else {
+            scheduler.runAt(readFrom, this::readWhenDue);
+        }
+    }
+
     /** Reads the changes since the last read. */
     private void readChanges() {
         if (stopped) {
             return;
         }
-        Deadline nextRead = Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis());
-        source.changes(nextOffset, timing.get().maxWaitMillis()).whenComplete((entries, failure) -> {
+        long from = nextOffset;
+        readFrom = Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis());
+        source.changes(from, timing.get().maxWaitMillis()).whenComplete((entries, failure) -> {
             if (failure != null) {
                 handleFailure(failure, this::readChanges);
                 return;
             }
             markReachable();
-            nextOffset += entries.size();
-            entries.forEach(listener::onRecord);
+            applyRead(from, entries);
             listener.onCaughtUp();
-            scheduler.runAt(nextRead, this::readChanges);
+            scheduler.runAt(readFrom, this::readWhenDue);
+        });
+    }
+
+    /** Applies the records from an offset on, except those that were told meanwhile, and tells what is new. */
+    private void applyRead(long from, List<KeyedLog.Entry> entries) {
+        int known = (int) Math.min(entries.size(), Math.max(0, nextOffset - from));
+        List<KeyedLog.Entry> changes = entries.subList(known, entries.size()).stream()
+                .filter(listener::apply)
+                .toList();
+        long begin = Math.max(from, nextOffset);
+        nextOffset = Math.max(nextOffset, from + entries.size());
+        sharing.ifPresent(shared -> {
+            toldChanges.add(begin, changes);
+            shared.tell(toldChanges.from(), nextOffset, toldChanges.entries());
         });
     }
 
@@ -171,6 +248,12 @@
         /** Called for each changed record, in order of the offsets. */
         void onRecord(KeyedLog.Entry entry);
 
+        /** Applies a changed record and returns whether it tells anything new. */
+        default boolean apply(KeyedLog.Entry entry) {
+            onRecord(entry);
+            return true;
+        }
+
         /** Called after each successful read of changes, when all of them were passed on. */
         default void onCaughtUp() {}
 
@@ -185,4 +268,21 @@
      * @param maxWaitMillis the longest time that a read waits for a change, in milliseconds
      */
     public record PollTiming(long intervalMillis, long maxWaitMillis) {}
+
+    /** How instances share the reads of a log. */
+    public interface ReadSharing {
+        /** Returns the timing of the reads of this instance, from the time when the changes were read or told last. */
+        PollTiming pollTiming();
+
+        /** Tells the other instances of changes that this one has read; see {@link KeyedFollower#onTold}. */
+        void tell(long from, long to, List<KeyedLog.Entry> changes);
+    }
+
+    /**
+     * The clock of a follower.
+     *
+     * @param ticker the monotonic clock
+     * @param scheduler runs tasks at its times
+     */
+    private record Timing(Ticker ticker, Scheduler scheduler) {}
 }
