Share the reads of the routes too, and read at once after a gap

Cause: each instance had a waiting read of the routes, which ends each 1.2 to 2.4 s so that a silent connection is noticed: 0.4 to 0.8 calls a second and instance, though the routes change rarely.

Now the first instance of a group waits for changes as before and tells the others; another one reads, without waiting, if it was told nothing for 1.25 times that wait. Routes are often larger than a notice: then the others are told only that there is something to read, and read it at once; the same holds after a gap that the notices of the last four reads do not cover.

Ruled out: notices in several datagrams (each instance would need all of them, and a read is one call).

Tests: largeChangesThatOneReaderWaitsForAreKnownInTime (1 to 41 instances, a reader ends, 2% of notices lost), the other cases of ReadExchangeTest, ConfigurationChangeTest, SettingsReloadTest, MembershipTest, MixedSoftwareVersionsTest, ShutdownTest green.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -17,6 +17,7 @@
 import org.verbenatray.continuation.RecentVersions;
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.limits.ServerLimits;
+import org.verbenatray.openwork.ReadExchange;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.placement.PrefillTimeModel;
@@ -70,6 +71,11 @@
     /** The interval of the check whether draining is complete, in milliseconds. */
     private static final long DRAIN_POLL_MILLIS = 50;
 
+    /** The names of the logs whose reads instances share. */
+    private static final String ROUTES = "routes";
+
+    private static final String SERVERS = "servers";
+
     private static final Logger log = System.getLogger(RelayInstance.class.getName());
 
     private volatile RelayInstanceSettings settings;
@@ -366,27 +372,33 @@
     private void startFollowing() {
         DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
         RetryPacer pacer = RetryPacer.create(random, loop.ticker(), loop.scheduler());
-        KeyedFollower.start(
-                "routes",
+        KeyedFollower routes = KeyedFollower.startShared(
+                ROUTES,
                 platform.routes(),
                 new RoutesListener(platform.routesDecoder(), catalog, this::onRoutesChanged),
-                () -> settings.routesPollTiming(),
                 pacer,
+                sharing.readSharing(ROUTES, new ReadExchange.Pace(() -> settings.routesWaitMillis(), true)),
                 loop.ticker(),
                 loop.scheduler());
-        KeyedFollower serverList = KeyedFollower.startShared(
-                "servers",
+        KeyedFollower servers = KeyedFollower.startShared(
+                SERVERS,
                 platform.servers(),
                 new ServersListener(platform.serverDecoder(), directory, cutOffDetector, recentVersions),
                 pacer,
-                sharing.serverListSharing(() -> settings.serversPollMillis()),
+                sharing.readSharing(SERVERS, new ReadExchange.Pace(() -> settings.serversPollMillis(), false)),
                 loop.ticker(),
                 loop.scheduler());
         lease = LogLease.start(
                 platform.lease(), settings.name(), loop.ticker(), System::currentTimeMillis, loop.scheduler());
         crashExchange =
                 CrashExchange.start(platform.crashReports(), crashes, random, pacer, loop.ticker(), loop.scheduler());
-        sharing.start(platform.instances(), pacer, crashExchange, continuations, limits, serverList);
+        sharing.start(
+                platform.instances(),
+                pacer,
+                crashExchange,
+                continuations,
+                limits,
+                Map.of(ROUTES, routes, SERVERS, servers));
         limits.startConfirming();
         runMaintenance();
         pollLoads();
--- a/src/main/java/org/verbenatray/instance/RelayInstanceSettings.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstanceSettings.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import org.verbenatray.relay.RelayServer.RelayAddresses;
-import org.verbenatray.state.KeyedFollower.PollTiming;
 
 /**
  * The settings of a relay instance.
@@ -38,12 +37,9 @@
     /** The share of the propagation time that a long poll for routes waits; the rest is left to detect a hung read. */
     private static final double ROUTES_LONG_POLL_SHARE = 0.6;
 
-    /** The minimum time between two reads of the routes, in milliseconds. */
-    private static final long ROUTES_POLL_INTERVAL_MILLIS = 50;
-
-    /** Returns the poll intervals for the routes. */
-    PollTiming routesPollTiming() {
-        return new PollTiming(ROUTES_POLL_INTERVAL_MILLIS, (long) (routePropagationMillis * ROUTES_LONG_POLL_SHARE));
+    /** Returns the time for which a read of the routes waits for a change, in milliseconds. */
+    long routesWaitMillis() {
+        return (long) (routePropagationMillis * ROUTES_LONG_POLL_SHARE);
     }
 
     /** Returns the time between two reads of the list of servers, in milliseconds. */
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
@@ -45,9 +44,6 @@
  * on one thread.
  */
 final class WorkSharing implements AutoCloseable {
-    /** The key of the order in which instances read the list of servers. */
-    private static final String SERVER_LIST = "server-list";
-
     /** The number of ports that are tried where the system chooses them. */
     private static final int MAX_CHOSEN_PORTS = 10;
 
@@ -89,8 +85,8 @@
     /** The versions at which streams may be continued, null before the start. */
     private StreamContinuations continuations;
 
-    /** Follows the list of servers, null before the start. */
-    private KeyedFollower serverList;
+    /** The followers of the logs whose reads are shared, by name. */
+    private Map<String, KeyedFollower> sharedLogs = Map.of();
 
     /** The limits that servers state, null before the start. */
     private ServerLimits limits;
@@ -142,8 +138,8 @@
             CrashExchange crashes,
             StreamContinuations streamContinuations,
             ServerLimits serverLimits,
-            KeyedFollower serverListFollower) {
-        serverList = serverListFollower;
+            Map<String, KeyedFollower> followers) {
+        sharedLogs = followers;
         crashExchange = crashes;
         limits = serverLimits;
         continuations = streamContinuations;
@@ -205,10 +201,10 @@
         }
     }
 
-    /** Returns how this instance shares the reads of the list of servers, at the given pace in milliseconds. */
-    KeyedFollower.ReadSharing serverListSharing(LongSupplier paceMillis) {
+    /** Returns how this instance shares the reads of a log with others. */
+    KeyedFollower.ReadSharing readSharing(String log, ReadExchange.Pace pace) {
         return new ReadExchange(
-                paceMillis, () -> exchangePeers.placeInGroup(SERVER_LIST), exchangePeers::groupAddresses, this::send);
+                log, pace, () -> exchangePeers.placeInGroup(log), exchangePeers::groupAddresses, this::send);
     }
 
     /** Returns how this instance shares the polls of engines with others. */
@@ -299,7 +295,7 @@
             return;
         }
         if (ReadExchange.recognizes(datagram)) {
-            ReadExchange.receive(datagram, serverList);
+            ReadExchange.receive(datagram, name -> Optional.ofNullable(sharedLogs.get(name)));
             return;
         }
         if (ReportExchange.recognizes(datagram)) {
--- a/src/main/java/org/verbenatray/openwork/ReadExchange.java
+++ b/src/main/java/org/verbenatray/openwork/ReadExchange.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -29,6 +30,9 @@
  * on one thread.
  */
 public final class ReadExchange implements KeyedFollower.ReadSharing {
+    /** The time between two reads that wait for changes and find some, in milliseconds. */
+    private static final long MIN_INTERVAL_MILLIS = 50;
+
     /** The age of what is known at which another instance reads, as a multiple of the full pace. */
     private static final double TURN_FACTOR = 1.25;
 
@@ -38,7 +42,7 @@
     /** The largest number of steps, which keeps the latest turn well within twice the full pace. */
     private static final int MAX_STEPS = 6;
 
-    /** The largest notice; more changes are read by each instance itself. */
+    /** The largest notice; of more changes the others are told only that there are some. */
     private static final int MAX_BYTES = 8_000;
 
     /** First in each notice, and in no other kind of datagram on the same port. The field holds the first offset. */
@@ -46,6 +50,9 @@
 
     private static final int TO = 2;
 
+    /** The name of the log. */
+    private static final int LOG = 5;
+
     private static final int KEY = 3;
 
     /** The value of the last key; missing if the key was deleted. */
@@ -55,8 +62,13 @@
 
     private static final Logger log = System.getLogger(ReadExchange.class.getName());
 
+    private final String name;
+
     private final LongSupplier fullPaceMillis;
 
+    /** Whether the reads of the first instance wait for changes for the time of the full pace. */
+    private final boolean waiting;
+
     /** Returns the place of this instance in the order of readers. */
     private final IntSupplier place;
 
@@ -64,13 +76,24 @@
 
     private final BiConsumer<InetSocketAddress, byte[]> sender;
 
-    /** Creates an exchange; the full pace is the time between two reads in milliseconds. */
+    /**
+     * Creates an exchange.
+     *
+     * @param name the name of the log, by which its notices are told from those of others
+     * @param pace the pace of the reads
+     * @param place returns the place of this instance in the order of readers
+     * @param receivers returns the addresses of the others of the group
+     * @param sender sends a datagram
+     */
     public ReadExchange(
-            LongSupplier fullPaceMillis,
+            String name,
+            Pace pace,
             IntSupplier place,
             Supplier<Collection<InetSocketAddress>> receivers,
             BiConsumer<InetSocketAddress, byte[]> sender) {
-        this.fullPaceMillis = fullPaceMillis;
+        this.name = name;
+        this.fullPaceMillis = pace.millis();
+        this.waiting = pace.waiting();
         this.place = place;
         this.receivers = receivers;
         this.sender = sender;
@@ -86,7 +109,7 @@
         long pace = fullPaceMillis.getAsLong();
         int position = place.getAsInt();
         if (position == 0) {
-            return new PollTiming(pace, 0);
+            return waiting ? new PollTiming(MIN_INTERVAL_MILLIS, pace) : new PollTiming(pace, 0);
         }
         long turnMillis = (long) (pace * TURN_FACTOR) + TURN_STEP_MILLIS * Math.min(MAX_STEPS, position - 1);
         return new PollTiming(turnMillis, 0);
@@ -94,16 +117,16 @@
 
     @Override
     public void tell(long from, long to, List<KeyedLog.Entry> changes) {
-        byte[] datagram = encode(from, to, changes);
-        if (datagram.length <= MAX_BYTES) {
-            receivers.get().forEach(address -> sender.accept(address, datagram));
-        }
+        byte[] whole = encode(from, to, changes);
+        byte[] datagram = whole.length <= MAX_BYTES ? whole : encode(to, to, List.of());
+        receivers.get().forEach(address -> sender.accept(address, datagram));
     }
 
-    /** Passes the changes in a datagram to a follower of the log; a malformed one is logged and dropped. */
-    public static void receive(byte[] datagram, KeyedFollower follower) {
+    /** Passes the changes in a datagram to the follower of its log; a malformed one is logged and dropped. */
+    public static void receive(byte[] datagram, Function<String, Optional<KeyedFollower>> followers) {
         try {
             CodedInputStream in = CodedInputStream.newInstance(datagram);
+            String logName = "";
             long from = 0;
             long to = 0;
             List<KeyedLog.Entry> changes = new ArrayList<>();
@@ -111,17 +134,22 @@
                 switch (WireFormat.getTagFieldNumber(tag)) {
                     case FROM -> from = in.readUInt64();
                     case TO -> to = in.readUInt64();
+                    case LOG -> logName = in.readString();
                     case KEY -> changes.add(new KeyedLog.Entry(in.readString(), Optional.empty()));
                     case VALUE -> setLastValue(changes, in.readBytes());
                     default -> in.skipField(tag);
                 }
             }
-            follower.onTold(from, to, changes);
+            apply(followers.apply(logName), from, to, changes);
         } catch (IOException e) {
             Event.named("read_notice_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
         }
     }
 
+    private static void apply(Optional<KeyedFollower> follower, long from, long to, List<KeyedLog.Entry> changes) {
+        follower.ifPresent(known -> known.onTold(from, to, changes));
+    }
+
     private static void setLastValue(List<KeyedLog.Entry> changes, ByteString value) throws IOException {
         if (changes.isEmpty()) {
             throw new IOException("a value without a key");
@@ -130,12 +158,13 @@
         changes.set(last, new KeyedLog.Entry(changes.get(last).key(), Optional.of(value.toByteArray())));
     }
 
-    private static byte[] encode(long from, long to, List<KeyedLog.Entry> changes) {
+    private byte[] encode(long from, long to, List<KeyedLog.Entry> changes) {
         try {
             ByteArrayOutputStream bytes = new ByteArrayOutputStream();
             CodedOutputStream out = CodedOutputStream.newInstance(bytes);
             out.writeUInt64(FROM, from);
             out.writeUInt64(TO, to);
+            out.writeString(LOG, name);
             for (KeyedLog.Entry change : changes) {
                 out.writeString(KEY, change.key());
                 if (change.value().isPresent()) {
@@ -148,4 +177,12 @@
             throw new UncheckedIOException("writing to memory failed", e);
         }
     }
+
+    /**
+     * The pace of the reads of the first instance.
+     *
+     * @param millis the time between two reads, or for which each waits, in milliseconds
+     * @param waiting whether a read waits for changes, for logs that change rarely
+     */
+    public record Pace(LongSupplier millis, boolean waiting) {}
 }
--- a/src/main/java/org/verbenatray/state/KeyedFollower.java
+++ b/src/main/java/org/verbenatray/state/KeyedFollower.java
@@ -50,6 +50,12 @@
     /** When the next changes are read, unless other instances tell them before. */
     private Deadline readFrom;
 
+    /** The number of the current chain of reads; a timer of an earlier one is ignored. */
+    private int chain;
+
+    /** Whether a read of changes is under way; the next one is scheduled at its end. */
+    private boolean reading;
+
     /** Whether the whole listing was read, so that changes can be applied. */
     private boolean listed;
 
@@ -108,15 +114,19 @@
     }
 
     /**
-     * Applies changes that another instance has read, if they follow what is known, so that this instance need not read
-     * them.
+     * Applies changes that another instance has read, so that this instance need not read them; reads at once if they
+     * do not follow what is known.
      *
      * @param from the offset from which on the changes are complete
      * @param to the offset up to which they were read
      * @param changes the records in between that tell anything new
      */
     public void onTold(long from, long to, List<KeyedLog.Entry> changes) {
-        if (!listed || stopped || from > nextOffset || to < nextOffset) {
+        if (!listed || stopped || to < nextOffset) {
+            return;
+        }
+        if (from > nextOffset) {
+            readAtOnce();
             return;
         }
         if (to > nextOffset) {
@@ -159,16 +169,34 @@
             listed = true;
             toldChanges.clear();
             readFrom = Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis());
-            scheduler.runAt(readFrom, this::readWhenDue);
+            scheduleRead();
         });
     }
 
+    /** Schedules the next read of changes. */
+    private void scheduleRead() {
+        int current = chain;
+        scheduler.runAt(readFrom, () -> readWhenDue(current));
+    }
+
     /** Reads the changes, or waits further if other instances have told them. */
-    private void readWhenDue() {
+    private void readWhenDue(int timerChain) {
+        if (timerChain != chain) {
+            return;
+        }
         if (readFrom.hasPassed(ticker.nanos())) {
             readChanges();
         } else {
-            scheduler.runAt(readFrom, this::readWhenDue);
+            scheduleRead();
+        }
+    }
+
+    /** Reads the changes now, or as soon as the read under way has ended. */
+    private void readAtOnce() {
+        readFrom = new Deadline(ticker.nanos());
+        if (!reading) {
+            chain++;
+            scheduleRead();
         }
     }
 
@@ -179,7 +207,9 @@
         }
         long from = nextOffset;
         readFrom = Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis());
+        reading = true;
         source.changes(from, timing.get().maxWaitMillis()).whenComplete((entries, failure) -> {
+            reading = false;
             if (failure != null) {
                 handleFailure(failure, this::readChanges);
                 return;
@@ -187,7 +217,7 @@
             markReachable();
             applyRead(from, entries);
             listener.onCaughtUp();
-            scheduler.runAt(readFrom, this::readWhenDue);
+            scheduleRead();
         });
     }
 
--- a/src/test/java/org/verbenatray/openwork/ReadExchangeTest.java
+++ b/src/test/java/org/verbenatray/openwork/ReadExchangeTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.verbenatray.log.FakeKeyedLog;
@@ -36,6 +37,14 @@
     private FakeKeyedLog log;
     private List<Node> nodes;
 
+    /** Whether reads wait for changes. */
+    private boolean waiting;
+
+    @BeforeMethod
+    public void reset() {
+        waiting = false;
+    }
+
     @DataProvider
     public Object[][] groups() {
         return new Object[][] {{1}, {2}, {6}, {19}, {41}};
@@ -72,6 +81,31 @@
         }
     }
 
+    /** A log that changes rarely, with values too large for a notice. */
+    @Test(dataProvider = "groups")
+    public void largeChangesThatOneReaderWaitsForAreKnownInTime(int count) {
+        waiting = true;
+        start(count);
+        time.advanceMillis(3_000);
+        int before = log.calls() - log.writes();
+        for (int change = 0; change < 10; change++) {
+            put("key", "x".repeat(20_000) + change);
+            if (count > 4 && change == 5) {
+                endReader();
+            }
+            time.advanceMillis(BOUND_MILLIS);
+            for (Node node : nodes) {
+                if (!node.ended) {
+                    Assert.assertEquals(node.values.get("key"), "x".repeat(20_000) + change, node.name);
+                }
+            }
+            time.advanceMillis(3_000);
+        }
+        double seconds = 10 * (BOUND_MILLIS + 3_000) / 1_000.0;
+        double reads = (log.calls() - log.writes() - before) / seconds;
+        Assert.assertTrue(reads <= 1.2 * 1_000.0 / PACE_MILLIS + 0.5 * count, "reads a second: " + reads);
+    }
+
     @Test
     public void anInstanceThatHearsNothingReadsByItself() {
         start(19);
@@ -96,9 +130,11 @@
     private void start(int count) {
         random = new Random(11);
         time = new ManualTime();
-        log = new FakeKeyedLog();
+        log = waiting ? FakeKeyedLog.waiting(time) : new FakeKeyedLog();
         nodes = new ArrayList<>();
-        beat();
+        if (!waiting) {
+            beat();
+        }
         Map<String, ListedInstance> listed = new HashMap<>();
         for (int number = 0; number < count; number++) {
             listed.put("i" + number, new ListedInstance(new InetSocketAddress("127.0.0.1", 1 + number), "d"));
@@ -148,7 +184,11 @@
 
         void start() {
             ReadExchange exchange = new ReadExchange(
-                    () -> PACE_MILLIS, () -> peers.placeInGroup("list"), peers::groupAddresses, this::send);
+                    "list",
+                    new ReadExchange.Pace(() -> PACE_MILLIS, waiting),
+                    () -> peers.placeInGroup("list"),
+                    peers::groupAddresses,
+                    this::send);
             follower = KeyedFollower.startShared(
                     "list", log, this, RetryPacer.create(() -> 0.5, time, time), exchange, time, time);
         }
@@ -157,7 +197,9 @@
             told++;
             Node other = nodes.get(to.getPort() - 1);
             if (!other.ended && !other.deaf && other.follower != null && random.nextDouble() >= LOSS) {
-                time.runAt(Deadline.afterMillis(time.nanos(), 1), () -> ReadExchange.receive(datagram, other.follower));
+                time.runAt(
+                        Deadline.afterMillis(time.nanos(), 1),
+                        () -> ReadExchange.receive(datagram, name -> Optional.of(other.follower)));
             }
         }
 
