Move the planned stop of an instance into a class of its own

GracefulStop holds the times of a stop and the wait for open requests; nothing else changes. ShutdownTest, DrainFlushTest, MembershipTest green.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -56,21 +56,9 @@
     /** The time between two checks of the engines' stages in milliseconds. */
     private static final long STAGE_CHECK_INTERVAL_MILLIS = 500;
 
-    /** The minimum time between the request to stop and the end in milliseconds, as callers may still connect. */
-    private static final long MIN_DRAIN_MILLIS = 2_500;
-
-    /** The time after the request to stop in which new requests are still accepted, in milliseconds. */
-    private static final long ACCEPT_WHILE_DRAINING_MILLIS = 2_400;
-
-    /** The time before the end of the grace period at which the process ends by itself, in milliseconds. */
-    private static final long DRAIN_RESERVE_MILLIS = 500;
-
     /** The longest time for which an instance waits for the known crashes before it is ready, in milliseconds. */
     private static final long MAX_CRASHES_WAIT_MILLIS = 3_000;
 
-    /** The interval of the check whether draining is complete, in milliseconds. */
-    private static final long DRAIN_POLL_MILLIS = 50;
-
     /** The names of the logs whose reads instances share. */
     private static final String ROUTES = "routes";
 
@@ -125,10 +113,7 @@
     /** Publishes requests that crash servers to the other instances, null before the start. */
     private volatile CrashExchange crashExchange;
 
-    /** The time from which new requests are rejected, null before the request to stop. */
-    private volatile Deadline rejectFrom;
-
-    private volatile boolean stopping;
+    private final GracefulStop stop;
 
     /** When the instance becomes ready without the known crashes. */
     private final Deadline crashesDue;
@@ -139,6 +124,7 @@
         this.platform = platform;
         this.loop = loop;
         this.metrics = metrics;
+        this.stop = GracefulStop.create(loop.ticker(), loop.scheduler());
         this.catalog = CurrentCatalog.empty(loop.ticker());
         this.directory = BackendDirectory.empty(loop.ticker(), this::onBackendEnded);
         this.cutOffDetector = CutOffDetector.of(loop.ticker(), directory);
@@ -195,9 +181,9 @@
                 this::retryBudget,
                 crashes,
                 serverRuns,
-                () -> stopping,
-                () -> stopping || cutOffDetector.isCutOff(),
-                this::isRejectingNewRequests,
+                stop::isStopping,
+                () -> stop.isStopping() || cutOffDetector.isCutOff(),
+                stop::rejectsRequests,
                 metrics,
                 sharing::onWorkChanged,
                 FirstAttemptEstimator.create(),
@@ -273,7 +259,7 @@
      * knows which requests crash servers, or could not read them for some time.
      */
     public boolean isReady() {
-        return !stopping
+        return !stop.isStopping()
                 && catalog.get().isPresent()
                 && directory.loaded()
                 && (crashExchange != null && crashExchange.loaded()
@@ -312,14 +298,9 @@
      */
     public void drain() {
         long start = loop.ticker().nanos();
-        rejectFrom = Deadline.afterMillis(start, ACCEPT_WHILE_DRAINING_MILLIS);
-        stopping = true;
-        loop.thread().execute(this::deregisterAndStopLease);
         Event.named("stopping").with("instance", settings.name()).log(log, Level.INFO);
-        Deadline earliest = Deadline.afterMillis(start, MIN_DRAIN_MILLIS);
-        Deadline latest = Deadline.afterMillis(start, settings.graceMillis() - DRAIN_RESERVE_MILLIS);
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        pollUntilDrained(earliest, latest, done);
+        CompletableFuture<Void> done = stop.begin(settings.graceMillis(), this::isIdle);
+        loop.thread().execute(this::deregisterAndStopLease);
         done.join();
         Event.named("stopped")
                 .with("instance", settings.name())
@@ -338,15 +319,9 @@
         }
     }
 
-    /** Returns whether new requests are rejected because they might not finish before the process ends. */
-    private boolean isRejectingNewRequests() {
-        Deadline from = rejectFrom;
-        return from != null && from.hasPassed(loop.ticker().nanos());
-    }
-
     /** Stops the instance at once, breaking off open requests. */
     public void close() {
-        stopping = true;
+        stop.markStopping();
         server.close();
         sharing.close();
         loop.close();
@@ -357,17 +332,6 @@
         return handler.counts().open() == 0 && handler.unsentResponses().count() == 0;
     }
 
-    /** Completes the future when the instance is idle after the earliest time, or at the latest time. */
-    private void pollUntilDrained(Deadline earliest, Deadline latest, CompletableFuture<Void> done) {
-        long now = loop.ticker().nanos();
-        if (latest.hasPassed(now) || earliest.hasPassed(now) && isIdle()) {
-            done.complete(null);
-            return;
-        }
-        loop.scheduler()
-                .runAt(Deadline.afterMillis(now, DRAIN_POLL_MILLIS), () -> pollUntilDrained(earliest, latest, done));
-    }
-
     /** Starts to follow the platform's logs and to run the periodic tasks. */
     private void startFollowing() {
         DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
