One bad record, datagram or late answer no longer ends what it meets

- an exception in the processing of one record ended the reads of its topic for good, as the next read is scheduled after it (routes, servers, crashes or instances then stayed as they were); an exception in maintenance, polls or the check of stages ended that task for good; one in a datagram left the others that had come with it;
- polls carry no id, and a second copy of an engine's answer that comes late is read as the answer of the next poll: cache changes read as a load made a busy engine look idle, a load read as cache changes emptied what was known of its cache.

Now each of these is logged and left, the repeated tasks run again after a second (EventLoop.runRepeatedly), and an answer to a poll without the fields of its kind is no answer.

Ruled out: requests of callers (RequestGuard ends them one by one; their answers carry ids); Errors such as a full heap, after which a process ends.

--- a/src/main/java/org/verbenatray/instance/EventLoop.java
+++ b/src/main/java/org/verbenatray/instance/EventLoop.java
@@ -4,9 +4,14 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.servers.ResponseMemory;
+import org.verbenatray.telemetry.Event;
+import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Scheduler;
 import org.verbenatray.time.Ticker;
 import org.xnio.OptionMap;
@@ -24,6 +29,11 @@
 
     private static final int MAX_POOLED_BUFFERS = 256;
 
+    /** The delay before a repeated task runs again that has failed, in milliseconds. */
+    private static final long FAILED_TASK_DELAY_MILLIS = 1_000;
+
+    private static final Logger log = System.getLogger(EventLoop.class.getName());
+
     private final XnioWorker worker;
 
     private final Ticker ticker;
@@ -82,6 +92,20 @@
         };
     }
 
+    /**
+     * Runs a task on the I/O thread again and again: each time after the delay in milliseconds that it returned, or
+     * after a second if it has failed with an exception, which is logged.
+     */
+    public void runRepeatedly(String name, LongSupplier task) {
+        long delayMillis = FAILED_TASK_DELAY_MILLIS;
+        try {
+            delayMillis = task.getAsLong();
+        } catch (RuntimeException e) {
+            Event.named("task_failed").with("task", name).with("why", e).log(log, Level.ERROR);
+        }
+        scheduler().runAt(Deadline.afterMillis(ticker.nanos(), delayMillis), () -> runRepeatedly(name, task));
+    }
+
     @Override
     public void close() {
         worker.shutdownNow();
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -364,35 +364,23 @@
                 limits,
                 Map.of(ROUTES, routes, SERVERS, servers));
         limits.startConfirming();
-        runMaintenance();
-        pollLoads();
-        runStageController(StageController.create(context, settings.name(), lease));
-    }
-
-    /** Runs the stage controller periodically; it changes the stages of engines while this instance holds the lease. */
-    private void runStageController(StageController stageController) {
-        stageController.planStages();
-        loop.scheduler()
-                .runAt(
-                        Deadline.afterMillis(loop.ticker().nanos(), STAGE_CHECK_INTERVAL_MILLIS),
-                        () -> runStageController(stageController));
-    }
-
-    /** Polls the engines for their load, one at a time. */
-    private void pollLoads() {
-        long waitMillis = loadPoller.pollNext();
-        loop.scheduler().runAt(Deadline.afterMillis(loop.ticker().nanos(), waitMillis), this::pollLoads);
+        StageController stageController = StageController.create(context, settings.name(), lease);
+        loop.runRepeatedly("maintenance", this::runMaintenance);
+        loop.runRepeatedly("polls", loadPoller::pollNext);
+        loop.runRepeatedly("stages", () -> {
+            stageController.planStages();
+            return STAGE_CHECK_INTERVAL_MILLIS;
+        });
     }
 
-    /** Runs the periodic maintenance: removes expired entries and checks whether this instance is cut off. */
-    private void runMaintenance() {
+    /** Removes expired entries and checks whether this instance is cut off; returns the time to the next run. */
+    private long runMaintenance() {
         directory.removeExpired();
         cutOffDetector.update();
         continuations.tellWhenMixed();
         crashExchange.onExpired(crashes.removeExpired());
         serverRuns.removeExpired();
-        loop.scheduler()
-                .runAt(Deadline.afterMillis(loop.ticker().nanos(), MAINTENANCE_INTERVAL_MILLIS), this::runMaintenance);
+        return MAINTENANCE_INTERVAL_MILLIS;
     }
 
     /** Returns the retry budget of a service, creating it on first use. */
--- a/src/main/java/org/verbenatray/openwork/DatagramPort.java
+++ b/src/main/java/org/verbenatray/openwork/DatagramPort.java
@@ -76,7 +76,7 @@
                 buffer.flip();
                 byte[] datagram = new byte[buffer.remaining()];
                 buffer.get(datagram);
-                receiver.accept(datagram);
+                pass(datagram, receiver);
                 buffer.clear();
             }
         } catch (IOException e) {
@@ -84,6 +84,18 @@
         }
     }
 
+    /** Passes a datagram on; one that cannot be processed is logged and dropped, and the next ones are read. */
+    private static void pass(byte[] datagram, Consumer<byte[]> receiver) {
+        try {
+            receiver.accept(datagram);
+        } catch (RuntimeException e) {
+            Event.named("datagram_not_processed")
+                    .with("bytes", datagram.length)
+                    .with("why", e)
+                    .log(log, Level.ERROR);
+        }
+    }
+
     @Override
     public void close() {
         IoUtils.safeClose(channel);
--- a/src/main/java/org/verbenatray/platform/PlatformProtocol.java
+++ b/src/main/java/org/verbenatray/platform/PlatformProtocol.java
@@ -267,6 +267,9 @@
     public Optional<BackendLoad> load(byte[] body) {
         try {
             JsonNode node = json.readTree(body);
+            if (!node.has("running")) {
+                throw new IOException("the fields of a report are missing");
+            }
             return Optional.of(new BackendLoad(
                     node.path("waiting").asInt(),
                     node.path("running").asInt(),
@@ -291,6 +294,9 @@
     public Optional<CacheChanges> cacheChanges(byte[] body) {
         try {
             JsonNode node = json.readTree(body);
+            if (!node.has("epoch") || !node.has("next")) {
+                throw new IOException("the fields of cache changes are missing");
+            }
             List<CacheChanges.Change> changes = new ArrayList<>();
             for (JsonNode event : node.path("events")) {
                 boolean cached = event.path(1).asText().equals("+");
--- a/src/main/java/org/verbenatray/state/KeyedFollower.java
+++ b/src/main/java/org/verbenatray/state/KeyedFollower.java
@@ -132,7 +132,7 @@
         if (to > nextOffset) {
             toldChanges.clear();
             nextOffset = to;
-            changes.forEach(listener::apply);
+            changes.forEach(this::applyRecord);
         }
         listener.onCaughtUp();
         readFrom = Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis());
@@ -165,7 +165,7 @@
                         entries);
                 return;
             }
-            listener.onListing(entries);
+            applyListing(entries);
             listed = true;
             toldChanges.clear();
             readFrom = Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis());
@@ -225,7 +225,7 @@
     private void applyRead(long from, List<KeyedLog.Entry> entries) {
         int known = (int) Math.min(entries.size(), Math.max(0, nextOffset - from));
         List<KeyedLog.Entry> changes = entries.subList(known, entries.size()).stream()
-                .filter(listener::apply)
+                .filter(this::applyRecord)
                 .toList();
         long begin = Math.max(from, nextOffset);
         nextOffset = Math.max(nextOffset, from + entries.size());
@@ -235,6 +235,32 @@
         });
     }
 
+    private void applyListing(List<KeyedLog.Entry> entries) {
+        try {
+            listener.onListing(entries);
+        } catch (RuntimeException e) {
+            Event.named("listing_not_applied")
+                    .with("log", name)
+                    .with("records", entries.size())
+                    .with("why", e)
+                    .log(log, Level.ERROR);
+        }
+    }
+
+    /** Applies a record; one that the listener cannot process is logged and left, so that the others are applied. */
+    private boolean applyRecord(KeyedLog.Entry entry) {
+        try {
+            return listener.apply(entry);
+        } catch (RuntimeException e) {
+            Event.named("record_not_applied")
+                    .with("log", name)
+                    .with("key", entry.key())
+                    .with("why", e)
+                    .log(log, Level.ERROR);
+            return false;
+        }
+    }
+
     /** Starts a new listing if changes were dropped, and schedules a retry after any other failure. */
     private void handleFailure(Throwable failure, Runnable retry) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
--- a/src/test/java/org/verbenatray/state/StoreCallsTest.java
+++ b/src/test/java/org/verbenatray/state/StoreCallsTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -19,12 +20,14 @@
     private ManualTime time;
     private FakeKeyedLog log;
     private List<Integer> caughtUp;
+    private List<String> applied;
 
     @BeforeMethod
     public void start() {
         time = new ManualTime();
         log = new FakeKeyedLog();
         caughtUp = new ArrayList<>();
+        applied = new ArrayList<>();
         RetryPacer pacer = RetryPacer.create(() -> 0.5, time, time);
         for (int topic = 0; topic < TOPICS; topic++) {
             int number = topic;
@@ -64,6 +67,18 @@
         Assert.assertFalse(caughtUp.isEmpty());
     }
 
+    /** An exception in one record ended the reads of its topic for good. */
+    @Test
+    public void aRecordThatCannotBeProcessedDoesNotKeepLaterOnesAway() {
+        log.put("bad", Optional.of(new byte[] {1}));
+        log.put("good", Optional.of(new byte[] {1}));
+        time.advanceMillis(2_000);
+        Assert.assertTrue(applied.contains("good"));
+        caughtUp.clear();
+        time.advanceMillis(2_000);
+        Assert.assertFalse(caughtUp.isEmpty());
+    }
+
     /** Records which topics were read. */
     private final class Recorder implements KeyedFollower.Listener {
         private final int topic;
@@ -78,7 +93,12 @@
         }
 
         @Override
-        public void onRecord(KeyedLog.Entry entry) {}
+        public void onRecord(KeyedLog.Entry entry) {
+            if (entry.key().equals("bad")) {
+                throw new IllegalStateException("cannot be processed");
+            }
+            applied.add(entry.key());
+        }
 
         @Override
         public void onCaughtUp() {
