--- a/src/main/java/org/verbenatray/instance/ReachingPeers.java
+++ b/src/main/java/org/verbenatray/instance/ReachingPeers.java
@@ -11,14 +11,14 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import org.verbenatray.openwork.ListedInstance;
-import org.verbenatray.relay.ReachingInstances;
+import org.verbenatray.relay.ForwardingTargets;
 import org.verbenatray.time.Ticker;
 
 /**
  * The instances that have told lately of engines that answer them, so that they can serve requests that this instance
  * can't send to a server. Those of its failure domain go first. Used on one thread.
  */
-final class ReachingPeers implements ReachingInstances {
+final class ReachingPeers implements ForwardingTargets {
     /** The age in nanoseconds beyond which the answer of an engine no longer shows that an instance reaches servers. */
     private static final long MAX_AGE_NANOS = 1_500_000_000L;
 
@@ -56,7 +56,7 @@
     }
 
     @Override
-    public boolean areNeeded() {
+    public boolean isPartitioned() {
         return partitioned.getAsBoolean();
     }
 
--- a/src/main/java/org/verbenatray/relay/ForwardedRequests.java
+++ b/src/main/java/org/verbenatray/relay/ForwardedRequests.java
@@ -15,23 +15,23 @@
     /** The largest number of forwarded requests that are open at a time, as callers of this instance go first. */
     private static final int MAX_OPEN = 128;
 
-    /** Whether this instance is stopping or reaches no server itself. */
-    private final BooleanSupplier unfit;
+    /** Whether this instance is stopping or is cut off itself. */
+    private final BooleanSupplier cannotServe;
 
     private final UnsentResponses open = UnsentResponses.create();
 
-    private ForwardedRequests(BooleanSupplier unfit) {
-        this.unfit = unfit;
+    private ForwardedRequests(BooleanSupplier cannotServe) {
+        this.cannotServe = cannotServe;
     }
 
     /** Returns an object without requests; the argument tells whether this instance can't serve them. */
-    static ForwardedRequests create(BooleanSupplier unfit) {
-        return new ForwardedRequests(unfit);
+    static ForwardedRequests create(BooleanSupplier cannotServe) {
+        return new ForwardedRequests(cannotServe);
     }
 
     /** Returns whether the request of an exchange is accepted; it then counts as open until its response is written. */
     boolean accept(HttpServerExchange exchange) {
-        if (open.count() >= MAX_OPEN || unfit.getAsBoolean()) {
+        if (open.count() >= MAX_OPEN || cannotServe.getAsBoolean()) {
             return false;
         }
         open.add(exchange);
--- a/src/main/java/org/verbenatray/relay/PeerRelay.java
+++ b/src/main/java/org/verbenatray/relay/PeerRelay.java
@@ -84,7 +84,7 @@
             return;
         }
         PeerRelay relay = new PeerRelay(context, call, withoutInstances);
-        Optional<URI> instance = context.reachingInstances().choose(relay.tried);
+        Optional<URI> instance = context.forwardingTargets().choose(relay.tried);
         if (instance.isEmpty() || call.remainingMillis() <= RETURN_MILLIS) {
             withoutInstances.run();
             return;
@@ -196,7 +196,7 @@
         close();
         body.clear();
         Optional<URI> next =
-                tried.size() < MAX_INSTANCES ? context.reachingInstances().choose(tried) : Optional.empty();
+                tried.size() < MAX_INSTANCES ? context.forwardingTargets().choose(tried) : Optional.empty();
         if (next.isPresent() && call.remainingMillis() > RETURN_MILLIS) {
             send(next.get());
             return;
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -44,7 +44,7 @@
  * @param limits the limits that servers state
  * @param statements records what servers state in their answers
  * @param reach receives what shows whether this instance reaches the servers
- * @param reachingInstances the instances that serve requests which this one can't send to a server
+ * @param forwardingTargets the instances to which requests are forwarded while servers are out of reach
  */
 public record RelayContext(
         HttpTransport transport,
@@ -71,4 +71,4 @@
         ServerLimits limits,
         ServerStatements statements,
         ReachListener reach,
-        ReachingInstances reachingInstances) {}
+        ForwardingTargets forwardingTargets) {}
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -171,7 +171,7 @@
         }
         if (call.crashesServers()) {
             call.giveUpCrashing();
-        } else if (context.reachingInstances().areNeeded()) {
+        } else if (context.forwardingTargets().isPartitioned()) {
             PeerRelay.startOrElse(context, call, () -> start(call));
         } else {
             start(call);
