Say in one place when an idle connection may be used

The condition had grown over three lines with the confirmed connections; it is a method of the idle connection now, and the engines that are doubted are a set. No behaviour changes. ConnectionLimitTest, PollScheduleTest, PlainRelayTest, CancelledExchangeTest green.

--- a/src/main/java/org/verbenatray/relay/PollSchedule.java
+++ b/src/main/java/org/verbenatray/relay/PollSchedule.java
@@ -1,9 +1,11 @@
 package org.verbenatray.relay;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.ToIntFunction;
 import org.verbenatray.backends.Backend;
 
@@ -42,7 +44,7 @@
     private final Map<String, Long> knownNanos = new HashMap<>();
 
     /** The engines that another instance could not reach lately and that this one has not polled since. */
-    private final Map<String, Boolean> doubted = new HashMap<>();
+    private final Set<String> doubted = new HashSet<>();
 
     PollSchedule(ToIntFunction<String> place) {
         this.place = place;
@@ -56,7 +58,7 @@
 
     /** Records that another instance could not reach an engine, so that this one looks for itself. */
     void recordDoubt(String boot) {
-        doubted.put(boot, true);
+        doubted.add(boot);
     }
 
     /** Returns the engine that is due longest; empty if none is due. */
@@ -88,14 +90,14 @@
             List<String> boots =
                     engines.stream().map(engine -> engine.entry().bootId()).toList();
             knownNanos.keySet().retainAll(boots);
-            doubted.keySet().retainAll(boots);
+            doubted.retainAll(boots);
         }
     }
 
     private long dueNanos(Backend engine, boolean doubtful, long nowNanos) {
         String boot = engine.entry().bootId();
         Long known = knownNanos.get(boot);
-        if (known == null || doubted.containsKey(boot)) {
+        if (known == null || doubted.contains(boot)) {
             return nowNanos;
         }
         return known + turnMillis(engine, doubtful) * NANOS_PER_MILLI;
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -190,14 +190,8 @@
     private void startOnPooledConnection(HttpCall call, XnioIoThread thread, HttpExchange exchange) {
         if (call.connectionUse() != ConnectionUse.NEW) {
             Deque<IdleConnection> connections = idleOf(thread, call.pool());
-            boolean confirmed = call.connectionUse() == ConnectionUse.CONFIRMED;
             for (IdleConnection next = connections.pollLast(); next != null; next = connections.pollLast()) {
-                if (confirmed
-                                && !next.confirmedUntil().hasPassed(ticker.nanos())
-                                && next.connection().isQuiet()
-                        || !confirmed
-                                && next.connection().isOpen()
-                                && !next.usableUntil().hasPassed(ticker.nanos())) {
+                if (next.isUsable(call.connectionUse(), ticker.nanos())) {
                     exchange.start(next.connection(), true);
                     return;
                 }
@@ -308,5 +302,12 @@
      * @param confirmedUntil the time up to which the server is expected to have kept the connection
      * @param usableUntil the time after which the server may close the connection
      */
-    private record IdleConnection(ServerConnection connection, Deadline confirmedUntil, Deadline usableUntil) {}
+    private record IdleConnection(ServerConnection connection, Deadline confirmedUntil, Deadline usableUntil) {
+        boolean isUsable(ConnectionUse use, long nowNanos) {
+            if (use == ConnectionUse.CONFIRMED) {
+                return !confirmedUntil.hasPassed(nowNanos) && connection.isQuiet();
+            }
+            return !usableUntil.hasPassed(nowNanos) && connection.isOpen();
+        }
+    }
 }
