No failure domains or requests of a site in the experiment tool and the demo

The model of the served fleets named the failure domains of two sites, and the demo, the load tool and the stand-in engine used a request kind of one as the name of a model. The sizes and prices of the model stay, as the experiments are about these fleets; its domains are domain-1 and on. Nothing stored or sent between instances.

--- a/src/main/java/org/verbenatray/bench/Deployment.java
+++ b/src/main/java/org/verbenatray/bench/Deployment.java
@@ -36,19 +36,19 @@
     /** Returns the fleet of the skills passport authority. */
     public static Deployment authority() {
         Map<String, Integer> engines = new LinkedHashMap<>();
-        engines.put("lhr-gulberg", 3);
-        engines.put("lhr-johar", 3);
-        engines.put("lhr-shahdara", 2);
+        engines.put("domain-1", 3);
+        engines.put("domain-2", 3);
+        engines.put("domain-3", 2);
         return new Deployment("authority", engines, roleSpec(AUTHORITY_CHANGE_PRICE), 3_500, 45_000);
     }
 
     /** Returns the fleet of the gate platform consortium. */
     public static Deployment consortium() {
         Map<String, Integer> engines = new LinkedHashMap<>();
-        engines.put("bog-norte", 4);
-        engines.put("bog-sur", 3);
-        engines.put("mde-rionegro", 3);
-        engines.put("clo-palmira", 3);
+        engines.put("domain-1", 4);
+        engines.put("domain-2", 3);
+        engines.put("domain-3", 3);
+        engines.put("domain-4", 3);
         return new Deployment("consortium", engines, roleSpec(CONSORTIUM_CHANGE_PRICE), 5_000, 60_000);
     }
 
--- a/src/main/java/org/verbenatray/bench/OverheadBench.java
+++ b/src/main/java/org/verbenatray/bench/OverheadBench.java
@@ -198,14 +198,14 @@
     private HttpCall directCall(int caller) {
         long number = callCounter.incrementAndGet();
         GenerateRequest request = new GenerateRequest(
-                "direct-" + number, "gate-check", uniquePrompt(number), STREAM_TOKENS, number, 80, 0, "");
+                "direct-" + number, "quick-check", uniquePrompt(number), STREAM_TOKENS, number, 80, 0, "");
         String address = deployment.engines().get(caller % ENGINES).address();
         return HttpCall.json("POST", address, "/generate", RecordCodec.encode(request));
     }
 
     private HttpCall entryCall(int tokens, boolean stream) {
         long number = callCounter.incrementAndGet();
-        String body = "{\"model\":\"gate-check\",\"prompt\":\"" + uniquePrompt(number) + "\",\"max_tokens\":" + tokens
+        String body = "{\"model\":\"quick-check\",\"prompt\":\"" + uniquePrompt(number) + "\",\"max_tokens\":" + tokens
                 + ",\"seed\":" + number + ",\"stream\":" + stream + "}";
         return HttpCall.create(
                 "POST",
--- a/src/main/java/org/verbenatray/cli/StandinEngineCommand.java
+++ b/src/main/java/org/verbenatray/cli/StandinEngineCommand.java
@@ -20,7 +20,7 @@
     private String listen = "127.0.0.1:9000";
 
     @Parameter(names = "--models", description = "Loaded models as NAME@VERSION, separated by commas")
-    private List<String> models = List.of("gate-check@1");
+    private List<String> models = List.of("quick-check@1");
 
     @Parameter(names = "--role", description = "Initial role: both, prefill or decode")
     private String role = "both";
--- a/src/main/java/org/verbenatray/demo/EmbeddedDeployment.java
+++ b/src/main/java/org/verbenatray/demo/EmbeddedDeployment.java
@@ -233,7 +233,7 @@
                 FleetYaml.MAX_STREAMS,
                 FleetYaml.KV_TOKENS,
                 limits);
-        return EngineServer.start(name, ANY_PORT, spec, Map.of("gate-check", "1", "trade-review", "1"), true);
+        return EngineServer.start(name, ANY_PORT, spec, Map.of("quick-check", "1", "long-review", "1"), true);
     }
 
     /** Adds all backend servers to the instance list. */
--- a/src/main/java/org/verbenatray/demo/FleetYaml.java
+++ b/src/main/java/org/verbenatray/demo/FleetYaml.java
@@ -35,8 +35,8 @@
         FleetYaml fleet = new FleetYaml(shape);
         fleet.yaml
                 .append("models:\n")
-                .append("  gate-check:\n    version: \"1\"\n    priority: 80\n")
-                .append("  trade-review:\n    version: \"1\"\n    priority: 20\n");
+                .append("  quick-check:\n    version: \"1\"\n    priority: 80\n")
+                .append("  long-review:\n    version: \"1\"\n    priority: 20\n");
         return fleet;
     }
 
--- a/src/main/java/org/verbenatray/faults/FaultInjector.java
+++ b/src/main/java/org/verbenatray/faults/FaultInjector.java
@@ -377,7 +377,7 @@
 
     /** Returns a configuration file with a new version of a model. */
     private String versionYaml() {
-        return "models:\n  gate-check:\n    version: \"new-" + nextNumber.getAndIncrement() + "\"\n";
+        return "models:\n  quick-check:\n    version: \"new-" + nextNumber.getAndIncrement() + "\"\n";
     }
 
     private Member member(Fault fault) {
--- a/src/main/java/org/verbenatray/faults/LoadGenerator.java
+++ b/src/main/java/org/verbenatray/faults/LoadGenerator.java
@@ -113,7 +113,7 @@
     void sendPoison() {
         String prompt = FaultInjector.POISON_TEXT + " of one caller";
         String body =
-                "{\"model\":\"gate-check\",\"prompt\":\"" + prompt + "\",\"max_tokens\":8,\"seed\":1,\"stream\":true}";
+                "{\"model\":\"quick-check\",\"prompt\":\"" + prompt + "\",\"max_tokens\":8,\"seed\":1,\"stream\":true}";
         Map<String, String> headers = Map.of("X-Timeout-Millis", Long.toString(REQUEST_TIMEOUT_MILLIS));
         LoadCall call = new LoadCall(LoadCallKind.CHECK, "/v1/completions", headers, body, Optional.empty());
         calls.add(sendPoisonRepeatedly(call, 0));
--- a/src/main/java/org/verbenatray/load/LoadMix.java
+++ b/src/main/java/org/verbenatray/load/LoadMix.java
@@ -43,8 +43,8 @@
             return issuance();
         }
         return draw < ISSUANCE_SHARE + reviewShare * (1 - ISSUANCE_SHARE)
-                ? completion(LoadCallKind.REVIEW, "trade-review", REVIEW_PROMPT_CHARS, REVIEW_OUTPUT_TOKENS)
-                : completion(LoadCallKind.CHECK, "gate-check", CHECK_PROMPT_CHARS, CHECK_OUTPUT_TOKENS);
+                ? completion(LoadCallKind.REVIEW, "long-review", REVIEW_PROMPT_CHARS, REVIEW_OUTPUT_TOKENS)
+                : completion(LoadCallKind.CHECK, "quick-check", CHECK_PROMPT_CHARS, CHECK_OUTPUT_TOKENS);
     }
 
     /** Returns a call of a plain service with a new idempotency key. */
--- a/src/test/java/org/verbenatray/cli/ExplainCommandTest.java
+++ b/src/test/java/org/verbenatray/cli/ExplainCommandTest.java
@@ -43,7 +43,7 @@
         assertEquals(run.code(), ExitCode.SUCCESS, run.text());
         String[] lines = run.text().split("\n");
         assertTrue(lines[0].startsWith("event=received request="), run.text());
-        assertTrue(lines[0].contains("customer=embedded subject=gate-check instance=entry-1 failure_domain=north"));
+        assertTrue(lines[0].contains("customer=embedded subject=quick-check instance=entry-1 failure_domain=north"));
         assertTrue(lines[1].startsWith("event=admitted waited_ms="), run.text());
         assertTrue(lines[2].startsWith("event=dispatched run=1 engine=engine-"), run.text());
         assertTrue(lines[2].contains(" alternatives=2 "), run.text());
--- a/src/test/java/org/verbenatray/configuration/ConfigurationMergerTest.java
+++ b/src/test/java/org/verbenatray/configuration/ConfigurationMergerTest.java
@@ -15,7 +15,7 @@
 public final class ConfigurationMergerTest {
     private static final String BASE = """
             models:
-              trade-review:
+              long-review:
                 version: "2026.1"
                 adapters: [masonry, welding]
                 priority: 20
@@ -35,7 +35,7 @@
                 failureDomain: lhr-johar
                 address: http://127.0.0.1:9001
                 checksFencing: true
-                models: [trade-review]
+                models: [long-review]
                 initialRole: prefill
             roles:
               changePrice: 5
@@ -44,7 +44,7 @@
     @Test
     public void everySectionIsRead() {
         FleetConfiguration fleet = merged(Map.of("10-base.yaml", BASE));
-        assertEquals(fleet.models().get("trade-review").adapters(), List.of("masonry", "welding"));
+        assertEquals(fleet.models().get("long-review").adapters(), List.of("masonry", "welding"));
         assertEquals(fleet.customers().get("contractor").keySha256(), "a".repeat(64));
         assertEquals(fleet.services().get("registry").servers().get(1).name(), "reg-2");
         assertEquals(
@@ -57,15 +57,15 @@
     @Test
     public void laterFilesMergeMappingsReplaceListsAndRemoveByNull() {
         String later = """
-                models: {trade-review: {priority: 30, adapters: [carpentry]}}
+                models: {long-review: {priority: 30, adapters: [carpentry]}}
                 services: {registry: {servers: {reg-1: null}}}
                 engines: {lhr-1: {models: null}}
                 roles: null
                 """;
         FleetConfiguration fleet = merged(Map.of("10-base.yaml", BASE, "20-later.yaml", later));
-        assertEquals(fleet.models().get("trade-review").priority(), 30);
-        assertEquals(fleet.models().get("trade-review").version(), "2026.1");
-        assertEquals(fleet.models().get("trade-review").adapters(), List.of("carpentry"));
+        assertEquals(fleet.models().get("long-review").priority(), 30);
+        assertEquals(fleet.models().get("long-review").version(), "2026.1");
+        assertEquals(fleet.models().get("long-review").adapters(), List.of("carpentry"));
         assertEquals(fleet.services().get("registry").servers().size(), 1);
         assertEquals(fleet.engines().get("lhr-1").models(), List.of());
         assertEquals(fleet.roles(), RoleSpec.defaults());
@@ -98,7 +98,7 @@
     public void allProblemsInAllFilesAreReportedAtOnceWithTheirLocations() {
         MergeResult result = ConfigurationMerger.merge(new TreeMap<>(Map.of(
                 "10-base.yaml", BASE,
-                "20-a.yaml", "models:\n  trade-review:\n    priority: -1\n",
+                "20-a.yaml", "models:\n  long-review:\n    priority: -1\n",
                 "30-b.yaml", "roles:\n  maxAtOnce: 0\n  price: 1\n")));
         assertFalse(result.isValid());
         assertTrue(result.fleet().isEmpty());
@@ -107,7 +107,7 @@
                         .map(problem -> problem.file() + ":" + problem.line() + " " + problem.key())
                         .toList(),
                 List.of(
-                        "20-a.yaml:3 models.trade-review.priority",
+                        "20-a.yaml:3 models.long-review.priority",
                         "30-b.yaml:2 roles.maxAtOnce",
                         "30-b.yaml:3 roles.price"));
     }
--- a/src/test/java/org/verbenatray/instance/RoleControllerTest.java
+++ b/src/test/java/org/verbenatray/instance/RoleControllerTest.java
@@ -38,9 +38,9 @@
         List<CompletableFuture<HttpResponse<String>>> before = sendAll(6, 150);
         Await.until(() -> dispatches() == 6);
         String yaml =
-                deployment.fleetYaml().replace("gate-check:\n    version: \"1\"", "gate-check:\n    version: \"2\"");
+                deployment.fleetYaml().replace("quick-check:\n    version: \"1\"", "quick-check:\n    version: \"2\"");
         assertTrue(deployment.publish("fleet.yaml", yaml).isAccepted());
-        Await.until(() -> deployment.engines().stream().allMatch(engine -> engine.servesVersion("gate-check", "2")));
+        Await.until(() -> deployment.engines().stream().allMatch(engine -> engine.servesVersion("quick-check", "2")));
         for (int seed = 0; seed < before.size(); seed++) {
             assertEquals(HttpCaller.textOf(before.get(seed).join().body()), TokenText.tokensBetween(seed, 0, 150));
         }
--- a/src/test/java/org/verbenatray/processes/HttpCaller.java
+++ b/src/test/java/org/verbenatray/processes/HttpCaller.java
@@ -62,7 +62,7 @@
 
     /** Returns the request body of a completion. */
     public static String completionBody(String prompt, int maxTokens, long seed, boolean stream) {
-        return "{\"model\":\"gate-check\",\"prompt\":\"" + prompt + "\",\"max_tokens\":" + maxTokens + ",\"seed\":"
+        return "{\"model\":\"quick-check\",\"prompt\":\"" + prompt + "\",\"max_tokens\":" + maxTokens + ",\"seed\":"
                 + seed + ",\"stream\":" + stream + "}";
     }
 
--- a/src/test/java/org/verbenatray/processes/TestFleet.java
+++ b/src/test/java/org/verbenatray/processes/TestFleet.java
@@ -9,7 +9,7 @@
     /** Returns a configuration file with the given engine addresses and one service server at the given address. */
     public static String yaml(List<String> engines, String service) {
         StringBuilder yaml = new StringBuilder();
-        yaml.append("models:\n  gate-check:\n    version: \"1\"\n    priority: 80\n");
+        yaml.append("models:\n  quick-check:\n    version: \"1\"\n    priority: 80\n");
         yaml.append("customers:\n  contractor:\n    keySha256: ")
                 .append(HttpCaller.KEY_SHA256)
                 .append("\n    requestsPerSecond: 10000\n    tokensPerSecond: 1000000\n    maxOpen: 1000\n");
--- a/src/test/java/org/verbenatray/serving/EntryServerTest.java
+++ b/src/test/java/org/verbenatray/serving/EntryServerTest.java
@@ -49,15 +49,15 @@
             {"POST", completions, "", 400, "bad_request"},
             {"POST", completions, "null", 400, "bad_request"},
             {"POST", completions, "[1]", 400, "bad_request"},
-            {"POST", completions, "{\"model\":\"gate-check\"}", 400, "bad_request"},
+            {"POST", completions, "{\"model\":\"quick-check\"}", 400, "bad_request"},
             {"POST", completions, "{\"prompt\":\"p\"}", 400, "bad_request"},
-            {"POST", completions, "{\"model\":\"gate-check\",\"prompt\":{}}", 400, "bad_request"},
+            {"POST", completions, "{\"model\":\"quick-check\",\"prompt\":{}}", 400, "bad_request"},
             {"POST", completions, body("\"max_tokens\":\"many\""), 400, "bad_request"},
             {"POST", completions, body("\"max_tokens\":0"), 400, "bad_request"},
             {"POST", completions, body("\"stream\":3"), 400, "bad_request"},
             {"POST", completions, body("\"seed\":[]"), 400, "bad_request"},
-            {"POST", "/v1/chat/completions", "{\"model\":\"gate-check\",\"messages\":\"hi\"}", 400, "bad_request"},
-            {"POST", "/v1/chat/completions", "{\"model\":\"gate-check\",\"messages\":[null]}", 400, "bad_request"},
+            {"POST", "/v1/chat/completions", "{\"model\":\"quick-check\",\"messages\":\"hi\"}", 400, "bad_request"},
+            {"POST", "/v1/chat/completions", "{\"model\":\"quick-check\",\"messages\":[null]}", 400, "bad_request"},
             {"POST", completions, "{\"model\":\"other\",\"prompt\":\"p\"}", 404, "not_found"},
             {"GET", completions, "", 404, "not_found"},
             {"DELETE", "/v1/models", "", 404, "not_found"},
@@ -177,7 +177,7 @@
     }
 
     private static String body(String extra) {
-        return "{\"model\":\"gate-check\",\"prompt\":\"p\"," + extra + "}";
+        return "{\"model\":\"quick-check\",\"prompt\":\"p\"," + extra + "}";
     }
 
     private String raw(String head, String body) throws IOException {
