Usual words for what instances send one another

tell, told and hear became publish, send and receive; ToldChanges RecentChanges, ToldReport PeerReport, applyTold applyPeerChanges, onTold onPeerChanges or onPeerReport. Names and comments only; the notices on the wire are as they were.

--- a/src/main/java/org/verbenatray/backends/BackendDirectory.java
+++ b/src/main/java/org/verbenatray/backends/BackendDirectory.java
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Adds or updates an entry, unless it is older than the known one or its server has ended. Returns whether it tells
-     * more than that its server lives.
+     * Adds or updates an entry, unless it is older than the known one or its server has ended. Returns whether it is
+     * more than a heartbeat of its server.
      */
     public boolean put(Listing listing) {
         BackendEntry entry = listing.entry();
--- a/src/main/java/org/verbenatray/instance/ReachingPeers.java
+++ b/src/main/java/org/verbenatray/instance/ReachingPeers.java
@@ -15,7 +15,7 @@
 import org.verbenatray.time.Ticker;
 
 /**
- * The instances that have told lately of engines that answer them, so that they can serve requests that this instance
+ * The instances that have lately reported answers of engines, so that they can serve requests that this instance
  * can't send to a server. Those of its failure domain go first. Used on one thread.
  */
 final class ReachingPeers implements ForwardingTargets {
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -141,7 +141,7 @@
                 directory,
                 prefixCacheIndex,
                 this::onAnsweredOther,
-                this::onTold,
+                this::onPeerReport,
                 this::listenForInstances);
         this.reachingPeers = new ReachingPeers(
                 settings.failureDomain(),
@@ -404,8 +404,8 @@
         reachingPeers.recordAnswer(instance, agoMillis);
     }
 
-    private void onTold(EngineReport report) {
-        loadPoller.onTold(report);
+    private void onPeerReport(EngineReport report) {
+        loadPoller.onPeerReport(report);
     }
 
     private void listenForInstances(InetSocketAddress address) {
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -100,7 +100,7 @@
             BackendDirectory directory,
             PrefixCacheIndex prefixCacheIndex,
             AnswerListener onAnsweredOther,
-            Consumer<EngineReport> onTold,
+            Consumer<EngineReport> onPeerReport,
             Consumer<InetSocketAddress> forwardingListener) {
         this.settings = settings;
         this.loop = loop;
@@ -114,14 +114,14 @@
                 settings.name(),
                 exchangePeers::groupAddresses,
                 this::send,
-                told -> {
-                    if (told.report().answered()) {
+                peer -> {
+                    if (peer.report().answered()) {
                         onAnsweredOther.onAnswer(
-                                told.instance(),
-                                told.report().boot(),
-                                told.report().agoMillis());
+                                peer.instance(),
+                                peer.report().boot(),
+                                peer.report().agoMillis());
                     }
-                    onTold.accept(told.report());
+                    onPeerReport.accept(peer.report());
                 },
                 loop.ticker(),
                 loop.scheduler());
@@ -209,7 +209,7 @@
 
     /** Returns how this instance shares the polls of engines with others. */
     LoadPoller.Sharing pollSharing() {
-        return new LoadPoller.Sharing(exchangePeers::placeInGroup, reports::tell);
+        return new LoadPoller.Sharing(exchangePeers::placeInGroup, reports::publish);
     }
 
     /** Returns the list entry of another instance; empty if it is not listed. */
--- a/src/main/java/org/verbenatray/openwork/ReadExchange.java
+++ b/src/main/java/org/verbenatray/openwork/ReadExchange.java
@@ -26,8 +26,8 @@
 
 /**
  * Shares the reads of one keyed log among the instances of a group: the first in its order reads at the full pace and
- * tells the others what has changed; another one reads by itself if it was told nothing for longer than its turn. Used
- * on one thread.
+ * sends the others what has changed; another one reads by itself if it has received nothing for longer than its turn.
+ * Used on one thread.
  */
 public final class ReadExchange implements KeyedFollower.ReadSharing {
     /** The time between two reads that wait for changes and find some, in milliseconds. */
@@ -42,7 +42,7 @@
     /** The largest number of steps, which keeps the latest turn well within twice the full pace. */
     private static final int MAX_STEPS = 6;
 
-    /** The largest notice; of more changes the others are told only that there are some. */
+    /** The largest notice; beyond it only the fact that there are changes is sent. */
     private static final int MAX_BYTES = 8_000;
 
     /** First in each notice, and in no other kind of datagram on the same port. The field holds the first offset. */
@@ -79,7 +79,7 @@
     /**
      * Creates an exchange.
      *
-     * @param name the name of the log, by which its notices are told from those of others
+     * @param name the name of the log, which distinguishes its notices from those of other logs
      * @param pace the pace of the reads
      * @param place returns the place of this instance in the order of readers
      * @param receivers returns the addresses of the others of the group
@@ -116,7 +116,7 @@
     }
 
     @Override
-    public void tell(long from, long to, List<KeyedLog.Entry> changes) {
+    public void publish(long from, long to, List<KeyedLog.Entry> changes) {
         byte[] whole = encode(from, to, changes);
         byte[] datagram = whole.length <= MAX_BYTES ? whole : encode(to, to, List.of());
         receivers.get().forEach(address -> sender.accept(address, datagram));
@@ -147,7 +147,7 @@
     }
 
     private static void apply(Optional<KeyedFollower> follower, long from, long to, List<KeyedLog.Entry> changes) {
-        follower.ifPresent(known -> known.onTold(from, to, changes));
+        follower.ifPresent(known -> known.onPeerChanges(from, to, changes));
     }
 
     private static void setLastValue(List<KeyedLog.Entry> changes, ByteString value) throws IOException {
--- a/src/main/java/org/verbenatray/openwork/ReportExchange.java
+++ b/src/main/java/org/verbenatray/openwork/ReportExchange.java
@@ -17,8 +17,8 @@
 import org.verbenatray.time.Ticker;
 
 /**
- * Tells the instances that share polls with this one what engines have reported to it. A lost notice is not repeated:
- * the next report replaces it, and an instance that hears nothing polls by itself. Used on one thread.
+ * Sends what engines have reported to this instance to those that share its polls. A lost notice is not repeated:
+ * the next report replaces it, and an instance that receives none polls by itself. Used on one thread.
  */
 public final class ReportExchange {
     /** The time for which reports are gathered into one notice. */
@@ -34,18 +34,18 @@
 
     private final String instance;
 
-    /** Returns the addresses of the instances to tell. */
+    /** Returns the addresses of the receivers. */
     private final Supplier<Collection<InetSocketAddress>> receivers;
 
     private final BiConsumer<InetSocketAddress, byte[]> sender;
 
-    private final Consumer<ToldReport> listener;
+    private final Consumer<PeerReport> listener;
 
     private final Ticker ticker;
 
     private final Scheduler scheduler;
 
-    /** The reports to tell, with the times at which they were made. */
+    /** The reports to send, with the times at which they were made. */
     private final List<PendingReport> pending = new ArrayList<>();
 
     private boolean scheduled;
@@ -55,7 +55,7 @@
             String instance,
             Supplier<Collection<InetSocketAddress>> receivers,
             BiConsumer<InetSocketAddress, byte[]> sender,
-            Consumer<ToldReport> listener,
+            Consumer<PeerReport> listener,
             Ticker ticker,
             Scheduler scheduler) {
         this.instance = instance;
@@ -71,8 +71,8 @@
         return ReportNoticeCodec.recognizes(datagram);
     }
 
-    /** Tells the others of a report that was made now. */
-    public void tell(EngineReport report) {
+    /** Adds a report that was made now to the next notice. */
+    public void publish(EngineReport report) {
         pending.add(new PendingReport(report, ticker.nanos()));
         if (!scheduled) {
             scheduled = true;
@@ -84,7 +84,7 @@
     public void receive(byte[] datagram) {
         try {
             ReportNoticeCodec.Notice notice = ReportNoticeCodec.decode(datagram);
-            notice.reports().forEach(report -> listener.accept(new ToldReport(notice.instance(), report)));
+            notice.reports().forEach(report -> listener.accept(new PeerReport(notice.instance(), report)));
         } catch (IOException e) {
             Event.named("report_notice_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
         }
@@ -119,15 +119,14 @@
     }
 
     /**
-     * A report that another instance has told.
+     * A report that another instance has sent.
      *
      * @param instance the name of that instance
      * @param report the report
      */
-    public record ToldReport(String instance, EngineReport report) {}
+    public record PeerReport(String instance, EngineReport report) {}
 
-    /**
-     * A report to tell.
+    /** A report to send.
      *
      * @param report the report
      * @param madeNanos when it was made, in nanoseconds of the ticker
--- a/src/main/java/org/verbenatray/placement/PrefixCacheIndex.java
+++ b/src/main/java/org/verbenatray/placement/PrefixCacheIndex.java
@@ -58,7 +58,7 @@
     }
 
     /** Applies changes that another instance has read, unless later ones are known. */
-    public void applyTold(String bootId, CacheChanges changes) {
+    public void applyPeerChanges(String bootId, CacheChanges changes) {
         Position known = positions.get(bootId);
         boolean outdated =
                 known != null && known.epoch().equals(changes.epoch()) && known.next() >= changes.nextChangeNumber();
--- a/src/main/java/org/verbenatray/relay/CallRecord.java
+++ b/src/main/java/org/verbenatray/relay/CallRecord.java
@@ -5,7 +5,7 @@
 import org.verbenatray.backends.BackendEntry;
 import org.verbenatray.telemetry.Event;
 
-/** What is told of one call in its log line and in the metrics. Used on one thread. */
+/** Collects what the log line and the metrics of one call state. Used on one thread. */
 final class CallRecord {
     private static final Logger log = System.getLogger(CallRecord.class.getName());
 
--- a/src/main/java/org/verbenatray/relay/ForwardedRequests.java
+++ b/src/main/java/org/verbenatray/relay/ForwardedRequests.java
@@ -6,7 +6,7 @@
 
 /**
  * The requests that other instances forward to this one because they reach no server. An instance that can't serve them
- * better declines them, with a header that tells the sender to ask another one. Used on one thread.
+ * better declines them, with a header on which the sender tries another one. Used on one thread.
  */
 final class ForwardedRequests {
     /** Set in a refusal of a request that another instance may serve. */
@@ -24,7 +24,7 @@
         this.cannotServe = cannotServe;
     }
 
-    /** Returns an object without requests; the argument tells whether this instance can't serve them. */
+    /** Returns an object without requests; the argument returns whether this instance can't serve them. */
     static ForwardedRequests create(BooleanSupplier cannotServe) {
         return new ForwardedRequests(cannotServe);
     }
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -21,8 +21,8 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Polls engines, one at a time, for their load and for changes of their prefix cache, tells the other instances what
- * they report, and applies what those tell.
+ * Polls engines, one at a time, for their load and for changes of their prefix cache, sends their reports to the other
+ * instances, and applies the reports that those send.
  */
 public final class LoadPoller {
     /** The time between two looks for engines while there are none. */
@@ -108,7 +108,7 @@
     }
 
     /** Applies what an engine has reported to another instance. */
-    public void onTold(EngineReport report) {
+    public void onPeerReport(EngineReport report) {
         Optional<Backend> engine = directory.findBoot(report.boot());
         if (engine.isEmpty()) {
             return;
@@ -120,7 +120,7 @@
         long reportedNanos = ticker.nanos() - report.agoMillis() * NANOS_PER_MILLI;
         schedule.recordKnown(report.boot(), reportedNanos);
         report.load().ifPresent(load -> engine.get().updateLoad(load, reportedNanos));
-        report.changes().ifPresent(changes -> prefixCacheIndex.applyTold(report.boot(), changes));
+        report.changes().ifPresent(changes -> prefixCacheIndex.applyPeerChanges(report.boot(), changes));
     }
 
     private void pollLoad(Backend backend) {
--- a/src/main/java/org/verbenatray/relay/PollSchedule.java
+++ b/src/main/java/org/verbenatray/relay/PollSchedule.java
@@ -10,11 +10,11 @@
 import org.verbenatray.backends.Backend;
 
 /**
- * Decides which engine this instance polls next. Instances tell one another what engines report, so an engine is polled
- * by the instance that is first in its order, and by a later one only if nothing was told for longer than its turn: the
- * first has ended, or cannot reach the engine or the others. The polls of all instances together so grow with the
- * engines, and not with engines times instances. An engine that this instance itself could not reach is its own to
- * poll. Used on one thread.
+ * Decides which engine this instance polls next. Instances send one another the reports of engines, so an engine is
+ * polled by the instance that is first in its order, and by a later one only if no report has arrived for longer than
+ * its turn: the first has ended, or cannot reach the engine or the others. The polls of all instances together so grow
+ * with the engines, and not with engines times instances. An engine that this instance itself could not reach is its
+ * own to poll. Used on one thread.
  */
 final class PollSchedule {
     /** The age of the newest report at which the first instance polls, in milliseconds. */
--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -32,7 +32,7 @@
 public final class CrashExchange implements KeyedFollower.Listener {
     /**
      * Records of many crashes at once end few reads. A read whose connection has gone silent is repeated after some
-     * seconds; meanwhile the instances that know of crashes tell of them directly.
+     * seconds; meanwhile the instances that know of crashes send them directly.
      */
     private static final KeyedFollower.PollTiming POLL_TIMING = new KeyedFollower.PollTiming(500, 5_000);
 
--- a/src/main/java/org/verbenatray/state/KeyedFollower.java
+++ b/src/main/java/org/verbenatray/state/KeyedFollower.java
@@ -41,13 +41,13 @@
     /** Shares the reads with other instances; empty if this one reads everything itself. */
     private final Optional<ReadSharing> sharing;
 
-    /** The changes that were read last, to be told to other instances. */
-    private final ToldChanges toldChanges = new ToldChanges();
+    /** The changes that were read last, to be sent to other instances. */
+    private final RecentChanges recentChanges = new RecentChanges();
 
     /** The offset of the next change to read. */
     private long nextOffset;
 
-    /** When the next changes are read, unless other instances tell them before. */
+    /** When the next changes are read, unless another instance sends them before. */
     private Deadline readFrom;
 
     /** The number of the current chain of reads; a timer of an earlier one is ignored. */
@@ -97,7 +97,7 @@
         return follower;
     }
 
-    /** Starts to follow a keyed log whose changes instances tell one another. */
+    /** Starts to follow a keyed log whose changes instances send one another. */
     public static KeyedFollower startShared(
             String name,
             KeyedLog source,
@@ -119,9 +119,9 @@
      *
      * @param from the offset from which on the changes are complete
      * @param to the offset up to which they were read
-     * @param changes the records in between that tell anything new
+     * @param changes the records in between that change the state
      */
-    public void onTold(long from, long to, List<KeyedLog.Entry> changes) {
+    public void onPeerChanges(long from, long to, List<KeyedLog.Entry> changes) {
         if (!listed || stopped || to < nextOffset) {
             return;
         }
@@ -130,7 +130,7 @@
             return;
         }
         if (to > nextOffset) {
-            toldChanges.clear();
+            recentChanges.clear();
             nextOffset = to;
             changes.forEach(this::applyRecord);
         }
@@ -167,7 +167,7 @@
             }
             applyListing(entries);
             listed = true;
-            toldChanges.clear();
+            recentChanges.clear();
             readFrom = Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis());
             scheduleRead();
         });
@@ -179,7 +179,7 @@
         scheduler.runAt(readFrom, () -> readWhenDue(current));
     }
 
-    /** Reads the changes, or waits further if other instances have told them. */
+    /** Reads the changes, or waits further if another instance has sent them. */
     private void readWhenDue(int timerChain) {
         if (timerChain != chain) {
             return;
@@ -221,7 +221,7 @@
         });
     }
 
-    /** Applies the records from an offset on, except those that were told meanwhile, and tells what is new. */
+    /** Applies the records from an offset on, except those that were received meanwhile, and sends on what is new. */
     private void applyRead(long from, List<KeyedLog.Entry> entries) {
         int known = (int) Math.min(entries.size(), Math.max(0, nextOffset - from));
         List<KeyedLog.Entry> changes = entries.subList(known, entries.size()).stream()
@@ -230,8 +230,8 @@
         long begin = Math.max(from, nextOffset);
         nextOffset = Math.max(nextOffset, from + entries.size());
         sharing.ifPresent(shared -> {
-            toldChanges.add(begin, changes);
-            shared.tell(toldChanges.from(), nextOffset, toldChanges.entries());
+            recentChanges.add(begin, changes);
+            shared.publish(recentChanges.from(), nextOffset, recentChanges.entries());
         });
     }
 
@@ -304,7 +304,7 @@
         /** Called for each changed record, in order of the offsets. */
         void onRecord(KeyedLog.Entry entry);
 
-        /** Applies a changed record and returns whether it tells anything new. */
+        /** Applies a changed record and returns whether it changes the state. */
         default boolean apply(KeyedLog.Entry entry) {
             onRecord(entry);
             return true;
@@ -327,11 +327,13 @@
 
     /** How instances share the reads of a log. */
     public interface ReadSharing {
-        /** Returns the timing of the reads of this instance, from the time when the changes were read or told last. */
+        /**
+         * Returns the timing of the reads of this instance, from the time when the changes were read or received last.
+         */
         PollTiming pollTiming();
 
-        /** Tells the other instances of changes that this one has read; see {@link KeyedFollower#onTold}. */
-        void tell(long from, long to, List<KeyedLog.Entry> changes);
+        /** Sends changes that this instance has read to the others; see {@link KeyedFollower#onPeerChanges}. */
+        void publish(long from, long to, List<KeyedLog.Entry> changes);
     }
 
     /**
--- a/src/main/java/org/verbenatray/state/ToldChanges.java
+++ b/src/main/java/org/verbenatray/state/RecentChanges.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import org.verbenatray.log.KeyedLog;
 
-/** The changes of the last reads of a log, told together so that one lost notice leaves no gap. */
-final class ToldChanges {
-    /** The number of reads whose changes are told again. */
+/** The changes of the last reads of a log, sent together so that one lost notice leaves no gap. */
+final class RecentChanges {
+    /** The number of reads whose changes are sent again. */
     private static final int MAX_READS = 4;
 
     private final Deque<Read> reads = new ArrayDeque<>();
