--- a/src/test/java/org/verbenatray/platform/ConnectionLimitTest.java
+++ b/src/test/java/org/verbenatray/platform/ConnectionLimitTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -17,6 +18,9 @@
     /** Long enough for any reset to arrive, however busy the machine is. */
     private static final long ADMISSION_MILLIS = 1_000;
 
+    /** Few, as the stand-in resets one connection after the other. */
+    private static final int CONCURRENT_REQUESTS = 4;
+
     /** Each request opened a connection, which then lay idle until the server reset new ones: 502, may have run. */
     @Test
     public void requestsThatMayNotBeRepeatedDoNotUseUpTheConnectionsOfAServer() throws Exception {
@@ -30,13 +34,14 @@
         }
     }
 
+    /** The request was written into the connection before its reset came: 502, may have run. */
     @Test
     public void aRequestWhoseNewConnectionIsResetAtOnceGoesToAnotherServer() throws Exception {
         try (CappedServer full = CappedServer.start(0);
                 CappedServer free = CappedServer.start(50);
                 RelayFixture relay = RelayFixture.startReady(loop(), full.listing("s1"), free.listing("s2"))) {
             List<CompletableFuture<String>> responses = new ArrayList<>();
-            for (int number = 0; number < 20; number++) {
+            for (int number = 0; number < CONCURRENT_REQUESTS; number++) {
                 String request = RelayFixture.postRequest("/unsafe/x", "id" + number, "", "b");
                 responses.add(CompletableFuture.supplyAsync(() -> exchange(relay, request)));
             }
@@ -69,8 +74,11 @@
         }
     }
 
-    /** A plain server that resets connections beyond its limit as soon as it has accepted them. */
+    /** A plain server that resets connections beyond its limit shortly after it has accepted them. */
     private static final class CappedServer implements AutoCloseable {
+        /** The time from the accept to the reset, in which a request that does not wait is written. */
+        private static final long RESET_DELAY_MILLIS = 100;
+
         private final ScriptedServer server;
         private final AtomicInteger reset = new AtomicInteger();
 
@@ -104,9 +112,10 @@
 
         private static void resetConnection(Socket connection) {
             try {
+                TimeUnit.MILLISECONDS.sleep(RESET_DELAY_MILLIS);
                 connection.setSoLinger(true, 0);
                 connection.close();
-            } catch (IOException e) {
+            } catch (IOException | InterruptedException e) {
                 throw new IllegalStateException(e);
             }
         }
