Let the scripted server end before its crash returns

Cause: the stand-in. A thread that waits in accept keeps a closed listener alive until it has returned, and takes one more connection meanwhile, whose request then has no answer.

Ruled out: the wait for a reset of new connections (the connection stayed open, so no wait would have shown anything).

The check is as it was. Seven classes that use the stand-in, 58 cases, green.

--- a/src/test/java/org/verbenatray/platform/ScriptedServer.java
+++ b/src/test/java/org/verbenatray/platform/ScriptedServer.java
@@ -20,6 +20,9 @@
 final class ScriptedServer implements AutoCloseable {
     private final ServerSocket listener;
 
+    /** Accepts the connections, until the listener is closed. */
+    private final Thread acceptor;
+
     /** Handles each request. */
     private volatile Script script;
 
@@ -41,7 +44,7 @@
         this.listener = new ServerSocket();
         this.listener.setReuseAddress(true);
         this.listener.bind(new InetSocketAddress("127.0.0.1", port), 100);
-        Thread acceptor = new Thread(this::accept, "scripted-server");
+        this.acceptor = new Thread(this::accept, "scripted-server");
         acceptor.setDaemon(true);
         acceptor.start();
     }
@@ -119,7 +122,7 @@
     /** Resets all connections and accepts no more. */
     void crash() throws IOException {
         crashed = true;
-        listener.close();
+        closeListener();
         for (Socket connection : connections) {
             connection.setSoLinger(true, 0);
             connection.close();
@@ -128,12 +131,22 @@
 
     @Override
     public void close() throws IOException {
-        listener.close();
+        closeListener();
         for (Socket connection : connections) {
             connection.close();
         }
     }
 
+    /** Closes the listener and waits for the thread that accepts: until it returns, one more connection is accepted. */
+    private void closeListener() throws IOException {
+        listener.close();
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Returns a complete response to a request, without the stamp of a server. */
     static byte[] response(Request request, int status, String extraHeaders, String body) {
         return ("HTTP/1.1 " + status + " Status\r\nRequest-Id: " + request.header("request-id") + "\r\n" + extraHeaders
