Keep the limits of responses in one place

PeerRelay had copies of two limits of ForwardAttempt. ForwardedRequestTest, LargeEventTest, EndlessEngineTest, StreamRelayTest green; no behaviour changes.

--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -20,15 +20,6 @@
  * open-work counts of the server. Used on one thread.
  */
 final class ForwardAttempt implements ResponseListener, RunningAttempt {
-    /** Largest response that is not a stream. */
-    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
-
-    /** Largest response of a prefill, which is a handle. */
-    private static final int MAX_PREFILL_BODY_BYTES = 64 * 1024;
-
-    /** Largest event of a stream. */
-    private static final int MAX_EVENT_BYTES = 10 * 1024 * 1024;
-
     /** Number of queued requests from which on an engine counts as busy. */
     private static final int BUSY_QUEUE_LENGTH = 2;
 
@@ -190,12 +181,13 @@
             });
             listener.onEventsRead();
             recordRetained(splitter.partialBytes());
-            if (splitter.partialBytes() > MAX_EVENT_BYTES) {
-                rejectResponse("an event is larger than " + MAX_EVENT_BYTES + " bytes");
+            if (splitter.partialBytes() > ResponseLimits.MAX_EVENT_BYTES) {
+                rejectResponse("an event is larger than " + ResponseLimits.MAX_EVENT_BYTES + " bytes");
             }
             return;
         }
-        int maxBodyBytes = options.prefillOnly() ? MAX_PREFILL_BODY_BYTES : MAX_BODY_BYTES;
+        int maxBodyBytes =
+                options.prefillOnly() ? ResponseLimits.MAX_PREFILL_BODY_BYTES : ResponseLimits.MAX_BODY_BYTES;
         if (body.size() + piece.remaining() > maxBodyBytes) {
             rejectResponse("the response is larger than " + maxBodyBytes + " bytes");
             return;
--- a/src/main/java/org/verbenatray/relay/PeerRelay.java
+++ b/src/main/java/org/verbenatray/relay/PeerRelay.java
@@ -28,12 +28,6 @@
     /** Time of the caller that is kept for the way back from the other instance. */
     private static final long RETURN_MILLIS = 20;
 
-    /** Largest response that is not a stream. */
-    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
-
-    /** Largest event of a stream. */
-    private static final int MAX_EVENT_BYTES = 10 * 1024 * 1024;
-
     private final RelayContext context;
     private final RelayCall call;
 
@@ -158,7 +152,7 @@
             body.add(piece);
             share.set(body.capacityBytes());
         }
-        if (body.size() > MAX_BODY_BYTES || splitter.partialBytes() > MAX_EVENT_BYTES) {
+        if (body.size() > ResponseLimits.MAX_BODY_BYTES || splitter.partialBytes() > ResponseLimits.MAX_EVENT_BYTES) {
             fail("answer_too_large");
         }
     }
