--- a/review/standin/LostConfiguration.java
+++ b/review/standin/LostConfiguration.java
@@ -17,7 +17,7 @@
     private static final long AWAY_MILLIS = 1_000;
 
     /** The time from the operator's repeated write to its next change. */
-    private static final long NEXT_CHANGE_MILLIS = 20;
+    private static final long NEXT_CHANGE_MILLIS = 100;
 
     private static final long CONTACT_MILLIS = 3_000;
     private static final long CONFIG_APPLY_MILLIS = 2_000;
