Heed servers that say in their answers that they are leaving

Cause: the header was read nowhere; only the entry in the list told that a server leaves. ServerStatements, which reads the limit in each answer to any call, now reads this statement too, and the directory keeps it with the start of the server. Each sending chooses among the usable servers of the directory, so deferred requests, retries, second halves and resumed streams are covered. The end of such a server is no crash.

--- a/src/main/java/org/verbenatray/backends/Backend.java
+++ b/src/main/java/org/verbenatray/backends/Backend.java
@@ -27,6 +27,9 @@
     /** True once the server is leaving or has ended. */
     private boolean leaving;
 
+    /** True once the server has said that it is leaving, in its entry or in a response. */
+    private boolean announcedLeaving;
+
     /** The number of open requests of this instance. */
     private int openRequests;
 
@@ -65,6 +68,7 @@
     private Backend(BackendEntry entry) {
         this.entry = entry;
         this.leaving = entry.leaving();
+        this.announcedLeaving = entry.leaving();
     }
 
     /** Creates the state of a server to which no request was sent yet. */
@@ -80,12 +84,25 @@
     /** Replaces the entry by a newer one of the same process; a leaving server stays leaving. */
     void update(BackendEntry newer) {
         entry = newer;
-        leaving |= newer.leaving();
+        if (newer.leaving()) {
+            recordLeaving();
+        }
     }
 
-    /** Marks the server as leaving, so that it gets no new requests. */
-    public void markLeaving() {
+    /** Records that the server has said that it is leaving, so that it gets no new requests. */
+    void recordLeaving() {
         leaving = true;
+        announcedLeaving = true;
+    }
+
+    /** Records that the server has ended, so that it gets no new requests. */
+    public void markEnded() {
+        leaving = true;
+    }
+
+    /** Returns true if the server has said that it is leaving; its end is then no crash. */
+    public boolean announcedLeaving() {
+        return announcedLeaving;
     }
 
     /** Returns true if the server gets no new requests because it is leaving or has ended. */
--- a/src/main/java/org/verbenatray/backends/BackendDirectory.java
+++ b/src/main/java/org/verbenatray/backends/BackendDirectory.java
@@ -163,6 +163,18 @@
         rebuildUsable();
     }
 
+    /**
+     * Records that the start of a server with the given boot id has said in a response that it is leaving. It stays so
+     * whatever its entry says; only another start of the server is usable again.
+     */
+    public void markLeaving(String bootId) {
+        findBoot(bootId).filter(backend -> !backend.announcedLeaving()).ifPresent(backend -> {
+            backend.recordLeaving();
+            logChange("backend_says_leaving", backend.entry());
+            rebuildUsable();
+        });
+    }
+
     /** Removes the servers whose entries were not renewed within the grace period. */
     public void removeExpired() {
         if (!pendingRemoval.isEmpty() && gracePeriodEnd.hasPassed(ticker.nanos())) {
@@ -185,7 +197,7 @@
 
     /** Marks a server as leaving, logs its end and reports it. */
     private void end(Backend backend, String why) {
-        backend.markLeaving();
+        backend.markEnded();
         Event.named("backend_gone")
                 .with("backend", backend.entry().id())
                 .with("why", why)
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -152,7 +152,7 @@
         this.recentVersions = RecentVersions.create(directory, loop.ticker(), settings.leavingServerMillis());
         this.continuations = createContinuations();
         this.limits = createLimits();
-        ServerStatements statements = ServerStatements.create(dialect, limits);
+        ServerStatements statements = ServerStatements.create(dialect, limits, directory);
         this.planner = createPlanner(chooser, prefixCacheIndex);
         this.loadPoller = LoadPoller.create(
                 loop.transport(),
@@ -419,7 +419,7 @@
         planner.removeEngine(backend);
         recentVersions.recordEnded(backend);
         limits.remove(boot);
-        if (!backend.entry().leaving()) {
+        if (!backend.announcedLeaving()) {
             serverRuns.recordEnd(boot);
         }
     }
--- a/src/main/java/org/verbenatray/platform/PlatformProtocol.java
+++ b/src/main/java/org/verbenatray/platform/PlatformProtocol.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.regex.Pattern;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendLoad;
@@ -88,6 +89,9 @@
     /** The requests a second that the server takes from all instances together. */
     private static final HttpString SERVER_LIMIT = new HttpString("Server-Limit");
 
+    /** Set to 1 by a server that is leaving, in all its answers. */
+    private static final HttpString SERVER_LEAVING = new HttpString("Server-Leaving");
+
     /** A decimal number without sign or exponent, of a length that makes sense. */
     private static final Pattern LIMIT = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
 
@@ -205,26 +209,32 @@
                 stamped,
                 headers.contains(NOT_RUN) || head.status() == STATUS_MISDIRECTED_REQUEST,
                 head.status() == 200 && type != null && type.startsWith("text/event-stream"),
-                readStatement(head.status(), headers.getFirst(SERVER_LIMIT)));
+                readStatement(head.status(), name -> Optional.ofNullable(headers.getFirst(name))));
     }
 
     @Override
     public Optional<ServerStatement> statement(BufferedResponse response) {
-        String limit = response.header(SERVER_LIMIT.toString().toLowerCase(Locale.ROOT))
-                .orElse(null);
-        return readStatement(response.status(), limit);
+        return readStatement(
+                response.status(), name -> response.header(name.toString().toLowerCase(Locale.ROOT)));
     }
 
-    /** Returns what a response states of its server; the limit is null if the response has none. */
-    private Optional<ServerStatement> readStatement(int status, String limit) {
+    /** Returns what a response states of its server, by its headers; empty if another server responded. */
+    private Optional<ServerStatement> readStatement(int status, Function<HttpString, Optional<String>> headers) {
         if (status == STATUS_MISDIRECTED_REQUEST) {
             return Optional.empty();
         }
-        if (limit == null) {
-            return Optional.of(new ServerStatement(OptionalDouble.empty()));
-        }
+        boolean leaving = headers.apply(SERVER_LEAVING)
+                .filter(value -> value.trim().equals("1"))
+                .isPresent();
+        Optional<ServerStatement.Limit> limit =
+                headers.apply(SERVER_LIMIT).map(this::readLimit).orElse(Optional.of(ServerStatement.Limit.NONE));
+        return Optional.of(new ServerStatement(leaving, limit));
+    }
+
+    /** Returns a limit; empty if the value is malformed, which is logged once. */
+    private Optional<ServerStatement.Limit> readLimit(String limit) {
         if (LIMIT.matcher(limit.trim()).matches()) {
-            return Optional.of(new ServerStatement(OptionalDouble.of(Double.parseDouble(limit.trim()))));
+            return Optional.of(new ServerStatement.Limit(OptionalDouble.of(Double.parseDouble(limit.trim()))));
         }
         if (!malformedLimitLogged) {
             malformedLimitLogged = true;
--- a/src/main/java/org/verbenatray/relay/ServerStatements.java
+++ b/src/main/java/org/verbenatray/relay/ServerStatements.java
@@ -1,6 +1,10 @@
 package org.verbenatray.relay;
 
+import java.util.OptionalDouble;
+import java.util.function.BiConsumer;
 import org.verbenatray.backends.Backend;
+import org.verbenatray.backends.BackendDirectory;
+import org.verbenatray.backends.ServerStatement;
 import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.servers.BufferedResponse;
 
@@ -8,30 +12,37 @@
 public final class ServerStatements {
     private final RelayDialect dialect;
     private final ServerLimits limits;
+    private final BackendDirectory directory;
 
-    private ServerStatements(RelayDialect dialect, ServerLimits limits) {
+    private ServerStatements(RelayDialect dialect, ServerLimits limits, BackendDirectory directory) {
         this.dialect = dialect;
         this.limits = limits;
+        this.directory = directory;
     }
 
-    /** Creates an object that records limits. */
-    public static ServerStatements create(RelayDialect dialect, ServerLimits limits) {
-        return new ServerStatements(dialect, limits);
+    /** Creates an object that records limits, and which servers of the directory are leaving. */
+    public static ServerStatements create(RelayDialect dialect, ServerLimits limits, BackendDirectory directory) {
+        return new ServerStatements(dialect, limits, directory);
     }
 
     /** Records what the response to a forwarded request states. */
     void recordAnswer(Backend backend, ServerResponseHead head) {
         if (head.matchesRequestId()) {
-            head.statement()
-                    .ifPresent(
-                            statement -> limits.recordAnswer(backend.entry().bootId(), statement.requestsPerSecond()));
+            head.statement().ifPresent(statement -> record(backend, statement, limits::recordAnswer));
         }
     }
 
     /** Records what the response to any other call states. */
     void recordStatusAnswer(Backend backend, BufferedResponse response) {
-        dialect.statement(response)
-                .ifPresent(statement ->
-                        limits.recordStatusAnswer(backend.entry().bootId(), statement.requestsPerSecond()));
+        dialect.statement(response).ifPresent(statement -> record(backend, statement, limits::recordStatusAnswer));
+    }
+
+    private void record(Backend backend, ServerStatement statement, BiConsumer<String, OptionalDouble> limitRecorder) {
+        statement
+                .limit()
+                .ifPresent(limit -> limitRecorder.accept(backend.entry().bootId(), limit.requestsPerSecond()));
+        if (statement.leaving()) {
+            directory.markLeaving(backend.entry().bootId());
+        }
     }
 }
