Survive a store that comes back from an older copy

Cause: an offset was taken for the name of a record for all time. It is one only within an epoch of the log, which the store tells in each answer and nothing read. The client of the store now reads it: a rise makes every follower list anew while what is known stays in force, an answer of an older epoch is a failed call, instances' notices carry the epoch, and what instances wrote is written again.

Records of a wrong length in a response of the store now end in a typed failure.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -353,7 +353,12 @@
                 loop.ticker(),
                 loop.scheduler());
         lease = LogLease.start(
-                platform.lease(), settings.name(), loop.ticker(), System::currentTimeMillis, loop.scheduler());
+                platform.lease(),
+                settings.name(),
+                settings.firstStart(),
+                loop.ticker(),
+                System::currentTimeMillis,
+                loop.scheduler());
         crashExchange =
                 CrashExchange.start(platform.crashReports(), crashes, random, pacer, loop.ticker(), loop.scheduler());
         sharing.start(
--- a/src/main/java/org/verbenatray/instance/RelayInstanceSettings.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstanceSettings.java
@@ -16,6 +16,7 @@
  * @param graceMillis the grace period from the request to stop to the end of the process, in milliseconds
  * @param leavingServerMillis the time in milliseconds after which a leaving server must get no more requests
  * @param routePropagationMillis the time in milliseconds within which new routes must be in force
+ * @param firstStart whether the whole system starts for the first time, so that nothing acted before
  */
 public record RelayInstanceSettings(
         String name,
@@ -27,7 +28,8 @@
         long retryWindowMillis,
         long graceMillis,
         long leavingServerMillis,
-        long routePropagationMillis) {
+        long routePropagationMillis,
+        boolean firstStart) {
     /** The share of the allowed retries that is used; the rest covers differences between the instances' counts. */
     private static final double RETRY_SHARE = 0.75;
 
--- a/src/main/java/org/verbenatray/instance/ServersListener.java
+++ b/src/main/java/org/verbenatray/instance/ServersListener.java
@@ -54,6 +54,12 @@
         recentVersions.recordListRead();
     }
 
+    /** Servers that the copy lacks write their entries again, as after an outage. */
+    @Override
+    public void onRestored() {
+        directory.markListUnreachable();
+    }
+
     @Override
     public void onUnreachable() {
         directory.markListUnreachable();
--- a/src/main/java/org/verbenatray/log/ConditionalLog.java
+++ b/src/main/java/org/verbenatray/log/ConditionalLog.java
@@ -6,11 +6,16 @@
 
 /** A log of opaque records with a conditional append, which succeeds only if the log still ends at a given offset. */
 public interface ConditionalLog {
+    /** Returns the epoch of the log; of a log that never loses acknowledged records it stays unknown. */
+    default LogEpoch epoch() {
+        return LogEpoch.unknown();
+    }
+
     /**
-     * Appends a record if the log ends at the given offset; returns the record's offset, or empty if it ends elsewhere.
-     * After a failure it is unknown whether the record was appended.
+     * Appends records, all or none of them, if the log ends at the given offset; returns the offset of the last one, or
+     * empty if the log ends elsewhere. After a failure it is unknown whether the records were appended.
      */
-    CompletableFuture<OptionalLong> appendAt(long end, byte[] content);
+    CompletableFuture<OptionalLong> appendAt(long end, List<byte[]> contents);
 
     /** Appends a record at the end. After a failure it is unknown whether the record was appended. */
     CompletableFuture<Void> append(byte[] content);
--- a/src/main/java/org/verbenatray/log/KeyedLog.java
+++ b/src/main/java/org/verbenatray/log/KeyedLog.java
@@ -6,6 +6,11 @@
 
 /** A compacted log: the newest record of each key is retained indefinitely. */
 public interface KeyedLog {
+    /** Returns the epoch of the log; of a log that never loses acknowledged records it stays unknown. */
+    default LogEpoch epoch() {
+        return LogEpoch.unknown();
+    }
+
     /** Returns a page of the newest records by key, starting after the given key or, if empty, with the first. */
     CompletableFuture<Page> newestRecords(Optional<String> after);
 
--- a/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
+++ b/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.state.KeyedFollower;
 import org.verbenatray.state.RetryPacer;
@@ -31,6 +32,12 @@
     /** The time after which an entry that was not renewed is removed; more than three renewal intervals. */
     private static final long EXPIRY_MILLIS = 200_000;
 
+    /**
+     * The longest delay before this instance is listed again after the log was restored from a copy; not all instances
+     * write at once.
+     */
+    private static final long MAX_RELISTING_DELAY_MILLIS = 1_500;
+
     private static final Logger log = System.getLogger(InstanceRegistration.class.getName());
 
     /** The log that stores the instance list. */
@@ -54,6 +61,9 @@
     /** The expiry of the entry of each instance. */
     private final Map<String, Deadline> expiries = new HashMap<>();
 
+    /** True from the restoration of the log to the next listing, which may lack instances. */
+    private boolean restored;
+
     /** True once this instance was deregistered, after which its entry is not renewed. */
     private boolean leaving;
 
@@ -101,19 +111,49 @@
     public void onListing(List<KeyedLog.Entry> entries) {
         Map<String, ListedInstance> instances = new HashMap<>();
         entries.forEach(listed -> parse(listed).ifPresent(instance -> instances.put(listed.key(), instance)));
-        peers.replace(instances);
-        expiries.keySet().retainAll(instances.keySet());
-        instances.keySet().forEach(this::extendExpiry);
+        if (restored) {
+            restored = false;
+            instances.forEach(this::keep);
+        } else {
+            peers.replace(instances);
+            expiries.keySet().retainAll(instances.keySet());
+            instances.keySet().forEach(this::extendExpiry);
+        }
         recordListed();
         share.recordRead();
     }
 
+    /** Keeps all known instances, as the listing may lack some, and writes the entry of this one again. */
+    @Override
+    public void onRestored() {
+        restored = true;
+        long delayMillis = Math.floorMod(self.hashCode(), MAX_RELISTING_DELAY_MILLIS);
+        scheduler.runAt(Deadline.afterMillis(ticker.nanos(), delayMillis), this::writeAgain);
+    }
+
+    private void writeAgain() {
+        if (!leaving) {
+            writeEntry().exceptionally(failure -> {
+                scheduler.runAt(Deadline.afterMillis(ticker.nanos(), RETRY_DELAY_MILLIS), this::writeAgain);
+                return null;
+            });
+        }
+    }
+
+    private CompletableFuture<Void> writeEntry() {
+        return instanceList.put(self, Optional.of(entry.text().getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void keep(String name, ListedInstance instance) {
+        peers.put(name, instance);
+        extendExpiry(name);
+    }
+
     @Override
     public void onRecord(KeyedLog.Entry listed) {
         Optional<ListedInstance> instance = parse(listed);
         if (instance.isPresent()) {
-            peers.put(listed.key(), instance.get());
-            extendExpiry(listed.key());
+            keep(listed.key(), instance.get());
         } else {
             peers.remove(listed.key());
             expiries.remove(listed.key());
@@ -137,12 +177,10 @@
             return;
         }
         removeExpired();
-        instanceList
-                .put(self, Optional.of(entry.text().getBytes(StandardCharsets.UTF_8)))
-                .whenComplete((done, failure) -> {
-                    long delayMillis = failure == null ? RENEWAL_INTERVAL_MILLIS : RETRY_DELAY_MILLIS;
-                    scheduler.runAt(Deadline.afterMillis(ticker.nanos(), delayMillis), this::register);
-                });
+        writeEntry().whenComplete((done, failure) -> {
+            long delayMillis = failure == null ? RENEWAL_INTERVAL_MILLIS : RETRY_DELAY_MILLIS;
+            scheduler.runAt(Deadline.afterMillis(ticker.nanos(), delayMillis), this::register);
+        });
     }
 
     /** Extends the expiry of an entry. */
--- a/src/main/java/org/verbenatray/openwork/ReadExchange.java
+++ b/src/main/java/org/verbenatray/openwork/ReadExchange.java
@@ -58,6 +58,9 @@
     /** The value of the last key; missing if the key was deleted. */
     private static final int VALUE = 4;
 
+    /** The epoch in which the offsets count; missing in notices of earlier versions. */
+    private static final int EPOCH = 6;
+
     private static final int FIRST_BYTE = FROM << 3 | WireFormat.WIRETYPE_VARINT;
 
     private static final Logger log = System.getLogger(ReadExchange.class.getName());
@@ -116,9 +119,9 @@
     }
 
     @Override
-    public void publish(long from, long to, List<KeyedLog.Entry> changes) {
-        byte[] whole = encode(from, to, changes);
-        byte[] datagram = whole.length <= MAX_BYTES ? whole : encode(to, to, List.of());
+    public void publish(long epoch, long from, long to, List<KeyedLog.Entry> changes) {
+        byte[] whole = encode(epoch, from, to, changes);
+        byte[] datagram = whole.length <= MAX_BYTES ? whole : encode(epoch, to, to, List.of());
         receivers.get().forEach(address -> sender.accept(address, datagram));
     }
 
@@ -127,6 +130,7 @@
         try {
             CodedInputStream in = CodedInputStream.newInstance(datagram);
             String logName = "";
+            long epoch = 0;
             long from = 0;
             long to = 0;
             List<KeyedLog.Entry> changes = new ArrayList<>();
@@ -136,20 +140,20 @@
                     case TO -> to = in.readUInt64();
                     case LOG -> logName = in.readString();
                     case KEY -> changes.add(new KeyedLog.Entry(in.readString(), Optional.empty()));
+                    case EPOCH -> epoch = in.readUInt64();
                     case VALUE -> setLastValue(changes, in.readBytes());
                     default -> in.skipField(tag);
                 }
             }
-            apply(followers.apply(logName), from, to, changes);
+            Optional<KeyedFollower> follower = followers.apply(logName);
+            if (follower.isPresent()) {
+                follower.get().onPeerChanges(epoch, from, to, changes);
+            }
         } catch (IOException e) {
             Event.named("read_notice_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
         }
     }
 
-    private static void apply(Optional<KeyedFollower> follower, long from, long to, List<KeyedLog.Entry> changes) {
-        follower.ifPresent(known -> known.onPeerChanges(from, to, changes));
-    }
-
     private static void setLastValue(List<KeyedLog.Entry> changes, ByteString value) throws IOException {
         if (changes.isEmpty()) {
             throw new IOException("a value without a key");
@@ -158,13 +162,14 @@
         changes.set(last, new KeyedLog.Entry(changes.get(last).key(), Optional.of(value.toByteArray())));
     }
 
-    private byte[] encode(long from, long to, List<KeyedLog.Entry> changes) {
+    private byte[] encode(long epoch, long from, long to, List<KeyedLog.Entry> changes) {
         try {
             ByteArrayOutputStream bytes = new ByteArrayOutputStream();
             CodedOutputStream out = CodedOutputStream.newInstance(bytes);
             out.writeUInt64(FROM, from);
             out.writeUInt64(TO, to);
             out.writeString(LOG, name);
+            out.writeUInt64(EPOCH, epoch);
             for (KeyedLog.Entry change : changes) {
                 out.writeString(KEY, change.key());
                 if (change.value().isPresent()) {
--- a/src/main/java/org/verbenatray/platform/PlatformSettings.java
+++ b/src/main/java/org/verbenatray/platform/PlatformSettings.java
@@ -20,6 +20,7 @@
  * @param retryRatio the maximum number of retries per request, over all instances together
  * @param retryExtra the maximum number of retries in the window beyond that, over all instances together
  * @param retryWindowMillis the length of the sliding window of that ratio in milliseconds
+ * @param firstStart whether the whole system starts for the first time
  */
 record PlatformSettings(
         String name,
@@ -33,7 +34,8 @@
         long routesApplyMillis,
         double retryRatio,
         double retryExtra,
-        long retryWindowMillis) {
+        long retryWindowMillis,
+        boolean firstStart) {
     /** Returns the base URI of the store. */
     URI storeUri() {
         return URI.create("http://" + storeAddress.getHostString() + ":" + storeAddress.getPort());
@@ -52,6 +54,7 @@
                 retryWindowMillis,
                 shutdownGraceMillis,
                 serverDrainMillis,
-                routesApplyMillis);
+                routesApplyMillis,
+                firstStart);
     }
 }
--- a/src/main/java/org/verbenatray/platform/SettingsFile.java
+++ b/src/main/java/org/verbenatray/platform/SettingsFile.java
@@ -61,7 +61,8 @@
                 check.number("bounds.configApplyMs", integerPart("bounds.configApplyMs"), 100, 600_000),
                 check.decimal("bounds.budgetRatio", values.get("bounds.budgetRatio"), 0, 10),
                 check.decimal("bounds.budgetExtra", values.getOrDefault("bounds.budgetExtra", "0"), 0, 1_000_000),
-                (long) (1_000 * check.decimal("bounds.budgetWindowS", values.get("bounds.budgetWindowS"), 0.1, 600)));
+                (long) (1_000 * check.decimal("bounds.budgetWindowS", values.get("bounds.budgetWindowS"), 0.1, 600)),
+                "true".equals(values.get("bootstrap")));
         check.throwIfInvalid();
         return settings;
     }
--- a/src/main/java/org/verbenatray/platform/StoreClient.java
+++ b/src/main/java/org/verbenatray/platform/StoreClient.java
@@ -18,6 +18,7 @@
 import org.verbenatray.instance.EventLoop;
 import org.verbenatray.log.ConditionalLog;
 import org.verbenatray.log.KeyedLog;
+import org.verbenatray.log.LogEpoch;
 import org.verbenatray.log.LogUnavailableException;
 import org.verbenatray.log.OffsetNotRetainedException;
 import org.verbenatray.relay.RelayMetrics;
@@ -42,6 +43,12 @@
     /** The maximum size of the records of one read, in KB. */
     private static final int MAX_READ_KB = 1_024;
 
+    /** The epoch of the store, in all its answers; in lower case. */
+    private static final String EPOCH = "store-era";
+
+    /** The longest epoch that is read, in digits. */
+    private static final int MAX_EPOCH_DIGITS = 12;
+
     /** The status of a conditional append to a log that ends at another offset. */
     private static final int STATUS_PRECONDITION_FAILED = 412;
 
@@ -56,6 +63,8 @@
 
     private final ObjectMapper json = new ObjectMapper();
 
+    private final LogEpoch epoch = LogEpoch.unknown();
+
     private StoreClient(EventLoop loop, URI address, RelayMetrics metrics) {
         this.loop = loop;
         this.address = address;
@@ -107,13 +116,22 @@
         bytes.position(2 * Long.BYTES);
         List<byte[]> contents = new ArrayList<>();
         while (bytes.hasRemaining()) {
-            byte[] content = new byte[bytes.getInt()];
-            bytes.get(content);
-            contents.add(content);
+            contents.add(nextRecord(bytes));
         }
         return contents;
     }
 
+    private static byte[] nextRecord(ByteBuffer bytes) {
+        int length = bytes.remaining() < Integer.BYTES ? -1 : bytes.getInt();
+        if (length < 0 || length > bytes.remaining()) {
+            throw new CompletionException(
+                    new LogUnavailableException("the store's response has a record of a wrong length", null));
+        }
+        byte[] content = new byte[length];
+        bytes.get(content);
+        return content;
+    }
+
     /** Sends a call and returns its response; fails if the status is not 200. */
     private CompletableFuture<BufferedResponse> sendExpectingOk(HttpCall call, String name, long waitMillis) {
         return send(call, name, waitMillis).thenApply(StoreClient::requireOk);
@@ -127,7 +145,7 @@
                 .handle((response, failure) -> {
                     metrics.recordStoreCall(name, failure == null ? String.valueOf(response.status()) : "failed");
                     if (failure == null) {
-                        return response;
+                        return requireNewestEpoch(response);
                     }
                     if (failure instanceof ServerFailure known && known.kind() == ServerFailure.Kind.TIMED_OUT) {
                         loop.transport().closeIdleConnections(address.getAuthority());
@@ -137,6 +155,25 @@
                 });
     }
 
+    /**
+     * Records the epoch of a response and returns the response; fails if a later epoch is known, since the store has
+     * lost what the response tells.
+     */
+    private BufferedResponse requireNewestEpoch(BufferedResponse response) {
+        boolean isNewest = response.header(EPOCH)
+                .map(String::trim)
+                .filter(text -> text.length() <= MAX_EPOCH_DIGITS
+                        && !text.isEmpty()
+                        && text.chars().allMatch(character -> character >= '0' && character <= '9'))
+                .map(text -> epoch.record(Long.parseLong(text)))
+                .orElse(true);
+        if (!isNewest) {
+            throw new CompletionException(
+                    new LogUnavailableException("the response is from before the store was restored; retry", null));
+        }
+        return response;
+    }
+
     /** Returns a response of status 200; fails for any other status. */
     private static BufferedResponse requireOk(BufferedResponse response) {
         if (response.status() == STATUS_GONE) {
@@ -158,6 +195,11 @@
             this.topic = topic;
         }
 
+        @Override
+        public LogEpoch epoch() {
+            return epoch;
+        }
+
         @Override
         public CompletableFuture<Page> newestRecords(Optional<String> after) {
             String path = "/log-newest?topic=" + topic + "&part=0"
@@ -229,9 +271,14 @@
         }
 
         @Override
-        public CompletableFuture<OptionalLong> appendAt(long end, byte[] content) {
-            return send(appendCall(topic, "&at=" + end, List.of(content)), "log-append", 0)
-                    .thenApply(this::appendedOffset);
+        public LogEpoch epoch() {
+            return epoch;
+        }
+
+        @Override
+        public CompletableFuture<OptionalLong> appendAt(long end, List<byte[]> contents) {
+            return send(appendCall(topic, "&at=" + end, contents), "log-append", 0)
+                    .thenApply(response -> lastOffset(response, contents.size()));
         }
 
         @Override
@@ -261,8 +308,8 @@
             }
         }
 
-        /** Returns the offset of an appended record; empty if the log ended at another offset. */
-        private OptionalLong appendedOffset(BufferedResponse response) {
+        /** Returns the offset of the last of the appended records; empty if the log ended at another offset. */
+        private OptionalLong lastOffset(BufferedResponse response, int records) {
             if (response.status() == STATUS_PRECONDITION_FAILED) {
                 return OptionalLong.empty();
             }
@@ -272,7 +319,7 @@
             }
             try {
                 return OptionalLong.of(
-                        json.readTree(response.body()).path("offset").asLong());
+                        json.readTree(response.body()).path("offset").asLong() + records - 1);
             } catch (IOException e) {
                 throw new CompletionException(new LogUnavailableException("the store's response is not JSON", e));
             }
--- a/src/main/java/org/verbenatray/state/KeyedFollower.java
+++ b/src/main/java/org/verbenatray/state/KeyedFollower.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
 import org.verbenatray.log.KeyedLog;
+import org.verbenatray.log.LogEpoch;
 import org.verbenatray.log.OffsetNotRetainedException;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
@@ -53,6 +54,12 @@
     /** The number of the current chain of reads; a timer of an earlier one is ignored. */
     private int chain;
 
+    /** The epoch of the log, in which the offset counts. */
+    private final LogEpoch epoch;
+
+    /** The number of the current listing; responses to calls of an earlier one are ignored. */
+    private int listing;
+
     /** Whether a read of changes is under way; the next one is scheduled at its end. */
     private boolean reading;
 
@@ -80,6 +87,8 @@
         this.sharing = sharing;
         this.ticker = time.ticker();
         this.scheduler = time.scheduler();
+        this.epoch = source.epoch();
+        epoch.onRise(this::startAnew);
     }
 
     /** Starts to follow a keyed log and returns its follower. */
@@ -93,7 +102,7 @@
             Scheduler scheduler) {
         Timing time = new Timing(ticker, scheduler);
         KeyedFollower follower = new KeyedFollower(name, source, listener, timing, pacer, Optional.empty(), time);
-        follower.readListing(Optional.empty(), new ArrayList<>());
+        follower.startListing();
         return follower;
     }
 
@@ -109,7 +118,7 @@
         Timing time = new Timing(ticker, scheduler);
         KeyedFollower follower =
                 new KeyedFollower(name, source, listener, sharing::pollTiming, pacer, Optional.of(sharing), time);
-        follower.readListing(Optional.empty(), new ArrayList<>());
+        follower.startListing();
         return follower;
     }
 
@@ -117,15 +126,17 @@
      * Applies changes that another instance has read, so that this instance need not read them; reads at once if they
      * do not follow what is known.
      *
+     * @param peerEpoch the epoch in which the offsets count
      * @param from the offset from which on the changes are complete
      * @param to the offset up to which they were read
      * @param changes the records in between that change the state
      */
-    public void onPeerChanges(long from, long to, List<KeyedLog.Entry> changes) {
-        if (!listed || stopped || to < nextOffset) {
+    public void onPeerChanges(long peerEpoch, long from, long to, List<KeyedLog.Entry> changes) {
+        boolean outdated = peerEpoch < epoch.newest() || peerEpoch == epoch.newest() && to < nextOffset;
+        if (!listed || stopped || outdated) {
             return;
         }
-        if (from > nextOffset) {
+        if (peerEpoch > epoch.newest() || from > nextOffset) {
             readAtOnce();
             return;
         }
@@ -143,14 +154,37 @@
         stopped = true;
     }
 
-    /** Reads the pages of the listing after the given key, then passes the whole listing to the listener. */
-    private void readListing(Optional<String> after, List<KeyedLog.Entry> entries) {
-        if (stopped) {
+    /**
+     * Lists everything again, since the log was restored from an older copy and the offset counts no more. What is
+     * known stays in force until then.
+     */
+    private void startAnew() {
+        if (!stopped) {
+            listener.onRestored();
+            startListing();
+        }
+    }
+
+    /** Starts to list the newest record of every key; calls that are under way are ignored from now on. */
+    private void startListing() {
+        listing++;
+        chain++;
+        reading = false;
+        listed = false;
+        readListing(listing, Optional.empty(), new ArrayList<>());
+    }
+
+    /** Reads the pages of a listing after the given key, then passes the whole listing to the listener. */
+    private void readListing(int current, Optional<String> after, List<KeyedLog.Entry> entries) {
+        if (stopped || current != listing) {
             return;
         }
         source.newestRecords(after).whenComplete((page, failure) -> {
+            if (current != listing) {
+                return;
+            }
             if (failure != null) {
-                handleFailure(failure, () -> readListing(Optional.empty(), new ArrayList<>()));
+                handleFailure(failure, () -> readListing(current, Optional.empty(), new ArrayList<>()));
                 return;
             }
             markReachable();
@@ -160,6 +194,7 @@
             entries.addAll(page.entries());
             if (page.more() && !page.entries().isEmpty()) {
                 readListing(
+                        current,
                         Optional.of(
                                 page.entries().get(page.entries().size() - 1).key()),
                         entries);
@@ -205,13 +240,17 @@
         if (stopped) {
             return;
         }
+        int current = listing;
         long from = nextOffset;
         readFrom = Deadline.afterMillis(ticker.nanos(), timing.get().intervalMillis());
         reading = true;
         source.changes(from, timing.get().maxWaitMillis()).whenComplete((entries, failure) -> {
+            if (current != listing) {
+                return;
+            }
             reading = false;
             if (failure != null) {
-                handleFailure(failure, this::readChanges);
+                handleFailure(failure, () -> readChangesOf(current));
                 return;
             }
             markReachable();
@@ -221,6 +260,13 @@
         });
     }
 
+    /** Reads the changes after a failure, unless everything is listed again meanwhile. */
+    private void readChangesOf(int failedListing) {
+        if (failedListing == listing) {
+            readChanges();
+        }
+    }
+
     /** Applies the records from an offset on, except those that were received meanwhile, and sends on what is new. */
     private void applyRead(long from, List<KeyedLog.Entry> entries) {
         int known = (int) Math.min(entries.size(), Math.max(0, nextOffset - from));
@@ -231,7 +277,7 @@
         nextOffset = Math.max(nextOffset, from + entries.size());
         sharing.ifPresent(shared -> {
             recentChanges.add(begin, changes);
-            shared.publish(recentChanges.from(), nextOffset, recentChanges.entries());
+            shared.publish(epoch.newest(), recentChanges.from(), nextOffset, recentChanges.entries());
         });
     }
 
@@ -269,7 +315,7 @@
                     .with("log", name)
                     .with("from", nextOffset)
                     .log(log, Level.INFO);
-            scheduler.runAt(new Deadline(ticker.nanos()), () -> readListing(Optional.empty(), new ArrayList<>()));
+            startListingSoon();
             return;
         }
         if (reachable) {
@@ -284,6 +330,16 @@
         pacer.retryLater(retry);
     }
 
+    /** Lists everything again in a task of its own, unless that has begun meanwhile. */
+    private void startListingSoon() {
+        int current = listing;
+        scheduler.runAt(new Deadline(ticker.nanos()), () -> {
+            if (current == listing) {
+                startListing();
+            }
+        });
+    }
+
     /** Records a successful call; logs the end of an outage. */
     private void markReachable() {
         if (!reachable) {
@@ -313,6 +369,12 @@
         /** Called after each successful read of changes, when all of them were passed on. */
         default void onCaughtUp() {}
 
+        /**
+         * Called when the log was restored from an older copy, before it is listed again. The next listing may lack
+         * records that were acknowledged and hold ones that were replaced or deleted since.
+         */
+        default void onRestored() {}
+
         /** Called after each failed call that will be retried. */
         default void onUnreachable() {}
     }
@@ -333,7 +395,7 @@
         PollTiming pollTiming();
 
         /** Sends changes that this instance has read to the others; see {@link KeyedFollower#onPeerChanges}. */
-        void publish(long from, long to, List<KeyedLog.Entry> changes);
+        void publish(long epoch, long from, long to, List<KeyedLog.Entry> changes);
     }
 
     /**
--- a/src/test/java/org/verbenatray/authority/LogLeaseTest.java
+++ b/src/test/java/org/verbenatray/authority/LogLeaseTest.java
@@ -99,7 +99,7 @@
     }
 
     private LogLease start(String name) {
-        return LogLease.start(log.of(name), name, time, () -> time.nanos() / 1_000_000 + wallLeadMillis, time);
+        return LogLease.start(log.of(name), name, false, time, () -> time.nanos() / 1_000_000 + wallLeadMillis, time);
     }
 
     /** An in-memory conditional log that can reject the appends of one process. */
@@ -111,15 +111,15 @@
         private ConditionalLog of(String name) {
             return new ConditionalLog() {
                 @Override
-                public CompletableFuture<OptionalLong> appendAt(long end, byte[] content) {
+                public CompletableFuture<OptionalLong> appendAt(long end, List<byte[]> contents) {
                     if (rejectedName.equals(name)) {
                         return CompletableFuture.failedFuture(new IllegalStateException("refused"));
                     }
                     if (end != records.size()) {
                         return CompletableFuture.completedFuture(OptionalLong.empty());
                     }
-                    records.add(content);
-                    return CompletableFuture.completedFuture(OptionalLong.of(end));
+                    records.addAll(contents);
+                    return CompletableFuture.completedFuture(OptionalLong.of(records.size() - 1));
                 }
 
                 @Override
--- a/src/test/java/org/verbenatray/openwork/ReadExchangeTest.java
+++ b/src/test/java/org/verbenatray/openwork/ReadExchangeTest.java
@@ -121,7 +121,7 @@
         start(1);
         time.advanceMillis(3_000);
         Node only = nodes.get(0);
-        only.follower.onPeerChanges(1_000_000, 1_000_001, List.of(new KeyedLog.Entry("key", Optional.empty())));
+        only.follower.onPeerChanges(0, 1_000_000, 1_000_001, List.of(new KeyedLog.Entry("key", Optional.empty())));
         put("other", "value");
         time.advanceMillis(PACE_MILLIS + 1);
         Assert.assertEquals(only.values.get("other"), "value");
--- a/src/test/java/org/verbenatray/platform/FakeStore.java
+++ b/src/test/java/org/verbenatray/platform/FakeStore.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -26,6 +27,8 @@
  * <p>It listens on one or more ports, so that a fault can apply to some of its clients only.
  */
 final class FakeStore implements AutoCloseable {
+    private static final HttpString EPOCH = new HttpString("Store-Era");
+
     private final Map<String, Topic> topics = new HashMap<>();
 
     private final EventLoop loop = EventLoop.start(Ticker.system());
@@ -43,6 +46,9 @@
     /** The number of calls received. */
     private volatile int callCount;
 
+    /** The epoch in all answers; rises with each restoration from a copy. */
+    private long epoch = 1;
+
     private FakeStore(int ports) {
         Undertow.Builder builder = Undertow.builder().setWorker(loop.worker());
         for (int port = 0; port < ports; port++) {
@@ -119,6 +125,20 @@
         topic(topic).firstOffset = topic(topic).records.size();
     }
 
+    /** Returns a copy of all that is stored. */
+    synchronized Copy copy() {
+        Map<String, Topic> copied = new HashMap<>();
+        topics.forEach((name, topic) -> copied.put(name, topic.copy()));
+        return new Copy(copied);
+    }
+
+    /** Replaces all that is stored by a copy, and begins a new epoch. */
+    synchronized void restore(Copy copy) {
+        topics.clear();
+        copy.topics.forEach((name, topic) -> topics.put(name, topic.copy()));
+        epoch++;
+    }
+
     @Override
     public void close() {
         server.stop();
@@ -155,7 +175,7 @@
             send(exchange, 200, newest(topic));
         } else if (call.equals("/log-read")) {
             int from = Integer.parseInt(parameter(exchange, "from", "0"));
-            if (from < topic.firstOffset) {
+            if (from < topic.firstOffset || from > topic.records.size()) {
                 send(exchange, 410, ("{\"first\":" + topic.firstOffset + "}").getBytes(StandardCharsets.UTF_8));
             } else if (from >= topic.records.size() && System.nanoTime() < untilNanos) {
                 exchange.dispatch(() -> exchange.getIoThread()
@@ -243,8 +263,9 @@
                 : fallback;
     }
 
-    private static void send(HttpServerExchange exchange, int status, byte[] body) {
+    private void send(HttpServerExchange exchange, int status, byte[] body) {
         exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(EPOCH, epoch);
         exchange.getResponseSender().send(ByteBuffer.wrap(body));
     }
 
@@ -260,6 +281,13 @@
         RESET
     }
 
+    /**
+     * All that was stored at a time.
+     *
+     * @param topics the topics by name
+     */
+    record Copy(Map<String, Topic> topics) {}
+
     /** The state of a topic. */
     private static final class Topic {
         /** All records by offset, including dropped ones. */
@@ -270,5 +298,13 @@
 
         /** The offset of the first record that is still readable. */
         private int firstOffset;
+
+        private Topic copy() {
+            Topic copied = new Topic();
+            copied.records.addAll(records);
+            copied.newest.putAll(newest);
+            copied.firstOffset = firstOffset;
+            return copied;
+        }
     }
 }
