End the process after an error in any thread, or when its loop stands still

After an OutOfMemoryError the network thread or the accepting thread of a relay had ended, or the HTTP library had caught and only logged the error.

An error that a library logs, or that ends a thread, ends the process with a log line, since its state is unknown.

--- a/src/main/java/org/verbenatray/cli/RelayCommand.java
+++ b/src/main/java/org/verbenatray/cli/RelayCommand.java
@@ -6,9 +6,11 @@
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.logging.Level;
+import org.verbenatray.instance.LoopWatchdog;
 import org.verbenatray.instance.RelayInstance;
 import org.verbenatray.platform.RelayLauncher;
 import org.verbenatray.settings.SettingsCheck;
+import org.verbenatray.telemetry.FatalErrors;
 import org.verbenatray.telemetry.KeyValueFormatter;
 
 /** Runs a relay instance on a machine of the users' platform until the process is stopped, then drains it. */
@@ -30,7 +32,9 @@
 
     @Override
     public int run(CommandOutput output) throws Exception {
-        KeyValueFormatter.installAsync(Level.INFO);
+        FatalErrors fatalErrors = FatalErrors.ofProcess();
+        fatalErrors.endOnUncaught();
+        KeyValueFormatter.installAsync(Level.INFO, fatalErrors);
         if (selfTest) {
             return runSelfTest(output);
         }
@@ -39,6 +43,7 @@
         String path = check.text("--config", config);
         check.throwIfInvalid();
         RelayInstance instance = RelayLauncher.start(Path.of(path), port);
+        LoopWatchdog.start(instance.loopThread(), why -> fatalErrors.end("event loop", new IllegalStateException(why)));
         return ProcessShutdown.awaitThenRun(instance::drain);
     }
 
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.DoubleSupplier;
 import org.verbenatray.authority.LogLease;
@@ -249,6 +250,11 @@
         return server;
     }
 
+    /** Returns the thread on which the instance runs. */
+    public Executor loopThread() {
+        return loop.thread();
+    }
+
     /** Returns the memory that the responses of servers and of the platform share. */
     public ResponseMemory responseMemory() {
         return loop.transport().responseMemory();
--- a/src/main/java/org/verbenatray/telemetry/AsyncLogHandler.java
+++ b/src/main/java/org/verbenatray/telemetry/AsyncLogHandler.java
@@ -29,14 +29,18 @@
 
     private final Formatter lineFormat;
 
-    private AsyncLogHandler(PrintStream out, Formatter lineFormat) {
+    /** Ends the process after errors, which libraries catch and only log. */
+    private final FatalErrors fatalErrors;
+
+    private AsyncLogHandler(PrintStream out, Formatter lineFormat, FatalErrors fatalErrors) {
         this.out = out;
         this.lineFormat = lineFormat;
+        this.fatalErrors = fatalErrors;
     }
 
     /** Returns a handler that writes to the given stream, and starts its daemon thread. */
-    static AsyncLogHandler start(PrintStream out, Formatter lineFormat) {
-        AsyncLogHandler handler = new AsyncLogHandler(out, lineFormat);
+    static AsyncLogHandler start(PrintStream out, Formatter lineFormat, FatalErrors fatalErrors) {
+        AsyncLogHandler handler = new AsyncLogHandler(out, lineFormat, fatalErrors);
         Thread writer = new Thread(handler::writeQueuedLines, "log");
         writer.setDaemon(true);
         writer.start();
@@ -50,6 +54,7 @@
 
     @Override
     public void publish(LogRecord entry) {
+        fatalErrors.endIfError(entry.getThrown());
         if (!queue.offer(lineFormat.format(entry))) {
             unreportedDropped.incrementAndGet();
             totalDropped.incrementAndGet();
--- a/src/main/java/org/verbenatray/telemetry/KeyValueFormatter.java
+++ b/src/main/java/org/verbenatray/telemetry/KeyValueFormatter.java
@@ -22,9 +22,12 @@
         replaceHandlers(console, level);
     }
 
-    /** Makes all loggers of this process write to standard output in this format, without blocking the caller. */
-    public static AsyncLogHandler installAsync(Level level) {
-        AsyncLogHandler handler = AsyncLogHandler.start(System.out, new KeyValueFormatter());
+    /**
+     * Makes all loggers of this process write to standard output in this format, without blocking the caller. A log
+     * record of an error ends the process.
+     */
+    public static AsyncLogHandler installAsync(Level level, FatalErrors fatalErrors) {
+        AsyncLogHandler handler = AsyncLogHandler.start(System.out, new KeyValueFormatter(), fatalErrors);
         replaceHandlers(handler, level);
         return handler;
     }
