Keep all bytes of callers in one account, and none of finished responses

Causes: bodies of requests and complete responses that wait for slow callers counted nowhere, a caller that never reads had no time limit, and the HTTP library kept the last response of each open connection, since it refers to the buffer that it writes together with the head (89 arrays of 1 MB in a heap dump).

One account, whose bound follows from the heap, now holds bodies, incomplete responses, unread ones and responses to own calls. Small requests and responses always pass. Large responses are written in parts behind their head.

The first start of a system claims the lease without skipped offsets.

--- a/src/main/java/org/verbenatray/authority/LogLease.java
+++ b/src/main/java/org/verbenatray/authority/LogLease.java
@@ -210,7 +210,11 @@
             schedule(Math.min(READ_INTERVAL_MILLIS, untilClaimMillis) + spreadMillis(), this::watch);
             return;
         }
-        claim(wasNeverHeld(tail) ? 0 : TAKEOVER_DELAY_MILLIS);
+        if (wasNeverHeld(tail)) {
+            claim(0, 0);
+        } else {
+            claim(TAKEOVER_DELAY_MILLIS, skippedOffsets());
+        }
     }
 
     /**
@@ -232,10 +236,10 @@
         return Math.floorMod(holder.hashCode(), SPREAD_MILLIS);
     }
 
-    /** Claims the lease, to act on it only after the given delay. */
-    private void claim(long waitMillis) {
+    /** Claims the lease behind the given number of skipped offsets, to act on it only after the given delay. */
+    private void claim(long waitMillis, int skipped) {
         Deadline actFrom = Deadline.afterMillis(ticker.nanos(), waitMillis);
-        append(skippedOffsets(), offset -> {
+        append(skipped, offset -> {
             fencingToken = offset + 1;
             activeFrom = actFrom;
             Event.named("lease_taken").with("number", fencingToken).log(log, Level.INFO);
--- a/src/main/java/org/verbenatray/instance/EventLoop.java
+++ b/src/main/java/org/verbenatray/instance/EventLoop.java
@@ -8,8 +8,8 @@
 import java.lang.System.Logger.Level;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.verbenatray.memory.MemoryAccount;
 import org.verbenatray.servers.HttpTransport;
-import org.verbenatray.servers.ResponseMemory;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Scheduler;
@@ -40,24 +40,23 @@
 
     private final HttpTransport transport;
 
-    private EventLoop(XnioWorker worker, Ticker ticker, long admissionMillis) {
+    private EventLoop(XnioWorker worker, Ticker ticker, MemoryAccount memory, long admissionMillis) {
         this.worker = worker;
         this.ticker = ticker;
         ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
-        this.transport = HttpTransport.create(
-                worker, buffers, ticker, ResponseMemory.bounded(ResponseMemory.INSTANCE_BYTES), admissionMillis);
+        this.transport = HttpTransport.create(worker, buffers, ticker, memory, admissionMillis);
     }
 
     /** Starts an event loop; fails with an {@link UncheckedIOException} when its thread cannot be started. */
     public static EventLoop start(Ticker ticker) {
-        return start(ticker, HttpTransport.ADMISSION_MILLIS);
+        return start(ticker, MemoryAccount.ofHeap(), HttpTransport.ADMISSION_MILLIS);
     }
 
     /**
-     * Starts an event loop as {@link #start(Ticker)} whose HTTP client awaits the reset of a new connection for the
-     * given time in milliseconds beyond a round trip.
+     * Starts an event loop as {@link #start(Ticker)} with the given account of the bytes it keeps, whose HTTP client
+     * awaits the reset of a new connection for the given time in milliseconds beyond a round trip.
      */
-    public static EventLoop start(Ticker ticker, long admissionMillis) {
+    public static EventLoop start(Ticker ticker, MemoryAccount memory, long admissionMillis) {
         try {
             XnioWorker worker = Xnio.getInstance()
                     .createWorker(OptionMap.builder()
@@ -66,7 +65,7 @@
                             .set(Options.WORKER_TASK_MAX_THREADS, 1)
                             .set(Options.TCP_NODELAY, true)
                             .getMap());
-            return new EventLoop(worker, ticker, admissionMillis);
+            return new EventLoop(worker, ticker, memory, admissionMillis);
         } catch (IOException e) {
             throw new UncheckedIOException("cannot start the network threads; check the limit of descriptors", e);
         }
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -18,6 +18,7 @@
 import org.verbenatray.continuation.RecentVersions;
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.limits.ServerLimits;
+import org.verbenatray.memory.MemoryAccount;
 import org.verbenatray.openwork.ReadExchange;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
@@ -40,7 +41,6 @@
 import org.verbenatray.resilience.CrashLedger;
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.resilience.ServerRuns;
-import org.verbenatray.servers.ResponseMemory;
 import org.verbenatray.state.KeyedFollower;
 import org.verbenatray.state.RetryPacer;
 import org.verbenatray.telemetry.Event;
@@ -255,9 +255,9 @@
         return loop.thread();
     }
 
-    /** Returns the memory that the responses of servers and of the platform share. */
-    public ResponseMemory responseMemory() {
-        return loop.transport().responseMemory();
+    /** Returns the account of the bytes that callers and servers make the instance keep. */
+    public MemoryAccount memory() {
+        return loop.transport().memory();
     }
 
     /**
@@ -467,6 +467,7 @@
                 handler.counts().ends(),
                 sharing.peerCount(),
                 crashes.crashCounts(),
+                RelayInstanceState.MemoryState.of(memory()),
                 directory.all().stream()
                         .map(backend -> RelayInstanceState.BackendState.of(backend, limits))
                         .toList());
--- a/src/main/java/org/verbenatray/instance/RelayInstanceState.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstanceState.java
@@ -6,6 +6,8 @@
 import java.util.OptionalDouble;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.limits.ServerLimits;
+import org.verbenatray.memory.MemoryAccount;
+import org.verbenatray.memory.MemoryUse;
 import org.verbenatray.relay.RequestEnd;
 
 /**
@@ -21,6 +23,7 @@
  * @param requestEnds the number of requests that have ended since the start, by how they ended
  * @param peers the number of instances with which it exchanges its open work
  * @param crashes the number of servers that ended under a request, by the fingerprint of the request
+ * @param memory the bytes that callers and servers make it keep
  * @param backends the backend servers
  */
 public record RelayInstanceState(
@@ -34,7 +37,24 @@
         Map<RequestEnd, Long> requestEnds,
         int peers,
         Map<String, Integer> crashes,
+        MemoryState memory,
         List<BackendState> backends) {
+    /**
+     * The bytes that callers and servers make the process keep.
+     *
+     * @param maxBytes the bound
+     * @param peakBytes the most so far
+     * @param bytesByUse the bytes by use
+     * @param waiting the number of bodies and responses that wait for room
+     */
+    public record MemoryState(long maxBytes, long peakBytes, Map<MemoryUse, Long> bytesByUse, int waiting) {
+        /** Returns the state of an account. */
+        static MemoryState of(MemoryAccount account) {
+            return new MemoryState(
+                    account.maxBytes(), account.peakBytes(), account.retainedByUse(), account.waitingCount());
+        }
+    }
+
     /**
      * The state of a backend server.
      *
--- a/src/main/java/org/verbenatray/relay/Backlog.java
+++ b/src/main/java/org/verbenatray/relay/Backlog.java
@@ -24,6 +24,11 @@
         return bytes;
     }
 
+    /** Returns the number of bytes of the block that is written next. */
+    int firstBytes() {
+        return blocks.isEmpty() ? 0 : blocks.peekFirst().remaining();
+    }
+
     /** Returns the number of bytes that wait behind the block that is being written. */
     int bytesBehindFirst() {
         return blocks.isEmpty() ? 0 : bytes - blocks.peekFirst().remaining();
@@ -51,6 +56,12 @@
         last.put(end, part);
     }
 
+    /** Adds a part of a larger array as a block of its own. The array must not change afterwards. */
+    void add(ByteBuffer block) {
+        bytes += block.remaining();
+        blocks.addLast(block);
+    }
+
     /** Writes as much as the channel accepts; returns whether that was all. */
     boolean writeTo(WritableByteChannel channel) throws IOException {
         while (!blocks.isEmpty()) {
--- a/src/main/java/org/verbenatray/relay/CallerConnection.java
+++ b/src/main/java/org/verbenatray/relay/CallerConnection.java
@@ -10,8 +10,10 @@
 import java.nio.charset.StandardCharsets;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Ticker;
+import org.xnio.Buffers;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.conduits.AbstractStreamSinkConduit;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
@@ -60,6 +62,7 @@
     static CallerConnection watch(StreamConnection connection, CallerPatience patience, Ticker ticker) {
         CallerConnection watched = new CallerConnection(connection, patience, ticker);
         connection.getSourceChannel().setConduit(watched.source);
+        connection.getSinkChannel().setConduit(watched.new WatchedSink(watched.socket));
         return watched;
     }
 
@@ -85,7 +88,10 @@
         if (!pace.isOverdue(ticker.nanos())) {
             return;
         }
-        if (pace.insideHead()) {
+        if (pace.blocksResponse()) {
+            log("response");
+            IoUtils.safeClose(connection);
+        } else if (pace.insideHead()) {
             log("head");
             refuseHead();
         } else if (!pace.insideRequest()) {
@@ -135,6 +141,45 @@
         }
     }
 
+    /** Passes writes on and records whether the caller takes them. */
+    private final class WatchedSink extends AbstractStreamSinkConduit<StreamSinkConduit> {
+        WatchedSink(StreamSinkConduit next) {
+            super(next);
+        }
+
+        @Override
+        public int write(ByteBuffer source) throws IOException {
+            int count = super.write(source);
+            record(count, source.hasRemaining());
+            return count;
+        }
+
+        @Override
+        public long write(ByteBuffer[] sources, int offset, int length) throws IOException {
+            long count = super.write(sources, offset, length);
+            record(count, Buffers.hasRemaining(sources, offset, length));
+            return count;
+        }
+
+        @Override
+        public int writeFinal(ByteBuffer source) throws IOException {
+            int count = super.writeFinal(source);
+            record(count, source.hasRemaining());
+            return count;
+        }
+
+        @Override
+        public long writeFinal(ByteBuffer[] sources, int offset, int length) throws IOException {
+            long count = super.writeFinal(sources, offset, length);
+            record(count, Buffers.hasRemaining(sources, offset, length));
+            return count;
+        }
+
+        private void record(long count, boolean othersWait) {
+            pace.bytesWritten(count > 0, othersWait, ticker.nanos());
+        }
+    }
+
     /**
      * Passes reads on and records those that return bytes. Once a request is not read any further, or the last response
      * of the connection is written, it discards what still arrives: the HTTP server waits some seconds for the caller
--- a/src/main/java/org/verbenatray/relay/CallerPace.java
+++ b/src/main/java/org/verbenatray/relay/CallerPace.java
@@ -4,8 +4,9 @@
 import org.verbenatray.time.Deadline;
 
 /**
- * Tells when a caller's connection has to be closed because the caller takes too long: over a head, inside a body, or
- * idle between requests. While a request that was read whole is open, the caller has no time limit.
+ * Tells when a caller's connection has to be closed because the caller takes too long: over a head, inside a body, idle
+ * between requests, or not reading a response. While a request that was read whole is open and nothing waits to be
+ * written, the caller has no time limit.
  *
  * <p>Times are monotonic. Used on one thread.
  */
@@ -20,6 +21,9 @@
     /** Whether the request was read whole. */
     private BooleanSupplier readWhole = () -> false;
 
+    /** Since when the caller has taken no byte of a response that waits to be written; null if none waits. */
+    private Long blockedNanos;
+
     /** Whether the last check found the caller late. */
     private boolean late;
 
@@ -54,6 +58,21 @@
         begin(Phase.IDLE, nowNanos);
     }
 
+    /** Records that the connection has accepted some bytes of a response, and whether others wait. */
+    void bytesWritten(boolean some, boolean othersWait, long nowNanos) {
+        if (!othersWait) {
+            blockedNanos = null;
+        } else if (some || blockedNanos == null) {
+            blockedNanos = nowNanos;
+            late = false;
+        }
+    }
+
+    /** Returns whether bytes of a response wait for the caller to read. */
+    boolean blocksResponse() {
+        return blockedNanos != null;
+    }
+
     /** Returns whether the caller has begun a head that is not whole. */
     boolean insideHead() {
         return phase == Phase.HEAD;
@@ -77,13 +96,16 @@
 
     private boolean isLate(long nowNanos) {
         if (phase == Phase.REQUEST && readWhole.getAsBoolean()) {
-            return false;
+            return blockedNanos != null
+                    && Deadline.afterMillis(blockedNanos, patience.idleMillis(blockedNanos))
+                            .hasPassed(nowNanos);
         }
         long limitMillis = phase == Phase.HEAD ? patience.headMillis(sinceNanos) : patience.idleMillis(sinceNanos);
         return Deadline.afterMillis(sinceNanos, limitMillis).hasPassed(nowNanos);
     }
 
     private void begin(Phase next, long nowNanos) {
+        blockedNanos = null;
         phase = next;
         sinceNanos = nowNanos;
         late = false;
--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -12,6 +12,8 @@
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.verbenatray.memory.MemoryAccount;
+import org.verbenatray.memory.MemoryUse;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -32,6 +34,15 @@
      */
     private static final int MAX_PIPELINED_BYTES = 64 * 1024;
 
+    /**
+     * The most bytes that are written together with the head. The HTTP library refers to them as long as the connection
+     * is open.
+     */
+    private static final int MAX_BYTES_WITH_HEAD = 4 * 1024;
+
+    /** The largest part of a body in one write, which takes as much memory outside the heap. */
+    private static final int MAX_PART_BYTES = 64 * 1024;
+
     private final HttpServerExchange exchange;
 
     /** Runs the listeners of the connection. */
@@ -39,6 +50,12 @@
 
     private final Backlog backlog = new Backlog();
 
+    /** The bytes of the response that the caller has not read, as a share of the account. */
+    private final MemoryAccount.Share unread;
+
+    /** The size of a complete response that is sent in parts: its bytes are kept until all are written. */
+    private int wholeBytes;
+
     /** Whether the caller has closed its connection, or only the sending half of it. */
     private boolean inputEnded;
 
@@ -48,6 +65,9 @@
     /** The channel of a stream; null before the stream starts. */
     private StreamSinkChannel channel;
 
+    /** Whether the head was written, or may be written with the first bytes. */
+    private boolean headWritten;
+
     /** Whether the channel accepts no bytes at the moment and a write listener is set. */
     private boolean awaitingWritable;
 
@@ -59,14 +79,19 @@
     /** Whether the response is complete, aborted or given up; nothing more may be written. */
     private boolean closed;
 
-    private CallerResponse(HttpServerExchange exchange, RequestGuard guard) {
+    private CallerResponse(HttpServerExchange exchange, MemoryAccount memory, RequestGuard guard) {
         this.exchange = exchange;
         this.guard = guard;
+        this.unread = memory.open(
+                MemoryUse.UNREAD,
+                () -> exchange.getIoThread().execute(guard.wrap(() -> disconnect(DisconnectCause.BACKLOG_FULL))));
     }
 
-    /** Returns the response of the given exchange. */
-    static CallerResponse to(HttpServerExchange exchange, RequestGuard guard) {
-        return new CallerResponse(exchange, guard);
+    /** Returns the response of the given exchange, whose bytes belong to an account until the caller has read them. */
+    static CallerResponse to(HttpServerExchange exchange, MemoryAccount memory, RequestGuard guard) {
+        CallerResponse response = new CallerResponse(exchange, memory, guard);
+        ExchangeEnd.onEnd(exchange, response.unread::close);
+        return response;
     }
 
     /** Returns whether the status and headers of the response are set. */
@@ -108,11 +133,28 @@
         if (!writeHead(status, headers)) {
             return;
         }
+        if (body.length > MAX_BYTES_WITH_HEAD) {
+            sendInParts(body);
+            return;
+        }
         closed = true;
         stopConnectionChecks();
         exchange.getResponseSender().send(ByteBuffer.wrap(body));
     }
 
+    /** Sends a complete response with its length in parts, as the caller reads them. */
+    private void sendInParts(byte[] body) {
+        exchange.setResponseContentLength(body.length);
+        channel = exchange.getResponseChannel();
+        for (int begin = 0; begin < body.length; begin += MAX_PART_BYTES) {
+            int length = Math.min(MAX_PART_BYTES, body.length - begin);
+            backlog.add(ByteBuffer.wrap(body, begin, length).slice());
+        }
+        wholeBytes = body.length;
+        ending = true;
+        drain();
+    }
+
     /**
      * Starts a stream; does nothing if a response was started or the caller has disconnected. The stream is chunked
      * also if its connection is closed after it: where the end of the connection marks the end of the response, a
@@ -176,7 +218,12 @@
             return;
         }
         try {
-            if (!backlog.writeTo(channel)) {
+            if (!headWritten) {
+                headWritten = backlog.firstBytes() <= MAX_BYTES_WITH_HEAD || channel.flush();
+            }
+            boolean written = headWritten && backlog.writeTo(channel);
+            unread.set(written ? 0 : Math.max(wholeBytes, backlog.capacityBytes()));
+            if (!written) {
                 awaitWritable(channel);
                 return;
             }
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -7,10 +7,8 @@
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.servers.HttpCall;
-import org.verbenatray.servers.ResponseBody;
 import org.verbenatray.servers.ResponseHead;
 import org.verbenatray.servers.ResponseListener;
-import org.verbenatray.servers.ResponseMemory;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.time.Deadline;
 import org.xnio.XnioIoThread;
@@ -39,11 +37,8 @@
     private final ResponseTimeouts timeouts;
     private final ForwardListener listener;
 
-    /** Body of a response that is not a stream. */
-    private final ResponseBody body = new ResponseBody();
-
-    /** Bytes of the body, or of an event that is not complete, as a share of the memory of all responses. */
-    private final ResponseMemory.Share share;
+    /** Body of a response that is not a stream, and the bytes of an event that is not complete. */
+    private final ResponseBuffer buffer;
 
     private final EventSplitter splitter = new EventSplitter();
 
@@ -89,10 +84,14 @@
         this.timeouts = timeouts;
         this.listener = listener;
         this.evidence = RunEvidence.start(context, call, options);
-        this.share = context.transport()
-                .responseMemory()
-                .open(() -> context.thread()
-                        .execute(() -> rejectResponse("the response is the largest one and no memory is left")));
+        int maxBodyBytes =
+                options.prefillOnly() ? ResponseLimits.MAX_PREFILL_BODY_BYTES : ResponseLimits.MAX_BODY_BYTES;
+        this.buffer = ResponseBuffer.open(
+                context.transport().memory(),
+                maxBodyBytes,
+                () -> context.thread()
+                        .execute(call.guard()
+                                .wrap(() -> rejectResponse("the response is the largest one and no memory is left"))));
     }
 
     /** Sends a request to the server named in the options and starts the timeouts. */
@@ -155,6 +154,7 @@
     public void onHead(ResponseHead responseHead) {
         head = context.dialect().parseHead(call.request(), responseHead);
         endsWithConnection = responseHead.endsWithConnection();
+        buffer.recordHead(responseHead);
         recordProgress();
         options.backend().recordAnswer(context.ticker().nanos());
         context.statements().recordAnswer(options.backend(), head);
@@ -165,6 +165,17 @@
         }
     }
 
+    @Override
+    public boolean readsOn(Runnable resume) {
+        if (closed || head == null || deliversEvents()) {
+            return true;
+        }
+        return buffer.hasRoom(() -> {
+            recordProgress();
+            resume.run();
+        });
+    }
+
     @Override
     public void onBody(ByteBuffer piece) {
         if (closed || head == null) {
@@ -180,20 +191,17 @@
                 }
             });
             listener.onEventsRead();
-            recordRetained(splitter.partialBytes());
+            if (!closed) {
+                buffer.setEventBytes(splitter.partialBytes());
+            }
             if (splitter.partialBytes() > ResponseLimits.MAX_EVENT_BYTES) {
                 rejectResponse("an event is larger than " + ResponseLimits.MAX_EVENT_BYTES + " bytes");
             }
             return;
         }
-        int maxBodyBytes =
-                options.prefillOnly() ? ResponseLimits.MAX_PREFILL_BODY_BYTES : ResponseLimits.MAX_BODY_BYTES;
-        if (body.size() + piece.remaining() > maxBodyBytes) {
-            rejectResponse("the response is larger than " + maxBodyBytes + " bytes");
-            return;
+        if (!buffer.add(piece)) {
+            rejectResponse("the response is larger than allowed");
         }
-        body.add(piece);
-        recordRetained(body.capacityBytes());
     }
 
     @Override
@@ -241,16 +249,18 @@
         finish(ForwardOutcome.Kind.BROKEN, reason);
     }
 
-    /** Reports the outcome, once. */
+    /** Reports the outcome, once. A complete body passes from this attempt to the caller's response. */
     private void finish(ForwardOutcome.Kind kind, String detail) {
-        if (closed) {
-            return;
+        if (!closed) {
+            context.transport().memory().changeTogether(() -> report(kind, detail));
         }
+    }
+
+    private void report(ForwardOutcome.Kind kind, String detail) {
+        boolean complete = kind == ForwardOutcome.Kind.ANSWERED || kind == ForwardOutcome.Kind.NOT_RUN;
+        byte[] bytes = complete ? buffer.take() : new byte[0];
         close();
         recordEvidence(kind);
-        boolean complete = kind == ForwardOutcome.Kind.ANSWERED || kind == ForwardOutcome.Kind.NOT_RUN;
-        byte[] bytes = complete ? body.toByteArray() : new byte[0];
-        body.clear();
         boolean proved = !endsWithConnection && !continuesStream();
         listener.onOutcome(new ForwardOutcome(kind, detail, Optional.ofNullable(head), bytes, proved));
     }
@@ -277,7 +287,7 @@
     /** Updates the open-work counts of the server and stops the timer. */
     private void close() {
         closed = true;
-        share.close();
+        buffer.close();
         recordPromptProcessed();
         options.backend().removeRequest();
         context.onWorkChanged().accept(options.backend());
@@ -296,13 +306,6 @@
         }
     }
 
-    /** Records the number of bytes retained of a response that has not ended. */
-    private void recordRetained(int bytes) {
-        if (!closed) {
-            share.set(bytes);
-        }
-    }
-
     /** Extends the progress deadline. */
     private void recordProgress() {
         progressDeadline = timeouts.nextByteDeadline(context.ticker().nanos());
@@ -332,10 +335,13 @@
     }
 
     /**
-     * Returns whether a silent server is awaited further: it is still being connected to, for which there is a timeout
-     * of its own, it is busy, or the request cannot be moved to another.
+     * Returns whether a silent server is awaited further: its response is not read for want of memory, it is still
+     * being connected to, for which there is a timeout of its own, it is busy, or the request cannot be moved.
      */
     private boolean awaitsSilentServer() {
+        if (buffer.isWaiting()) {
+            return true;
+        }
         if (timeouts.expired(context.ticker().nanos())) {
             return false;
         }
--- a/src/main/java/org/verbenatray/relay/PeerRelay.java
+++ b/src/main/java/org/verbenatray/relay/PeerRelay.java
@@ -9,10 +9,8 @@
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.servers.HttpCall;
-import org.verbenatray.servers.ResponseBody;
 import org.verbenatray.servers.ResponseHead;
 import org.verbenatray.servers.ResponseListener;
-import org.verbenatray.servers.ResponseMemory;
 import org.verbenatray.servers.ServerFailure;
 import org.xnio.XnioIoThread;
 
@@ -36,14 +34,11 @@
 
     private final List<URI> tried = new ArrayList<>();
 
-    /** Body of a response that is not a stream. */
-    private final ResponseBody body = new ResponseBody();
+    /** Body of a response that is not a stream, and the bytes of an event that is not complete. */
+    private ResponseBuffer buffer;
 
     private final EventSplitter splitter = new EventSplitter();
 
-    /** The retained bytes of the response, as a share of the memory of all responses. */
-    private final ResponseMemory.Share share;
-
     private XnioIoThread.Key deadlineTimer;
 
     private Cancellation cancellation = () -> {};
@@ -63,9 +58,6 @@
         this.context = context;
         this.call = call;
         this.withoutInstances = withoutInstances;
-        this.share = context.transport()
-                .responseMemory()
-                .open(() -> context.thread().execute(call.guard().wrap(() -> fail("memory"))));
     }
 
     /**
@@ -90,8 +82,16 @@
         relay.send(instance.get());
     }
 
+    private ResponseBuffer openBuffer() {
+        return ResponseBuffer.open(
+                context.transport().memory(),
+                ResponseLimits.MAX_BODY_BYTES,
+                () -> context.thread().execute(call.guard().wrap(() -> fail("memory"))));
+    }
+
     private void send(URI instance) {
         tried.add(instance);
+        buffer = openBuffer();
         closed = false;
         sendingStarted = false;
         call.setRunning(this);
@@ -128,6 +128,7 @@
     public void onHead(ResponseHead responseHead) {
         head = context.dialect().parseHead(call.request(), responseHead);
         endsWithConnection = responseHead.endsWithConnection();
+        buffer.recordHead(responseHead);
         if (!head.matchesRequestId()) {
             fail("answer_of_another_request");
         } else if (head.status() < 300 && !head.authentic()) {
@@ -135,6 +136,11 @@
         }
     }
 
+    @Override
+    public boolean readsOn(Runnable resume) {
+        return closed || head == null || head.eventStream() || buffer.hasRoom(resume);
+    }
+
     @Override
     public void onBody(ByteBuffer piece) {
         if (closed) {
@@ -147,12 +153,11 @@
                 }
             });
             call.response().writeBuffered();
-            share.set(splitter.partialBytes());
-        } else {
-            body.add(piece);
-            share.set(body.capacityBytes());
-        }
-        if (body.size() > ResponseLimits.MAX_BODY_BYTES || splitter.partialBytes() > ResponseLimits.MAX_EVENT_BYTES) {
+            buffer.setEventBytes(splitter.partialBytes());
+            if (splitter.partialBytes() > ResponseLimits.MAX_EVENT_BYTES) {
+                fail("answer_too_large");
+            }
+        } else if (!buffer.add(piece)) {
             fail("answer_too_large");
         }
     }
@@ -170,12 +175,16 @@
             end();
             call.endStream(head);
         } else {
-            byte[] bytes = body.toByteArray();
-            end();
-            call.relayForwarded(head, bytes);
+            context.transport().memory().changeTogether(this::relayWhole);
         }
     }
 
+    private void relayWhole() {
+        byte[] bytes = buffer.take();
+        end();
+        call.relayForwarded(head, bytes);
+    }
+
     @Override
     public void onFailure(ServerFailure failure) {
         if (sendingStarted) {
@@ -188,7 +197,6 @@
     /** Asks another instance after one that has not received the request, or has declined it. */
     private void tryNext() {
         close();
-        body.clear();
         Optional<URI> next =
                 tried.size() < MAX_INSTANCES ? context.forwardingTargets().choose(tried) : Optional.empty();
         if (next.isPresent() && call.remainingMillis() > RETURN_MILLIS) {
@@ -241,7 +249,7 @@
 
     private void close() {
         closed = true;
-        share.close();
+        buffer.close();
         call.setRunning(null);
     }
 }
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -1,6 +1,5 @@
 package org.verbenatray.relay;
 
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
@@ -18,6 +17,7 @@
 import org.verbenatray.catalog.Catalog;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.catalog.RouteKind;
+import org.verbenatray.memory.MemoryAccount;
 import org.verbenatray.telemetry.Event;
 import org.xnio.IoUtils;
 
@@ -32,6 +32,9 @@
     /** Retry-after time of a request whose handling fails before it is relayed. */
     private static final long FAILED_RETRY_AFTER_MILLIS = 500;
 
+    /** Retry-after time of a request whose body finds no room. */
+    private static final long NO_ROOM_RETRY_AFTER_MILLIS = 1_000;
+
     private static final Logger log = System.getLogger(RelayHandler.class.getName());
 
     private final RelayContext context;
@@ -111,18 +114,32 @@
             return;
         }
         exchange.setMaxEntitySize(maxBodyBytes);
-        exchange.getRequestReceiver().setMaxBufferSize((int) Math.min(maxBodyBytes, Integer.MAX_VALUE));
         Receipt receipt = new Receipt(receivedNanos, isForwarded);
         exchange.dispatch(SameThreadExecutor.INSTANCE, guard.wrap(() -> readBody(exchange, guard, receipt)));
     }
 
     private void readBody(HttpServerExchange exchange, RequestGuard guard, Receipt receipt) {
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (done, body) -> done.dispatch(
-                                SameThreadExecutor.INSTANCE, guard.wrap(() -> startRelay(done, body, guard, receipt))),
-                        (failed, e) -> failed.dispatch(
-                                SameThreadExecutor.INSTANCE, guard.wrap(() -> handleReadFailure(failed, e))));
+        RequestBodyReader.read(exchange, memory(), guard, new RequestBodyReader.Listener() {
+            @Override
+            public void onBody(byte[] body, MemoryAccount.Share share) {
+                startRelay(exchange, new KeptBody(exchange, body, share), guard, receipt);
+            }
+
+            @Override
+            public void onFailure(IOException failure) {
+                handleReadFailure(exchange, failure);
+            }
+
+            @Override
+            public void onNoRoom() {
+                exchange.setPersistent(false);
+                reject(exchange, 503, "no memory is left for the body", NO_ROOM_RETRY_AFTER_MILLIS);
+            }
+        });
+    }
+
+    private MemoryAccount memory() {
+        return context.transport().memory();
     }
 
     /**
@@ -131,7 +148,7 @@
      */
     private void handleReadFailure(HttpServerExchange exchange, IOException e) {
         exchange.setPersistent(false);
-        if (e instanceof Receiver.RequestToLargeException || e instanceof RequestTooBigException) {
+        if (e instanceof RequestTooBigException) {
             reject(exchange, 413, "the body is larger than the limit", 0);
         } else if (exchange.getConnection().isOpen()) {
             reject(exchange, 400, "the body cannot be read: " + e.getMessage(), 0);
@@ -146,13 +163,18 @@
     }
 
     /** Matches the route of a request and starts relaying it. */
-    private void startRelay(HttpServerExchange exchange, byte[] body, RequestGuard guard, Receipt receipt) {
+    private void startRelay(HttpServerExchange exchange, KeptBody body, RequestGuard guard, Receipt receipt) {
         counts.recordRead();
         unsentResponses.add(exchange);
-        guard.setEnding(() -> endFailed(exchange, counts::recordEnd));
-        Optional<RelayRequest> parsedRequest = context.dialect().readRequest(exchange, body, receipt.nanos());
+        Consumer<RequestEnd> onEnd = end -> {
+            counts.recordEnd(end);
+            body.requestEnded();
+        };
+        guard.setEnding(() -> endFailed(exchange, onEnd));
+        Optional<RelayRequest> parsedRequest = context.dialect().readRequest(exchange, body.bytes(), receipt.nanos());
         if (parsedRequest.isEmpty()) {
-            refuse(exchange, 400, "the request carries no id");
+            reject(exchange, 400, "the request carries no id", 0);
+            onEnd.accept(RequestEnd.REFUSED);
             return;
         }
         RelayRequest request = parsedRequest.get();
@@ -160,11 +182,13 @@
         Catalog catalog = context.catalog().get().orElseThrow();
         Optional<Route> matchedRoute = catalog.match(request.host(), request.path());
         if (matchedRoute.isEmpty()) {
-            refuse(exchange, 404, "no route of version " + catalog.version() + " matches this host and path");
+            String reason = "no route of version " + catalog.version() + " matches this host and path";
+            reject(exchange, 404, reason, 0);
+            onEnd.accept(RequestEnd.REFUSED);
             return;
         }
         MatchedRequest matched = MatchedRequest.of(request, matchedRoute.get(), catalog.version(), receipt.forwarded());
-        RelayCall call = new RelayCall(context, matched, CallerResponse.to(exchange, guard), guard, counts::recordEnd);
+        RelayCall call = new RelayCall(context, matched, CallerResponse.to(exchange, memory(), guard), guard, onEnd);
         guard.setEnding(call::fail);
         if (!receipt.forwarded()) {
             context.retryBudgets().apply(call.service()).recordRequest();
@@ -187,12 +211,6 @@
         }
     }
 
-    /** Refuses a request that was read whole. */
-    private void refuse(HttpServerExchange exchange, int status, String reason) {
-        reject(exchange, status, reason, 0);
-        counts.recordEnd(RequestEnd.REFUSED);
-    }
-
     /**
      * Ends a request whose handling has failed before it was relayed: refuses it, or closes its connection if that is
      * not possible. Reports how it has ended.
--- a/src/main/java/org/verbenatray/relay/RequestGuard.java
+++ b/src/main/java/org/verbenatray/relay/RequestGuard.java
@@ -148,6 +148,11 @@
             run(() -> listener.onHead(head));
         }
 
+        @Override
+        public boolean readsOn(Runnable resume) {
+            return listener.readsOn(resume);
+        }
+
         @Override
         public void onBody(ByteBuffer part) {
             run(() -> listener.onBody(part));
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -19,6 +19,9 @@
 final class HttpExchange {
     private static final int READ_BUFFER_BYTES = 16 * 1024;
 
+    /** The largest part of a body in one write, for which the JDK takes as much memory outside the heap. */
+    private static final int MAX_WRITE_BYTES = 64 * 1024;
+
     private final HttpTransport transport;
 
     private final HttpCall call;
@@ -61,7 +64,7 @@
         }
         connection = openConnection;
         reused = usedBefore;
-        unsentBody.rewind();
+        unsentBody.clear();
         requestFlushed = false;
         listener.onSending();
         if (finished) {
@@ -119,7 +122,8 @@
     /** Writes as much of the body as the socket accepts and continues when it is writable again. */
     private void writeBody(StreamSinkChannel channel) {
         try {
-            while (unsentBody.hasRemaining()) {
+            while (unsentBody.position() < unsentBody.capacity()) {
+                unsentBody.limit(Math.min(unsentBody.capacity(), unsentBody.position() + MAX_WRITE_BYTES));
                 if (channel.write(unsentBody) == 0) {
                     channel.getWriteSetter().set(this::writeBody);
                     channel.resumeWrites();
@@ -157,6 +161,10 @@
     private void readBody(StreamSourceChannel channel, ByteBuffer buffer, boolean keepAlive) {
         try {
             while (!finished) {
+                if (!listener.readsOn(() -> resumeBody(channel, buffer, keepAlive))) {
+                    channel.suspendReads();
+                    return;
+                }
                 buffer.clear();
                 int count = channel.read(buffer);
                 if (count < 0) {
@@ -179,6 +187,10 @@
         }
     }
 
+    private void resumeBody(StreamSourceChannel channel, ByteBuffer buffer, boolean keepAlive) {
+        thread.execute(() -> readBody(channel, buffer, keepAlive));
+    }
+
     /** Ends the exchange after a complete response and returns the connection to the pool if it can be reused. */
     private void finish(boolean keepAlive) {
         if (finished) {
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.verbenatray.memory.MemoryAccount;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
 import org.xnio.XnioIoThread;
@@ -54,7 +55,7 @@
 
     private final Ticker ticker;
 
-    private final ResponseMemory responseMemory;
+    private final MemoryAccount memory;
 
     /** The time beyond a round trip for which the reset of a new connection is awaited, in milliseconds. */
     private final long admissionMillis;
@@ -66,13 +67,9 @@
     private final Map<XnioIoThread, ConnectionOpener> openers = new ConcurrentHashMap<>();
 
     private HttpTransport(
-            XnioWorker worker,
-            ByteBufferPool buffers,
-            Ticker ticker,
-            ResponseMemory responseMemory,
-            long admissionMillis) {
+            XnioWorker worker, ByteBufferPool buffers, Ticker ticker, MemoryAccount memory, long admissionMillis) {
         this.worker = worker;
-        this.responseMemory = responseMemory;
+        this.memory = memory;
         this.admissionMillis = admissionMillis;
         this.buffers = buffers;
         this.ticker = ticker;
@@ -80,20 +77,16 @@
 
     /** Returns a transport on the I/O threads of a worker, without a bound on the sum of its responses. */
     public static HttpTransport create(XnioWorker worker, ByteBufferPool buffers, Ticker ticker) {
-        return create(worker, buffers, ticker, ResponseMemory.unbounded(), ADMISSION_MILLIS);
+        return create(worker, buffers, ticker, MemoryAccount.unbounded(), ADMISSION_MILLIS);
     }
 
     /**
-     * Returns a transport as {@link #create(XnioWorker, ByteBufferPool, Ticker)} with a memory for its responses, which
+     * Returns a transport as {@link #create(XnioWorker, ByteBufferPool, Ticker)} with an account for its responses. It
      * awaits the reset of a new connection for the given time in milliseconds beyond a round trip.
      */
     public static HttpTransport create(
-            XnioWorker worker,
-            ByteBufferPool buffers,
-            Ticker ticker,
-            ResponseMemory responseMemory,
-            long admissionMillis) {
-        return new HttpTransport(worker, buffers, ticker, responseMemory, admissionMillis);
+            XnioWorker worker, ByteBufferPool buffers, Ticker ticker, MemoryAccount memory, long admissionMillis) {
+        return new HttpTransport(worker, buffers, ticker, memory, admissionMillis);
     }
 
     /** Returns an I/O thread of the worker. */
@@ -106,9 +99,9 @@
         return ticker;
     }
 
-    /** Returns the memory that the responses share. */
-    public ResponseMemory responseMemory() {
-        return responseMemory;
+    /** Returns the account of the bytes that are kept. */
+    public MemoryAccount memory() {
+        return memory;
     }
 
     /**
@@ -119,7 +112,7 @@
      */
     public CompletableFuture<BufferedResponse> call(
             HttpCall call, XnioIoThread thread, Deadline deadline, int maxBodyBytes) {
-        ResponseCollector collector = new ResponseCollector(maxBodyBytes, responseMemory, thread);
+        ResponseCollector collector = new ResponseCollector(maxBodyBytes, memory, thread);
         Cancellation cancellation = exchange(call, thread, collector);
         collector.setCancellation(cancellation);
         XnioIoThread.Key timer = thread.executeAfter(
--- a/src/main/java/org/verbenatray/servers/ResponseBody.java
+++ b/src/main/java/org/verbenatray/servers/ResponseBody.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /**
- * The body of a response as far as it was received. Its memory is close to its size however small its parts are, and it
+ * A body as far as it was received. Its memory is close to its size however small its parts are, and it
  * is never copied to grow. Not thread-safe.
  */
 public final class ResponseBody {
@@ -20,6 +20,9 @@
 
     private int capacityBytes;
 
+    /** The size that the whole body is expected to have, or zero. */
+    private int expectedBytes;
+
     /** Returns the number of bytes received. */
     public int size() {
         return size;
@@ -30,6 +33,20 @@
         return capacityBytes;
     }
 
+    /** Takes the size that the whole body will have, so that no more memory is taken for it. */
+    public void expect(int bytes) {
+        expectedBytes = bytes;
+    }
+
+    /** Returns the memory that is taken at most once the given number of bytes is added. */
+    public int capacityFor(int moreBytes) {
+        int capacity = capacityBytes;
+        while (capacity - size < moreBytes) {
+            capacity += nextBlockBytes(capacity);
+        }
+        return capacity;
+    }
+
     /** Adds the remaining bytes of a part. */
     public void add(ByteBuffer part) {
         size += part.remaining();
@@ -55,14 +72,22 @@
         capacityBytes = 0;
     }
 
-    /** Returns the last block if it has room, otherwise a new one that doubles the memory up to the largest block. */
+    /** Returns the last block if it has room, otherwise a new one. */
     private ByteBuffer blockWithRoom() {
         if (!blocks.isEmpty() && blocks.get(blocks.size() - 1).hasRemaining()) {
             return blocks.get(blocks.size() - 1);
         }
-        ByteBuffer block = ByteBuffer.allocate(Math.max(MIN_BLOCK_BYTES, Math.min(MAX_BLOCK_BYTES, capacityBytes)));
+        ByteBuffer block = ByteBuffer.allocate(nextBlockBytes(capacityBytes));
         blocks.add(block);
         capacityBytes += block.capacity();
         return block;
     }
+
+    /** Returns the size of the next block: it doubles the memory up to the largest block or to the expected size. */
+    private int nextBlockBytes(int capacity) {
+        if (capacity < expectedBytes) {
+            return Math.min(MAX_BLOCK_BYTES, expectedBytes - capacity);
+        }
+        return Math.max(MIN_BLOCK_BYTES, Math.min(MAX_BLOCK_BYTES, capacity));
+    }
 }
--- a/src/main/java/org/verbenatray/servers/ResponseCollector.java
+++ b/src/main/java/org/verbenatray/servers/ResponseCollector.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import org.verbenatray.memory.MemoryAccount;
+import org.verbenatray.memory.MemoryUse;
 
 /** Collects one response up to a maximum body size. */
 final class ResponseCollector implements ResponseListener {
@@ -11,7 +13,7 @@
 
     private final ResponseBody body = new ResponseBody();
 
-    private final ResponseMemory.Share share;
+    private final MemoryAccount.Share share;
 
     private final CompletableFuture<BufferedResponse> future = new CompletableFuture<>();
 
@@ -28,10 +30,12 @@
      *
      * @param thread the thread of the exchange
      */
-    ResponseCollector(int maxBody, ResponseMemory memory, Executor thread) {
+    ResponseCollector(int maxBody, MemoryAccount memory, Executor thread) {
         this.maxBodyBytes = maxBody;
-        this.share = memory.open(() -> thread.execute(() -> onFailure(ServerFailure.create(
-                ServerFailure.Kind.BAD_RESPONSE, "the response is the largest one and no memory is left"))));
+        this.share = memory.open(
+                MemoryUse.OWN_CALL,
+                () -> thread.execute(() -> onFailure(ServerFailure.create(
+                        ServerFailure.Kind.BAD_RESPONSE, "the response is the largest one and no memory is left"))));
     }
 
     /** Sets the cancellation to call after a failure. */
--- a/src/main/java/org/verbenatray/servers/ResponseListener.java
+++ b/src/main/java/org/verbenatray/servers/ResponseListener.java
@@ -22,6 +22,14 @@
     /** Receives the status and the first value of each header by lower-case name. */
     default void onHead(int status, Map<String, String> headers) {}
 
+    /**
+     * Returns whether the body is read on; asked before each read. After false nothing is read until the task is run,
+     * on the same thread.
+     */
+    default boolean readsOn(Runnable resume) {
+        return true;
+    }
+
     /** Receives a part of the body; the buffer is valid only during the call. */
     void onBody(ByteBuffer part);
 
--- a/src/test/java/org/verbenatray/platform/ConnectionLimitTest.java
+++ b/src/test/java/org/verbenatray/platform/ConnectionLimitTest.java
@@ -10,6 +10,7 @@
 import org.testng.Assert;
 import org.testng.annotations.Test;
 import org.verbenatray.instance.EventLoop;
+import org.verbenatray.memory.MemoryAccount;
 import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.time.Ticker;
 
@@ -63,7 +64,7 @@
     }
 
     private static EventLoop loop() {
-        return EventLoop.start(Ticker.system(), ADMISSION_MILLIS);
+        return EventLoop.start(Ticker.system(), MemoryAccount.ofHeap(), ADMISSION_MILLIS);
     }
 
     private static String exchange(RelayFixture relay, String request) {
--- a/src/test/java/org/verbenatray/platform/EndlessSumTest.java
+++ b/src/test/java/org/verbenatray/platform/EndlessSumTest.java
@@ -11,10 +11,13 @@
 import java.util.concurrent.TimeUnit;
 import org.testng.Assert;
 import org.testng.annotations.Test;
+import org.verbenatray.instance.EventLoop;
+import org.verbenatray.memory.MemoryAccount;
 import org.verbenatray.platform.EndlessAnswer.EndlessScript;
 import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Script;
-import org.verbenatray.servers.ResponseMemory;
+import org.verbenatray.servers.HttpTransport;
+import org.verbenatray.time.Ticker;
 
 /** Many answers without end at once, from several servers, beside ordinary requests. */
 public final class EndlessSumTest {
@@ -22,6 +25,9 @@
 
     private static final int SERVERS = 5;
 
+    /** The bound of the account, a quarter of a heap of 96 MiB. */
+    private static final long MAX_BYTES = 24L * 1024 * 1024;
+
     /** The bytes that responses may take beyond the bound until the largest is freed: one turn of every connection. */
     private static final long MAX_OVERSHOOT_BYTES = 2L * 1024 * 1024;
 
@@ -45,7 +51,9 @@
         ExecutorService callers = Executors.newFixedThreadPool(ANSWERS);
         try (ScriptedServer engine = ScriptedServer.start(EndlessRelayTest.completeStream())) {
             listings.add(ServerListing.engine("e1", "decode", engine));
-            try (RelayFixture relay = RelayFixture.startReady(listings.toArray(ServerListing[]::new))) {
+            MemoryAccount memory = MemoryAccount.bounded(MAX_BYTES);
+            EventLoop loop = EventLoop.start(Ticker.system(), memory, HttpTransport.ADMISSION_MILLIS);
+            try (RelayFixture relay = RelayFixture.startReady(loop, listings.toArray(ServerListing[]::new))) {
                 List<CompletableFuture<String>> answers = startAnswers(relay, callers);
                 do {
                     String ordinary = relay.exchange(RelayFixture.postRequest("/stream/x", "id-x", "", "p"));
@@ -61,11 +69,9 @@
                         scripts.stream().mapToInt(EndlessScript::started).sum(), ANSWERS);
                 relay.await(() ->
                         scripts.stream().mapToInt(EndlessScript::closedByPeer).sum() == ANSWERS);
-                ResponseMemory memory = relay.instance().responseMemory();
                 relay.await(() -> memory.retainedBytes() == 0);
                 Assert.assertTrue(
-                        memory.peakBytes() > ResponseMemory.INSTANCE_BYTES / 2
-                                && memory.peakBytes() < ResponseMemory.INSTANCE_BYTES + MAX_OVERSHOOT_BYTES,
+                        memory.peakBytes() > MAX_BYTES / 2 && memory.peakBytes() < MAX_BYTES + MAX_OVERSHOOT_BYTES,
                         "peak: " + memory.peakBytes());
             }
         } finally {
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -101,7 +101,7 @@
                 + "internalPorts=0,0\nplatform.address="
                 + store
                 + "\nbounds.graceS=8\nbounds.drainMs=300\nbounds.configApplyMs=2000\nbounds.budgetRatio=4\n"
-                + "bounds.budgetWindowS=10\nunknown.key=1\n";
+                + "bounds.budgetWindowS=10\nbootstrap=true\nunknown.key=1\n";
     }
 
     /** Returns a configuration with one route of each kind. */
