--- a/src/main/java/org/verbenatray/backends/BackendDirectory.java
+++ b/src/main/java/org/verbenatray/backends/BackendDirectory.java
@@ -88,14 +88,16 @@
         gracePeriodEnd = Deadline.afterMillis(ticker.nanos(), GRACE_PERIOD_MILLIS);
     }
 
-    /** Applies the entries of the whole list and removes the servers that are not listed. */
-    public void replace(Collection<Listing> listings) {
-        Set<String> listed = new HashSet<>();
-        listings.forEach(listing -> {
-            listed.add(listing.entry().id());
-            put(listing);
-        });
-        List.copyOf(byId.keySet()).stream().filter(id -> !listed.contains(id)).forEach(this::remove);
+    /**
+     * Applies the entries of the whole list and removes the servers that are not listed.
+     *
+     * @param listedIds the ids that are listed, also those whose entry names no server
+     */
+    public void replace(Collection<Listing> listings, Set<String> listedIds) {
+        listings.forEach(this::put);
+        List.copyOf(byId.keySet()).stream()
+                .filter(id -> !listedIds.contains(id))
+                .forEach(this::remove);
         loaded = true;
     }
 
--- a/src/main/java/org/verbenatray/instance/ServersListener.java
+++ b/src/main/java/org/verbenatray/instance/ServersListener.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.continuation.RecentVersions;
 import org.verbenatray.log.KeyedLog;
@@ -28,10 +30,12 @@
         this.recentVersions = recentVersions;
     }
 
+    /** A key with an odd entry still stands in the list, so that its server is kept as it was known. */
     @Override
     public void onListing(List<KeyedLog.Entry> entries) {
+        Set<String> listedIds = entries.stream().map(KeyedLog.Entry::key).collect(Collectors.toSet());
         directory.replace(
-                entries.stream().map(decoder).flatMap(Optional::stream).toList());
+                entries.stream().map(decoder).flatMap(Optional::stream).toList(), listedIds);
     }
 
     @Override
--- a/src/main/java/org/verbenatray/openwork/ListedInstance.java
+++ b/src/main/java/org/verbenatray/openwork/ListedInstance.java
@@ -1,6 +1,7 @@
 package org.verbenatray.openwork;
 
 import java.net.InetSocketAddress;
+import org.verbenatray.servers.Ipv4Address;
 
 /**
  * An instance as it stands in the list of instances.
@@ -25,9 +26,8 @@
     static ListedInstance parse(String text) {
         int space = text.indexOf(SEPARATOR);
         String hostAndPort = space < 0 ? text : text.substring(0, space);
-        int colon = hostAndPort.lastIndexOf(':');
-        InetSocketAddress address = new InetSocketAddress(
-                hostAndPort.substring(0, Math.max(0, colon)), Integer.parseInt(hostAndPort.substring(colon + 1)));
+        InetSocketAddress address = Ipv4Address.parse(hostAndPort)
+                .orElseThrow(() -> new IllegalArgumentException("no IPv4 address with a port: " + hostAndPort));
         return new ListedInstance(address, space < 0 ? "" : text.substring(space + 1));
     }
 }
--- a/src/test/java/org/verbenatray/continuation/SimulatedStreams.java
+++ b/src/test/java/org/verbenatray/continuation/SimulatedStreams.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Collectors;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendEntry;
@@ -219,9 +220,11 @@
 
         private void readList() {
             if (domain(number) != cutDomain) {
-                directory.replace(listed.values().stream()
-                        .map(entry -> new BackendDirectory.Listing(entry, 1))
-                        .toList());
+                directory.replace(
+                        listed.values().stream()
+                                .map(entry -> new BackendDirectory.Listing(entry, 1))
+                                .toList(),
+                        listed.values().stream().map(BackendEntry::id).collect(Collectors.toSet()));
                 versions.recordListRead();
             }
             continuations.tellWhenMixed();
--- a/src/test/java/org/verbenatray/instance/CutOffDetectorTest.java
+++ b/src/test/java/org/verbenatray/instance/CutOffDetectorTest.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.util.List;
+import java.util.Set;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -24,7 +25,8 @@
     public void start() {
         time = new ManualTime();
         directory = BackendDirectory.empty(time, ended -> {});
-        directory.replace(List.of(listing("e1"), listing("e2"), listing("e3"), listing("e4")));
+        directory.replace(
+                List.of(listing("e1"), listing("e2"), listing("e3"), listing("e4")), Set.of("e1", "e2", "e3", "e4"));
         detector = CutOffDetector.of(time, directory);
     }
 
