Believe a refusal only with the id of its request

Callers were told "not run, try again" for requests that a server ran, when the server wrote an earlier refusal without an id once more on a kept connection.

A refusal now counts only if it bears the request's id. A request that is sent to a server again does not use a connection that has carried it, where a copy of its own earlier refusal would bear the right id. An address without a usable port fails like one that cannot be connected to.

--- a/src/main/java/org/verbenatray/platform/PlatformProtocol.java
+++ b/src/main/java/org/verbenatray/platform/PlatformProtocol.java
@@ -183,7 +183,8 @@
                 headers,
                 request.body(),
                 options.connectionUse(),
-                options.backend().entry().bootId());
+                options.backend().entry().bootId(),
+                Optional.of(request.id()));
     }
 
     @Override
@@ -207,7 +208,7 @@
                 EndToEndHeaders.from(headers),
                 matchesRequestId,
                 stamped,
-                headers.contains(NOT_RUN) || head.status() == STATUS_MISDIRECTED_REQUEST,
+                request.id().equals(id) && (headers.contains(NOT_RUN) || head.status() == STATUS_MISDIRECTED_REQUEST),
                 head.status() == 200 && type != null && type.startsWith("text/event-stream"),
                 readStatement(head.status(), name -> Optional.ofNullable(headers.getFirst(name))));
     }
--- a/src/main/java/org/verbenatray/servers/ConnectionOpener.java
+++ b/src/main/java/org/verbenatray/servers/ConnectionOpener.java
@@ -47,7 +47,7 @@
         ClientCallback<ClientConnection> callback = new ClientCallback<>() {
             @Override
             public void completed(ClientConnection connection) {
-                onOpen.accept(new ServerConnection(connection, opened, openedSource));
+                onOpen.accept(ServerConnection.of(connection, opened, openedSource));
             }
 
             @Override
--- a/src/main/java/org/verbenatray/servers/HttpCall.java
+++ b/src/main/java/org/verbenatray/servers/HttpCall.java
@@ -3,6 +3,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * An HTTP request to send.
@@ -14,6 +15,8 @@
  * @param body the body, empty for none
  * @param connectionUse the kind of connection to use
  * @param pool the name of the connection pool; a new server at the same address gets a new pool
+ * @param requestId the id that the response must bear; a call does not use a connection that has carried one with the
+ *     same id, where an earlier response may arrive once more
  */
 public record HttpCall(
         String method,
@@ -22,7 +25,8 @@
         Map<String, String> headers,
         byte[] body,
         ConnectionUse connectionUse,
-        String pool) {
+        String pool,
+        Optional<String> requestId) {
     /** Returns a call with a JSON body, on a pooled connection with retry. */
     public static HttpCall json(String method, String address, String path, String body) {
         return create(
@@ -41,7 +45,14 @@
     /** Returns a call on a pooled connection with retry; the pool is named after the authority of the address. */
     public static HttpCall create(String method, URI address, String path, Map<String, String> headers, byte[] body) {
         return new HttpCall(
-                method, address, path, headers, body, ConnectionUse.POOLED_WITH_RETRY, address.getAuthority());
+                method,
+                address,
+                path,
+                headers,
+                body,
+                ConnectionUse.POOLED_WITH_RETRY,
+                address.getAuthority(),
+                Optional.empty());
     }
 
     /** Returns a copy of this call that uses a new connection. */
@@ -51,6 +62,6 @@
 
     /** Returns a copy of this call with the given kind of connection and pool. */
     public HttpCall withConnection(ConnectionUse newUse, String newPool) {
-        return new HttpCall(method, address, path, headers, body, newUse, newPool);
+        return new HttpCall(method, address, path, headers, body, newUse, newPool, requestId);
     }
 }
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -71,6 +71,7 @@
             transport.release(thread, call.pool(), openConnection);
             return;
         }
+        call.requestId().ifPresent(openConnection::recordCarried);
         openConnection.source().recordProgress();
         openConnection.client().sendRequest(request(), callback(this::onRequestStarted));
     }
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -3,11 +3,13 @@
 import io.undertow.connector.ByteBufferPool;
 import java.net.URI;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -49,6 +51,8 @@
     /** The connect timeout, far above any round-trip time between failure domains. */
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
 
+    private static final int MAX_PORT = 65_535;
+
     private final XnioWorker worker;
 
     private final ByteBufferPool buffers;
@@ -182,18 +186,33 @@
     /** Starts the exchange on an idle connection if the call permits and one is usable, otherwise on a new one. */
     private void startOnPooledConnection(HttpCall call, XnioIoThread thread, HttpExchange exchange) {
         if (call.connectionUse() != ConnectionUse.NEW) {
-            Deque<IdleConnection> connections = idleOf(thread, call.pool());
-            for (IdleConnection next = connections.pollLast(); next != null; next = connections.pollLast()) {
-                if (next.isUsable(call.connectionUse(), ticker.nanos())) {
-                    exchange.start(next.connection(), true);
-                    return;
-                }
-                next.connection().close();
+            Optional<ServerConnection> usable = takeUsable(call, idleOf(thread, call.pool()));
+            if (usable.isPresent()) {
+                exchange.start(usable.get(), true);
+                return;
             }
         }
         startOnNewConnection(call, thread, exchange);
     }
 
+    /** Takes the usable connection that was idle least, and closes those that are not usable any more. */
+    private Optional<ServerConnection> takeUsable(HttpCall call, Deque<IdleConnection> connections) {
+        List<IdleConnection> passedOver = new ArrayList<>();
+        Optional<ServerConnection> usable = Optional.empty();
+        while (usable.isEmpty() && !connections.isEmpty()) {
+            IdleConnection next = connections.pollLast();
+            if (call.requestId().filter(next.connection()::hasCarried).isPresent()) {
+                passedOver.add(0, next);
+            } else if (next.isUsable(call.connectionUse(), ticker.nanos())) {
+                usable = Optional.of(next.connection());
+            } else {
+                next.connection().close();
+            }
+        }
+        connections.addAll(passedOver);
+        return usable;
+    }
+
     /**
      * Opens a connection and adds it to a pool; the future fails with a {@link ServerFailure} if that is not possible
      * within the connect timeout.
@@ -261,6 +280,12 @@
                         "no connection to " + address + " within " + CONNECT_TIMEOUT_MILLIS + " ms")),
                 CONNECT_TIMEOUT_MILLIS,
                 TimeUnit.MILLISECONDS);
+        if (address.getPort() < 1 || address.getPort() > MAX_PORT) {
+            timer.remove();
+            onFailure.accept(
+                    ServerFailure.create(ServerFailure.Kind.NOT_CONNECTED, "no port to connect to in " + address));
+            return;
+        }
         openers.computeIfAbsent(thread, key -> new ConnectionOpener(key, buffers))
                 .open(
                         address,
--- a/src/main/java/org/verbenatray/servers/ServerConnection.java
+++ b/src/main/java/org/verbenatray/servers/ServerConnection.java
@@ -3,6 +3,8 @@
 import io.undertow.client.ClientConnection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 
@@ -12,8 +14,31 @@
  * @param client the connection
  * @param socket the connection below it
  * @param source its incoming bytes
+ * @param carriedIds the ids of the last requests, oldest first
  */
-record ServerConnection(ClientConnection client, StreamConnection socket, BoundedSource source) {
+record ServerConnection(
+        ClientConnection client, StreamConnection socket, BoundedSource source, Deque<String> carriedIds) {
+    /** The number of requests that a connection remembers. */
+    private static final int MAX_CARRIED_IDS = 32;
+
+    /** Returns a connection that has carried no request. */
+    static ServerConnection of(ClientConnection client, StreamConnection socket, BoundedSource source) {
+        return new ServerConnection(client, socket, source, new ArrayDeque<>());
+    }
+
+    /** Records that the connection carries a request with the given id. */
+    void recordCarried(String requestId) {
+        if (carriedIds.size() == MAX_CARRIED_IDS) {
+            carriedIds.removeFirst();
+        }
+        carriedIds.addLast(requestId);
+    }
+
+    /** Returns whether the connection has lately carried a request with the given id. */
+    boolean hasCarried(String requestId) {
+        return carriedIds.contains(requestId);
+    }
+
     /** Returns whether the connection is open. */
     boolean isOpen() {
         return client.isOpen();
--- a/src/test/java/org/verbenatray/platform/PartitionableFleet.java
+++ b/src/test/java/org/verbenatray/platform/PartitionableFleet.java
@@ -219,7 +219,8 @@
                 call.headers(),
                 call.body(),
                 call.connectionUse(),
-                call.pool() + pool);
+                call.pool() + pool,
+                call.requestId());
     }
 
     private void serve(Request request, Socket connection, OutputStream out) throws IOException {
