Pass on only events that follow those before

After a stream had broken off, callers found what the next engine sent in place of its rest in the middle of their stream: an error as an event, a head, events once more; or a stream without its rest ended as if it were complete.

EventOrder accepts an event only if its id is above the one before, over all servers of a stream. The rest of a stream without an event is no end.

--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -183,13 +183,7 @@
         }
         recordProgress();
         if (deliversEvents()) {
-            splitter.feed(piece, event -> {
-                if (!closed) {
-                    eventArrived = true;
-                    recordPromptProcessed();
-                    listener.onEvent(head, event);
-                }
-            });
+            splitter.feed(piece, this::handleEvent);
             listener.onEventsRead();
             if (!closed) {
                 buffer.setEventBytes(splitter.partialBytes());
@@ -204,6 +198,19 @@
         }
     }
 
+    private void handleEvent(StreamEvent event) {
+        if (closed) {
+            return;
+        }
+        if (!listener.accepts(event)) {
+            rejectResponse("an event does not follow those before");
+            return;
+        }
+        eventArrived = true;
+        recordPromptProcessed();
+        listener.onEvent(head, event);
+    }
+
     @Override
     public void onEnd() {
         if (closed) {
@@ -215,6 +222,8 @@
             finish(ForwardOutcome.Kind.BROKEN, "the stream ended inside an event");
         } else if (deliversEvents() && endsWithConnection && !eventArrived && !continuesStream()) {
             finish(ForwardOutcome.Kind.BROKEN, "the connection ended before the first event");
+        } else if (deliversEvents() && !eventArrived && call.response().started()) {
+            finish(ForwardOutcome.Kind.BROKEN, "the rest of a stream without an event");
         } else if (deliversEvents()) {
             finish(ForwardOutcome.Kind.STREAM_ENDED, "ended");
         } else {
--- a/src/main/java/org/verbenatray/relay/ForwardListener.java
+++ b/src/main/java/org/verbenatray/relay/ForwardListener.java
@@ -5,6 +5,11 @@
     /** Returns whether a stream is delivered event by event instead of as a whole. */
     boolean acceptsEvents();
 
+    /** Returns whether an event may follow those received; the attempt ends before one that may not. */
+    default boolean accepts(StreamEvent event) {
+        return true;
+    }
+
     /** Receives the next event of a stream with the given response head. */
     void onEvent(ServerResponseHead head, StreamEvent event);
 
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -67,13 +67,14 @@
     /** When the request was last sent to an engine, in nanoseconds of the ticker. */
     private long sentNanos;
 
-    /** Id of the last event relayed to the caller, null before the first. */
-    private String lastEventId;
+    /** The order of the events relayed to the caller, after those that it has received before. */
+    private final EventOrder eventOrder;
 
     private GenerationRelay(RelayContext context, RelayCall call) {
         this.context = context;
         this.call = call;
         this.decodeEngines = DecodeEngines.forCall(context, call);
+        this.eventOrder = new EventOrder(call.request().lastEventId());
         this.engineLimits = context.catalog()
                 .get()
                 .flatMap(catalog -> catalog.service(call.service()))
@@ -99,10 +100,15 @@
         return true;
     }
 
+    @Override
+    public boolean accepts(StreamEvent event) {
+        return eventOrder.accepts(event);
+    }
+
     @Override
     public void onEvent(ServerResponseHead head, StreamEvent event) {
         if (!call.finished()) {
-            event.id().ifPresent(id -> lastEventId = id);
+            eventOrder.record(event);
             if (!call.response().started()) {
                 generationStarted();
             }
@@ -285,7 +291,7 @@
                 false,
                 Optional.empty(),
                 Optional.ofNullable(prefilledPrompt),
-                Optional.ofNullable(lastEventId).or(() -> call.request().lastEventId()),
+                eventOrder.last(),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.CONFIRMED);
         sentNanos = context.ticker().nanos();
         PrefillWork work = prefilledPrompt == null && plan != null ? plan.work() : PrefillWork.NONE;
--- a/src/main/java/org/verbenatray/relay/RequestGuard.java
+++ b/src/main/java/org/verbenatray/relay/RequestGuard.java
@@ -109,6 +109,11 @@
             return listener.acceptsEvents();
         }
 
+        @Override
+        public boolean accepts(StreamEvent event) {
+            return listener.accepts(event);
+        }
+
         @Override
         public void onEvent(ServerResponseHead head, StreamEvent event) {
             run(() -> listener.onEvent(head, event));
--- /dev/null
+++ b/src/test/java/org/verbenatray/platform/BrokenStreamTest.java
@@ -0,0 +1,114 @@
+package org.verbenatray.platform;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.Stream;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.verbenatray.platform.RelayFixture.ServerListing;
+import org.verbenatray.platform.ScriptedServer.Request;
+import org.verbenatray.platform.ScriptedServer.Script;
+
+/**
+ * Streams that break off, after which the next engine responds with something else than the rest. Callers found the
+ * text of the error in the middle of their stream, events twice, or a stream that ended as if it were complete.
+ */
+public final class BrokenStreamTest {
+    private static final String SHORT = "Token-Count: 10,5\r\nPrompt-Prefix: ab:10\r\n";
+
+    private static final String ERROR = "error-text";
+
+    private static final String STAMP = "Server-Stamp: mark\r\n";
+
+    private static final String EVENT_STREAM = "Content-Type: text/event-stream\r\n";
+
+    /** What the next engine responds with, by name. */
+    @DataProvider
+    public Object[][] answers() {
+        return new Object[][] {
+            {"error", response(500, STAMP, ERROR)},
+            {"error that is not stamped", response(500, "", ERROR)},
+            {"error with the body of events", response(500, STAMP + EVENT_STREAM, "id: 9\ndata: " + ERROR + "\n\n")},
+            {"not found", response(404, STAMP, ERROR)},
+            {"busy, but not said not to have run", response(503, "", ERROR)},
+            {"success with a text", response(200, STAMP + "Content-Type: text/plain\r\n", ERROR)},
+            {"success of another request", otherRequest()},
+            {"an error as an event without id", stream("event: error\ndata: " + ERROR + "\n\n")},
+            {"a head as an event", stream("HTTP/1.1 500 Error\r\nX: " + ERROR + "\r\n\r\n")},
+            {"a text in place of an event", stream(ERROR + "\n\n")},
+            {"the last event once more", stream("id: 2\ndata: " + ERROR + "\n\n")},
+            {"the stream from its beginning", stream("id: 1\ndata: " + ERROR + "\n\n")},
+            {"an end without events", stream("")},
+            {"a head and the end of the connection", headThenClose()},
+        };
+    }
+
+    @Test(dataProvider = "answers")
+    public void theCallerGetsWhatCameBeforeAndABrokenConnection(String name, Script answer) throws Exception {
+        Script script = (request, connection, out) -> {
+            if (request.header("last-event-id").isEmpty()) {
+                begin(request, out);
+                connection.close();
+            } else {
+                answer.serve(request, connection, out);
+            }
+        };
+        try (ScriptedServer first = ScriptedServer.start(script);
+                ScriptedServer second = ScriptedServer.start(script);
+                RelayFixture relay = RelayFixture.startReady(
+                        ServerListing.engine("e1", "decode", first), ServerListing.engine("e2", "decode", second))) {
+            String response = relay.exchange(RelayFixture.postRequest("/resume/x", "id1", SHORT, "p"));
+            Assert.assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            Assert.assertEquals(response.split("id: 1\ndata: a\n\n", -1).length, 2, response);
+            Assert.assertEquals(response.split("id: 2\ndata: b\n\n", -1).length, 2, response);
+            Assert.assertTrue(response.endsWith("<closed>"), response);
+            Assert.assertFalse(response.contains(ERROR), response);
+            List<String> resumedAfter = Stream.concat(first.requests().stream(), second.requests().stream())
+                    .map(request -> request.header("last-event-id"))
+                    .filter(id -> !id.isEmpty())
+                    .distinct()
+                    .toList();
+            Assert.assertEquals(resumedAfter, List.of("2"));
+        }
+    }
+
+    /** Writes a stream up to its second event. */
+    private static void begin(Request request, OutputStream out) throws IOException {
+        out.write(ScriptedServer.streamHead(request));
+        out.write(ScriptedServer.chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+        out.flush();
+    }
+
+    private static Script response(int status, String headers, String body) {
+        return (request, connection, out) -> out.write(ScriptedServer.response(request, status, headers, body));
+    }
+
+    private static Script otherRequest() {
+        return (request, connection, out) -> out.write(("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n" + STAMP
+                        + EVENT_STREAM + "Content-Length: 23\r\n\r\nid: 3\ndata: " + ERROR + "\n\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static Script stream(String events) {
+        return (request, connection, out) -> {
+            out.write(ScriptedServer.streamHead(request));
+            if (!events.isEmpty()) {
+                out.write(ScriptedServer.chunk(events));
+            }
+            out.write(ScriptedServer.lastChunk());
+        };
+    }
+
+    private static Script headThenClose() {
+        return (request, connection, out) -> {
+            out.write(("HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("request-id") + "\r\n" + STAMP + EVENT_STREAM
+                            + "\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+            connection.close();
+        };
+    }
+}
