Skip kinds of datagrams that a later version sends

An instance of an earlier build logged each datagram of a kind that it does not know as a malformed notice of work (242 lines in 60 s beside two newer ones, from the issue). A kind is now recognised by its first byte also for notices of work; an unknown one is skipped and logged once. This helps from the next upgrade on.

WorkNoticeCodecTest.otherKindsOfDatagramsAreNoNotices. The rest of the issue on old and new builds side by side is not done.

--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -6,10 +6,12 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -91,6 +93,9 @@
     /** The limits that servers state, null before the start. */
     private ServerLimits limits;
 
+    /** The first bytes of datagrams of unknown kinds. */
+    private final Set<Byte> unknownKinds = new HashSet<>();
+
     /** The registration in the list of instances, null before the start and when no port could be opened. */
     private InstanceRegistration registration;
 
@@ -302,6 +307,23 @@
             reports.receive(datagram);
             return;
         }
+        if (WorkExchange.recognizes(datagram)) {
+            receiveWork(datagram);
+            return;
+        }
+        logUnknown(datagram);
+    }
+
+    /** Logs a kind of datagram once that a later version sends. */
+    private void logUnknown(byte[] datagram) {
+        if (datagram.length > 0 && unknownKinds.add(datagram[0])) {
+            Event.named("datagram_kind_unknown")
+                    .with("kind", datagram[0] & 0xff)
+                    .log(log, Level.INFO);
+        }
+    }
+
+    private void receiveWork(byte[] datagram) {
         exchange.receive(datagram).ifPresent(notice -> {
             notice.placements()
                     .forEach(placement -> prefixCacheIndex.recordReported(
--- a/src/main/java/org/verbenatray/openwork/WorkExchange.java
+++ b/src/main/java/org/verbenatray/openwork/WorkExchange.java
@@ -119,6 +119,11 @@
         return exchange;
     }
 
+    /** Returns whether a datagram holds a notice of work. */
+    public static boolean recognizes(byte[] datagram) {
+        return WorkNoticeCodec.recognizes(datagram);
+    }
+
     /** Schedules a notice of the changed work at the engine with the given boot id. */
     public void markChanged(String bootId) {
         changedEngines.add(bootId);
--- a/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
+++ b/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
@@ -56,8 +56,15 @@
     /** How many milliseconds ago the engine last answered, in the work at an engine; missing if it never did. */
     private static final int ANSWERED_AGO_MILLIS = 5;
 
+    private static final int FIRST_BYTE = INSTANCE << 3 | WireFormat.WIRETYPE_LENGTH_DELIMITED;
+
     private WorkNoticeCodec() {}
 
+    /** Returns whether a datagram holds a notice. */
+    static boolean recognizes(byte[] datagram) {
+        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+    }
+
     /** Encodes a notice. */
     static byte[] encode(WorkNotice notice) {
         try {
--- a/src/test/java/org/verbenatray/openwork/WorkNoticeCodecTest.java
+++ b/src/test/java/org/verbenatray/openwork/WorkNoticeCodecTest.java
@@ -37,6 +37,16 @@
         Assert.assertEquals(WorkNoticeCodec.decode(WorkNoticeCodec.encode(notice)), notice);
     }
 
+    /** A kind of datagram that a later version sends was logged as a malformed notice, each time. */
+    @Test
+    public void otherKindsOfDatagramsAreNoNotices() {
+        WorkNotice notice = new WorkNotice("i1", 1, 1, Map.of(), Map.of(), List.of(), List.of());
+        Assert.assertTrue(WorkNoticeCodec.recognizes(WorkNoticeCodec.encode(notice)));
+        Assert.assertFalse(WorkNoticeCodec.recognizes(ReportNoticeCodec.encode("i1", List.of())));
+        Assert.assertFalse(WorkNoticeCodec.recognizes(new byte[] {(byte) 0x9a, 1}));
+        Assert.assertFalse(WorkNoticeCodec.recognizes(new byte[0]));
+    }
+
     @Test
     public void aTruncatedNoticeIsRejected() {
         byte[] whole = WorkNoticeCodec.encode(
