Heed the time for which a server turns requests away

A server that answers 503 with Retry-After wants nothing from this instance for so long; nothing read it. It is read where all statements of servers are, and asked where their limits are: such a server is no candidate for requests, is not polled and not probed, and where all servers of a service turn away, the caller is told the earliest time at once. Times above a minute and values that are no number of seconds are not believed. The end is not told to other instances.

--- a/src/main/java/org/verbenatray/backends/Backend.java
+++ b/src/main/java/org/verbenatray/backends/Backend.java
@@ -44,6 +44,9 @@
     /** The end of the last pause; null if there was none since the last usable response. */
     private Deadline pausedUntil;
 
+    /** Until when the server wants no request of this instance; null if it never said so. */
+    private Deadline turnedAwayUntil;
+
     /** The moving average of failed responses, 0 to 1. */
     private double failureRate;
 
@@ -170,6 +173,16 @@
         pausedUntil = Deadline.afterMillis(nowNanos, REJECTION_PAUSE_MILLIS);
     }
 
+    /** Records that the server has turned a request away and wants none of this instance for some time. */
+    public void recordTurnedAway(Deadline until) {
+        turnedAwayUntil = until;
+    }
+
+    /** Returns for how many milliseconds the server wants no request of this instance; at most 0 if it takes some. */
+    public long turnedAwayMillis(long nowNanos) {
+        return turnedAwayUntil == null ? 0 : turnedAwayUntil.remainingMillis(nowNanos);
+    }
+
     /** Records an error response, which raises the failure rate but does not pause the server. */
     public void recordErrorResponse() {
         failureRate += (1 - failureRate) * EWMA_WEIGHT / 4;
--- a/src/main/java/org/verbenatray/backends/ServerStatement.java
+++ b/src/main/java/org/verbenatray/backends/ServerStatement.java
@@ -2,14 +2,16 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * What a backend server states of itself in the head of a response.
  *
  * @param leaving whether it is leaving, so that it wants no new requests
  * @param limit what it states of its limit; empty if that cannot be read
+ * @param pauseMillis for how long it wants no request of this instance, in milliseconds; empty if it names no time
  */
-public record ServerStatement(boolean leaving, Optional<Limit> limit) {
+public record ServerStatement(boolean leaving, Optional<Limit> limit, OptionalLong pauseMillis) {
     /**
      * A limit, or that there is none.
      *
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -153,7 +153,7 @@
         this.recentVersions = RecentVersions.create(directory, loop.ticker(), settings.leavingServerMillis());
         this.continuations = createContinuations();
         this.limits = createLimits();
-        ServerStatements statements = ServerStatements.create(dialect, limits, directory);
+        ServerStatements statements = ServerStatements.create(dialect, limits, directory, loop.ticker());
         this.planner = createPlanner(chooser, prefixCacheIndex);
         this.loadPoller = LoadPoller.create(
                 loop.transport(),
--- a/src/main/java/org/verbenatray/platform/PlatformProtocol.java
+++ b/src/main/java/org/verbenatray/platform/PlatformProtocol.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -101,6 +102,12 @@
     /** The lowest priority. */
     private static final int LOWEST_PRIORITY = 9;
 
+    /** The longest time for which a server is believed to want no requests, in milliseconds. */
+    private static final long MAX_PAUSE_MILLIS = 60_000;
+
+    /** The status with which a server turns a request away. */
+    private static final int STATUS_UNAVAILABLE = 503;
+
     /** The status with which a server responds if it is not the expected one. */
     private static final int STATUS_MISDIRECTED_REQUEST = 421;
 
@@ -229,7 +236,21 @@
                 .isPresent();
         Optional<ServerStatement.Limit> limit =
                 headers.apply(SERVER_LIMIT).map(this::readLimit).orElse(Optional.of(ServerStatement.Limit.NONE));
-        return Optional.of(new ServerStatement(leaving, limit));
+        OptionalLong pauseMillis = status == STATUS_UNAVAILABLE
+                ? headers.apply(Headers.RETRY_AFTER)
+                        .map(PlatformProtocol::readPauseMillis)
+                        .orElse(OptionalLong.empty())
+                : OptionalLong.empty();
+        return Optional.of(new ServerStatement(leaving, limit, pauseMillis));
+    }
+
+    /** Returns a time in milliseconds; empty if the value is no number of seconds, or longer than makes sense. */
+    private static OptionalLong readPauseMillis(String seconds) {
+        if (!LIMIT.matcher(seconds.trim()).matches()) {
+            return OptionalLong.empty();
+        }
+        double millis = 1_000 * Double.parseDouble(seconds.trim());
+        return millis <= MAX_PAUSE_MILLIS ? OptionalLong.of(Math.round(millis)) : OptionalLong.empty();
     }
 
     /** Returns a limit; empty if the value is malformed, which is logged once. */
--- a/src/main/java/org/verbenatray/relay/CallServers.java
+++ b/src/main/java/org/verbenatray/relay/CallServers.java
@@ -1,6 +1,7 @@
 package org.verbenatray.relay;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.verbenatray.backends.Backend;
 
 /** The servers of the service of one call, as far as they accept requests. Used on one thread. */
@@ -18,7 +19,7 @@
         return new CallServers(context, service);
     }
 
-    /** Returns the servers that accept a request now: they are not leaving, and their limits admit it. */
+    /** Returns the servers that accept a request now: they are not leaving, and no limit or pause forbids it. */
     List<Backend> usable() {
         return context.directory().usable(service).stream()
                 .filter(this::withinLimit)
@@ -31,21 +32,34 @@
         return !servers.isEmpty() && servers.stream().allMatch(Backend::unreachable);
     }
 
-    /** Returns whether its limit keeps requests from a server now. */
+    /** Returns whether its limit, or a pause that it has asked for, keeps requests from a server now. */
     boolean limitsReached() {
         return !context.directory().usable(service).stream().allMatch(this::withinLimit);
     }
 
-    /** Returns after how many milliseconds a caller should come back that the limits keep from all servers. */
+    /** Returns after how many milliseconds a caller should come back that limits or pauses keep from all servers. */
     long retryAfterMillis() {
-        List<String> boots = context.directory().usable(service).stream()
+        long now = context.ticker().nanos();
+        List<Backend> kept = context.directory().usable(service).stream()
                 .filter(backend -> !withinLimit(backend))
+                .toList();
+        OptionalLong pause = kept.stream()
+                .mapToLong(backend -> backend.turnedAwayMillis(now))
+                .filter(millis -> millis > 0)
+                .min();
+        List<String> limited = kept.stream()
                 .map(backend -> backend.entry().bootId())
+                .filter(boot -> !context.limits().admits(boot))
                 .toList();
-        return context.limits().retryAfterMillis(service, boots);
+        if (limited.isEmpty()) {
+            return pause.orElse(0);
+        }
+        long limit = context.limits().retryAfterMillis(service, limited);
+        return Math.min(limit, pause.orElse(limit));
     }
 
     private boolean withinLimit(Backend backend) {
-        return context.limits().admits(backend.entry().bootId());
+        return backend.turnedAwayMillis(context.ticker().nanos()) <= 0
+                && context.limits().admits(backend.entry().bootId());
     }
 }
--- a/src/main/java/org/verbenatray/relay/CrashProbe.java
+++ b/src/main/java/org/verbenatray/relay/CrashProbe.java
@@ -72,6 +72,9 @@
     /** Probes a server that has not responded, at the end of its pause if it was probed within the last 500 ms. */
     void probe(Backend backend) {
         long now = ticker.nanos();
+        if (backend.turnedAwayMillis(now) > 0) {
+            return;
+        }
         String boot = backend.entry().bootId();
         pausedUntil.values().removeIf(until -> until.hasPassed(now));
         Deadline pause = pausedUntil.get(boot);
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -93,6 +93,7 @@
     public long pollNext() {
         List<Backend> engines = directory.all().stream()
                 .filter(backend -> !backend.leaving() && backend.entry().stage() != BackendStage.PLAIN)
+                .filter(backend -> backend.turnedAwayMillis(ticker.nanos()) <= 0)
                 .toList();
         if (engines.isEmpty()) {
             return NO_ENGINES_MILLIS;
