--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -114,12 +114,12 @@
             return;
         }
         exchange.setMaxEntitySize(maxBodyBytes);
-        Receipt receipt = new Receipt(receivedNanos, isForwarded);
+        Receipt receipt = new Receipt(receivedNanos, maxBodyBytes, isForwarded);
         exchange.dispatch(SameThreadExecutor.INSTANCE, guard.wrap(() -> readBody(exchange, guard, receipt)));
     }
 
     private void readBody(HttpServerExchange exchange, RequestGuard guard, Receipt receipt) {
-        RequestBodyReader.read(exchange, memory(), guard, new RequestBodyReader.Listener() {
+        RequestBodyReader.read(exchange, receipt.maxBodyBytes(), memory(), guard, new RequestBodyReader.Listener() {
             @Override
             public void onBody(byte[] body, MemoryAccount.Share share) {
                 startRelay(exchange, new KeptBody(exchange, body, share), guard, receipt);
@@ -272,7 +272,8 @@
      * How a request was received.
      *
      * @param nanos when its head was read, in nanoseconds of the ticker
+     * @param maxBodyBytes the largest body that is accepted
      * @param forwarded whether another instance forwards it
      */
-    private record Receipt(long nanos, boolean forwarded) {}
+    private record Receipt(long nanos, long maxBodyBytes, boolean forwarded) {}
 }
--- a/src/main/java/org/verbenatray/relay/RequestBodyReader.java
+++ b/src/main/java/org/verbenatray/relay/RequestBodyReader.java
@@ -1,6 +1,7 @@
 package org.verbenatray.relay;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,9 @@
     private final Listener listener;
     private final MemoryAccount.Share share;
 
+    /** The largest body that is accepted, in bytes. */
+    private final long maxBytes;
+
     /** The length of the body in bytes, or -1 for one in chunks. */
     private final long length;
 
@@ -46,7 +50,8 @@
     private boolean ended;
 
     private RequestBodyReader(
-            HttpServerExchange exchange, MemoryAccount memory, RequestGuard guard, Listener listener) {
+            HttpServerExchange exchange, long maxBytes, MemoryAccount memory, RequestGuard guard, Listener listener) {
+        this.maxBytes = maxBytes;
         this.exchange = exchange;
         this.guard = guard;
         this.listener = listener;
@@ -54,9 +59,14 @@
         this.share = memory.open(MemoryUse.REQUEST_BODY, () -> {});
     }
 
-    /** Reads the body of the request of an exchange and calls the listener once. */
-    static void read(HttpServerExchange exchange, MemoryAccount memory, RequestGuard guard, Listener listener) {
-        new RequestBodyReader(exchange, memory, guard, listener).readOn();
+    /**
+     * Reads the body of the request of an exchange and calls the listener once.
+     *
+     * @param maxBytes the largest body that is accepted
+     */
+    static void read(
+            HttpServerExchange exchange, long maxBytes, MemoryAccount memory, RequestGuard guard, Listener listener) {
+        new RequestBodyReader(exchange, maxBytes, memory, guard, listener).readOn();
     }
 
     /** Reads what has arrived, as far as there is room. */
@@ -106,6 +116,9 @@
             ByteBuffer part = ByteBuffer.allocate(READ_BUFFER_BYTES);
             int count = channel.read(part);
             chunks.add(part.flip());
+            if (chunks.size() > maxBytes) {
+                throw new RequestTooBigException("the body is larger than " + maxBytes + " bytes");
+            }
             return count;
         }
         if (whole == null) {
