--- a/src/main/java/org/verbenatray/platform/PlatformProtocol.java
+++ b/src/main/java/org/verbenatray/platform/PlatformProtocol.java
@@ -18,11 +18,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Function;
-import java.util.regex.Pattern;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendLoad;
 import org.verbenatray.backends.BackendStage;
@@ -46,6 +42,9 @@
 
 /** Translates between the relay's types and the HTTP headers and JSON bodies of the platform's protocol. */
 final class PlatformProtocol implements RelayDialect {
+    /** The status with which a server responds if it is not the expected one. */
+    static final int STATUS_MISDIRECTED_REQUEST = 421;
+
     /** The caller's id of an attempt. */
     private static final HttpString REQUEST_ID = new HttpString("Request-Id");
 
@@ -87,30 +86,9 @@
     /** Set by a server that did not run the request. */
     private static final HttpString NOT_RUN = new HttpString("Not-Run");
 
-    /** The requests a second that the server takes from all instances together. */
-    private static final HttpString SERVER_LIMIT = new HttpString("Server-Limit");
-
-    /** Set to 1 by a server that is leaving, in all its answers. */
-    private static final HttpString SERVER_LEAVING = new HttpString("Server-Leaving");
-
-    /** A decimal number without sign or exponent, of a length that makes sense. */
-    private static final Pattern LIMIT = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
-
-    /** The largest part of a malformed value that is logged. */
-    private static final int MAX_LOGGED_CHARS = 40;
-
     /** The lowest priority. */
     private static final int LOWEST_PRIORITY = 9;
 
-    /** The longest time for which a server is believed to want no requests, in milliseconds. */
-    private static final long MAX_PAUSE_MILLIS = 60_000;
-
-    /** The status with which a server turns a request away. */
-    private static final int STATUS_UNAVAILABLE = 503;
-
-    /** The status with which a server responds if it is not the expected one. */
-    private static final int STATUS_MISDIRECTED_REQUEST = 421;
-
     /** The headers that only the system sets; those of callers are dropped. In lower case. */
     private static final Set<String> INTERNAL_HEADERS = Set.of(
             "deadline-ms",
@@ -129,8 +107,7 @@
 
     private final ObjectMapper json = new ObjectMapper();
 
-    /** Whether a limit that cannot be read was logged; the same server names it in all its answers. */
-    private boolean malformedLimitLogged;
+    private final ServerStatementReader statements = new ServerStatementReader();
 
     private PlatformProtocol() {}
 
@@ -217,56 +194,15 @@
                 stamped,
                 request.id().equals(id) && (headers.contains(NOT_RUN) || head.status() == STATUS_MISDIRECTED_REQUEST),
                 head.status() == 200 && type != null && type.startsWith("text/event-stream"),
-                readStatement(head.status(), name -> Optional.ofNullable(headers.getFirst(name))));
+                statements.read(head.status(), name -> Optional.ofNullable(headers.getFirst(name))));
     }
 
     @Override
     public Optional<ServerStatement> statement(BufferedResponse response) {
-        return readStatement(
+        return statements.read(
                 response.status(), name -> response.header(name.toString().toLowerCase(Locale.ROOT)));
     }
 
-    /** Returns what a response states of its server, by its headers; empty if another server responded. */
-    private Optional<ServerStatement> readStatement(int status, Function<HttpString, Optional<String>> headers) {
-        if (status == STATUS_MISDIRECTED_REQUEST) {
-            return Optional.empty();
-        }
-        boolean leaving = headers.apply(SERVER_LEAVING)
-                .filter(value -> value.trim().equals("1"))
-                .isPresent();
-        Optional<ServerStatement.Limit> limit =
-                headers.apply(SERVER_LIMIT).map(this::readLimit).orElse(Optional.of(ServerStatement.Limit.NONE));
-        OptionalLong pauseMillis = status == STATUS_UNAVAILABLE
-                ? headers.apply(Headers.RETRY_AFTER)
-                        .map(PlatformProtocol::readPauseMillis)
-                        .orElse(OptionalLong.empty())
-                : OptionalLong.empty();
-        return Optional.of(new ServerStatement(leaving, limit, pauseMillis));
-    }
-
-    /** Returns a time in milliseconds; empty if the value is no number of seconds, or longer than makes sense. */
-    private static OptionalLong readPauseMillis(String seconds) {
-        if (!LIMIT.matcher(seconds.trim()).matches()) {
-            return OptionalLong.empty();
-        }
-        double millis = 1_000 * Double.parseDouble(seconds.trim());
-        return millis <= MAX_PAUSE_MILLIS ? OptionalLong.of(Math.round(millis)) : OptionalLong.empty();
-    }
-
-    /** Returns a limit; empty if the value is malformed, which is logged once. */
-    private Optional<ServerStatement.Limit> readLimit(String limit) {
-        if (LIMIT.matcher(limit.trim()).matches()) {
-            return Optional.of(new ServerStatement.Limit(OptionalDouble.of(Double.parseDouble(limit.trim()))));
-        }
-        if (!malformedLimitLogged) {
-            malformedLimitLogged = true;
-            Event.named("server_limit_malformed")
-                    .with("value", limit.substring(0, Math.min(MAX_LOGGED_CHARS, limit.length())))
-                    .log(log, Level.WARNING);
-        }
-        return Optional.empty();
-    }
-
     @Override
     public Optional<String> parsePrefillHandle(byte[] body) {
         try {
