Tell changes of work with the confirmation in a large fleet

Each instance of a fleet of more than 13 sent its changes each 100 ms and a confirmation each 300 ms to 12 peers: up to 160 datagrams a second, each a wake-up at its receiver. What the others have placed is known only as a sample there, so changes now wait for the confirmation, which also tells where work has ended.

WorkExchangeTest.inALargeFleetTheEndOfWorkIsToldWithTheNextConfirmation.

--- a/src/main/java/org/verbenatray/openwork/WorkExchange.java
+++ b/src/main/java/org/verbenatray/openwork/WorkExchange.java
@@ -31,12 +31,6 @@
     /** The time for which changes are batched into one notice while all instances exchange their work. */
     private static final long BATCH_MILLIS = 2;
 
-    /**
-     * The time for which they are batched while the peers are a sample of a larger fleet: what the others have placed
-     * is known only roughly then, and each notice costs its sender and all receivers a wake-up.
-     */
-    private static final long SAMPLE_BATCH_MILLIS = 100;
-
     private static final long CONFIRMATION_INTERVAL_MILLIS = 300;
 
     /** The maximum number of engines in one notice, so that it fits a packet. */
@@ -124,13 +118,16 @@
         return WorkNoticeCodec.recognizes(datagram);
     }
 
-    /** Schedules a notice of the changed work at the engine with the given boot id. */
+    /**
+     * Schedules a notice of the changed work at the engine with the given boot id. Where the peers are a sample of a
+     * larger fleet, what the others have placed is known only roughly, and changes wait for the next confirmation: each
+     * notice costs its sender and all receivers a wake-up.
+     */
     public void markChanged(String bootId) {
         changedEngines.add(bootId);
-        if (!scheduled) {
+        if (!scheduled && peers.sampleWeight() <= 1) {
             scheduled = true;
-            long batchMillis = peers.sampleWeight() > 1 ? SAMPLE_BATCH_MILLIS : BATCH_MILLIS;
-            scheduler.runAt(Deadline.afterMillis(ticker.nanos(), batchMillis), this::sendChanges);
+            scheduler.runAt(Deadline.afterMillis(ticker.nanos(), BATCH_MILLIS), this::sendChanges);
         }
     }
 
@@ -172,7 +169,10 @@
      * confirmation.
      */
     private void confirm() {
-        sendAll(localWork.get());
+        Map<String, EngineWork> work = new LinkedHashMap<>(localWork.get());
+        changedEngines.forEach(bootId -> work.putIfAbsent(bootId, EngineWork.NONE));
+        changedEngines.clear();
+        sendAll(work);
         List<Crash> crashes = crashesToTell.get();
         if (!crashes.isEmpty()) {
             send(Map.of(), crashes.subList(0, Math.min(MAX_CRASHES, crashes.size())));
--- a/src/test/java/org/verbenatray/openwork/WorkExchangeTest.java
+++ b/src/test/java/org/verbenatray/openwork/WorkExchangeTest.java
@@ -143,6 +143,30 @@
         Assert.assertTrue(notices <= 3 * (10 + 4), "notices in 3 s: " + notices);
     }
 
+    /** Confirmations carry only engines with work; in a large fleet nothing else tells that it has ended. */
+    @Test
+    public void inALargeFleetTheEndOfWorkIsToldWithTheNextConfirmation() throws Exception {
+        ExchangePeers peers = ExchangePeers.of("self", "d1");
+        for (int number = 0; number < 94; number++) {
+            peers.put("m" + number, new ListedInstance(new InetSocketAddress("127.0.0.1", 1 + number), "d2"));
+        }
+        List<byte[]> sent = new ArrayList<>();
+        localWork.put("e1", new EngineWork(10, 0, 1));
+        WorkExchange exchange = WorkExchange.start(
+                new WorkExchange.LocalInstance("self", 1, () -> localWork, boot -> OptionalLong.of(4), List::of),
+                peers,
+                RemoteWork.create(time, () -> 1),
+                (to, datagram) -> sent.add(datagram),
+                time,
+                time);
+        localWork.clear();
+        exchange.markChanged("e1");
+        sent.clear();
+        time.advanceMillis(301);
+        WorkNotice notice = WorkNoticeCodec.decode(sent.get(0));
+        Assert.assertEquals(notice.workByEngine(), Map.of("e1", EngineWork.NONE));
+    }
+
     private WorkExchange exchange() {
         ExchangePeers peers = ExchangePeers.of("self", "d1");
         peers.put("other", new ListedInstance(new InetSocketAddress("127.0.0.1", 1), "d2"));
