--- a/src/main/java/org/verbenatray/platform/ServerStatementReader.java
+++ b/src/main/java/org/verbenatray/platform/ServerStatementReader.java
@@ -26,7 +26,7 @@
     /** The status with which a server turns a request away. */
     private static final int STATUS_UNAVAILABLE = 503;
 
-    /** The longest time for which a server is believed to want no requests, in milliseconds. */
+    /** The longest pause that a server may ask for, in milliseconds; a longer one is ignored. */
     private static final long MAX_PAUSE_MILLIS = 60_000;
 
     /** The largest part of a malformed value that is logged. */
@@ -59,7 +59,7 @@
         return Optional.of(new ServerStatement(leaving, limit, pauseMillis));
     }
 
-    /** Returns a time in milliseconds; empty if the value is no number of seconds, or longer than makes sense. */
+    /** Returns a time in milliseconds; empty if the value is no number of seconds or too long. */
     private static OptionalLong readPauseMillis(String seconds) {
         if (!NUMBER.matcher(seconds.trim()).matches()) {
             return OptionalLong.empty();
--- a/src/test/java/org/verbenatray/platform/LeavingServerTest.java
+++ b/src/test/java/org/verbenatray/platform/LeavingServerTest.java
@@ -1,10 +1,8 @@
 package org.verbenatray.platform;
 
-import java.util.Optional;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.verbenatray.instance.RelayInstanceState.BackendState;
 import org.verbenatray.platform.FakeStore.Fault;
 import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Request;
@@ -56,7 +54,7 @@
                 ScriptedServer second = ScriptedServer.start(OK);
                 RelayFixture relay = RelayFixture.startReady(
                         ServerListing.engine("e1", "decode", first), ServerListing.engine("e2", "decode", second))) {
-            relay.await(() -> isLeaving(relay, "e1"));
+            relay.await(() -> relay.isLeaving("e1"));
             for (int number = 0; number < REQUESTS; number++) {
                 relay.exchange(RelayFixture.postRequest("/resume/x", "id" + number, "", "b"));
             }
@@ -83,7 +81,7 @@
                             "keyed.servers",
                             "marker",
                             ServerListing.plain("marker", server).entryJson("draining", 1));
-            relay.await(() -> isLeaving(relay, "marker"));
+            relay.await(() -> relay.isLeaving("marker"));
             String response = relay.exchange(RelayFixture.getRequest("/safe/x", "id2"));
             Assert.assertTrue(response.startsWith("HTTP/1.1 503"), response);
         }
@@ -106,11 +104,4 @@
     private static boolean isFromCaller(Request request) {
         return request.line().contains("/resume/");
     }
-
-    private static boolean isLeaving(RelayFixture relay, String id) {
-        Optional<BackendState> state = relay.instance().readState().join().backends().stream()
-                .filter(backend -> backend.boot().startsWith(id + "@"))
-                .findFirst();
-        return state.isPresent() && state.get().leaving();
-    }
 }
--- a/src/test/java/org/verbenatray/platform/MembershipTest.java
+++ b/src/test/java/org/verbenatray/platform/MembershipTest.java
@@ -19,7 +19,7 @@
                         RelayFixture.startReady(ServerListing.plain("s1", first), ServerListing.plain("s2", second))) {
             relay.store()
                     .put("keyed.servers", "s1", ServerListing.plain("s1", first).entryJson("draining", 2));
-            relay.await(() -> isDraining(relay, "s1"));
+            relay.await(() -> relay.isLeaving("s1"));
             int before = first.requests().size();
             for (int round = 0; round < 8; round++) {
                 relay.exchange(RelayFixture.getRequest("/safe/x", "id" + round));
@@ -37,7 +37,7 @@
                             "keyed.servers",
                             "s1",
                             ServerListing.plain("s1", server).entryJson("draining", 5));
-            relay.await(() -> isDraining(relay, "s1"));
+            relay.await(() -> relay.isLeaving("s1"));
             relay.store()
                     .put(
                             "keyed.servers",
@@ -120,9 +120,4 @@
             relay.await(() -> relay.instance().readState().join().backends().size() == 1);
         }
     }
-
-    private static boolean isDraining(RelayFixture relay, String id) {
-        return relay.instance().readState().join().backends().stream()
-                .anyMatch(backend -> backend.boot().startsWith(id + "@") && backend.leaving());
-    }
 }
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -145,6 +145,12 @@
         store.put("keyed.servers", listed.id(), listed.entryJson("ready", 1));
     }
 
+    /** Returns whether the instance lists the server with the given id as leaving. */
+    boolean isLeaving(String id) {
+        return instance.readState().join().backends().stream()
+                .anyMatch(backend -> backend.boot().startsWith(id + "@") && backend.leaving());
+    }
+
     /** Opens a connection to the callers' port. */
     Socket connect() throws IOException {
         return connect(instance);
--- a/src/test/java/org/verbenatray/platform/RestoredStoreTest.java
+++ b/src/test/java/org/verbenatray/platform/RestoredStoreTest.java
@@ -63,7 +63,7 @@
                             "keyed.servers",
                             "s2",
                             ServerListing.plain("s2", server).entryJson("draining", 1));
-            relay.await(() -> isLeaving(relay, "s2"));
+            relay.await(() -> relay.isLeaving("s2"));
             Assert.assertEquals(status(relay, "/safe/x"), 200);
         }
     }
@@ -78,7 +78,7 @@
                             "keyed.servers",
                             "s1",
                             ServerListing.plain("s1", server).entryJson("draining", 2));
-            relay.await(() -> isLeaving(relay, "s1"));
+            relay.await(() -> relay.isLeaving("s1"));
             restore(relay, copy);
             awaitListing(relay, server);
             Assert.assertEquals(status(relay, "/safe/x"), 503);
@@ -128,7 +128,7 @@
                         "keyed.servers",
                         "marker",
                         ServerListing.plain("marker", server).entryJson("draining", 1));
-        relay.await(() -> isLeaving(relay, "marker"));
+        relay.await(() -> relay.isLeaving("marker"));
     }
 
     private static String routes(long version, String prefix) {
@@ -143,9 +143,4 @@
         String response = relay.exchange(RelayFixture.getRequest(path, "id" + path.hashCode()));
         return Integer.parseInt(response.substring(9, 12));
     }
-
-    private static boolean isLeaving(RelayFixture relay, String id) {
-        return relay.instance().readState().join().backends().stream()
-                .anyMatch(backend -> backend.boot().startsWith(id + "@") && backend.leaving());
-    }
 }
