--- a/src/main/java/org/verbenatray/relay/RequestBodyReader.java
+++ b/src/main/java/org/verbenatray/relay/RequestBodyReader.java
@@ -77,6 +77,7 @@
                     awaitRoom();
                     return;
                 }
+                stopWaitTimer();
                 int count = readPart();
                 if (count < 0) {
                     end();
@@ -157,8 +158,13 @@
 
     private void end() {
         ended = true;
+        stopWaitTimer();
+    }
+
+    private void stopWaitTimer() {
         if (waitTimer != null) {
             waitTimer.remove();
+            waitTimer = null;
         }
     }
 
