Send nothing in a stop that may not end before the process does

Callers saw: in a planned stop of one instance, in calm, requests that came 1.7 s after SIGTERM or later were sent to servers and cut with no answer when the process ended; also requests that may run once (LOST).

Cause: GracefulStop took every request of the first 2.4 s and asked nothing of the time it needs; nor did retries and prefilled prompts. What was open at the end was ended by the end of the process.

Change: each sending asks whether the request is expected to end in time: as long as the longest of its route took lately, or takes already, and its deadline at the latest. What is not sent is refused at once as not run. 0.7 s before the end of the grace open requests get their true end.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -29,6 +29,7 @@
 import org.verbenatray.relay.FirstAttemptEstimator;
 import org.verbenatray.relay.LargePromptShare;
 import org.verbenatray.relay.LoadPoller;
+import org.verbenatray.relay.OpenCalls;
 import org.verbenatray.relay.RelayContext;
 import org.verbenatray.relay.RelayDialect;
 import org.verbenatray.relay.RelayHandler;
@@ -116,6 +117,8 @@
 
     private final GracefulStop stop;
 
+    private final OpenCalls openCalls;
+
     /** When the instance becomes ready without the known crashes. */
     private final Deadline crashesDue;
 
@@ -126,6 +129,7 @@
         this.loop = loop;
         this.metrics = metrics;
         this.stop = GracefulStop.create(loop.ticker(), loop.scheduler());
+        this.openCalls = OpenCalls.create(loop.ticker());
         this.catalog = CurrentCatalog.empty(loop.ticker());
         this.directory = BackendDirectory.empty(loop.ticker(), this::onBackendEnded);
         this.cutOffDetector = CutOffDetector.of(loop.ticker(), directory);
@@ -182,9 +186,9 @@
                 this::retryBudget,
                 crashes,
                 serverRuns,
-                stop::isStopping,
+                stop,
+                openCalls,
                 () -> stop.isStopping() || cutOffDetector.isCutOff(),
-                stop::rejectsRequests,
                 metrics,
                 sharing::onWorkChanged,
                 FirstAttemptEstimator.create(),
@@ -299,13 +303,13 @@
 
     /**
      * Drains the instance and returns when the process may end. The instance is no longer ready at once, rejects new
-     * requests after a short time and waits until the open ones are answered and their answers are written, but not
-     * beyond shortly before the end of the grace period.
+     * requests after a short time and waits until the open ones are answered and their answers are written. Those that
+     * are open shortly before the end of the grace period are ended.
      */
     public void drain() {
         long start = loop.ticker().nanos();
         Event.named("stopping").with("instance", settings.name()).log(log, Level.INFO);
-        CompletableFuture<Void> done = stop.begin(settings.graceMillis(), this::isIdle);
+        CompletableFuture<Void> done = stop.begin(settings.graceMillis(), this::isIdle, openCalls::endAll);
         loop.thread().execute(this::deregisterAndStopLease);
         done.join();
         Event.named("stopped")
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -249,7 +249,7 @@
         if (attempt == null) {
             deadlineTimer.remove();
             releasePrefilledPrompt();
-            call.giveUpCrashing();
+            call.giveUpUnsendable();
         }
         return attempt != null;
     }
--- a/src/main/java/org/verbenatray/relay/PeerRelay.java
+++ b/src/main/java/org/verbenatray/relay/PeerRelay.java
@@ -62,10 +62,11 @@
 
     /**
      * Forwards a call to another instance, or runs the given task if that is not possible: no instance is known to
-     * reach the servers, the request may have run, or another instance has forwarded it to this one.
+     * reach the servers, the request may have run or may not be sent any more, or another instance has forwarded it to
+     * this one.
      */
     static void startOrElse(RelayContext context, RelayCall call, Runnable withoutInstances) {
-        if (call.forwarded() || call.owed() || call.finished()) {
+        if (call.forwarded() || call.owed() || call.finished() || !call.maySend()) {
             withoutInstances.run();
             return;
         }
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -145,7 +145,7 @@
                 .orElse(null);
         if (attempt == null) {
             deadlineTimer.remove();
-            Optional.ofNullable(errorResponse).ifPresentOrElse(call::relayResponse, call::giveUpCrashing);
+            Optional.ofNullable(errorResponse).ifPresentOrElse(call::relayResponse, call::giveUpUnsendable);
         }
     }
 
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -18,12 +18,18 @@
     /** The outcome of a request that servers could serve if their limits admitted it. */
     static final String LIMITS_REACHED = "server_limits";
 
+    /** Retry-after time while this instance stops; short, since the retry goes to another instance. */
+    static final long STOPPING_RETRY_AFTER_MILLIS = 50;
+
     /**
      * Statuses that callers read as "the request has not run". A server's response with such a status is not relayed,
      * since a server that did not run the request says so in a header of its own.
      */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
+    /** The outcome of a request that would not end, or has not ended, before the instance does. */
+    private static final String STOPPING = "instance_stopping";
+
     /** The outcome of a request whose handling fails with an exception. */
     private static final String FAILED = "internal_error";
 
@@ -100,6 +106,7 @@
                         .recordAndEstimateMillis(route.name(), callerDeadline.remainingMillis(request.receivedNanos())))
                 .orElse(0.0);
         this.onFinished = onFinished;
+        context.openCalls().add(this);
     }
 
     /** Returns the request. */
@@ -175,11 +182,11 @@
 
     /**
      * Sends the request to the server named in the options. Returns the attempt, or empty if the request must not be
-     * sent any more because it crashes servers. Every sending of a caller's request passes here.
+     * sent any more. Every sending of a caller's request passes here.
      */
     Optional<ForwardAttempt> send(
             ForwardOptions options, PrefillWork work, ResponseTimeouts timeouts, ForwardListener listener) {
-        if (crashesServers()) {
+        if (!maySend()) {
             return Optional.empty();
         }
         attempts.recordSending();
@@ -189,17 +196,32 @@
         return Optional.of(attempt);
     }
 
-    /** Returns whether the request, or a part of its prompt, has crashed so many servers that it must not be sent. */
-    boolean crashesServers() {
-        return suspects.blockedUntil().isPresent();
+    /**
+     * Returns whether the request may be sent: neither it nor a part of its prompt crashes servers, and it is expected
+     * to end before this instance does.
+     */
+    boolean maySend() {
+        return suspects.blockedUntil().isEmpty()
+                && (!context.stop().isStopping()
+                        || context.stop().leavesTimeFor(context.openCalls().expectedMillis(this)));
+    }
+
+    /** Gives up because the request must not be sent any more. */
+    void giveUpUnsendable() {
+        Optional<Deadline> blockedUntil = suspects.blockedUntil();
+        if (blockedUntil.isPresent()) {
+            giveUp(
+                    "crashes_servers",
+                    blockedUntil.get().remainingMillis(context.ticker().nanos()));
+        } else {
+            giveUp(STOPPING, STOPPING_RETRY_AFTER_MILLIS);
+        }
     }
 
-    /** Gives up because the request crashes servers. */
-    void giveUpCrashing() {
-        long now = context.ticker().nanos();
-        long blockedMillis =
-                suspects.blockedUntil().map(end -> end.remainingMillis(now)).orElse(0L);
-        giveUp("crashes_servers", blockedMillis);
+    /** Ends the call shortly before the instance ends: its caller learns whether the request may have run. */
+    void endBeforeProcess() {
+        cancelIfAllowed();
+        giveUp(STOPPING, STOPPING_RETRY_AFTER_MILLIS);
     }
 
     /** Returns the servers of the service. */
@@ -373,9 +395,7 @@
         if (finished) {
             return;
         }
-        if (running != null && (route.repeatable() || !running.sendingStarted())) {
-            running.cancel();
-        }
+        cancelIfAllowed();
         if (response.started() || response.closed()) {
             cutFailed();
             return;
@@ -388,6 +408,13 @@
         }
     }
 
+    /** Cancels the running attempt, unless its request was sent and may run only once. */
+    private void cancelIfAllowed() {
+        if (running != null && (route.repeatable() || !running.sendingStarted())) {
+            running.cancel();
+        }
+    }
+
     /** Closes the connection of a response that cannot be completed. */
     private void cutFailed() {
         response.abort();
@@ -450,6 +477,7 @@
         }
         finished = true;
         attempts.releaseRetry();
+        context.openCalls().remove(this, end == RequestEnd.ANSWERED);
         onFinished.accept(end);
         record.write(end, outcome, status, suspects, attempts.exhausted());
     }
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -31,9 +31,9 @@
  * @param retryBudgets the retry budget of each service, by service name
  * @param crashLedger the requests that crash servers
  * @param serverRuns attributes ended servers to requests
- * @param stopping whether the process is shutting down
+ * @param stop the planned stop of the instance
+ * @param openCalls the calls that have not ended
  * @param closingConnections whether callers should close their connections, as another instance serves them better
- * @param rejectingRequests whether new requests are rejected, as they would not finish before the process ends
  * @param metrics the metrics
  * @param onWorkChanged receives each server whose open work from this instance has changed
  * @param firstAttempts estimates how long ago callers sent their first attempts
@@ -58,9 +58,9 @@
         Function<String, RetryBudget> retryBudgets,
         CrashLedger crashLedger,
         ServerRuns serverRuns,
-        BooleanSupplier stopping,
+        PlannedStop stop,
+        OpenCalls openCalls,
         BooleanSupplier closingConnections,
-        BooleanSupplier rejectingRequests,
         RelayMetrics metrics,
         Consumer<Backend> onWorkChanged,
         FirstAttemptEstimator firstAttempts,
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -26,9 +26,6 @@
     /** Retry-after time while no routes are known. */
     private static final long NO_ROUTES_RETRY_AFTER_MILLIS = 500;
 
-    /** Retry-after time while this instance stops; short, since the retry goes to another instance. */
-    private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
-
     /** Retry-after time of a request whose handling fails before it is relayed. */
     private static final long FAILED_RETRY_AFTER_MILLIS = 500;
 
@@ -78,7 +75,7 @@
         guard.run(() -> {
             if (!forwarded.accept(exchange)) {
                 exchange.getResponseHeaders().put(ForwardedRequests.DECLINED, "1");
-                reject(exchange, 503, "another instance serves this better", STOPPING_RETRY_AFTER_MILLIS);
+                reject(exchange, 503, "another instance serves this better", RelayCall.STOPPING_RETRY_AFTER_MILLIS);
                 return;
             }
             receive(exchange, guard, true);
@@ -91,8 +88,8 @@
         if (context.closingConnections().getAsBoolean()) {
             exchange.setPersistent(false);
         }
-        if (context.rejectingRequests().getAsBoolean()) {
-            reject(exchange, 503, "the instance is stopping", STOPPING_RETRY_AFTER_MILLIS);
+        if (context.stop().rejectsRequests()) {
+            reject(exchange, 503, "the instance is stopping", RelayCall.STOPPING_RETRY_AFTER_MILLIS);
             return;
         }
         if (!isWellFramed(exchange.getRequestHeaders())) {
@@ -193,8 +190,8 @@
         if (!receipt.forwarded()) {
             context.retryBudgets().apply(call.service()).recordRequest();
         }
-        if (call.crashesServers()) {
-            call.giveUpCrashing();
+        if (!call.maySend()) {
+            call.giveUpUnsendable();
         } else if (context.forwardingTargets().isPartitioned()) {
             PeerRelay.startOrElse(context, call, () -> start(call));
         } else {
--- a/src/main/java/org/verbenatray/relay/StageController.java
+++ b/src/main/java/org/verbenatray/relay/StageController.java
@@ -62,7 +62,7 @@
      */
     public void planStages() {
         OptionalLong fencingToken = lease.activeFencingToken();
-        if (fencingToken.isEmpty() || context.stopping().getAsBoolean()) {
+        if (fencingToken.isEmpty() || context.stop().isStopping()) {
             return;
         }
         context.catalog().get().map(Catalog::services).stream()
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -12,6 +12,7 @@
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.testng.Assert;
 import org.verbenatray.instance.EventLoop;
 import org.verbenatray.instance.RelayInstance;
@@ -77,12 +78,18 @@
 
     private static RelayFixture startReady(
             EventLoop loop, RelayDialect dialect, String retryRatio, ServerListing... servers) throws Exception {
+        return startReady(loop, dialect, text -> text.replace("budgetRatio=4", "budgetRatio=" + retryRatio), servers);
+    }
+
+    private static RelayFixture startReady(
+            EventLoop loop, RelayDialect dialect, UnaryOperator<String> settingsChange, ServerListing... servers)
+            throws Exception {
         FakeStore store = FakeStore.start();
         store.put("keyed.op", "config", configurationJson(1));
         for (ServerListing listed : servers) {
             store.put("keyed.servers", listed.id(), listed.entryJson("ready", 1));
         }
-        String settings = settingsText(store.address()).replace("budgetRatio=4", "budgetRatio=" + retryRatio);
+        String settings = settingsChange.apply(settingsText(store.address()));
         RelayInstance started =
                 RelayLauncher.launch(SettingsFile.parse(settings).toPlatformSettings(), 0, loop, dialect);
         RelayFixture relay = new RelayFixture(store, started);
@@ -90,6 +97,15 @@
         return relay;
     }
 
+    /** Starts an instance that is given some seconds to stop, with routes and servers, and waits until it is ready. */
+    static RelayFixture startReadyWithGrace(int graceSeconds, ServerListing... servers) throws Exception {
+        return startReady(
+                EventLoop.start(Ticker.system()),
+                PlatformProtocol.create(),
+                text -> text.replace("graceS=8", "graceS=" + graceSeconds),
+                servers);
+    }
+
     /** Starts an instance that may send the given number of retries per request, and waits until it is ready. */
     static RelayFixture startReadyWithRetryRatio(String ratio, ServerListing... servers) throws Exception {
         return startReady(PlatformProtocol.create(), ratio, servers);
