Tell the other instances of servers that say they are leaving

Evidence: LeavingServerTest, otherInstancesAreToldOfAServerThatSaysItIsLeaving, fails on (the other two of three instances never know); holds now.

--- a/src/main/java/org/verbenatray/backends/BackendDirectory.java
+++ b/src/main/java/org/verbenatray/backends/BackendDirectory.java
@@ -167,14 +167,17 @@
 
     /**
      * Records that the start of a server with the given boot id has said in a response that it is leaving. It stays so
-     * whatever its entry says; only another start of the server is usable again.
+     * whatever its entry says; only another start of the server is usable again. Returns whether that is news; false
+     * also if the start is not listed.
      */
-    public void markLeaving(String bootId) {
-        findBoot(bootId).filter(backend -> !backend.announcedLeaving()).ifPresent(backend -> {
+    public boolean markLeaving(String bootId) {
+        Optional<Backend> found = findBoot(bootId).filter(backend -> !backend.announcedLeaving());
+        found.ifPresent(backend -> {
             backend.recordLeaving();
             logChange("backend_says_leaving", backend.entry());
             rebuildUsable();
         });
+        return found.isPresent();
     }
 
     /** Removes the servers whose entries were not renewed within the grace period. */
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -157,7 +157,7 @@
         this.recentVersions = RecentVersions.create(directory, loop.ticker(), settings.leavingServerMillis());
         this.continuations = createContinuations();
         this.limits = createLimits();
-        ServerStatements statements = ServerStatements.create(dialect, limits, directory, loop.ticker());
+        ServerStatements statements = ServerStatements.create(dialect, limits, sharing::recordLeaving, loop.ticker());
         this.planner = createPlanner(chooser, prefixCacheIndex);
         this.loadPoller = LoadPoller.create(
                 loop.transport(),
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -27,6 +27,7 @@
 import org.verbenatray.openwork.ExchangePeers;
 import org.verbenatray.openwork.FleetShare;
 import org.verbenatray.openwork.InstanceRegistration;
+import org.verbenatray.openwork.LeavingExchange;
 import org.verbenatray.openwork.ListedInstance;
 import org.verbenatray.openwork.PromptPlacement;
 import org.verbenatray.openwork.ReadExchange;
@@ -78,6 +79,8 @@
 
     private final ReportExchange reports;
 
+    private final LeavingExchange leavingServers;
+
     /** The crashes that instances tell one another while the log lacks them, null before the start. */
     private CrashExchange crashExchange;
 
@@ -130,6 +133,8 @@
                 },
                 loop.ticker(),
                 loop.scheduler());
+        this.leavingServers = new LeavingExchange(
+                directory::markLeaving, exchangePeers::selectedAddresses, this::send, loop.ticker(), loop.scheduler());
         this.remoteWork = RemoteWork.create(loop.ticker(), exchangePeers::sampleWeight);
     }
 
@@ -267,6 +272,11 @@
         }
     }
 
+    /** Records that a start of a server has said that it is leaving, and tells the other instances. */
+    void recordLeaving(String boot) {
+        leavingServers.record(boot);
+    }
+
     /** Returns the instances that keep the origin of a stream. */
     StreamHomes homes(String requestId) {
         return exchangePeers.homes(requestId);
@@ -307,6 +317,10 @@
             reports.receive(datagram);
             return;
         }
+        if (LeavingExchange.recognizes(datagram)) {
+            leavingServers.receive(datagram);
+            return;
+        }
         if (WorkExchange.recognizes(datagram)) {
             receiveWork(datagram);
             return;
--- a/src/main/java/org/verbenatray/relay/ServerStatements.java
+++ b/src/main/java/org/verbenatray/relay/ServerStatements.java
@@ -2,8 +2,8 @@
 
 import java.util.OptionalDouble;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.verbenatray.backends.Backend;
-import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.ServerStatement;
 import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.servers.BufferedResponse;
@@ -14,21 +14,23 @@
 public final class ServerStatements {
     private final RelayDialect dialect;
     private final ServerLimits limits;
-    private final BackendDirectory directory;
+
+    /** Receives the boot id of a server that says it is leaving. */
+    private final Consumer<String> onLeaving;
 
     private final Ticker ticker;
 
-    private ServerStatements(RelayDialect dialect, ServerLimits limits, BackendDirectory directory, Ticker ticker) {
+    private ServerStatements(RelayDialect dialect, ServerLimits limits, Consumer<String> onLeaving, Ticker ticker) {
         this.dialect = dialect;
         this.limits = limits;
-        this.directory = directory;
+        this.onLeaving = onLeaving;
         this.ticker = ticker;
     }
 
-    /** Creates an object that records limits, and which servers of the directory are leaving or want a pause. */
+    /** Creates an object that records limits and pauses, and passes on the boot ids of servers that are leaving. */
     public static ServerStatements create(
-            RelayDialect dialect, ServerLimits limits, BackendDirectory directory, Ticker ticker) {
-        return new ServerStatements(dialect, limits, directory, ticker);
+            RelayDialect dialect, ServerLimits limits, Consumer<String> onLeaving, Ticker ticker) {
+        return new ServerStatements(dialect, limits, onLeaving, ticker);
     }
 
     /** Records what the response to a forwarded request states. */
@@ -51,7 +53,7 @@
                 .pauseMillis()
                 .ifPresent(millis -> backend.recordTurnedAway(Deadline.afterMillis(ticker.nanos(), millis)));
         if (statement.leaving()) {
-            directory.markLeaving(backend.entry().bootId());
+            onLeaving.accept(backend.entry().bootId());
         }
     }
 }
--- a/src/test/java/org/verbenatray/platform/LeavingServerTest.java
+++ b/src/test/java/org/verbenatray/platform/LeavingServerTest.java
@@ -1,8 +1,11 @@
 package org.verbenatray.platform;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.verbenatray.instance.RelayInstance;
 import org.verbenatray.platform.FakeStore.Fault;
 import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Request;
@@ -19,6 +22,8 @@
 
     private static final int REQUESTS = 12;
 
+    private static final int INSTANCES = 3;
+
     @DataProvider
     public Object[][] responses() {
         return new Object[][] {
@@ -66,6 +71,32 @@
         }
     }
 
+    /** An instance that had no response of the server went on sending to it until its own first one. */
+    @Test
+    public void otherInstancesAreToldOfAServerThatSaysItIsLeaving() throws Exception {
+        Script leaving = (request, connection, out) ->
+                out.write(ScriptedServer.response(request, 200, "Server-Stamp: mark\r\n" + LEAVING, "bye"));
+        List<RelayInstance> instances = new ArrayList<>();
+        try (FakeStore store = FakeStore.startOnPorts(INSTANCES);
+                ScriptedServer server = ScriptedServer.start(leaving)) {
+            ServerListing listing = ServerListing.plain("s1", server);
+            store.put("keyed.op", "config", RelayFixture.configurationJson(1));
+            store.put("keyed.servers", listing.id(), listing.entryJson("ready", 1));
+            for (int number = 0; number < INSTANCES; number++) {
+                instances.add(RelayFixture.startInstance(store.address(number), "m" + number));
+            }
+            RelayFixture.waitUntilConnected(instances);
+            store.setFault(Fault.NO_RESPONSE);
+            RelayFixture.exchange(instances.get(0), RelayFixture.postRequest("/unsafe/x", "id1", "", "b"));
+            for (RelayInstance instance : instances) {
+                RelayFixture.waitUntil(() -> RelayFixture.isLeaving(instance, "s1"));
+            }
+            Assert.assertEquals(server.requests().size(), 1);
+        } finally {
+            instances.forEach(RelayInstance::close);
+        }
+    }
+
     /** Its entry is written by another way, and may arrive after the response. */
     @Test
     public void aReadyEntryOfTheSameStartDoesNotBringTheServerBack() throws Exception {
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -163,6 +163,11 @@
 
     /** Returns whether the instance lists the server with the given id as leaving. */
     boolean isLeaving(String id) {
+        return isLeaving(instance, id);
+    }
+
+    /** Returns whether an instance lists the server with the given id as leaving. */
+    static boolean isLeaving(RelayInstance instance, String id) {
         return instance.readState().join().backends().stream()
                 .anyMatch(backend -> backend.boot().startsWith(id + "@") && backend.leaving());
     }
