--- a/src/main/java/org/verbenatray/relay/EnginePriority.java
+++ b/src/main/java/org/verbenatray/relay/EnginePriority.java
@@ -46,6 +46,6 @@
         if (plan == null || !plan.work().deferred()) {
             return regular(priority);
         }
-        return call.millisSinceFirstAttempt() > 0 ? deferredRetry() : deferred(priority);
+        return call.times().millisSinceFirstAttempt() > 0 ? deferredRetry() : deferred(priority);
     }
 }
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -340,7 +340,7 @@
      * incomplete then is no sign of a silent server.
      */
     private boolean endsAtDeadline() {
-        return call.deadline().hasPassed(context.ticker().nanos()) && !call.finished();
+        return call.times().deadlinePassed() && !call.finished();
     }
 
     /**
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -87,7 +87,9 @@
         call.response().onDisconnect(relay::callerDisconnected);
         relay.deadlineTimer = context.thread()
                 .executeAfter(
-                        call.guard().wrap(relay::handleDeadline), call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
+                        call.guard().wrap(relay::handleDeadline),
+                        call.times().remainingMillis() + 1,
+                        TimeUnit.MILLISECONDS);
         if (call.request().continuesStream()) {
             relay.findRequiredVersion();
         } else {
@@ -172,7 +174,7 @@
      * Plans the prefill if the prompt size and the engine limits are known; otherwise goes straight to a decode engine.
      */
     private void plan() {
-        if (call.remainingMillis() <= 0) {
+        if (call.times().remainingMillis() <= 0) {
             handleDeadline();
             return;
         }
@@ -215,7 +217,7 @@
             return;
         }
         triedPrefillEngines.add(backend);
-        long remainingMillis = call.remainingFirstEventMillis();
+        long remainingMillis = call.times().remainingFirstEventMillis();
         if (remainingMillis <= 0) {
             giveUp("caller_out_of_patience");
             return;
@@ -265,7 +267,7 @@
 
     /** Sends the request to the given decode engine, or to the best one if none is given. */
     private void decode(Optional<Backend> preferred) {
-        if (call.remainingMillis() <= 0) {
+        if (call.times().remainingMillis() <= 0) {
             handleDeadline();
             return;
         }
@@ -286,7 +288,7 @@
         boolean repeatable = call.route().repeatable();
         ForwardOptions options = new ForwardOptions(
                 backend,
-                call.remainingMillis(),
+                call.times().remainingMillis(),
                 prefilledPrompt == null ? EnginePriority.ofPrompt(call, plan) : EnginePriority.prefilled(),
                 false,
                 Optional.empty(),
@@ -306,7 +308,7 @@
         if (!call.servers().limitsReached()) {
             continueLaterOrGiveUp(decodeEngines.missingOutcome());
         } else if (prefilledPrompt != null
-                && call.remainingFirstEventMillis() > 0
+                && call.times().remainingFirstEventMillis() > 0
                 && !prefilledPromptExpiry.hasPassed(context.ticker().nanos())) {
             context.thread()
                     .executeAfter(
--- a/src/main/java/org/verbenatray/relay/OpenCalls.java
+++ b/src/main/java/org/verbenatray/relay/OpenCalls.java
@@ -41,7 +41,7 @@
     void remove(RelayCall call, boolean answered) {
         open.remove(call);
         if (answered) {
-            durations.record(call.route().name(), call.elapsedMillis(), ticker.nanos());
+            durations.record(call.route().name(), call.times().elapsedMillis(), ticker.nanos());
         }
     }
 
@@ -53,14 +53,14 @@
     long expectedMillis(RelayCall call) {
         OptionalLong longest = durations.longestMillis(call.route().name(), ticker.nanos());
         if (longest.isEmpty()) {
-            return call.remainingMillis();
+            return call.times().remainingMillis();
         }
         long oldest = open.stream()
                 .filter(other -> other.route().name().equals(call.route().name()))
-                .mapToLong(RelayCall::elapsedMillis)
+                .mapToLong(other -> other.times().elapsedMillis())
                 .findFirst()
                 .orElse(0);
-        return Math.min(call.remainingMillis(), Math.max(oldest, longest.getAsLong()));
+        return Math.min(call.times().remainingMillis(), Math.max(oldest, longest.getAsLong()));
     }
 
     /**
--- a/src/main/java/org/verbenatray/relay/PeerRelay.java
+++ b/src/main/java/org/verbenatray/relay/PeerRelay.java
@@ -72,14 +72,16 @@
         }
         PeerRelay relay = new PeerRelay(context, call, withoutInstances);
         Optional<URI> instance = context.forwardingTargets().choose(relay.tried);
-        if (instance.isEmpty() || call.remainingMillis() <= RETURN_MILLIS) {
+        if (instance.isEmpty() || call.times().remainingMillis() <= RETURN_MILLIS) {
             withoutInstances.run();
             return;
         }
         call.response().onDisconnect(relay::callerDisconnected);
         relay.deadlineTimer = context.thread()
                 .executeAfter(
-                        call.guard().wrap(relay::handleDeadline), call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
+                        call.guard().wrap(relay::handleDeadline),
+                        call.times().remainingMillis() + 1,
+                        TimeUnit.MILLISECONDS);
         relay.send(instance.get());
     }
 
@@ -97,7 +99,8 @@
         sendingStarted = false;
         call.setRunning(this);
         HttpCall forward = context.dialect()
-                .forwardToInstance(call.request(), instance, Math.max(1, call.remainingMillis() - RETURN_MILLIS));
+                .forwardToInstance(
+                        call.request(), instance, Math.max(1, call.times().remainingMillis() - RETURN_MILLIS));
         cancellation = context.transport()
                 .exchange(forward, context.thread(), call.guard().wrap(this));
     }
@@ -200,7 +203,7 @@
         close();
         Optional<URI> next =
                 tried.size() < MAX_INSTANCES ? context.forwardingTargets().choose(tried) : Optional.empty();
-        if (next.isPresent() && call.remainingMillis() > RETURN_MILLIS) {
+        if (next.isPresent() && call.times().remainingMillis() > RETURN_MILLIS) {
             send(next.get());
             return;
         }
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -42,7 +42,9 @@
         call.response().onDisconnect(relay::callerDisconnected);
         relay.deadlineTimer = context.thread()
                 .executeAfter(
-                        call.guard().wrap(relay::handleDeadline), call.remainingMillis() + 1, TimeUnit.MILLISECONDS);
+                        call.guard().wrap(relay::handleDeadline),
+                        call.times().remainingMillis() + 1,
+                        TimeUnit.MILLISECONDS);
         relay.send();
     }
 
@@ -119,7 +121,7 @@
 
     /** Sends the request to the server that should get it next; looks again shortly if there is none at the moment. */
     private void send() {
-        if (call.remainingMillis() <= 0) {
+        if (call.times().remainingMillis() <= 0) {
             handleDeadline();
             return;
         }
@@ -134,7 +136,7 @@
         boolean repeatable = call.route().repeatable();
         ForwardOptions options = new ForwardOptions(
                 chosen.get(),
-                call.remainingMillis(),
+                call.times().remainingMillis(),
                 call.route().priority(),
                 false,
                 Optional.empty(),
--- a/src/main/java/org/verbenatray/relay/PromptAdmission.java
+++ b/src/main/java/org/verbenatray/relay/PromptAdmission.java
@@ -28,8 +28,8 @@
      */
     static boolean admitRegular(RelayCall call, PrefillPlan plan, LargePromptShare largePrompts) {
         double targetMillis = call.route().latencyTargetMillis();
-        double expectedMillis = call.elapsedMillis() + plan.expectedFirstTokenMillis();
-        boolean onTime = call.millisSinceFirstAttempt() + expectedMillis <= targetMillis;
+        double expectedMillis = call.times().elapsedMillis() + plan.expectedFirstTokenMillis();
+        boolean onTime = call.times().millisSinceFirstAttempt() + expectedMillis <= targetMillis;
         boolean large =
                 plan.expectedFirstTokenMillis() - plan.expectedWaitMillis() > LARGE_PROMPT_TARGET_SHARE * targetMillis;
         if (large) {
@@ -43,8 +43,8 @@
      * Returns by how many milliseconds a deferred prompt exceeds its limits; zero or less if it is expected in time.
      */
     static double excessDelayMillis(RelayCall call, PrefillPlan plan) {
-        double limitMillis = call.firstEventTimeoutMillis();
-        return call.elapsedMillis()
+        double limitMillis = call.times().firstEventTimeoutMillis();
+        return call.times().elapsedMillis()
                 + Math.max(
                         plan.expectedWaitMillis() - MAX_DEFERRED_WAIT_SHARE * limitMillis,
                         plan.expectedFirstTokenMillis() - MAX_FIRST_TOKEN_SHARE * limitMillis);
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -50,7 +50,7 @@
     private final RelayRequest request;
     private final Route route;
     private final String service;
-    private final Deadline deadline;
+    private final CallTimes times;
     private final CallerResponse response;
     private final OwnResponseHeaders ownHeaders;
 
@@ -61,8 +61,6 @@
 
     private final CallServers servers;
 
-    private final double millisSinceFirstAttempt;
-
     /** Notified once, of how the request has ended. */
     private final Consumer<RequestEnd> onFinished;
 
@@ -93,7 +91,7 @@
         this.request = matched.request();
         this.route = matched.route();
         this.service = matched.service();
-        this.deadline = matched.deadline();
+        this.times = CallTimes.of(context, matched);
         this.record = new CallRecord(context, matched);
         this.attempts = CallAttempts.create(route, () -> context.retryBudgets().apply(service));
         this.response = response;
@@ -101,10 +99,6 @@
         this.guard = guard;
         this.suspects = CallSuspects.of(request, context);
         this.servers = CallServers.of(context, service);
-        this.millisSinceFirstAttempt = request.deadline()
-                .map(callerDeadline -> context.firstAttempts()
-                        .recordAndEstimateMillis(route.name(), callerDeadline.remainingMillis(request.receivedNanos())))
-                .orElse(0.0);
         this.onFinished = onFinished;
         context.openCalls().add(this);
     }
@@ -144,40 +138,9 @@
         return guard;
     }
 
-    /** Returns when the final response is due. */
-    Deadline deadline() {
-        return deadline;
-    }
-
-    /** Returns the time until the deadline in milliseconds. */
-    long remainingMillis() {
-        return deadline.remainingMillis(context.ticker().nanos());
-    }
-
-    /**
-     * Returns the time left in milliseconds for the first event: until the caller gives up waiting for it, or until the
-     * deadline.
-     */
-    long remainingFirstEventMillis() {
-        return Math.min(remainingMillis(), route.estimatedCallerTimeoutMillis() - elapsedMillis());
-    }
-
-    /** Returns the time from receipt in milliseconds after which the caller gives up if it has received no event. */
-    long firstEventTimeoutMillis() {
-        return Math.min(remainingMillis() + elapsedMillis(), route.estimatedCallerTimeoutMillis());
-    }
-
-    /**
-     * Returns the estimated time in milliseconds between the caller's first attempt and this one; zero for a first
-     * attempt.
-     */
-    double millisSinceFirstAttempt() {
-        return millisSinceFirstAttempt;
-    }
-
-    /** Returns the time since the receipt of the request in milliseconds. */
-    long elapsedMillis() {
-        return (context.ticker().nanos() - request.receivedNanos()) / 1_000_000;
+    /** Returns the times of the call. */
+    CallTimes times() {
+        return times;
     }
 
     /**
@@ -271,7 +234,7 @@
             continueUntil = Deadline.afterMillis(now, MAX_UNSTARTED_WAIT_MILLIS);
         }
         boolean waits = response.started() || attempts.mayHaveRun() && !continueUntil.hasPassed(now);
-        if (!waits || !attempts.attemptsLeft() || deadline.hasPassed(now)) {
+        if (!waits || !attempts.attemptsLeft() || times.deadlinePassed()) {
             return false;
         }
         attempts.releaseRetry();
@@ -282,10 +245,10 @@
     /** Returns the timeouts of an attempt: the silence of a server matters only if the request can be moved. */
     ResponseTimeouts responseTimeouts() {
         if (!route.repeatable()) {
-            return ResponseTimeouts.deadlineOnly(deadline);
+            return ResponseTimeouts.deadlineOnly(times.deadline());
         }
-        long silenceMillis = SilenceTimeout.millis(route, remainingMillis());
-        return ResponseTimeouts.withSilence(context.ticker().nanos(), silenceMillis, deadline);
+        long silenceMillis = SilenceTimeout.millis(route, times.remainingMillis());
+        return ResponseTimeouts.withSilence(context.ticker().nanos(), silenceMillis, times.deadline());
     }
 
     /** Records the outcome of an attempt, for the retry rules and for the health of the server. */
@@ -364,7 +327,7 @@
         if (finished) {
             return;
         }
-        boolean deadlinePassed = deadline.hasPassed(context.ticker().nanos());
+        boolean deadlinePassed = times.deadlinePassed();
         if (response.started()) {
             response.abort();
             finish(cutEnd(deadlinePassed), outcome, 0);
