Bound the log lines of refused requests

Seen in the trials of a stop: 12 callers that come back at once after each refusal brought some 9,900 "refused" lines in 8 s; lines beyond the queue are dropped, so others may be lost with them.

--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -1,5 +1,6 @@
 package org.verbenatray.relay;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -14,6 +15,7 @@
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.resilience.ServerRuns;
 import org.verbenatray.servers.HttpTransport;
+import org.verbenatray.time.Scheduler;
 import org.verbenatray.time.Ticker;
 import org.xnio.XnioIoThread;
 
@@ -71,4 +73,10 @@
         ServerLimits limits,
         ServerStatements statements,
         ReachListener reach,
-        ForwardingTargets forwardingTargets) {}
+        ForwardingTargets forwardingTargets) {
+    /** Returns a scheduler that runs its tasks on the I/O thread. */
+    Scheduler scheduler() {
+        return (when, task) ->
+                thread.executeAfter(task, when.remainingMillis(ticker.nanos()) + 1, TimeUnit.MILLISECONDS);
+    }
+}
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -42,8 +42,11 @@
 
     private final UnsentResponses unsentResponses = UnsentResponses.create();
 
+    private final RefusalLog refusals;
+
     private RelayHandler(RelayContext context) {
         this.context = context;
+        this.refusals = new RefusalLog(event -> event.log(log, Level.INFO), context.ticker(), context.scheduler());
         this.counts = RequestCounts.create(context.metrics());
         this.forwarded = ForwardedRequests.create(context.closingConnections());
     }
@@ -229,13 +232,12 @@
 
     /** Responds to a request that is not relayed. */
     private void reject(HttpServerExchange exchange, int status, String reason, long retryAfterMillis) {
-        Event.named("refused")
+        refusals.record(() -> Event.named("refused")
                 .with("status", status)
                 .with("why", reason)
                 .with("host", exchange.getRequestHeaders().getFirst(Headers.HOST))
                 .with("path", exchange.getRequestURI())
-                .with("version", context.catalog().get().map(Catalog::version).orElse(0L))
-                .log(log, Level.INFO);
+                .with("version", context.catalog().get().map(Catalog::version).orElse(0L)));
         unsentResponses.add(exchange);
         exchange.setStatusCode(status);
         if (retryAfterMillis > 0) {
