--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -133,7 +133,7 @@
                 },
                 loop.ticker(),
                 loop.scheduler());
-        this.leavingServers = new LeavingExchange(
+        this.leavingServers = LeavingExchange.create(
                 directory::markLeaving, exchangePeers::selectedAddresses, this::send, loop.ticker(), loop.scheduler());
         this.remoteWork = RemoteWork.create(loop.ticker(), exchangePeers::sampleWeight);
     }
--- a/src/main/java/org/verbenatray/openwork/LeavingExchange.java
+++ b/src/main/java/org/verbenatray/openwork/LeavingExchange.java
@@ -49,6 +49,19 @@
 
     private final Scheduler scheduler;
 
+    private LeavingExchange(
+            Predicate<String> marker,
+            Supplier<Collection<InetSocketAddress>> peers,
+            BiConsumer<InetSocketAddress, byte[]> sender,
+            Ticker ticker,
+            Scheduler scheduler) {
+        this.marker = marker;
+        this.peers = peers;
+        this.sender = sender;
+        this.ticker = ticker;
+        this.scheduler = scheduler;
+    }
+
     /**
      * Creates an exchange.
      *
@@ -58,17 +71,13 @@
      * @param ticker the clock
      * @param scheduler runs tasks at its times
      */
-    public LeavingExchange(
+    public static LeavingExchange create(
             Predicate<String> marker,
             Supplier<Collection<InetSocketAddress>> peers,
             BiConsumer<InetSocketAddress, byte[]> sender,
             Ticker ticker,
             Scheduler scheduler) {
-        this.marker = marker;
-        this.peers = peers;
-        this.sender = sender;
-        this.ticker = ticker;
-        this.scheduler = scheduler;
+        return new LeavingExchange(marker, peers, sender, ticker, scheduler);
     }
 
     /** Returns whether a datagram names leaving servers. */
--- a/src/main/java/org/verbenatray/relay/OpenCalls.java
+++ b/src/main/java/org/verbenatray/relay/OpenCalls.java
@@ -18,7 +18,7 @@
 
     private final Ticker ticker;
 
-    private final RecentDurations durations = new RecentDurations();
+    private final RecentDurations durations = RecentDurations.create();
 
     /** In order of their receipt. */
     private final Set<RelayCall> open = new LinkedHashSet<>();
--- a/src/main/java/org/verbenatray/relay/RecentDurations.java
+++ b/src/main/java/org/verbenatray/relay/RecentDurations.java
@@ -12,6 +12,13 @@
 
     private final Map<String, Window> byRoute = new HashMap<>();
 
+    private RecentDurations() {}
+
+    /** Creates an object that knows no durations. */
+    static RecentDurations create() {
+        return new RecentDurations();
+    }
+
     /** Records that a request of a route has ended after the given time in milliseconds. */
     void record(String route, long millis, long nowNanos) {
         byRoute.merge(
--- a/src/main/java/org/verbenatray/relay/RefusalLog.java
+++ b/src/main/java/org/verbenatray/relay/RefusalLog.java
@@ -31,13 +31,17 @@
     /** The refusals of the current window without a line. */
     private long omitted;
 
-    /** Creates a log that passes its lines on. */
-    RefusalLog(Consumer<Event> out, Ticker ticker, Scheduler scheduler) {
+    private RefusalLog(Consumer<Event> out, Ticker ticker, Scheduler scheduler) {
         this.out = out;
         this.ticker = ticker;
         this.scheduler = scheduler;
     }
 
+    /** Creates a log that passes its lines on. */
+    static RefusalLog create(Consumer<Event> out, Ticker ticker, Scheduler scheduler) {
+        return new RefusalLog(out, ticker, scheduler);
+    }
+
     /** Records a refusal, whose line is only made if it is written. */
     void record(Supplier<Event> line) {
         if (windowEnd == null || windowEnd.hasPassed(ticker.nanos())) {
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -46,7 +46,7 @@
 
     private RelayHandler(RelayContext context) {
         this.context = context;
-        this.refusals = new RefusalLog(event -> event.log(log, Level.INFO), context.ticker(), context.scheduler());
+        this.refusals = RefusalLog.create(event -> event.log(log, Level.INFO), context.ticker(), context.scheduler());
         this.counts = RequestCounts.create(context.metrics());
         this.forwarded = ForwardedRequests.create(context.closingConnections());
     }
--- a/src/test/java/org/verbenatray/relay/RecentDurationsTest.java
+++ b/src/test/java/org/verbenatray/relay/RecentDurationsTest.java
@@ -7,7 +7,7 @@
 
 /** The longest recent durations of the requests of a route. */
 public final class RecentDurationsTest {
-    private final RecentDurations durations = new RecentDurations();
+    private final RecentDurations durations = RecentDurations.create();
 
     @Test
     public void nothingIsKnownOfARouteWithoutRequests() {
--- a/src/test/java/org/verbenatray/relay/RefusalLogTest.java
+++ b/src/test/java/org/verbenatray/relay/RefusalLogTest.java
@@ -23,7 +23,7 @@
         now = 0;
         lines = new ArrayList<>();
         scheduled = new ArrayList<>();
-        log = new RefusalLog(line -> lines.add(line.toString()), () -> now, (when, task) -> scheduled.add(task));
+        log = RefusalLog.create(line -> lines.add(line.toString()), () -> now, (when, task) -> scheduled.add(task));
     }
 
     /** Guards against 9,900 lines in 8 s from 12 callers that come back at once after each refusal. */
