Expect of a request in a stop what most of its route take

A stopping instance went by the longest request of a route in the last 10 to 20 s.

Change: nine in ten of the last hundred, where open requests count with what they take already, so that servers which became slow show at once.

--- a/src/main/java/org/verbenatray/relay/OpenCalls.java
+++ b/src/main/java/org/verbenatray/relay/OpenCalls.java
@@ -4,8 +4,8 @@
 import java.lang.System.Logger.Level;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Ticker;
 
@@ -46,21 +46,19 @@
     }
 
     /**
-     * Returns the time in milliseconds in which a request that is sent now is expected to end: as long as the longest
-     * of its route took lately, or takes already, and its own deadline at the latest. Without others to go by, only the
-     * deadline is known.
+     * Returns the time in milliseconds in which a request that is sent now is expected to end: by its deadline at the
+     * latest, and in the time in which most requests of its route end. If none has ended lately, only the deadline is
+     * known.
      */
     long expectedMillis(RelayCall call) {
-        OptionalLong longest = durations.longestMillis(call.route().name(), ticker.nanos());
-        if (longest.isEmpty()) {
-            return call.times().remainingMillis();
-        }
-        long oldest = open.stream()
-                .filter(other -> other.route().name().equals(call.route().name()))
-                .mapToLong(other -> other.times().elapsedMillis())
-                .findFirst()
-                .orElse(0);
-        return Math.min(call.times().remainingMillis(), Math.max(oldest, longest.getAsLong()));
+        String route = call.route().name();
+        LongStream openMillis = open.stream()
+                .filter(other -> other.route().name().equals(route))
+                .mapToLong(other -> other.times().elapsedMillis());
+        long remainingMillis = call.times().remainingMillis();
+        return Math.min(
+                remainingMillis,
+                durations.expectedMillis(route, openMillis, ticker.nanos()).orElse(remainingMillis));
     }
 
     /**
--- a/src/main/java/org/verbenatray/relay/RecentDurations.java
+++ b/src/main/java/org/verbenatray/relay/RecentDurations.java
@@ -1,16 +1,26 @@
 package org.verbenatray.relay;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.stream.LongStream;
 import org.verbenatray.time.Deadline;
 
-/** The longest time that a request of each route has lately taken from its receipt to its end. Used on one thread. */
+/** How long the requests of each route have lately taken from their receipt to their end. Used on one thread. */
 final class RecentDurations {
-    /** The time in milliseconds for which a duration counts at least; it counts up to twice as long. */
-    private static final long WINDOW_MILLIS = 10_000;
+    /** The number of durations of a route that count at most: the newest. */
+    private static final int MAX_COUNT = 100;
 
-    private final Map<String, Window> byRoute = new HashMap<>();
+    /** The time in milliseconds for which a duration counts. */
+    private static final long MAX_AGE_MILLIS = 20_000;
+
+    /** The share of requests that take no longer than what is expected. */
+    private static final double EXPECTED_QUANTILE = 0.9;
+
+    /** The durations by route, the oldest first. */
+    private final Map<String, Deque<Duration>> byRoute = new HashMap<>();
 
     private RecentDurations() {}
 
@@ -21,50 +31,37 @@
 
     /** Records that a request of a route has ended after the given time in milliseconds. */
     void record(String route, long millis, long nowNanos) {
-        byRoute.merge(
-                route,
-                Window.startingWith(millis, nowNanos),
-                (known, added) -> known.at(nowNanos).with(millis));
-    }
-
-    /** Returns the longest recent duration of a route in milliseconds; empty if none is known. */
-    OptionalLong longestMillis(String route, long nowNanos) {
-        Window window = byRoute.get(route);
-        if (window == null || window.isOutdated(nowNanos)) {
-            return OptionalLong.empty();
+        Deque<Duration> durations = byRoute.computeIfAbsent(route, name -> new ArrayDeque<>());
+        if (durations.size() == MAX_COUNT) {
+            durations.removeFirst();
         }
-        Window current = window.at(nowNanos);
-        return OptionalLong.of(Math.max(current.longestMillis(), current.earlierMillis()));
+        durations.addLast(new Duration(millis, Deadline.afterMillis(nowNanos, MAX_AGE_MILLIS)));
     }
 
     /**
-     * The longest durations of a window of time and of the one before it.
+     * Returns the time in milliseconds within which most requests of a route end; empty if none has ended lately.
      *
-     * @param longestMillis the longest in the window, in milliseconds
-     * @param earlierMillis the longest in the window before, in milliseconds
-     * @param end the end of the window
+     * @param openMillis how long each open request of the route takes already, as servers may have become slow
      */
-    private record Window(long longestMillis, long earlierMillis, Deadline end) {
-        static Window startingWith(long millis, long nowNanos) {
-            return new Window(millis, 0, Deadline.afterMillis(nowNanos, WINDOW_MILLIS));
-        }
-
-        /** Returns whether all durations are too old to count. */
-        boolean isOutdated(long nowNanos) {
-            return Deadline.afterMillis(end.atNanos(), WINDOW_MILLIS).hasPassed(nowNanos);
+    OptionalLong expectedMillis(String route, LongStream openMillis, long nowNanos) {
+        Deque<Duration> durations = byRoute.getOrDefault(route, new ArrayDeque<>());
+        while (!durations.isEmpty() && durations.peekFirst().countsUntil().hasPassed(nowNanos)) {
+            durations.removeFirst();
         }
-
-        /** Returns the window at the given time: the next one if this one has ended. */
-        Window at(long nowNanos) {
-            if (!end.hasPassed(nowNanos)) {
-                return this;
-            }
-            long kept = isOutdated(nowNanos) ? 0 : longestMillis;
-            return new Window(0, kept, Deadline.afterMillis(nowNanos, WINDOW_MILLIS));
-        }
-
-        Window with(long millis) {
-            return new Window(Math.max(longestMillis, millis), earlierMillis, end);
+        if (durations.isEmpty()) {
+            return OptionalLong.empty();
         }
+        long[] sorted = LongStream.concat(openMillis, durations.stream().mapToLong(Duration::millis))
+                .sorted()
+                .toArray();
+        return OptionalLong.of(sorted[(int) Math.ceil(EXPECTED_QUANTILE * sorted.length) - 1]);
     }
+
+    /**
+     * The duration of a request.
+     *
+     * @param millis the time from receipt to end in milliseconds
+     * @param countsUntil when it is too old to count
+     */
+    private record Duration(long millis, Deadline countsUntil) {}
 }
