Let endless responses reach their bound before the deadline in their test

The test asks for the bound, and its verdict hung on the speed of the machine.

Change: requests and routes of these cases give 60 s.

--- a/src/test/java/org/verbenatray/platform/EndlessRelayTest.java
+++ b/src/test/java/org/verbenatray/platform/EndlessRelayTest.java
@@ -41,8 +41,8 @@
     public void aRequestThatMayRunOnceMayHaveRun(EndlessAnswer answer) throws Exception {
         EndlessScript script = answer.script();
         try (ScriptedServer server = ScriptedServer.start(reportsAndThen(script));
-                RelayFixture relay = RelayFixture.startReady(ServerListing.plain("s1", server))) {
-            String response = relay.exchange(RelayFixture.postRequest("/unsafe/x", "id1", "", "b"));
+                RelayFixture relay = startWithLongTimeouts(ServerListing.plain("s1", server))) {
+            String response = relay.exchange(withLongDeadline(RelayFixture.postRequest("/unsafe/x", "id1", "", "b")));
             Assert.assertTrue(response.startsWith("HTTP/1.1 502"), response);
             relay.await(() -> script.closedByPeer() == 1);
             Assert.assertEquals(script.started(), 1);
@@ -57,10 +57,10 @@
         try (ScriptedServer bad = ScriptedServer.start(reportsAndThen(script));
                 ScriptedServer second = ScriptedServer.start(good);
                 RelayFixture relay =
-                        RelayFixture.startReady(ServerListing.plain("s1", bad), ServerListing.plain("s2", second))) {
+                        startWithLongTimeouts(ServerListing.plain("s1", bad), ServerListing.plain("s2", second))) {
             int rounds = 0;
             while (rounds < 8 || script.started() == 0) {
-                String response = relay.exchange(RelayFixture.getRequest("/safe/x", "id" + rounds));
+                String response = relay.exchange(withLongDeadline(RelayFixture.getRequest("/safe/x", "id" + rounds)));
                 Assert.assertTrue(response.startsWith("HTTP/1.1 200") && response.endsWith("ok"), response);
                 rounds++;
                 Assert.assertTrue(rounds < 200, "the first server was never tried");
@@ -74,8 +74,9 @@
     public void aStreamWithoutAnEventMayHaveRun(EndlessAnswer answer) throws Exception {
         EndlessScript script = answer.script();
         try (ScriptedServer engine = ScriptedServer.start(reportsAndThen(script));
-                RelayFixture relay = RelayFixture.startReady(ServerListing.engine("e1", "decode", engine))) {
-            String response = relay.exchange(RelayFixture.postRequest("/stream/x", "id1", SHORT, "p"));
+                RelayFixture relay = startWithLongTimeouts(ServerListing.engine("e1", "decode", engine))) {
+            String response =
+                    relay.exchange(withLongDeadline(RelayFixture.postRequest("/stream/x", "id1", SHORT, "p")));
             Assert.assertTrue(response.startsWith("HTTP/1.1 502"), response);
             relay.await(() -> script.closedByPeer() == 1);
             Assert.assertEquals(script.started(), 1);
@@ -166,6 +167,22 @@
         return request.line().startsWith("GET /report") || request.line().startsWith("GET /kv-events");
     }
 
+    /**
+     * Starts an instance whose routes leave enough time to read a response up to its bound on a busy machine, where
+     * small chunks take seconds.
+     */
+    private static RelayFixture startWithLongTimeouts(ServerListing... servers) throws Exception {
+        RelayFixture relay = RelayFixture.startReady(servers);
+        relay.putConfiguration(
+                2, RelayFixture.configurationJson(2).replace("\"timeoutMs\":4000", "\"timeoutMs\":60000"));
+        relay.await(() -> relay.instance().readState().get().routesVersion() == 2);
+        return relay;
+    }
+
+    private static String withLongDeadline(String request) {
+        return request.replace("Deadline-Ms: 3000", "Deadline-Ms: 60000");
+    }
+
     /** Returns a script that answers with a stream of one event. */
     static Script completeStream() {
         return (request, connection, out) -> {
