Serve customers by their API keys

Change: the catalog holds customers by key; RequestMatcher finds route and customer; the dialect replaces the key by the customer's name once, before the first sending, so that retries, both halves of a split prompt, resumed streams carry it; an instance that serves a forwarded request authenticates it anew. A customer's priority goes before the route's. An unknown key waits 100 ms for news of the catalog, then gets 401, or 503 while the catalog is not confirmed. Large changes of the routes are compressed and told in parts, so that instances which the store turns away learn them; before, each instance read the store at once, and those missed them.

Tests: CustomerKeysTest, ForwardedRequestTest (one case), ReadExchangeTest (one case, seen red without parts), PartedNoticeTest.

--- a/src/main/java/org/verbenatray/catalog/Catalog.java
+++ b/src/main/java/org/verbenatray/catalog/Catalog.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** An immutable version of the routes, the backend services and the limits for callers. */
+/** An immutable version of the routes, the backend services, the limits for callers and the customers. */
 public final class Catalog {
     private final long version;
 
@@ -17,9 +17,13 @@
 
     private final CallerLimits limits;
 
-    private Catalog(long version, List<Route> routes, List<BackendService> services, CallerLimits limits) {
+    private final Customers customers;
+
+    private Catalog(
+            long version, List<Route> routes, List<BackendService> services, CallerLimits limits, Customers customers) {
         this.version = version;
         this.limits = limits;
+        this.customers = customers;
         routes.forEach(route -> this.routes
                 .computeIfAbsent(route.host(), host -> new HashMap<>())
                 .put(route.pathPrefix(), route));
@@ -27,8 +31,9 @@
     }
 
     /** Creates a catalog with the given version and content. */
-    public static Catalog of(long version, List<Route> routes, List<BackendService> services, CallerLimits limits) {
-        return new Catalog(version, routes, services, limits);
+    public static Catalog of(
+            long version, List<Route> routes, List<BackendService> services, CallerLimits limits, Customers customers) {
+        return new Catalog(version, routes, services, limits, customers);
     }
 
     /** Returns the version, which increases with each change. */
@@ -41,6 +46,11 @@
         return limits;
     }
 
+    /** Returns the customers. */
+    public Customers customers() {
+        return customers;
+    }
+
     /** Returns the service with the given name, if there is one. */
     public Optional<BackendService> service(String name) {
         return Optional.ofNullable(services.get(name));
--- a/src/main/java/org/verbenatray/catalog/Route.java
+++ b/src/main/java/org/verbenatray/catalog/Route.java
@@ -16,6 +16,7 @@
  * @param maxAttempts the maximum number of servers that may run a request
  * @param maxEventGapMillis the longest pause between the events of a stream that is on time, in milliseconds
  * @param resumable true if a broken stream may be resumed on another server
+ * @param openToAll true if callers need no key of a customer
  */
 public record Route(
         String name,
@@ -28,7 +29,8 @@
         List<WeightedService> services,
         int maxAttempts,
         long maxEventGapMillis,
-        boolean resumable) {
+        boolean resumable,
+        boolean openToAll) {
     private static final long MIN_CALLER_TIMEOUT_MILLIS = 2_000;
 
     /** The caller timeout as a multiple of the latency target. */
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -349,7 +349,12 @@
         KeyedFollower routes = KeyedFollower.startShared(
                 ROUTES,
                 platform.routes(),
-                new RoutesListener(platform.routesDecoder(), catalog, this::onRoutesChanged),
+                new RoutesListener(
+                        platform.routesDecoder(),
+                        catalog,
+                        this::onRoutesChanged,
+                        () -> settings.routePropagationMillis(),
+                        loop.ticker()),
                 pacer,
                 sharing.readSharing(ROUTES, new ReadExchange.Pace(() -> settings.routesWaitMillis(), true)),
                 loop.ticker(),
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -93,6 +93,9 @@
     /** The followers of the logs whose reads are shared, by name. */
     private Map<String, KeyedFollower> sharedLogs = Map.of();
 
+    private final ReadExchange.Receiver sharedReads =
+            ReadExchange.Receiver.create(name -> Optional.ofNullable(sharedLogs.get(name)));
+
     /** The limits that servers state, null before the start. */
     private ServerLimits limits;
 
@@ -310,7 +313,7 @@
             return;
         }
         if (ReadExchange.recognizes(datagram)) {
-            ReadExchange.receive(datagram, name -> Optional.ofNullable(sharedLogs.get(name)));
+            sharedReads.receive(datagram);
             return;
         }
         if (ReportExchange.recognizes(datagram)) {
--- a/src/main/java/org/verbenatray/openwork/ReadExchange.java
+++ b/src/main/java/org/verbenatray/openwork/ReadExchange.java
@@ -42,7 +42,7 @@
     /** The largest number of steps, which keeps the latest turn well within twice the full pace. */
     private static final int MAX_STEPS = 6;
 
-    /** The largest notice; beyond it only the fact that there are changes is sent. */
+    /** The largest notice that is sent in one datagram, in bytes. */
     private static final int MAX_BYTES = 8_000;
 
     /** First in each notice, and in no other kind of datagram on the same port. The field holds the first offset. */
@@ -102,9 +102,9 @@
         this.sender = sender;
     }
 
-    /** Returns whether a datagram holds changes of the log. */
+    /** Returns whether a datagram holds changes of a log, or a part of them. */
     public static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return PartedNotice.recognizes(datagram) || datagram.length > 0 && datagram[0] == FIRST_BYTE;
     }
 
     @Override
@@ -120,37 +120,41 @@
 
     @Override
     public void publish(long epoch, long from, long to, List<KeyedLog.Entry> changes) {
+        List<byte[]> datagrams = datagrams(epoch, from, to, changes);
+        receivers.get().forEach(address -> datagrams.forEach(datagram -> sender.accept(address, datagram)));
+    }
+
+    /** Returns the datagrams that tell the changes; if these are too large, only that there are some. */
+    private List<byte[]> datagrams(long epoch, long from, long to, List<KeyedLog.Entry> changes) {
         byte[] whole = encode(epoch, from, to, changes);
-        byte[] datagram = whole.length <= MAX_BYTES ? whole : encode(epoch, to, to, List.of());
-        receivers.get().forEach(address -> sender.accept(address, datagram));
+        if (whole.length <= MAX_BYTES) {
+            return List.of(whole);
+        }
+        List<byte[]> parts = PartedNotice.split(whole);
+        return parts.isEmpty() ? List.of(encode(epoch, to, to, List.of())) : parts;
     }
 
-    /** Passes the changes in a datagram to the follower of its log; a malformed one is logged and dropped. */
-    public static void receive(byte[] datagram, Function<String, Optional<KeyedFollower>> followers) {
-        try {
-            CodedInputStream in = CodedInputStream.newInstance(datagram);
-            String logName = "";
-            long epoch = 0;
-            long from = 0;
-            long to = 0;
-            List<KeyedLog.Entry> changes = new ArrayList<>();
-            for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
-                switch (WireFormat.getTagFieldNumber(tag)) {
-                    case FROM -> from = in.readUInt64();
-                    case TO -> to = in.readUInt64();
-                    case LOG -> logName = in.readString();
-                    case KEY -> changes.add(new KeyedLog.Entry(in.readString(), Optional.empty()));
-                    case EPOCH -> epoch = in.readUInt64();
-                    case VALUE -> setLastValue(changes, in.readBytes());
-                    default -> in.skipField(tag);
-                }
+    private static void apply(byte[] notice, Function<String, Optional<KeyedFollower>> followers) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(notice);
+        String logName = "";
+        long epoch = 0;
+        long from = 0;
+        long to = 0;
+        List<KeyedLog.Entry> changes = new ArrayList<>();
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case FROM -> from = in.readUInt64();
+                case TO -> to = in.readUInt64();
+                case LOG -> logName = in.readString();
+                case KEY -> changes.add(new KeyedLog.Entry(in.readString(), Optional.empty()));
+                case EPOCH -> epoch = in.readUInt64();
+                case VALUE -> setLastValue(changes, in.readBytes());
+                default -> in.skipField(tag);
             }
-            Optional<KeyedFollower> follower = followers.apply(logName);
-            if (follower.isPresent()) {
-                follower.get().onPeerChanges(epoch, from, to, changes);
-            }
-        } catch (IOException e) {
-            Event.named("read_notice_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
+        }
+        Optional<KeyedFollower> follower = followers.apply(logName);
+        if (follower.isPresent()) {
+            follower.get().onPeerChanges(epoch, from, to, changes);
         }
     }
 
@@ -183,6 +187,36 @@
         }
     }
 
+    /** Receives the datagrams of the reads of all logs. Used on one thread. */
+    public static final class Receiver {
+        /** Returns the follower of a log by its name. */
+        private final Function<String, Optional<KeyedFollower>> followers;
+
+        private final PartedNotice parts = PartedNotice.receiver();
+
+        private Receiver(Function<String, Optional<KeyedFollower>> followers) {
+            this.followers = followers;
+        }
+
+        /** Creates a receiver that passes changes to the follower of their log, found by the name of the log. */
+        public static Receiver create(Function<String, Optional<KeyedFollower>> followers) {
+            return new Receiver(followers);
+        }
+
+        /** Passes the changes in a datagram to the follower of its log; a malformed one is logged and dropped. */
+        public void receive(byte[] datagram) {
+            try {
+                Optional<byte[]> notice =
+                        PartedNotice.recognizes(datagram) ? parts.receive(datagram) : Optional.of(datagram);
+                if (notice.isPresent()) {
+                    apply(notice.get(), followers);
+                }
+            } catch (IOException e) {
+                Event.named("read_notice_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
+            }
+        }
+    }
+
     /**
      * The pace of the reads of the first instance.
      *
--- a/src/main/java/org/verbenatray/platform/CatalogDecoder.java
+++ b/src/main/java/org/verbenatray/platform/CatalogDecoder.java
@@ -6,12 +6,18 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import org.verbenatray.catalog.ApiKey;
 import org.verbenatray.catalog.BackendService;
 import org.verbenatray.catalog.CallerLimits;
 import org.verbenatray.catalog.Catalog;
+import org.verbenatray.catalog.Customer;
+import org.verbenatray.catalog.Customers;
 import org.verbenatray.catalog.EngineLimits;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.catalog.RouteKind;
@@ -67,7 +73,24 @@
                         limits.path("maxHeaderBytes").asInt(16_384),
                         limits.path("maxBodyBytes").asLong(4_194_304),
                         limits.path("headerTimeoutMs").asLong(10_000),
-                        limits.path("idleTimeoutMs").asLong(60_000)));
+                        limits.path("idleTimeoutMs").asLong(60_000)),
+                decodeCustomers(node.path("tenants")));
+    }
+
+    /** Decodes the customers; a configuration without a list of them needs no keys. */
+    private static Customers decodeCustomers(JsonNode list) {
+        if (!list.isArray()) {
+            return Customers.notRequired();
+        }
+        Map<ApiKey, Customer> byKey = new HashMap<>();
+        for (JsonNode node : list) {
+            JsonNode priority = node.path("priority");
+            Customer customer = new Customer(
+                    node.path("name").asText(),
+                    priority.isInt() ? OptionalInt.of(priority.asInt()) : OptionalInt.empty());
+            node.path("apiKeys").forEach(key -> byKey.put(ApiKey.of(key.asText()), customer));
+        }
+        return Customers.byKey(byKey);
     }
 
     private static Route decodeRoute(JsonNode node) {
@@ -90,7 +113,8 @@
                 List.copyOf(services),
                 Math.max(1, node.path("maxAttempts").asInt(1)),
                 node.path("targetGapMs").asLong(),
-                node.path("resumable").asBoolean());
+                node.path("resumable").asBoolean(),
+                node.path("public").asBoolean());
     }
 
     /** Decodes the kind of a route. An unknown kind counts as unsafe, so that its requests are not retried. */
--- a/src/main/java/org/verbenatray/platform/PlatformProtocol.java
+++ b/src/main/java/org/verbenatray/platform/PlatformProtocol.java
@@ -24,6 +24,8 @@
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.CacheChanges;
 import org.verbenatray.backends.ServerStatement;
+import org.verbenatray.catalog.ApiKey;
+import org.verbenatray.catalog.Customer;
 import org.verbenatray.placement.PromptBlock;
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.relay.EndToEndHeaders;
@@ -65,6 +67,12 @@
 
     private static final HttpString MODEL = new HttpString("Model");
 
+    /** The API key of a caller; between instances only, never sent to a server. */
+    private static final HttpString API_KEY = new HttpString("Key");
+
+    /** The name of the customer that holds the key of a request. */
+    private static final HttpString CUSTOMER = new HttpString("Tenant");
+
     /** The id of the server that must handle the request; any other server responds with 421. */
     private static final String EXPECT_INSTANCE = "Expect-Instance";
 
@@ -139,7 +147,16 @@
                         .map(millis -> Deadline.afterMillis(receivedNanos, millis)),
                 parsePromptShape(headers),
                 Optional.ofNullable(headers.getFirst(LAST_EVENT_ID)),
-                Optional.ofNullable(headers.getFirst(RESUMES)).filter(named -> !named.isEmpty())));
+                Optional.ofNullable(headers.getFirst(RESUMES)).filter(named -> !named.isEmpty()),
+                Optional.ofNullable(headers.get(API_KEY)).map(values -> ApiKey.of(String.join(", ", values)))));
+    }
+
+    @Override
+    public RelayRequest identified(RelayRequest request, Optional<Customer> customer) {
+        Map<String, String> headers = new LinkedHashMap<>(request.headers());
+        headers.keySet().removeIf(name -> API_KEY.equalToString(name) || CUSTOMER.equalToString(name));
+        customer.ifPresent(holder -> headers.put(CUSTOMER.toString(), holder.name()));
+        return request.withHeaders(headers);
     }
 
     @Override
@@ -175,6 +192,10 @@
     public HttpCall forwardToInstance(RelayRequest request, URI instance, long timeoutMillis) {
         Map<String, String> headers = new LinkedHashMap<>(request.headers());
         headers.put(DEADLINE_MILLIS, Long.toString(timeoutMillis));
+        request.apiKey().ifPresent(key -> {
+            headers.keySet().removeIf(CUSTOMER::equalToString);
+            headers.put(API_KEY.toString(), key.value());
+        });
         request.lastEventId().ifPresent(last -> headers.put(LAST_EVENT_ID, last));
         return HttpCall.create(request.method(), instance, request.target(), headers, request.body())
                 .onNewConnection();
--- a/src/main/java/org/verbenatray/relay/CallRecord.java
+++ b/src/main/java/org/verbenatray/relay/CallRecord.java
@@ -64,6 +64,7 @@
         if (firstByteNanos > 0) {
             event.with("first_ms", sinceReceiptNanos(firstByteNanos) / 1_000_000);
         }
+        matched.customer().ifPresent(customer -> event.with("customer", customer.name()));
         request.continuedRequestId().ifPresent(first -> event.with("continues", first));
         request.lastEventId().ifPresent(last -> event.with("after_event", last));
         suspects.addTo(event);
--- a/src/main/java/org/verbenatray/relay/EnginePriority.java
+++ b/src/main/java/org/verbenatray/relay/EnginePriority.java
@@ -42,7 +42,7 @@
 
     /** Returns the priority of a request that an engine has to prefill; the plan is null if there is none. */
     static int ofPrompt(RelayCall call, PrefillPlan plan) {
-        int priority = call.route().priority();
+        int priority = call.priority();
         if (plan == null || !plan.work().deferred()) {
             return regular(priority);
         }
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -137,7 +137,7 @@
         ForwardOptions options = new ForwardOptions(
                 chosen.get(),
                 call.times().remainingMillis(),
-                call.route().priority(),
+                call.priority(),
                 false,
                 Optional.empty(),
                 Optional.empty(),
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -118,6 +118,11 @@
         return route;
     }
 
+    /** Returns the priority, zero being the highest. */
+    int priority() {
+        return matched.priority();
+    }
+
     /** Returns the name of the service that serves the request. */
     String service() {
         return service;
--- a/src/main/java/org/verbenatray/relay/RelayDialect.java
+++ b/src/main/java/org/verbenatray/relay/RelayDialect.java
@@ -8,6 +8,7 @@
 import org.verbenatray.backends.BackendLoad;
 import org.verbenatray.backends.CacheChanges;
 import org.verbenatray.backends.ServerStatement;
+import org.verbenatray.catalog.Customer;
 import org.verbenatray.servers.BufferedResponse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ResponseHead;
@@ -17,10 +18,18 @@
     /** Returns the request of a caller; empty if it carries no request id. */
     Optional<RelayRequest> readRequest(HttpServerExchange exchange, byte[] body, long receivedNanos);
 
+    /**
+     * Returns a request of a deployment with customers as it is forwarded to backend servers: without the key, and with
+     * the customer's name where there is a customer.
+     */
+    RelayRequest identified(RelayRequest request, Optional<Customer> customer);
+
     /** Returns the call that forwards a request to a backend server. */
     HttpCall forward(RelayRequest request, ForwardOptions options);
 
-    /** Returns the call that sends a request to another instance, whose caller waits for the given time. */
+    /**
+     * Returns the call that sends a request, with its key, to another instance, whose caller waits for the given time.
+     */
     HttpCall forwardToInstance(RelayRequest request, URI instance, long timeoutMillis);
 
     /** Returns the parsed head of a server's response to the given request. */
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -13,9 +13,9 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.verbenatray.catalog.Catalog;
-import org.verbenatray.catalog.Route;
 import org.verbenatray.catalog.RouteKind;
 import org.verbenatray.memory.MemoryAccount;
 import org.verbenatray.telemetry.Event;
@@ -32,6 +32,9 @@
     /** Retry-after time of a request whose body finds no room. */
     private static final long NO_ROOM_RETRY_AFTER_MILLIS = 1_000;
 
+    /** Time in milliseconds in which a change of the catalog reaches an instance that is not cut off. */
+    private static final long CATALOG_NEWS_MILLIS = 100;
+
     private static final Logger log = System.getLogger(RelayHandler.class.getName());
 
     private final RelayContext context;
@@ -44,9 +47,12 @@
 
     private final RefusalLog refusals;
 
+    private final RequestMatcher matcher;
+
     private RelayHandler(RelayContext context) {
         this.context = context;
         this.refusals = RefusalLog.create(event -> event.log(log, Level.INFO), context.ticker(), context.scheduler());
+        this.matcher = RequestMatcher.create(context.catalog(), context.dialect());
         this.counts = RequestCounts.create(context.metrics());
         this.forwarded = ForwardedRequests.create(context.closingConnections());
     }
@@ -162,7 +168,7 @@
         }
     }
 
-    /** Matches the route of a request and starts relaying it. */
+    /** Parses a request that was read whole, and matches it. */
     private void startRelay(HttpServerExchange exchange, KeptBody body, RequestGuard guard, Receipt receipt) {
         counts.recordRead();
         unsentResponses.add(exchange);
@@ -177,20 +183,37 @@
             onEnd.accept(RequestEnd.REFUSED);
             return;
         }
-        RelayRequest request = parsedRequest.get();
-        guard.setRequestId(request.id());
-        Catalog catalog = context.catalog().get().orElseThrow();
-        Optional<Route> matchedRoute = catalog.match(request.host(), request.path());
-        if (matchedRoute.isEmpty()) {
-            String reason = "no route of version " + catalog.version() + " matches this host and path";
-            reject(exchange, 404, reason, 0);
-            onEnd.accept(RequestEnd.REFUSED);
-            return;
+        guard.setRequestId(parsedRequest.get().id());
+        match(new ReadRequest(exchange, parsedRequest.get(), guard, onEnd), receipt, false);
+    }
+
+    /**
+     * Matches the route and the customer of a request and relays it, or refuses it. A request with an unknown key is
+     * matched once more after a moment, as the key may have just been added.
+     */
+    private void match(ReadRequest read, Receipt receipt, boolean waited) {
+        RequestMatcher.Match match = matcher.match(read.request(), receipt.forwarded(), waited);
+        if (match instanceof RequestMatcher.Matched matched) {
+            relay(matched.request(), read);
+        } else if (match instanceof RequestMatcher.Refused refused) {
+            reject(read.exchange(), refused.status(), refused.reason(), refused.retryAfterMillis());
+            read.onEnd().accept(RequestEnd.REFUSED);
+        } else {
+            context.thread()
+                    .executeAfter(
+                            read.guard().wrap(() -> match(read, receipt, true)),
+                            CATALOG_NEWS_MILLIS,
+                            TimeUnit.MILLISECONDS);
         }
-        MatchedRequest matched = MatchedRequest.of(request, matchedRoute.get(), catalog.version(), receipt.forwarded());
-        RelayCall call = new RelayCall(context, matched, CallerResponse.to(exchange, memory(), guard), guard, onEnd);
+    }
+
+    /** Relays a request that has matched. */
+    private void relay(MatchedRequest matched, ReadRequest read) {
+        RequestGuard guard = read.guard();
+        CallerResponse response = CallerResponse.to(read.exchange(), memory(), guard);
+        RelayCall call = new RelayCall(context, matched, response, guard, read.onEnd());
         guard.setEnding(call::fail);
-        if (!receipt.forwarded()) {
+        if (!matched.forwarded()) {
             context.retryBudgets().apply(call.service()).recordRequest();
         }
         if (!call.maySend()) {
@@ -267,6 +290,17 @@
         return total;
     }
 
+    /**
+     * A request that was read whole.
+     *
+     * @param exchange its exchange with the caller
+     * @param request the request
+     * @param guard runs its steps
+     * @param onEnd receives how it ends
+     */
+    private record ReadRequest(
+            HttpServerExchange exchange, RelayRequest request, RequestGuard guard, Consumer<RequestEnd> onEnd) {}
+
     /**
      * How a request was received.
      *
--- a/src/main/java/org/verbenatray/relay/RelayRequest.java
+++ b/src/main/java/org/verbenatray/relay/RelayRequest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.verbenatray.catalog.ApiKey;
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.resilience.PartKey;
 import org.verbenatray.time.Deadline;
@@ -27,6 +28,7 @@
  *     whole response
  * @param continuedRequestId the id of the attempt that brought the first event of the stream that this request
  *     continues; empty if it does not say that it continues one
+ * @param apiKey the key of the customer; empty if it carries none
  */
 public record RelayRequest(
         String id,
@@ -40,7 +42,8 @@
         Optional<Deadline> deadline,
         Optional<PromptShape> prompt,
         Optional<String> lastEventId,
-        Optional<String> continuedRequestId) {
+        Optional<String> continuedRequestId,
+        Optional<ApiKey> apiKey) {
     private static final HashFunction HASH = Hashing.murmur3_128();
 
     /**
@@ -63,6 +66,24 @@
                 .toList();
     }
 
+    /** Returns this request with other headers to forward. */
+    public RelayRequest withHeaders(Map<String, String> others) {
+        return new RelayRequest(
+                id,
+                caller,
+                method,
+                target,
+                host,
+                others,
+                body,
+                receivedNanos,
+                deadline,
+                prompt,
+                lastEventId,
+                continuedRequestId,
+                apiKey);
+    }
+
     /** Returns whether the caller has received events of the stream in an earlier attempt and wants the rest. */
     public boolean continuesStream() {
         return lastEventId.isPresent() || continuedRequestId.isPresent();
--- a/src/test/java/org/verbenatray/catalog/CatalogTest.java
+++ b/src/test/java/org/verbenatray/catalog/CatalogTest.java
@@ -42,6 +42,7 @@
                 List.of(new WeightedService("a", 90), new WeightedService("b", 10), new WeightedService("c", 0)),
                 1,
                 0,
+                false,
                 false);
         Map<String, Integer> counts = new TreeMap<>();
         for (int hash = -500; hash < 500; hash++) {
@@ -55,11 +56,11 @@
     }
 
     private static Catalog catalog(long version, Route... routes) {
-        return Catalog.of(version, List.of(routes), List.of(), new CallerLimits(1, 1, 1, 1));
+        return Catalog.of(version, List.of(routes), List.of(), new CallerLimits(1, 1, 1, 1), Customers.notRequired());
     }
 
     private static Route route(String prefix) {
         return new Route(
-                prefix, "h", prefix, RouteKind.SAFE, 1, 1, 0, List.of(new WeightedService("s", 1)), 1, 0, false);
+                prefix, "h", prefix, RouteKind.SAFE, 1, 1, 0, List.of(new WeightedService("s", 1)), 1, 0, false, false);
     }
 }
--- a/src/test/java/org/verbenatray/openwork/ReadExchangeTest.java
+++ b/src/test/java/org/verbenatray/openwork/ReadExchangeTest.java
@@ -3,17 +3,20 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.verbenatray.log.FakeKeyedLog;
 import org.verbenatray.log.KeyedLog;
+import org.verbenatray.log.LogUnavailableException;
 import org.verbenatray.state.KeyedFollower;
 import org.verbenatray.state.RetryPacer;
 import org.verbenatray.time.Deadline;
@@ -116,6 +119,21 @@
         nodes.forEach(node -> Assert.assertEquals(node.values.get("key"), "value", node.name));
     }
 
+    /** Only the fact that there were large changes was told, so that an instance that the log refuses missed them. */
+    @Test
+    public void instancesThatTheLogTurnsAwayLearnLargeChangesFromTheOthers() {
+        waiting = true;
+        start(24);
+        time.advanceMillis(3_000);
+        nodes.stream().skip(16).forEach(node -> node.turnedAway = true);
+        byte[] value = new byte[30_000];
+        random.nextBytes(value);
+        String text = Base64.getEncoder().encodeToString(value);
+        put("key", text);
+        time.advanceMillis(4 * PACE_MILLIS);
+        nodes.forEach(node -> Assert.assertEquals(node.values.get("key"), text, node.name));
+    }
+
     @Test
     public void changesThatDoNotFollowWhatIsKnownAreNotApplied() {
         start(1);
@@ -171,7 +189,10 @@
         private final String name;
         private final Map<String, String> values = new HashMap<>();
         private final ExchangePeers peers;
+        private final ReadExchange.Receiver receiver =
+                ReadExchange.Receiver.create(log -> Optional.ofNullable(this.follower));
         private KeyedFollower follower;
+        private boolean turnedAway;
         private int told;
         private boolean ended;
         private boolean deaf;
@@ -190,16 +211,36 @@
                     peers::groupAddresses,
                     this::send);
             follower = KeyedFollower.startShared(
-                    "list", log, this, RetryPacer.create(() -> 0.5, time, time), exchange, time, time);
+                    "list", new GuardedLog(), this, RetryPacer.create(() -> 0.5, time, time), exchange, time, time);
         }
 
         private void send(InetSocketAddress to, byte[] datagram) {
             told++;
             Node other = nodes.get(to.getPort() - 1);
             if (!other.ended && !other.deaf && other.follower != null && random.nextDouble() >= LOSS) {
-                time.runAt(
-                        Deadline.afterMillis(time.nanos(), 1),
-                        () -> ReadExchange.receive(datagram, name -> Optional.of(other.follower)));
+                time.runAt(Deadline.afterMillis(time.nanos(), 1), () -> other.receiver.receive(datagram));
+            }
+        }
+
+        /** The log, which turns this instance away while the flag is set. */
+        private final class GuardedLog implements KeyedLog {
+            @Override
+            public CompletableFuture<Page> newestRecords(Optional<String> after) {
+                return turnedAway ? refusal() : log.newestRecords(after);
+            }
+
+            @Override
+            public CompletableFuture<List<Entry>> changes(long from, long waitMillis) {
+                return turnedAway ? refusal() : log.changes(from, waitMillis);
+            }
+
+            @Override
+            public CompletableFuture<Void> putAll(List<Entry> entries) {
+                return log.putAll(entries);
+            }
+
+            private static <T> CompletableFuture<T> refusal() {
+                return CompletableFuture.failedFuture(new LogUnavailableException("turned away", null));
             }
         }
 
--- a/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
@@ -132,6 +132,21 @@
         }
     }
 
+    @Test
+    public void theInstanceThatServesTheRequestIdentifiesItsCustomer() throws Exception {
+        String customers = "{\"name\":\"acme\",\"apiKeys\":[\"k-acme\"]}";
+        String configuration = CustomerKeysTest.configuration(2, customers)
+                .replace("\"pathPrefix\":\"/resume/\"", "\"public\":true,\"pathPrefix\":\"/resume/\"");
+        fleet.putConfiguration(2, configuration);
+        keepAnswering();
+        String request = RelayFixture.postRequest("/stream/x", "keyed", "Key: k-acme\r\nTenant: other\r\n", "b");
+        String response = RelayFixture.exchange(fleet.instance(0), request);
+        Assert.assertTrue(response.startsWith("HTTP/1.1 200"), response);
+        Request arrived = fleet.arrivals("keyed").get(0);
+        Assert.assertEquals(arrived.header("tenant"), "acme");
+        Assert.assertEquals(arrived.header("key"), "");
+    }
+
     /** Makes engines answer both other instances, which tell the partitioned one of it. */
     private void keepAnswering() throws InterruptedException {
         for (int round = 0; round < 3; round++) {
--- a/src/test/java/org/verbenatray/platform/PartitionableFleet.java
+++ b/src/test/java/org/verbenatray/platform/PartitionableFleet.java
@@ -135,6 +135,14 @@
         return plainServer;
     }
 
+    /** Replaces the operator's configuration and waits until it is in force at all instances. */
+    void putConfiguration(long version, String text) throws Exception {
+        store.put("keyed.op", "config", text);
+        for (RelayInstance instance : instances) {
+            RelayFixture.waitUntil(() -> instance.readState().join().routesVersion() == version);
+        }
+    }
+
     /** Sends a request to an instance without waiting for its answer, and pauses briefly. */
     void call(int instance, String request) throws InterruptedException {
         callers.submit(() -> RelayFixture.exchange(instances.get(instance), request));
--- a/src/test/java/org/verbenatray/relay/RelayRequestTest.java
+++ b/src/test/java/org/verbenatray/relay/RelayRequestTest.java
@@ -45,6 +45,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
     }
 }
