Count usage and order servers under a lease of its own

Change: LogLease takes its times as LeaseTerms, watches closely only at a few candidates, keeps the lease when a renewal or claim without an answer turns out to be in the log, and can state facts in renewals. Under a second lease with short terms one instance states each window's counts in the log and reports what the log has (usage), and orders servers by price, reclaimable ones first (capacity).

Found on the way: a log restored empty could be claimed at once and acted on while the former holder was active, with the short terms.

--- a/src/main/java/org/verbenatray/authority/LogLease.java
+++ b/src/main/java/org/verbenatray/authority/LogLease.java
@@ -3,10 +3,12 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.LongConsumer;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.verbenatray.log.ConditionalLog;
 import org.verbenatray.log.LogEpoch;
@@ -28,41 +30,32 @@
  * Other processes claim the lease only after a full term without a new record, and then wait until orders of the former
  * holder can't arrive any more.
  *
+ * <p>The holder can state facts in its renewals, such as a decision that a successor has to repeat. A fact is accepted
+ * only while the holder holds the lease, and every process that reads the log learns it.
+ *
  * <p>Not thread-safe.
  */
 public final class LogLease {
-    /** The time for which the holder may act after a renewal, in milliseconds. */
-    private static final long ACTIVE_MILLIS = 5_000;
-
-    /** The interval between two renewals in milliseconds. */
-    private static final long RENEW_INTERVAL_MILLIS = 3_000;
-
-    /** The time without a new record after which other processes claim the lease, in milliseconds. */
-    private static final long TERM_MILLIS = 12_000;
-
-    /** The wait of a new holder before it acts, since late orders of the former one may arrive, in milliseconds. */
-    private static final long TAKEOVER_DELAY_MILLIS = 9_000;
-
-    /**
-     * The time between two reads of a process that does not hold the lease, in milliseconds. A read that waits for the
-     * next record would end at each renewal, at all processes.
-     */
-    private static final long READ_INTERVAL_MILLIS = 4_000;
-
     /** The part of the time between two reads, and before a claim, that differs from process to process. */
-    private static final long SPREAD_MILLIS = 1_000;
+    private static final double SPREAD_SHARE = 0.25;
+
+    /** How much more rarely a process reads that is no candidate, and how much longer it waits before it claims. */
+    private static final int DISTANT_FACTOR = 4;
 
     /**
      * The offsets that a claim skips for each epoch since the last record. In an epoch no more than these are lost,
-     * with a record each 3 s and copies some seconds old.
+     * with a record each second and copies some seconds old.
      */
     private static final int SKIPPED_PER_EPOCH = 256;
 
     /** The most offsets that a claim skips, so that it remains one small call. */
     private static final long MAX_SKIPPED = 65_536;
 
-    /** The delay before the lease is read again after a failed call, in milliseconds. */
-    private static final long RETRY_DELAY_MILLIS = 3_000;
+    /** The longest delay before the lease is read again after a failed call of a process that does not hold it. */
+    private static final long MAX_RETRY_DELAY_MILLIS = 3_000;
+
+    /** The delay before the holder looks again whether a renewal without an answer was appended, in milliseconds. */
+    private static final long RECHECK_DELAY_MILLIS = 500;
 
     private static final Logger log = System.getLogger(LogLease.class.getName());
 
@@ -71,6 +64,10 @@
     /** The name of this process; no other running process may have the same name. */
     private final String holder;
 
+    private final LeaseOptions options;
+
+    private final LeaseTerms terms;
+
     private final Ticker ticker;
 
     /** Returns the wall-clock time in milliseconds. */
@@ -80,11 +77,13 @@
 
     private final LogEpoch epoch;
 
+    private final PendingFacts pendingFacts = new PendingFacts();
+
     /** The offset after the last record that was read or appended. */
     private long endOffset;
 
-    /** The epoch in which the last record was written; zero if that is unknown or there is none. */
-    private long lastRecordEpoch;
+    /** The last record that was read or appended, null if there is none. */
+    private LeaseRecord lastRecord;
 
     /** The number of epochs that this process has seen begin; responses to calls of an earlier one are ignored. */
     private int rises;
@@ -95,31 +94,29 @@
     /** The fencing token of this process, or -1 while it does not hold the lease. */
     private long fencingToken = -1;
 
-    /** The end of the time in which the holder may act, on the monotonic clock. */
-    private Deadline activeUntil = new Deadline(0);
+    /** Whether an append or the check whether it took effect is under way. */
+    private boolean appending;
 
-    /** The end of the time in which the holder may act, on the wall clock in milliseconds. */
-    private long activeUntilWallMillis;
+    /** When this process may act. */
+    private HolderTerm term = HolderTerm.NONE;
 
-    /** The time from which the holder may act. */
-    private Deadline activeFrom = new Deadline(0);
+    /** Before which this process does not claim the lease, as it gave it up; null if it never did. */
+    private Deadline noClaimBefore;
 
     /** Whether the lease is neither renewed nor claimed any more. */
     private boolean stopped;
 
-    /** Whether no process of the system ran before this one's start. */
-    private final boolean firstStart;
-
     private LogLease(
             ConditionalLog leaseLog,
             String holder,
-            boolean firstStart,
+            LeaseOptions options,
             Ticker ticker,
             LongSupplier wallMillis,
             Scheduler scheduler) {
         this.leaseLog = leaseLog;
         this.holder = holder;
-        this.firstStart = firstStart;
+        this.options = options;
+        this.terms = options.terms();
         this.ticker = ticker;
         this.wallMillis = wallMillis;
         this.scheduler = scheduler;
@@ -130,17 +127,16 @@
      * Starts to watch a lease, and claims it when no other process holds it.
      *
      * @param holder the name of this process; no other running process may have the same name
-     * @param firstStart whether the whole system starts for the first time, so that an empty log was never claimed
      * @param wallMillis returns the wall-clock time in milliseconds
      */
     public static LogLease start(
             ConditionalLog leaseLog,
             String holder,
-            boolean firstStart,
+            LeaseOptions options,
             Ticker ticker,
             LongSupplier wallMillis,
             Scheduler scheduler) {
-        LogLease lease = new LogLease(leaseLog, holder, firstStart, ticker, wallMillis, scheduler);
+        LogLease lease = new LogLease(leaseLog, holder, options, ticker, wallMillis, scheduler);
         lease.epoch.onRise(lease::startAnew);
         lease.watch();
         return lease;
@@ -153,23 +149,64 @@
     public void stop() {
         stopped = true;
         fencingToken = -1;
+        pendingFacts.failAll();
+    }
+
+    /**
+     * Gives the lease up, if this process holds it, so that another one can claim it at once. This process claims it
+     * again after the given time at the earliest.
+     */
+    public void release(long noClaimMillis) {
+        if (fencingToken < 0) {
+            return;
+        }
+        noClaimBefore = Deadline.afterMillis(ticker.nanos(), noClaimMillis);
+        byte[] content = LeaseRecord.release(holder, epoch.newest()).encode();
+        leaseLog.appendAt(endOffset, List.of(content)).whenComplete((offset, failure) -> {
+            if (failure != null || offset.isEmpty()) {
+                Event.named("lease_not_released")
+                        .with("why", failure == null ? "another record came first" : failure.getMessage())
+                        .log(log, Level.INFO);
+            }
+        });
+        loseLease("released");
+    }
+
+    /** Returns whether this process holds the lease, also while it may not act yet or any more. */
+    public boolean isHeld() {
+        return fencingToken >= 0;
     }
 
     /** Returns the fencing token if this process may act now; empty otherwise. */
     public OptionalLong activeFencingToken() {
-        long nowNanos = ticker.nanos();
-        boolean valid = fencingToken >= 0
-                && !activeUntil.hasPassed(nowNanos)
-                && wallMillis.getAsLong() < activeUntilWallMillis
-                && activeFrom.hasPassed(nowNanos);
+        boolean valid = fencingToken >= 0 && isActive() && term.from().hasPassed(ticker.nanos());
         return valid ? OptionalLong.of(fencingToken) : OptionalLong.empty();
     }
 
+    /**
+     * States a fact in a renewal. The result is true once the log has it, and false if this process does not hold the
+     * lease or loses it before that is known; the fact may then be in the log nevertheless.
+     */
+    public CompletableFuture<Boolean> state(String fact) {
+        if (fencingToken < 0) {
+            return CompletableFuture.completedFuture(false);
+        }
+        CompletableFuture<Boolean> stated = pendingFacts.add(fact);
+        if (!appending) {
+            appendNext();
+        }
+        return stated;
+    }
+
+    private boolean isActive() {
+        return term.lasts(ticker.nanos(), wallMillis.getAsLong());
+    }
+
     /** Gives the lease up and watches the log from its beginning, as its claim may be lost and offsets start anew. */
     private void startAnew() {
         rises++;
         endOffset = 0;
-        lastRecordEpoch = 0;
+        lastRecord = null;
         if (!stopped) {
             recordLoss("the log was restored from an older copy");
             claimAt = null;
@@ -184,11 +221,11 @@
         }
         int current = rises;
         leaseLog.read(endOffset, 0).whenComplete((tail, failure) -> {
-            if (current != rises) {
+            if (current != rises || stopped || fencingToken >= 0) {
                 return;
             }
             if (failure != null) {
-                schedule(RETRY_DELAY_MILLIS + spreadMillis(), this::watch);
+                schedule(retryMillis(), this::watch);
                 return;
             }
             handleTail(tail);
@@ -196,100 +233,225 @@
     }
 
     private void handleTail(ConditionalLog.Tail tail) {
-        boolean unclaimed = tail.end() == 0;
-        if (claimAt == null || tail.end() > endOffset) {
-            claimAt = Deadline.afterMillis(ticker.nanos(), unclaimed ? 0 : TERM_MILLIS);
+        boolean isNew = claimAt == null || tail.end() > endOffset;
+        applyRecords(tail);
+        if (isNew) {
+            claimAt = firstClaim(tail);
         }
-        if (!tail.records().isEmpty()) {
-            lastRecordEpoch =
-                    LeaseRecord.epochOf(tail.records().get(tail.records().size() - 1));
-        }
-        endOffset = tail.end();
         long untilClaimMillis = claimAt.remainingMillis(ticker.nanos());
         if (untilClaimMillis > 0) {
-            schedule(Math.min(READ_INTERVAL_MILLIS, untilClaimMillis) + spreadMillis(), this::watch);
+            long readMillis = distanceFactor() * terms.readMillis();
+            schedule(Math.min(readMillis, untilClaimMillis) + spreadMillis(), this::watch);
             return;
         }
         if (wasNeverHeld(tail)) {
             claim(0, 0);
         } else {
-            claim(TAKEOVER_DELAY_MILLIS, skippedOffsets());
+            claim(terms.takeoverMillis(), skippedOffsets());
         }
     }
 
-    /**
-     * Returns whether the last record may be that of a holder. A holder that has seen the log restored has stopped, and
-     * its record is of an earlier epoch; one that has not seen it stops before a new holder acts.
-     */
-    private boolean mayBeHeld(ConditionalLog.Tail tail) {
-        return tail.end() > 0 && (rises == 0 || lastRecordEpoch == epoch.newest());
+    /** Returns when the lease may be claimed if no record follows. */
+    private Deadline firstClaim(ConditionalLog.Tail tail) {
+        long now = ticker.nanos();
+        if (wasNeverHeld(tail)) {
+            return new Deadline(now);
+        }
+        if (tail.end() == 0) {
+            return Deadline.afterMillis(now, terms.activeMillis());
+        }
+        if (lastRecord != null && lastRecord.released()) {
+            return noClaimBefore == null ? new Deadline(now) : noClaimBefore;
+        }
+        return Deadline.afterMillis(now, distanceFactor() * terms.termMillis());
+    }
+
+    /** Remembers the last record, and passes the facts on. */
+    private void applyRecords(ConditionalLog.Tail tail) {
+        endOffset = Math.max(endOffset, tail.end());
+        for (byte[] content : tail.records()) {
+            lastRecord = LeaseRecord.decode(content);
+            lastRecord.fact().ifPresent(options.onFact());
+        }
     }
 
     /** Returns whether certainly no process held the lease before; an empty log may also be that of an empty copy. */
     private boolean wasNeverHeld(ConditionalLog.Tail tail) {
-        boolean neverRestored = epoch.newest() == 0 || firstStart && rises == 0 && epoch.newest() == 1;
+        boolean neverRestored = epoch.newest() == 0 || options.firstStart() && rises == 0 && epoch.newest() == 1;
         return tail.end() == 0 && neverRestored;
     }
 
+    private int distanceFactor() {
+        return options.place().getAsInt() < terms.candidates() ? 1 : DISTANT_FACTOR;
+    }
+
     /** Returns the part of a delay that differs from process to process, so that they do not call at once. */
     private long spreadMillis() {
-        return Math.floorMod(holder.hashCode(), SPREAD_MILLIS);
+        return Math.floorMod(holder.hashCode(), (long) (SPREAD_SHARE * terms.readMillis()));
+    }
+
+    private long retryMillis() {
+        return Math.min(MAX_RETRY_DELAY_MILLIS, terms.readMillis()) + spreadMillis();
     }
 
     /** Claims the lease behind the given number of skipped offsets, to act on it only after the given delay. */
     private void claim(long waitMillis, int skipped) {
         Deadline actFrom = Deadline.afterMillis(ticker.nanos(), waitMillis);
-        append(skipped, offset -> {
-            fencingToken = offset + 1;
-            activeFrom = actFrom;
-            Event.named("lease_taken").with("number", fencingToken).log(log, Level.INFO);
+        List<byte[]> contents = new ArrayList<>(Collections.nCopies(skipped, LeaseRecord.SKIPPED));
+        contents.add(LeaseRecord.renewal(holder, epoch.newest()).encode());
+        LeaseAppend begin = beginAppend();
+        leaseLog.appendAt(endOffset, contents).whenComplete((offset, failure) -> {
+            if (!isCurrent(begin)) {
+                return;
+            }
+            if (failure == null && offset.isPresent()) {
+                recordClaimed(offset.getAsLong(), actFrom, begin);
+            } else {
+                recheckClaim(actFrom, begin);
+            }
         });
     }
 
+    /** Finds out whether a claim took effect that got no answer, or that another record preceded. */
+    private void recheckClaim(Deadline actFrom, LeaseAppend begin) {
+        leaseLog.read(endOffset, 0).whenComplete((tail, failure) -> {
+            if (!isCurrent(begin)) {
+                return;
+            }
+            if (failure == null && tail.end() > endOffset && areOwn(tail)) {
+                recordClaimed(tail.end() - 1, actFrom, begin);
+                return;
+            }
+            claimAt = Deadline.afterMillis(ticker.nanos(), distanceFactor() * terms.termMillis());
+            schedule(retryMillis(), this::watch);
+        });
+    }
+
+    private void recordClaimed(long offset, Deadline actFrom, LeaseAppend begin) {
+        fencingToken = offset + 1;
+        term = HolderTerm.NONE.startingAt(actFrom);
+        Event.named("lease_taken").with("number", fencingToken).log(log, Level.INFO);
+        recordAppended(offset, begin);
+        schedule(terms.renewMillis(), this::renew);
+    }
+
     /** Returns the number of offsets that a claim skips, so that its own is higher than any that was lost. */
     private int skippedOffsets() {
-        long epochs = Math.max(0, epoch.newest() - lastRecordEpoch);
+        long lastEpoch = lastRecord == null ? 0 : lastRecord.epoch();
+        long epochs = Math.max(0, epoch.newest() - lastEpoch);
         return (int) Math.min(MAX_SKIPPED, SKIPPED_PER_EPOCH * Math.min(MAX_SKIPPED, epochs));
     }
 
+    /** Renews the lease, unless a fact is being stated, which renews it too. */
     private void renew() {
-        if (!stopped && fencingToken >= 0) {
-            append(0, offset -> {});
+        if (!stopped && fencingToken >= 0 && !appending) {
+            appendNext();
         }
     }
 
+    /** Appends a renewal, with the oldest fact to state if there is one. */
+    private void appendNext() {
+        appending = true;
+        append(beginAppend());
+    }
+
+    private LeaseAppend beginAppend() {
+        return new LeaseAppend(ticker.nanos(), wallMillis.getAsLong(), rises, fencingToken);
+    }
+
+    /** Returns whether this process still holds the lease under the token of an append. */
+    private boolean isCurrent(LeaseAppend append) {
+        return !stopped && append.epochs() == rises && append.token() == fencingToken;
+    }
+
+    private void append(LeaseAppend begin) {
+        Optional<String> fact = pendingFacts.oldest();
+        LeaseRecord record = fact.map(text -> LeaseRecord.stating(holder, epoch.newest(), text))
+                .orElse(LeaseRecord.renewal(holder, epoch.newest()));
+        leaseLog.appendAt(endOffset, List.of(record.encode())).whenComplete((offset, failure) -> {
+            if (!isCurrent(begin)) {
+                return;
+            }
+            if (failure == null && offset.isPresent()) {
+                recordAppended(offset.getAsLong(), begin);
+                fact.ifPresent(this::recordStated);
+                continueHolding();
+            } else {
+                recheck(begin);
+            }
+        });
+    }
+
     /**
-     * Appends a record of this process, which claims or renews the lease, after the given number of records that only
-     * take up offsets. If the append fails or another record came first, the lease is lost.
+     * Finds out whether a renewal took effect that got no answer, or that a record preceded: the lease is kept while no
+     * other process has written a record, and the append is repeated if it has had no effect.
      */
-    private void append(int skipped, LongConsumer onAppended) {
-        int current = rises;
-        long nowNanos = ticker.nanos();
-        long nowWallMillis = wallMillis.getAsLong();
-        List<byte[]> contents = new ArrayList<>(Collections.nCopies(skipped, LeaseRecord.SKIPPED));
-        contents.add(LeaseRecord.encode(holder, epoch.newest()));
-        leaseLog.appendAt(endOffset, contents).whenComplete((offset, failure) -> {
-            if (stopped || current != rises) {
+    private void recheck(LeaseAppend begin) {
+        leaseLog.read(endOffset, 0).whenComplete((tail, failure) -> {
+            if (!isCurrent(begin)) {
                 return;
             }
-            if (failure != null || offset.isEmpty()) {
-                loseLease(failure == null ? "another record came first" : failure.getMessage());
-                return;
+            if (failure != null) {
+                schedule(RECHECK_DELAY_MILLIS, () -> {
+                    if (isCurrent(begin)) {
+                        recheck(begin);
+                    }
+                });
+            } else if (tail.end() <= endOffset) {
+                append(beginAppend());
+            } else if (areOwn(tail)) {
+                applyOwn(tail, begin);
+            } else {
+                loseLease("another record came first");
             }
-            onAppended.accept(offset.getAsLong());
-            endOffset = offset.getAsLong() + 1;
-            lastRecordEpoch = epoch.newest();
-            activeUntil = Deadline.afterMillis(nowNanos, ACTIVE_MILLIS);
-            activeUntilWallMillis = nowWallMillis + ACTIVE_MILLIS;
-            schedule(RENEW_INTERVAL_MILLIS, this::renew);
         });
     }
 
+    /** Returns whether all records were written by this process in this epoch, but for skipped offsets. */
+    private boolean areOwn(ConditionalLog.Tail tail) {
+        return tail.records().size() == tail.end() - endOffset
+                && tail.records().stream()
+                        .filter(content -> !Arrays.equals(content, LeaseRecord.SKIPPED))
+                        .map(LeaseRecord::decode)
+                        .allMatch(record -> record.author().equals(holder) && record.epoch() == epoch.newest());
+    }
+
+    /** Records appends of this process that took effect without an answer. */
+    private void applyOwn(ConditionalLog.Tail tail, LeaseAppend begin) {
+        tail.records().stream()
+                .flatMap(content -> LeaseRecord.decode(content).fact().stream())
+                .forEach(this::recordStated);
+        recordAppended(tail.end() - 1, begin);
+        continueHolding();
+    }
+
+    private void recordStated(String fact) {
+        options.onFact().accept(fact);
+        pendingFacts.confirm(fact);
+    }
+
+    /** Records that a record of this process is the last of the log, which extends its term. */
+    private void recordAppended(long offset, LeaseAppend begin) {
+        endOffset = offset + 1;
+        lastRecord = LeaseRecord.renewal(holder, epoch.newest());
+        term = term.extended(begin, terms.activeMillis());
+    }
+
+    /** States the next fact, or waits until the next renewal is due. */
+    private void continueHolding() {
+        appending = false;
+        if (pendingFacts.oldest().isPresent()) {
+            appendNext();
+        } else {
+            schedule(terms.renewMillis(), this::renew);
+        }
+    }
+
     /** Stops acting as holder and watches the lease again. */
     private void loseLease(String why) {
         recordLoss(why);
-        claimAt = Deadline.afterMillis(ticker.nanos(), TERM_MILLIS);
-        schedule(RETRY_DELAY_MILLIS + spreadMillis(), this::watch);
+        claimAt = Deadline.afterMillis(ticker.nanos(), distanceFactor() * terms.termMillis());
+        schedule(retryMillis(), this::watch);
     }
 
     private void recordLoss(String why) {
@@ -300,6 +462,8 @@
                     .log(log, Level.INFO);
         }
         fencingToken = -1;
+        appending = false;
+        pendingFacts.failAll();
     }
 
     /** Runs a task after a delay in milliseconds, unless the log is restored from a copy meanwhile. */
--- a/src/main/java/org/verbenatray/backends/BackendEntry.java
+++ b/src/main/java/org/verbenatray/backends/BackendEntry.java
@@ -13,6 +13,7 @@
  * @param leaving true if it is about to shut down
  * @param slots the number of requests that it runs concurrently
  * @param softwareVersion the version of its software, empty if it is unknown; versions have no order
+ * @param reclaimable whether it may be reclaimed at short notice, with all such servers of its domain
  * @param startedMillis the Unix time of its start in milliseconds, which distinguishes restarts under the same id
  */
 public record BackendEntry(
@@ -24,6 +25,7 @@
         boolean leaving,
         int slots,
         String softwareVersion,
+        boolean reclaimable,
         long startedMillis) {
     /** Returns an identifier that is unique to this process of the server. */
     public String bootId() {
--- a/src/main/java/org/verbenatray/instance/PlatformAdapter.java
+++ b/src/main/java/org/verbenatray/instance/PlatformAdapter.java
@@ -4,6 +4,7 @@
 import java.util.function.Function;
 import org.verbenatray.backends.BackendDirectory.Listing;
 import org.verbenatray.catalog.Catalog;
+import org.verbenatray.duties.PlatformApi;
 import org.verbenatray.log.ConditionalLog;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.relay.RelayDialect;
@@ -19,6 +20,8 @@
  * @param instances the log in which instances register
  * @param lease the log that holds the lease whose holder gives orders to engines
  * @param crashReports the log in which instances report requests that crash servers
+ * @param dutyLease the log that holds the lease under which one instance does the duties
+ * @param api the platform's API for duties; empty if the settings name none
  * @param dialect the names and formats of HTTP headers on this platform
  */
 public record PlatformAdapter(
@@ -29,4 +32,6 @@
         KeyedLog instances,
         ConditionalLog lease,
         KeyedLog crashReports,
+        ConditionalLog dutyLease,
+        Optional<PlatformApi> api,
         RelayDialect dialect) {}
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.DoubleSupplier;
+import org.verbenatray.authority.LeaseOptions;
+import org.verbenatray.authority.LeaseTerms;
 import org.verbenatray.authority.LogLease;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -101,6 +103,8 @@
 
     private final WorkSharing sharing;
 
+    private final Duties duties;
+
     private final ReachingPeers reachingPeers;
 
     private final LoadPoller loadPoller;
@@ -148,6 +152,7 @@
                 this::onAnsweredOther,
                 this::onPeerReport,
                 this::listenForInstances);
+        this.duties = Duties.create(settings, loop, sharing, directory, catalog);
         this.reachingPeers = new ReachingPeers(
                 settings.failureDomain(),
                 cutOffDetector::isPartitioned,
@@ -199,6 +204,7 @@
                 limits,
                 statements,
                 cutOffDetector,
+                duties::recordBegun,
                 reachingPeers);
     }
 
@@ -310,7 +316,7 @@
         long start = loop.ticker().nanos();
         Event.named("stopping").with("instance", settings.name()).log(log, Level.INFO);
         CompletableFuture<Void> done = stop.begin(settings.graceMillis(), this::isIdle, openCalls::endAll);
-        loop.thread().execute(this::deregisterAndStopLease);
+        loop.thread().execute(this::deregisterAndStopLeases);
         done.join();
         Event.named("stopped")
                 .with("instance", settings.name())
@@ -321,9 +327,10 @@
                 .log(log, Level.INFO);
     }
 
-    /** Deregisters from the list of instances and stops renewing the lease. */
-    private void deregisterAndStopLease() {
+    /** Deregisters from the list of instances and gives up the leases. */
+    private void deregisterAndStopLeases() {
         sharing.deregister();
+        duties.stop();
         if (lease != null) {
             lease.stop();
         }
@@ -370,7 +377,7 @@
         lease = LogLease.start(
                 platform.lease(),
                 settings.name(),
-                settings.firstStart(),
+                LeaseOptions.of(LeaseTerms.ORDERS, settings.firstStart()),
                 loop.ticker(),
                 System::currentTimeMillis,
                 loop.scheduler());
@@ -384,6 +391,7 @@
                 limits,
                 Map.of(ROUTES, routes, SERVERS, servers));
         limits.startConfirming();
+        duties.start(platform);
         StageController stageController = StageController.create(context, settings.name(), lease);
         loop.runRepeatedly("maintenance", this::runMaintenance);
         loop.runRepeatedly("polls", loadPoller::pollNext);
--- a/src/main/java/org/verbenatray/instance/RelayInstanceSettings.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstanceSettings.java
@@ -1,6 +1,7 @@
 package org.verbenatray.instance;
 
 import java.net.InetSocketAddress;
+import org.verbenatray.duties.DutySettings;
 import org.verbenatray.relay.RelayServer.RelayAddresses;
 
 /**
@@ -16,6 +17,7 @@
  * @param graceMillis the grace period from the request to stop to the end of the process, in milliseconds
  * @param leavingServerMillis the time in milliseconds after which a leaving server must get no more requests
  * @param routePropagationMillis the time in milliseconds within which new routes must be in force
+ * @param duties the duties that one instance does for all
  * @param firstStart whether the whole system starts for the first time, so that nothing acted before
  */
 public record RelayInstanceSettings(
@@ -29,6 +31,7 @@
         long graceMillis,
         long leavingServerMillis,
         long routePropagationMillis,
+        DutySettings duties,
         boolean firstStart) {
     /** The share of the allowed retries that is used; the rest covers differences between the instances' counts. */
     private static final double RETRY_SHARE = 0.75;
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -5,14 +5,17 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
@@ -99,6 +102,9 @@
     /** The limits that servers state, null before the start. */
     private ServerLimits limits;
 
+    /** The receivers of further kinds of datagrams. */
+    private final List<DatagramReceiver> receivers = new ArrayList<>();
+
     /** The first bytes of datagrams of unknown kinds. */
     private final Set<Byte> unknownKinds = new HashSet<>();
 
@@ -225,6 +231,16 @@
         return new LoadPoller.Sharing(exchangePeers::placeInGroup, reports::publish);
     }
 
+    /** Passes datagrams of a further kind to a receiver. */
+    void register(DatagramReceiver receiver) {
+        receivers.add(receiver);
+    }
+
+    /** Returns the addresses of all other instances. */
+    Collection<InetSocketAddress> allInstances() {
+        return exchangePeers.allAddresses();
+    }
+
     /** Returns the list entry of another instance; empty if it is not listed. */
     Optional<ListedInstance> find(String instance) {
         return exchangePeers.find(instance);
@@ -280,9 +296,9 @@
         leavingServers.record(boot);
     }
 
-    /** Returns the instances that keep the origin of a stream. */
-    StreamHomes homes(String requestId) {
-        return exchangePeers.homes(requestId);
+    /** Returns the instances that keep what is known under a key, such as the origin of a stream. */
+    StreamHomes homes(String key) {
+        return exchangePeers.homes(key);
     }
 
     /** Returns the instances that share the rate of a server that states a limit. */
@@ -328,7 +344,10 @@
             receiveWork(datagram);
             return;
         }
-        logUnknown(datagram);
+        receivers.stream()
+                .filter(receiver -> receiver.recognizes().test(datagram))
+                .findFirst()
+                .ifPresentOrElse(receiver -> receiver.receive().accept(datagram), () -> logUnknown(datagram));
     }
 
     /** Logs a kind of datagram once that a later version sends. */
@@ -371,6 +390,14 @@
         return work;
     }
 
+    /**
+     * Receives one kind of datagram.
+     *
+     * @param recognizes returns whether a datagram is of this kind
+     * @param receive processes a datagram of this kind
+     */
+    record DatagramReceiver(Predicate<byte[]> recognizes, Consumer<byte[]> receive) {}
+
     /** Receives answers of engines to other instances. */
     @FunctionalInterface
     interface AnswerListener {
--- a/src/main/java/org/verbenatray/openwork/ExchangePeers.java
+++ b/src/main/java/org/verbenatray/openwork/ExchangePeers.java
@@ -97,6 +97,11 @@
         return selectedAddresses;
     }
 
+    /** Returns the addresses of all other instances. */
+    public Collection<InetSocketAddress> allAddresses() {
+        return others.values().stream().map(ListedInstance::address).toList();
+    }
+
     /** Returns the list entry of another instance; empty if it is not listed. */
     public Optional<ListedInstance> find(String instance) {
         return Optional.ofNullable(others.get(instance));
--- a/src/main/java/org/verbenatray/platform/CatalogDecoder.java
+++ b/src/main/java/org/verbenatray/platform/CatalogDecoder.java
@@ -21,6 +21,7 @@
 import org.verbenatray.catalog.EngineLimits;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.catalog.RouteKind;
+import org.verbenatray.catalog.ServiceScaling;
 import org.verbenatray.catalog.WeightedService;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.telemetry.Event;
@@ -138,6 +139,24 @@
                 node.path("name").asText(),
                 node.path("healthPath").asText("/health"),
                 node.path("maxConnections").asInt(64),
-                limits);
+                limits,
+                decodeScaling(node.path("scaling")));
+    }
+
+    /** Decodes which servers can be ordered for a service; its prices name the domains in which it may run. */
+    private static Optional<ServiceScaling> decodeScaling(JsonNode node) {
+        if (!node.isObject()) {
+            return Optional.empty();
+        }
+        Map<String, Double> prices = new HashMap<>();
+        node.path("zonePrices")
+                .properties()
+                .forEach(price -> prices.put(price.getKey(), price.getValue().asDouble()));
+        return Optional.of(new ServiceScaling(
+                node.path("min").asInt(),
+                node.path("max").asInt(),
+                Math.round(1_000 * node.path("bootS").asDouble()),
+                node.path("spotPrice").asDouble(1),
+                Map.copyOf(prices)));
     }
 }
--- a/src/main/java/org/verbenatray/platform/PlatformSettings.java
+++ b/src/main/java/org/verbenatray/platform/PlatformSettings.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.Optional;
+import org.verbenatray.duties.DutySettings;
 import org.verbenatray.instance.RelayInstanceSettings;
 import org.verbenatray.relay.RelayServer.RelayAddresses;
 
@@ -20,6 +22,8 @@
  * @param retryRatio the maximum number of retries per request, over all instances together
  * @param retryExtra the maximum number of retries in the window beyond that, over all instances together
  * @param retryWindowMillis the length of the sliding window of that ratio in milliseconds
+ * @param apiAddress the address of the platform's API for duties; empty if there is none
+ * @param duties the duties
  * @param firstStart whether the whole system starts for the first time
  */
 record PlatformSettings(
@@ -35,10 +39,21 @@
         double retryRatio,
         double retryExtra,
         long retryWindowMillis,
+        Optional<InetSocketAddress> apiAddress,
+        DutySettings duties,
         boolean firstStart) {
     /** Returns the base URI of the store. */
     URI storeUri() {
-        return URI.create("http://" + storeAddress.getHostString() + ":" + storeAddress.getPort());
+        return uri(storeAddress);
+    }
+
+    /** Returns the base URI of the platform's API for duties; empty if there is none. */
+    Optional<URI> apiUri() {
+        return apiAddress.map(PlatformSettings::uri);
+    }
+
+    private static URI uri(InetSocketAddress address) {
+        return URI.create("http://" + address.getHostString() + ":" + address.getPort());
     }
 
     /** Returns the settings of a relay instance whose metrics listen on the given port of the readiness host. */
@@ -55,6 +70,7 @@
                 shutdownGraceMillis,
                 serverDrainMillis,
                 routesApplyMillis,
+                duties,
                 firstStart);
     }
 }
--- a/src/main/java/org/verbenatray/platform/RelayLauncher.java
+++ b/src/main/java/org/verbenatray/platform/RelayLauncher.java
@@ -28,6 +28,9 @@
     /** The topic that holds the lease under which one instance sends orders to engines. */
     private static final String LEASE_TOPIC = "stage-lease";
 
+    /** The topic that holds the lease under which one instance does the duties, with what it has decided. */
+    private static final String DUTY_LEASE_TOPIC = "duty-lease";
+
     /** The topic in which instances report requests that crash servers. */
     private static final String CRASH_REPORTS_TOPIC = "keyed.crashes";
 
@@ -91,6 +94,8 @@
                 store.keyedTopic(INSTANCES_TOPIC),
                 store.plainTopic(LEASE_TOPIC),
                 store.keyedTopic(CRASH_REPORTS_TOPIC),
+                store.plainTopic(DUTY_LEASE_TOPIC),
+                settings.apiUri().map(uri -> PlatformApiClient.create(loop, uri, metrics)),
                 dialect);
         return RelayInstance.start(settings.toRelaySettings(metricsPort), adapter, loop, metrics);
     }
--- a/src/main/java/org/verbenatray/platform/ServerEntryDecoder.java
+++ b/src/main/java/org/verbenatray/platform/ServerEntryDecoder.java
@@ -130,6 +130,7 @@
                 node.path("state").asText().equals("draining"),
                 node.path("slots").asInt(),
                 node.path("version").asText(),
+                node.path("spot").asBoolean(),
                 node.path("born").asLong());
         return new Listing(entry, node.path("seq").asLong());
     }
--- a/src/main/java/org/verbenatray/platform/SettingsFile.java
+++ b/src/main/java/org/verbenatray/platform/SettingsFile.java
@@ -6,7 +6,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.verbenatray.duties.DutySettings;
 import org.verbenatray.settings.SettingsCheck;
 
 /**
@@ -62,11 +65,32 @@
                 check.decimal("bounds.budgetRatio", values.get("bounds.budgetRatio"), 0, 10),
                 check.decimal("bounds.budgetExtra", values.getOrDefault("bounds.budgetExtra", "0"), 0, 1_000_000),
                 (long) (1_000 * check.decimal("bounds.budgetWindowS", values.get("bounds.budgetWindowS"), 0.1, 600)),
+                Optional.ofNullable(values.get("cloud.address"))
+                        .filter(text -> !text.isEmpty())
+                        .map(text -> check.address("cloud.address", text)),
+                duties(check),
                 "true".equals(values.get("bootstrap")));
         check.throwIfInvalid();
         return settings;
     }
 
+    /** Returns the duties; there are none without an address for them. */
+    private DutySettings duties(SettingsCheck check) {
+        List<String> names = List.of(values.getOrDefault("cloud.duties", "").split(","));
+        if (values.getOrDefault("cloud.address", "").isEmpty()) {
+            return DutySettings.NONE;
+        }
+        return new DutySettings(
+                names.contains("usage"),
+                names.contains("scale"),
+                millis(check, "bounds.usageWindowS", "5"),
+                millis(check, "bounds.usageLateS", "10"));
+    }
+
+    private long millis(SettingsCheck check, String key, String fallback) {
+        return (long) (1_000 * check.decimal(key, values.getOrDefault(key, fallback), 0.1, 3_600));
+    }
+
     /** Returns the address that listens for the other instances: the callers' host with the first internal port. */
     private String peerAddress() {
         String callerAddress = values.get("listen.front");
--- a/src/main/java/org/verbenatray/relay/ForwardOutcome.java
+++ b/src/main/java/org/verbenatray/relay/ForwardOutcome.java
@@ -38,6 +38,11 @@
         return kind == Kind.NOT_SENT || kind == Kind.NOT_ADMITTED;
     }
 
+    /** Returns whether the server may have run the request. */
+    boolean mayHaveRun() {
+        return !unsent() && kind != Kind.NOT_RUN;
+    }
+
     /** Returns whether the server has run the request to its end with success. */
     boolean isSuccess() {
         return (kind == Kind.ANSWERED || kind == Kind.STREAM_ENDED) && status() < 300;
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -332,6 +332,7 @@
      */
     private void generationStarted() {
         Backend backend = attempt.backend();
+        call.recordBegun(context.ticker().nanos());
         decodeEngines.require(backend.entry().softwareVersion());
         if (call.route().repeatable()) {
             context.continuations().recordServer(call.request().streamId(), backend);
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -27,6 +27,9 @@
     /** The running attempt, null if none. */
     private ForwardAttempt attempt;
 
+    /** When the request was last sent to a server, in nanoseconds of the ticker. */
+    private long sentNanos;
+
     /** A server error that is relayed if no other attempt succeeds, null if none. */
     private ForwardOutcome errorResponse;
 
@@ -73,6 +76,9 @@
         if (call.finished()) {
             return;
         }
+        if (outcome.mayHaveRun()) {
+            call.recordBegun(sentNanos);
+        }
         triedServers.add(ended.backend());
         switch (outcome.kind()) {
             case ANSWERED, STREAM_ENDED -> handleResponse(outcome);
@@ -143,6 +149,7 @@
                 Optional.empty(),
                 call.request().lastEventId(),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.CONFIRMED);
+        sentNanos = context.ticker().nanos();
         attempt = call.send(options, PrefillWork.NONE, call.responseTimeouts(), this)
                 .orElse(null);
         if (attempt == null) {
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -77,6 +77,9 @@
     /** The attempt whose outcome is not recorded, null if none. */
     private RunningAttempt running;
 
+    /** Whether a server is known to have begun to run the request. */
+    private boolean begun;
+
     private boolean finished;
 
     /** Creates a call. */
@@ -263,7 +266,7 @@
         if (outcome.unsent()) {
             attempts.recordNotSent();
         } else {
-            attempts.recordDelivery(countsAsRun && outcome.kind() != ForwardOutcome.Kind.NOT_RUN);
+            attempts.recordDelivery(countsAsRun && outcome.mayHaveRun());
         }
         record.addAttempt(service, attempt.backend().entry(), outcome);
         ServerHealth.record(context, attempt.backend(), outcome);
@@ -272,6 +275,14 @@
         }
     }
 
+    /** Records, once, that a server has begun to run the request at the given time of the ticker. */
+    void recordBegun(long nanos) {
+        if (!begun) {
+            begun = true;
+            matched.customer().ifPresent(customer -> context.begunRequests().record(customer.name(), nanos));
+        }
+    }
+
     /** Adds a field to the log line of the final response. */
     void addLogField(String key, Object value) {
         record.add(key, value);
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -46,6 +46,7 @@
  * @param limits the limits that servers state
  * @param statements records what servers state in their answers
  * @param reach receives what shows whether this instance reaches the servers
+ * @param begunRequests receives each request that a server has begun to run for a customer
  * @param forwardingTargets the instances to which requests are forwarded while servers are out of reach
  */
 public record RelayContext(
@@ -73,6 +74,7 @@
         ServerLimits limits,
         ServerStatements statements,
         ReachListener reach,
+        BegunRequests begunRequests,
         ForwardingTargets forwardingTargets) {
     /** Returns a scheduler that runs its tasks on the I/O thread. */
     Scheduler scheduler() {
--- a/src/main/java/org/verbenatray/relay/RelayMetrics.java
+++ b/src/main/java/org/verbenatray/relay/RelayMetrics.java
@@ -71,6 +71,12 @@
             .labelNames("call", "result")
             .register(registry);
 
+    private final Counter apiCalls = Counter.builder()
+            .name("verbenatray_platform_api_calls_total")
+            .help("Calls to the platform's API for duties by call and result.")
+            .labelNames("call", "result")
+            .register(registry);
+
     private final Counter droppedLogLines = Counter.builder()
             .name("verbenatray_log_lines_dropped_total")
             .help("Log lines dropped because the queue of the log was full.")
@@ -124,6 +130,11 @@
         storeCalls.labelValues(call, result).inc();
     }
 
+    /** Counts a call to the platform's API, by its result. */
+    public void recordApiCall(String call, String result) {
+        apiCalls.labelValues(call, result).inc();
+    }
+
     /** Adds to the number of dropped log lines. */
     public void addDroppedLogLines(long count) {
         droppedLogLines.inc(count);
--- a/src/test/java/org/verbenatray/authority/LogLeaseRestorePropertiesTest.java
+++ b/src/test/java/org/verbenatray/authority/LogLeaseRestorePropertiesTest.java
@@ -7,10 +7,10 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.verbenatray.time.Deadline;
 import org.verbenatray.time.ManualTime;
 
 /**
@@ -27,14 +27,18 @@
 
     @DataProvider
     public static Object[][] seeds() {
-        return IntStream.range(0, 6).mapToObj(part -> new Object[] {part}).toArray(Object[][]::new);
+        return IntStream.range(0, 6)
+                .boxed()
+                .flatMap(part ->
+                        Stream.of(LeaseTerms.ORDERS, LeaseTerms.DUTIES).map(terms -> new Object[] {part, terms}))
+                .toArray(Object[][]::new);
     }
 
     @Test(dataProvider = "seeds")
-    public void noTwoHoldersActAtOnceOrUnderOneTokenAndTokensRise(int part) {
+    public void noTwoHoldersActAtOnceOrUnderOneTokenAndTokensRise(int part, LeaseTerms terms) {
         int actingSteps = 0;
         for (int seed = part; seed < SEEDS; seed += 6) {
-            Course course = new Course(seed);
+            Course course = new Course(seed, terms);
             course.play();
             actingSteps += course.actingSteps;
         }
@@ -44,6 +48,7 @@
     /** One course of events. */
     private static final class Course {
         private final long seed;
+        private final LeaseTerms terms;
         private final Random random;
         private final ManualTime time = new ManualTime();
         private final RestorableLog log;
@@ -56,8 +61,9 @@
         private int actingSteps;
         private int step;
 
-        Course(long seed) {
+        Course(long seed, LeaseTerms terms) {
             this.seed = seed;
+            this.terms = terms;
             this.random = new Random(seed);
             this.log = new RestorableLog(time, random);
             log.copy();
@@ -82,8 +88,8 @@
             Process process = processes.get(index);
             switch (random.nextInt(900)) {
                 case 0, 1, 2 -> log.restore(1_000 + random.nextInt(9_000));
-                case 3, 4 -> process.cutUntil = Deadline.afterMillis(time.nanos(), random.nextInt(25_000));
-                case 5 -> process.suspend(random.nextInt(20_000));
+                case 3, 4 -> process.clocks.cut(random.nextInt(25_000));
+                case 5 -> process.clocks.suspend(random.nextInt(20_000));
                 case 6, 7 -> {
                     process.lease.stop();
                     processes.set(index, new Process(process.name));
@@ -95,7 +101,8 @@
         private void check() {
             Optional<Process> acting = Optional.empty();
             for (Process process : processes) {
-                if (process.isSuspended() || process.lease.activeFencingToken().isEmpty()) {
+                if (process.clocks.isSuspended()
+                        || process.lease.activeFencingToken().isEmpty()) {
                     continue;
                 }
                 long token = process.lease.activeFencingToken().getAsLong();
@@ -109,53 +116,21 @@
             }
         }
 
-        /** One process, whose monotonic clock stands still while it is suspended. */
+        /** One process. */
         private final class Process {
             private final String name;
-            private Deadline cutUntil = new Deadline(0);
-            private Deadline suspendedUntil = new Deadline(0);
-            private long suspendedNanos;
+            private final SimulatedProcess clocks = new SimulatedProcess(time);
             private final LogLease lease;
 
             Process(String name) {
                 this.name = name;
                 this.lease = LogLease.start(
-                        log.view(this::reachesLog),
+                        log.view(clocks::isConnected),
                         name,
-                        step == 0,
-                        this::ownNanos,
+                        LeaseOptions.of(terms, step == 0),
+                        clocks,
                         () -> time.nanos() / 1_000_000,
-                        (when, task) -> runOwn(when, task));
-            }
-
-            void suspend(long millis) {
-                if (!isSuspended()) {
-                    suspendedUntil = Deadline.afterMillis(time.nanos(), millis);
-                    suspendedNanos += millis * 1_000_000;
-                }
-            }
-
-            boolean isSuspended() {
-                return !suspendedUntil.hasPassed(time.nanos());
-            }
-
-            private boolean reachesLog() {
-                return cutUntil.hasPassed(time.nanos()) && !isSuspended();
-            }
-
-            private long ownNanos() {
-                return time.nanos() - suspendedNanos;
-            }
-
-            private void runOwn(Deadline when, Runnable task) {
-                long waitNanos = Math.max(1_000_000, when.atNanos() - ownNanos());
-                time.runAt(new Deadline(time.nanos() + waitNanos), () -> {
-                    if (when.hasPassed(ownNanos()) && !isSuspended()) {
-                        task.run();
-                    } else {
-                        runOwn(when, task);
-                    }
-                });
+                        clocks);
             }
         }
     }
--- a/src/test/java/org/verbenatray/authority/LogLeaseTest.java
+++ b/src/test/java/org/verbenatray/authority/LogLeaseTest.java
@@ -99,7 +99,13 @@
     }
 
     private LogLease start(String name) {
-        return LogLease.start(log.of(name), name, false, time, () -> time.nanos() / 1_000_000 + wallLeadMillis, time);
+        return LogLease.start(
+                log.of(name),
+                name,
+                LeaseOptions.of(LeaseTerms.ORDERS, false),
+                time,
+                () -> time.nanos() / 1_000_000 + wallLeadMillis,
+                time);
     }
 
     /** An in-memory conditional log that can reject the appends of one process. */
--- a/src/test/java/org/verbenatray/backends/BackendDirectoryTest.java
+++ b/src/test/java/org/verbenatray/backends/BackendDirectoryTest.java
@@ -74,7 +74,16 @@
 
     private static Listing listing(String id, long startedMillis, long sequence, boolean leaving) {
         BackendEntry entry = new BackendEntry(
-                id, "s", URI.create("http://127.0.0.1:1"), "d", BackendStage.PLAIN, leaving, 6, "v1", startedMillis);
+                id,
+                "s",
+                URI.create("http://127.0.0.1:1"),
+                "d",
+                BackendStage.PLAIN,
+                leaving,
+                6,
+                "v1",
+                false,
+                startedMillis);
         return new Listing(entry, sequence);
     }
 }
--- a/src/test/java/org/verbenatray/continuation/SimulatedStreams.java
+++ b/src/test/java/org/verbenatray/continuation/SimulatedStreams.java
@@ -80,7 +80,16 @@
         listed.put(
                 id,
                 new BackendEntry(
-                        id, "s", URI.create("http://127.0.0.1:1"), "d", BackendStage.DECODE, false, 8, version, 1));
+                        id,
+                        "s",
+                        URI.create("http://127.0.0.1:1"),
+                        "d",
+                        BackendStage.DECODE,
+                        false,
+                        8,
+                        version,
+                        false,
+                        1));
     }
 
     /** Takes a server off the list. */
@@ -104,6 +113,7 @@
                         false,
                         8,
                         version,
+                        false,
                         old.startedMillis() + 1));
     }
 
--- a/src/test/java/org/verbenatray/instance/CutOffDetectorTest.java
+++ b/src/test/java/org/verbenatray/instance/CutOffDetectorTest.java
@@ -163,7 +163,16 @@
     private static Listing listing(String id) {
         return new Listing(
                 new BackendEntry(
-                        id, "engines", URI.create("http://127.0.0.1:1"), "z1", BackendStage.DECODE, false, 64, "v1", 1),
+                        id,
+                        "engines",
+                        URI.create("http://127.0.0.1:1"),
+                        "z1",
+                        BackendStage.DECODE,
+                        false,
+                        64,
+                        "v1",
+                        false,
+                        1),
                 1);
     }
 }
--- a/src/test/java/org/verbenatray/placement/EnginePlannerTest.java
+++ b/src/test/java/org/verbenatray/placement/EnginePlannerTest.java
@@ -163,7 +163,7 @@
     }
 
     private static Backend engine(String id, BackendStage stage) {
-        return Backend.of(
-                new BackendEntry(id, "engines", URI.create("http://127.0.0.1:1"), "z1", stage, false, 64, "v1", 1));
+        return Backend.of(new BackendEntry(
+                id, "engines", URI.create("http://127.0.0.1:1"), "z1", stage, false, 64, "v1", false, 1));
     }
 }
--- a/src/test/java/org/verbenatray/placement/StagePlannerTest.java
+++ b/src/test/java/org/verbenatray/placement/StagePlannerTest.java
@@ -47,7 +47,16 @@
     public void theLastDecodeEngineOfAFailureDomainIsNotMoved() {
         List<Backend> engines = new ArrayList<>(engines(2, 4));
         Backend onlyInDomain = Backend.of(new BackendEntry(
-                "lonely", "engines", URI.create("http://127.0.0.1:1"), "z9", BackendStage.DECODE, false, 64, "v1", 1));
+                "lonely",
+                "engines",
+                URI.create("http://127.0.0.1:1"),
+                "z9",
+                BackendStage.DECODE,
+                false,
+                64,
+                "v1",
+                false,
+                1));
         engines.add(onlyInDomain);
         StagePlanner planner = StagePlanner.create(time);
         for (int round = 0; round < 20; round++) {
@@ -92,7 +101,7 @@
         for (int number = 0; number < prefillEngines + decodeEngines; number++) {
             BackendStage stage = number < prefillEngines ? BackendStage.PREFILL : BackendStage.DECODE;
             engines.add(Backend.of(new BackendEntry(
-                    "e" + number, "s", URI.create("http://127.0.0.1:1"), "d", stage, false, 64, "v1", 1)));
+                    "e" + number, "s", URI.create("http://127.0.0.1:1"), "d", stage, false, 64, "v1", false, 1)));
         }
         return engines;
     }
--- a/src/test/java/org/verbenatray/relay/PollScheduleTest.java
+++ b/src/test/java/org/verbenatray/relay/PollScheduleTest.java
@@ -92,6 +92,7 @@
                     false,
                     1,
                     "v",
+                    false,
                     1)));
         }
         Map<String, ListedInstance> listed = new HashMap<>();
