Do not count a crash again that was cleared

Cause: a part of prompts that most requests share is suspected whenever a server ends under a request, and cleared by the next success.

Change: the ledger remembers for ten minutes which crashes were cleared, here or in the log, and does not record these again. A crash of another start of a server counts as before.

Test: CrashExchangeTest, one case, red before.

--- a/src/main/java/org/verbenatray/resilience/CrashLedger.java
+++ b/src/main/java/org/verbenatray/resilience/CrashLedger.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,12 +37,23 @@
     /** Time since its last crash after which the crashes of a request are forgotten. Until then one more blocks it. */
     private static final long RETENTION_MILLIS = 600_000;
 
+    /** The number of cleared crashes that are remembered. */
+    private static final int MAX_CLEARED = 8_192;
+
     private final Ticker ticker;
 
     private final Map<String, CrashHistory> historyBySuspect = new HashMap<>();
 
     private final PartSuccesses partSuccesses;
 
+    /** The crashes that were cleared, which do not count when they are told late; the oldest first. */
+    private final Map<Crash, Deadline> clearedUntil = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Crash, Deadline> eldest) {
+            return size() > MAX_CLEARED || eldest.getValue().hasPassed(ticker.nanos());
+        }
+    };
+
     /** Receives the crashes of each request that has run to its end. */
     private final Consumer<List<Crash>> onCleared;
 
@@ -56,8 +68,11 @@
         return new CrashLedger(ticker, onCleared);
     }
 
-    /** Records a crash that this or another instance has detected; returns false if it was known. */
+    /** Records a crash that this or another instance has detected; returns false if it was known or was cleared. */
     public boolean recordCrash(Crash crash) {
+        if (clearedUntil.containsKey(crash)) {
+            return false;
+        }
         CrashHistory history = historyBySuspect.computeIfAbsent(
                 crash.suspect(), key -> new CrashHistory(partSuccesses.requestsOfModel(key)));
         boolean isNew = history.boots.add(crash.boot());
@@ -82,12 +97,18 @@
         if (historyBySuspect.containsKey(suspect)) {
             List<Crash> cleared = crashesOf(List.of(suspect));
             historyBySuspect.remove(suspect);
+            cleared.forEach(this::rememberCleared);
             onCleared.accept(cleared);
         }
     }
 
+    private void rememberCleared(Crash crash) {
+        clearedUntil.put(crash, Deadline.afterMillis(ticker.nanos(), RETENTION_MILLIS));
+    }
+
     /** Forgets a crash that another instance has cleared. */
     public void forget(Crash crash) {
+        rememberCleared(crash);
         CrashHistory history = historyBySuspect.get(crash.suspect());
         if (history != null && history.boots.remove(crash.boot()) && history.boots.isEmpty()) {
             historyBySuspect.remove(crash.suspect());
--- a/src/test/java/org/verbenatray/resilience/CrashExchangeTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashExchangeTest.java
@@ -99,6 +99,27 @@
         Assert.assertEquals(other.exchange.toTell().size(), 0);
     }
 
+    /**
+     * A part of prompts that most requests share was counted, cleared by the next success, told by an instance that had
+     * not heard of that, counted and written again, without end.
+     */
+    @Test
+    public void aCrashThatWasClearedIsNotCountedAgainWhenItIsToldLate() {
+        finder.find(CRASH);
+        time.advanceMillis(1_200);
+        List<Crash> late = List.of(CRASH);
+        other.ledger.recordSuccess("bad", List.of());
+        time.advanceMillis(1_200);
+        int writes = log.writes();
+        for (int round = 0; round < 5; round++) {
+            late.forEach(other.exchange::receive);
+            late.forEach(finder.exchange::receive);
+            time.advanceMillis(1_200);
+        }
+        Assert.assertEquals(other.ledger.crashCount("bad") + finder.ledger.crashCount("bad"), 0);
+        Assert.assertEquals(log.writes(), writes);
+    }
+
     /** An instance that cannot reach the log went on alone while the others had the records. */
     @Test
     public void recentCrashesOfARequestThatEndedSeveralServersAreToldThoughTheLogHasThem() {
