Share the reads of crashes and of the list of instances

Cause: each instance followed these two logs by itself, and read them up to twice a second while something was written.

Change: both logs are read as the routes are, by one instance of a group that tells the others. FollowedLogs starts all of them, moved out of RelayInstance.

Tests: the existing ones of both logs, of ReadExchange and of the lease.

--- a/src/main/java/org/verbenatray/instance/Duties.java
+++ b/src/main/java/org/verbenatray/instance/Duties.java
@@ -100,7 +100,7 @@
                 platform.dutyLease(),
                 settings.name(),
                 LeaseOptions.of(LeaseTerms.DUTIES, settings.firstStart())
-                        .withPlace(() -> isCandidate() ? 0 : LeaseTerms.DUTIES.candidates())
+                        .withPlace(() -> sharing.placeAmongCandidates(KEY, LeaseTerms.DUTIES.candidates()))
                         .withFacts(reporter::onFact),
                 loop.ticker(),
                 System::currentTimeMillis,
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -8,9 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.DoubleSupplier;
-import org.verbenatray.authority.LeaseOptions;
-import org.verbenatray.authority.LeaseTerms;
 import org.verbenatray.authority.LogLease;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -21,7 +18,6 @@
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.memory.MemoryAccount;
-import org.verbenatray.openwork.ReadExchange;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.placement.PrefillTimeModel;
@@ -44,8 +40,6 @@
 import org.verbenatray.resilience.CrashLedger;
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.resilience.ServerRuns;
-import org.verbenatray.state.KeyedFollower;
-import org.verbenatray.state.RetryPacer;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 
@@ -63,11 +57,6 @@
     /** The longest time for which an instance waits for the known crashes before it is ready, in milliseconds. */
     private static final long MAX_CRASHES_WAIT_MILLIS = 3_000;
 
-    /** The names of the logs whose reads instances share. */
-    private static final String ROUTES = "routes";
-
-    private static final String SERVERS = "servers";
-
     private static final Logger log = System.getLogger(RelayInstance.class.getName());
 
     private volatile RelayInstanceSettings settings;
@@ -351,45 +340,17 @@
 
     /** Starts to follow the platform's logs and to run the periodic tasks. */
     private void startFollowing() {
-        DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
-        RetryPacer pacer = RetryPacer.create(random, loop.ticker(), loop.scheduler());
-        KeyedFollower routes = KeyedFollower.startShared(
-                ROUTES,
-                platform.routes(),
-                new RoutesListener(
-                        platform.routesDecoder(),
-                        catalog,
-                        this::onRoutesChanged,
-                        () -> settings.routePropagationMillis(),
-                        loop.ticker()),
-                pacer,
-                sharing.readSharing(ROUTES, new ReadExchange.Pace(() -> settings.routesWaitMillis(), true)),
-                loop.ticker(),
-                loop.scheduler());
-        KeyedFollower servers = KeyedFollower.startShared(
-                SERVERS,
-                platform.servers(),
-                new ServersListener(platform.serverDecoder(), directory, cutOffDetector, recentVersions),
-                pacer,
-                sharing.readSharing(SERVERS, new ReadExchange.Pace(() -> settings.serversPollMillis(), false)),
-                loop.ticker(),
-                loop.scheduler());
-        lease = LogLease.start(
-                platform.lease(),
-                settings.name(),
-                LeaseOptions.of(LeaseTerms.ORDERS, settings.firstStart()),
-                loop.ticker(),
-                System::currentTimeMillis,
-                loop.scheduler());
-        crashExchange =
-                CrashExchange.start(platform.crashReports(), crashes, random, pacer, loop.ticker(), loop.scheduler());
-        sharing.start(
-                platform.instances(),
-                pacer,
-                crashExchange,
-                continuations,
-                limits,
-                Map.of(ROUTES, routes, SERVERS, servers));
+        FollowedLogs logs = FollowedLogs.create(() -> settings, platform, sharing, loop);
+        logs.followRoutes(new RoutesListener(
+                platform.routesDecoder(),
+                catalog,
+                this::onRoutesChanged,
+                () -> settings.routePropagationMillis(),
+                loop.ticker()));
+        logs.followServers(new ServersListener(platform.serverDecoder(), directory, cutOffDetector, recentVersions));
+        lease = logs.watchOrdersLease();
+        crashExchange = logs.followCrashes(crashes);
+        sharing.start(platform.instances(), logs.pacer(), crashExchange, continuations, limits);
         limits.startConfirming();
         duties.start(platform);
         StageController stageController = StageController.create(context, settings.name(), lease);
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -53,6 +54,15 @@
     /** The number of ports that are tried where the system chooses them. */
     private static final int MAX_CHOSEN_PORTS = 10;
 
+    /** The number of other instances below which all instances are candidates for leases. */
+    private static final int SMALL_FLEET = 12;
+
+    /** The name of the log of instances among those whose reads are shared. */
+    private static final String INSTANCES = "instances";
+
+    private static final ReadExchange.Pace INSTANCES_PACE = ReadExchange.Pace.waiting(
+            () -> InstanceRegistration.READ_MILLIS, InstanceRegistration.MIN_READ_INTERVAL_MILLIS);
+
     private static final Logger log = System.getLogger(WorkSharing.class.getName());
 
     private final RelayInstanceSettings settings;
@@ -94,7 +104,7 @@
     private StreamContinuations continuations;
 
     /** The followers of the logs whose reads are shared, by name. */
-    private Map<String, KeyedFollower> sharedLogs = Map.of();
+    private final Map<String, KeyedFollower> sharedLogs = new HashMap<>();
 
     private final ReadExchange.Receiver sharedReads =
             ReadExchange.Receiver.create(name -> Optional.ofNullable(sharedLogs.get(name)));
@@ -156,9 +166,7 @@
             RetryPacer pacer,
             CrashExchange crashes,
             StreamContinuations streamContinuations,
-            ServerLimits serverLimits,
-            Map<String, KeyedFollower> followers) {
-        sharedLogs = followers;
+            ServerLimits serverLimits) {
         crashExchange = crashes;
         limits = serverLimits;
         continuations = streamContinuations;
@@ -193,9 +201,10 @@
                 new ListedInstance(address, settings.failureDomain()),
                 exchangePeers,
                 fleetShare,
-                pacer,
+                new InstanceRegistration.ListReads(pacer, readSharing(INSTANCES, INSTANCES_PACE)),
                 loop.ticker(),
                 loop.scheduler());
+        shareReads(INSTANCES, registration.follower());
     }
 
     /**
@@ -220,6 +229,11 @@
         }
     }
 
+    /** Passes what other instances have read of a log to its follower. */
+    void shareReads(String log, KeyedFollower follower) {
+        sharedLogs.put(log, follower);
+    }
+
     /** Returns how this instance shares the reads of a log with others. */
     KeyedFollower.ReadSharing readSharing(String log, ReadExchange.Pace pace) {
         return new ReadExchange(
@@ -301,6 +315,15 @@
         return exchangePeers.homes(key);
     }
 
+    /**
+     * Returns the place of this instance among the candidates for a lease: zero if it is one, otherwise their number.
+     * In a small fleet all instances are candidates.
+     */
+    int placeAmongCandidates(String key, int candidates) {
+        boolean isSmall = exchangePeers.allAddresses().size() < SMALL_FLEET;
+        return isSmall || homes(key).includesSelf() ? 0 : candidates;
+    }
+
     /** Returns the instances that share the rate of a server that states a limit. */
     LimitSharers limitSharers(String boot, double requestsPerSecond) {
         return exchangePeers.limitSharers(boot, requestsPerSecond);
--- a/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
+++ b/src/main/java/org/verbenatray/openwork/InstanceRegistration.java
@@ -22,8 +22,11 @@
  * <p>Each instance renews its entry regularly; every instance removes the entries that were not renewed in time.
  */
 public final class InstanceRegistration implements KeyedFollower.Listener {
-    /** Changes are delivered at once; the long-poll wait bounds the time to detect a dead connection. */
-    private static final KeyedFollower.PollTiming POLL_TIMING = new KeyedFollower.PollTiming(500, 10_000);
+    /** The time between two reads of the list, in milliseconds; many instances that start at once end few reads. */
+    public static final long MIN_READ_INTERVAL_MILLIS = 500;
+
+    /** The time for which a read of the list waits for changes, in milliseconds. */
+    public static final long READ_MILLIS = 4_000;
 
     private static final long RETRY_DELAY_MILLIS = 1_000;
 
@@ -61,6 +64,9 @@
     /** The expiry of the entry of each instance. */
     private final Map<String, Deadline> expiries = new HashMap<>();
 
+    /** Follows the list, null before the start. */
+    private KeyedFollower follower;
+
     /** True from the restoration of the log to the next listing, which may lack instances. */
     private boolean restored;
 
@@ -84,23 +90,29 @@
         this.scheduler = scheduler;
     }
 
-    /** Registers an instance and starts to follow the list. */
+    /** Registers an instance and starts to follow the list, whose reads instances share. */
     public static InstanceRegistration start(
             KeyedLog instanceList,
             String self,
             ListedInstance entry,
             ExchangePeers peers,
             FleetShare share,
-            RetryPacer pacer,
+            ListReads reads,
             Ticker ticker,
             Scheduler scheduler) {
         InstanceRegistration registration =
                 new InstanceRegistration(instanceList, self, entry, peers, share, ticker, scheduler);
         registration.register();
-        KeyedFollower.start("instances", instanceList, registration, () -> POLL_TIMING, pacer, ticker, scheduler);
+        registration.follower = KeyedFollower.startShared(
+                "instances", instanceList, registration, reads.pacer(), reads.sharing(), ticker, scheduler);
         return registration;
     }
 
+    /** Returns the follower of the list, which takes what other instances have read. */
+    public KeyedFollower follower() {
+        return follower;
+    }
+
     /** Removes this instance from the list and stops renewing its entry. */
     public void deregister() {
         leaving = true;
@@ -229,4 +241,12 @@
             return Optional.empty();
         }
     }
+
+    /**
+     * How the list is read.
+     *
+     * @param pacer paces the reads while the log does not answer
+     * @param sharing shares the reads with the other instances
+     */
+    public record ListReads(RetryPacer pacer, KeyedFollower.ReadSharing sharing) {}
 }
--- a/src/main/java/org/verbenatray/openwork/ReadExchange.java
+++ b/src/main/java/org/verbenatray/openwork/ReadExchange.java
@@ -30,9 +30,6 @@
  * Used on one thread.
  */
 public final class ReadExchange implements KeyedFollower.ReadSharing {
-    /** The time between two reads that wait for changes and find some, in milliseconds. */
-    private static final long MIN_INTERVAL_MILLIS = 50;
-
     /** The age of what is known at which another instance reads, as a multiple of the full pace. */
     private static final double TURN_FACTOR = 1.25;
 
@@ -67,10 +64,7 @@
 
     private final String name;
 
-    private final LongSupplier fullPaceMillis;
-
-    /** Whether the reads of the first instance wait for changes for the time of the full pace. */
-    private final boolean waiting;
+    private final Pace pace;
 
     /** Returns the place of this instance in the order of readers. */
     private final IntSupplier place;
@@ -95,8 +89,7 @@
             Supplier<Collection<InetSocketAddress>> receivers,
             BiConsumer<InetSocketAddress, byte[]> sender) {
         this.name = name;
-        this.fullPaceMillis = pace.millis();
-        this.waiting = pace.waiting();
+        this.pace = pace;
         this.place = place;
         this.receivers = receivers;
         this.sender = sender;
@@ -109,12 +102,14 @@
 
     @Override
     public PollTiming pollTiming() {
-        long pace = fullPaceMillis.getAsLong();
+        long paceMillis = pace.millis().getAsLong();
         int position = place.getAsInt();
         if (position == 0) {
-            return waiting ? new PollTiming(MIN_INTERVAL_MILLIS, pace) : new PollTiming(pace, 0);
+            return pace.waiting()
+                    ? new PollTiming(pace.minIntervalMillis(), paceMillis)
+                    : new PollTiming(paceMillis, 0);
         }
-        long turnMillis = (long) (pace * TURN_FACTOR) + TURN_STEP_MILLIS * Math.min(MAX_STEPS, position - 1);
+        long turnMillis = (long) (paceMillis * TURN_FACTOR) + TURN_STEP_MILLIS * Math.min(MAX_STEPS, position - 1);
         return new PollTiming(turnMillis, 0);
     }
 
@@ -222,6 +217,17 @@
      *
      * @param millis the time between two reads, or for which each waits, in milliseconds
      * @param waiting whether a read waits for changes, for logs that change rarely
+     * @param minIntervalMillis the time between two reads that wait for changes and find some, in milliseconds
      */
-    public record Pace(LongSupplier millis, boolean waiting) {}
+    public record Pace(LongSupplier millis, boolean waiting, long minIntervalMillis) {
+        /** Returns the pace of reads at a regular interval in milliseconds. */
+        public static Pace regular(LongSupplier millis) {
+            return new Pace(millis, false, 0);
+        }
+
+        /** Returns the pace of reads that wait for changes. */
+        public static Pace waiting(LongSupplier millis, long minIntervalMillis) {
+            return new Pace(millis, true, minIntervalMillis);
+        }
+    }
 }
--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -30,11 +30,14 @@
  * thread.
  */
 public final class CrashExchange implements KeyedFollower.Listener {
+    /** The time between two reads, in milliseconds; records of many crashes at once end few reads. */
+    public static final long MIN_READ_INTERVAL_MILLIS = 500;
+
     /**
-     * Records of many crashes at once end few reads. A read whose connection has gone silent is repeated after some
-     * seconds; meanwhile the instances that know of crashes send them directly.
+     * The time for which a read waits for records, in milliseconds. A read whose connection has gone silent is noticed
+     * a second later, before a request that crashes servers may reach a fourth one.
      */
-    private static final KeyedFollower.PollTiming POLL_TIMING = new KeyedFollower.PollTiming(500, 5_000);
+    public static final long READ_MILLIS = 1_000;
 
     private static final long FLUSH_INTERVAL_MILLIS = 100;
 
@@ -80,6 +83,9 @@
     /** When each expired crash that the log still holds is deleted. */
     private final Map<Crash, Deadline> deletions = new HashMap<>();
 
+    /** Follows the log, null before the start. */
+    private KeyedFollower follower;
+
     private volatile boolean loaded;
 
     /** Whether the last write succeeded; limits the log to one line for consecutive failures. */
@@ -97,20 +103,26 @@
         this.scheduler = scheduler;
     }
 
-    /** Starts to follow the records of the log and to write those that it lacks. */
+    /** Starts to follow the records of the log, whose reads instances share, and to write those that it lacks. */
     public static CrashExchange start(
             KeyedLog records,
             CrashLedger ledger,
             DoubleSupplier random,
             RetryPacer pacer,
+            KeyedFollower.ReadSharing sharing,
             Ticker ticker,
             Scheduler scheduler) {
         CrashExchange exchange = new CrashExchange(records, ledger, random, ticker, scheduler);
-        KeyedFollower.start("crashes", records, exchange, () -> POLL_TIMING, pacer, ticker, scheduler);
+        exchange.follower = KeyedFollower.startShared("crashes", records, exchange, pacer, sharing, ticker, scheduler);
         exchange.flush();
         return exchange;
     }
 
+    /** Returns the follower of the log, which takes what other instances have read. */
+    public KeyedFollower follower() {
+        return follower;
+    }
+
     /** Returns whether the records of the log were read once. Callable from any thread. */
     public boolean loaded() {
         return loaded;
--- a/src/test/java/org/verbenatray/openwork/InstanceRegistrationTest.java
+++ b/src/test/java/org/verbenatray/openwork/InstanceRegistrationTest.java
@@ -8,6 +8,7 @@
 import org.testng.annotations.Test;
 import org.verbenatray.log.FakeKeyedLog;
 import org.verbenatray.state.RetryPacer;
+import org.verbenatray.state.UnsharedReads;
 import org.verbenatray.time.ManualTime;
 
 /** Tests the registration, renewal and expiry of entries in the instance list. */
@@ -84,7 +85,10 @@
                 new ListedInstance(new InetSocketAddress("127.0.0.1", 7), "d1"),
                 peers,
                 FleetShare.create(time),
-                RetryPacer.create(() -> 0.5, time, time),
+                new InstanceRegistration.ListReads(
+                        RetryPacer.create(() -> 0.5, time, time),
+                        UnsharedReads.waiting(
+                                InstanceRegistration.MIN_READ_INTERVAL_MILLIS, InstanceRegistration.READ_MILLIS)),
                 time,
                 time);
     }
--- a/src/test/java/org/verbenatray/openwork/ReadExchangeTest.java
+++ b/src/test/java/org/verbenatray/openwork/ReadExchangeTest.java
@@ -206,7 +206,7 @@
         void start() {
             ReadExchange exchange = new ReadExchange(
                     "list",
-                    new ReadExchange.Pace(() -> PACE_MILLIS, waiting),
+                    new ReadExchange.Pace(() -> PACE_MILLIS, waiting, 50),
                     () -> peers.placeInGroup("list"),
                     peers::groupAddresses,
                     this::send);
--- a/src/test/java/org/verbenatray/resilience/CrashExchangeTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashExchangeTest.java
@@ -7,6 +7,7 @@
 import org.testng.annotations.Test;
 import org.verbenatray.log.FakeKeyedLog;
 import org.verbenatray.state.RetryPacer;
+import org.verbenatray.state.UnsharedReads;
 import org.verbenatray.time.ManualTime;
 
 /** Tests for {@link CrashExchange}: two instances that share crashes through one log. */
@@ -181,7 +182,13 @@
         private final CrashLedger ledger = CrashLedger.create(time, this::onCleared);
         private final Random random = new Random(seed++ * 1_000_003);
         private final CrashExchange exchange = CrashExchange.start(
-                log, ledger, random::nextDouble, RetryPacer.create(random::nextDouble, time, time), time, time);
+                log,
+                ledger,
+                random::nextDouble,
+                RetryPacer.create(random::nextDouble, time, time),
+                UnsharedReads.waiting(CrashExchange.MIN_READ_INTERVAL_MILLIS, CrashExchange.READ_MILLIS),
+                time,
+                time);
 
         private void onCleared(List<Crash> cleared) {
             exchange.onCleared(cleared);
--- a/src/test/java/org/verbenatray/resilience/CrashKnowledgePropertiesTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashKnowledgePropertiesTest.java
@@ -8,6 +8,7 @@
 import org.testng.Assert;
 import org.verbenatray.log.FakeKeyedLog;
 import org.verbenatray.state.RetryPacer;
+import org.verbenatray.state.UnsharedReads;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.ManualTime;
 
@@ -143,7 +144,13 @@
             Instance(int startStep) {
                 this.startStep = startStep;
                 this.exchange = CrashExchange.start(
-                        log, ledger, random::nextDouble, RetryPacer.create(random::nextDouble, time, time), time, time);
+                        log,
+                        ledger,
+                        random::nextDouble,
+                        RetryPacer.create(random::nextDouble, time, time),
+                        UnsharedReads.waiting(CrashExchange.MIN_READ_INTERVAL_MILLIS, CrashExchange.READ_MILLIS),
+                        time,
+                        time);
             }
 
             /** Finds an end some time after it, if the process still runs. */
--- a/src/test/java/org/verbenatray/resilience/CrashingPartPropertiesTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashingPartPropertiesTest.java
@@ -8,6 +8,7 @@
 import org.testng.Assert;
 import org.verbenatray.log.FakeKeyedLog;
 import org.verbenatray.state.RetryPacer;
+import org.verbenatray.state.UnsharedReads;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.ManualTime;
 
@@ -213,7 +214,13 @@
         private final class Instance {
             private final CrashLedger ledger = CrashLedger.create(time, this::clear);
             private final CrashExchange exchange = CrashExchange.start(
-                    log, ledger, random::nextDouble, RetryPacer.create(random::nextDouble, time, time), time, time);
+                    log,
+                    ledger,
+                    random::nextDouble,
+                    RetryPacer.create(random::nextDouble, time, time),
+                    UnsharedReads.waiting(CrashExchange.MIN_READ_INTERVAL_MILLIS, CrashExchange.READ_MILLIS),
+                    time,
+                    time);
 
             private void clear(List<Crash> cleared) {
                 exchange.onCleared(cleared);
--- a/src/test/java/org/verbenatray/resilience/RetryAllowancePropertiesTest.java
+++ b/src/test/java/org/verbenatray/resilience/RetryAllowancePropertiesTest.java
@@ -20,6 +20,7 @@
 import org.verbenatray.openwork.InstanceRegistration;
 import org.verbenatray.openwork.ListedInstance;
 import org.verbenatray.state.RetryPacer;
+import org.verbenatray.state.UnsharedReads;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.ManualTime;
 
@@ -141,7 +142,10 @@
                     new ListedInstance(new InetSocketAddress("127.0.0.1", 7), "d1"),
                     ExchangePeers.of(name, "d1"),
                     share,
-                    RetryPacer.create(() -> 0.5, time, time),
+                    new InstanceRegistration.ListReads(
+                            RetryPacer.create(() -> 0.5, time, time),
+                            UnsharedReads.waiting(
+                                    InstanceRegistration.MIN_READ_INTERVAL_MILLIS, InstanceRegistration.READ_MILLIS)),
                     time,
                     time);
         }
