Order servers only once their needed number is known

Change: the need is the largest number of servers of one kind of the last minute, known once the list has not grown for four seconds, and stated by the holder in the log each six seconds for those after it.

--- a/src/main/java/org/verbenatray/capacity/CapacityController.java
+++ b/src/main/java/org/verbenatray/capacity/CapacityController.java
@@ -6,7 +6,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -29,14 +31,20 @@
     /** The delay before an order is sent again that was not accepted, or whose servers do not appear. */
     private static final long RETRY_MILLIS = 3_000;
 
+    /** The time between two statements of what is needed; the log keeps the last ones for longer. */
+    private static final long STATEMENT_MILLIS = 6_000;
+
     private static final Logger log = System.getLogger(CapacityController.class.getName());
 
     private final BackendDirectory directory;
 
     private final Ticker ticker;
 
-    /** The largest number of servers of each service that were needed lately. */
-    private final Map<String, RecentPeak> needed = new HashMap<>();
+    /** The number of servers that each service needs. */
+    private final Map<String, NeededServers> needed = new HashMap<>();
+
+    /** When the needed numbers are stated again, in the log that all instances read. */
+    private Deadline nextStatement;
 
     /** The orders that were sent last, by subject. */
     private final Map<Subject, Sent> sent = new HashMap<>();
@@ -50,6 +58,7 @@
     private CapacityController(BackendDirectory directory, Ticker ticker) {
         this.directory = directory;
         this.ticker = ticker;
+        this.nextStatement = new Deadline(ticker.nanos());
     }
 
     /** Creates a controller that has ordered nothing. */
@@ -59,9 +68,36 @@
 
     /** Records the servers that are there, whoever holds the duty, so that a new holder knows what is needed. */
     public void observe(Catalog catalog) {
-        scaledServices(catalog)
-                .forEach(service -> needed.computeIfAbsent(service.name(), name -> RecentPeak.create())
-                        .record(directory.usable(service.name()).size(), ticker.nanos()));
+        for (BackendService service : scaledServices(catalog)) {
+            int all = directory.usable(service.name()).size();
+            int reclaimable = (int) directory.usable(service.name()).stream()
+                    .filter(backend -> backend.entry().reclaimable())
+                    .count();
+            needed(service.name()).record(all - reclaimable, reclaimable, ticker.nanos());
+        }
+    }
+
+    /** Receives a fact that a holder of the duty has stated. */
+    public void onFact(String fact) {
+        ServerNeed.parse(fact).ifPresent(need -> needed(need.service()).recordStated(need.servers(), ticker.nanos()));
+    }
+
+    /** States the needed numbers now and then, for holders that start later. */
+    public void stateNeeds(Catalog catalog, Consumer<String> statement) {
+        if (!nextStatement.hasPassed(ticker.nanos())) {
+            return;
+        }
+        nextStatement = Deadline.afterMillis(ticker.nanos(), STATEMENT_MILLIS);
+        for (BackendService service : scaledServices(catalog)) {
+            OptionalInt servers = needed(service.name()).value();
+            if (servers.isPresent()) {
+                statement.accept(new ServerNeed(service.name(), servers.getAsInt()).text());
+            }
+        }
+    }
+
+    private NeededServers needed(String service) {
+        return needed.computeIfAbsent(service, name -> NeededServers.unknown());
     }
 
     /** Forgets what was ordered, as another instance has held the duty. */
@@ -94,9 +130,11 @@
                 .sorted()
                 .map(domain -> servers(service, scaling, domain))
                 .toList();
-        int peak = needed.computeIfAbsent(service.name(), name -> RecentPeak.create())
-                .value(ticker.nanos());
-        return CapacityPlanner.plan(scaling, domains, peak).stream()
+        OptionalInt servers = needed(service.name()).value();
+        if (servers.isEmpty()) {
+            return List.of();
+        }
+        return CapacityPlanner.plan(scaling, domains, servers.getAsInt()).stream()
                 .flatMap(plan -> ordersOf(service.name(), plan).stream())
                 .sorted(Comparator.comparing(order -> !isIncrease(order)))
                 .toList();
@@ -159,7 +197,7 @@
                     .with("reclaimable", order.reclaimable())
                     .with("count", order.count())
                     .with("present", present)
-                    .with("needed", needed.get(order.service()).value(ticker.nanos()))
+                    .with("needed", needed(order.service()).value().orElse(0))
                     .with("outcome", outcome)
                     .log(log, Level.INFO);
         });
--- a/src/main/java/org/verbenatray/instance/Duties.java
+++ b/src/main/java/org/verbenatray/instance/Duties.java
@@ -96,17 +96,21 @@
                 fact -> lease.state(fact),
                 this::trueMillis,
                 loop.ticker());
+        CapacityController capacity = CapacityController.create(directory, loop.ticker());
         lease = LogLease.start(
                 platform.dutyLease(),
                 settings.name(),
                 LeaseOptions.of(LeaseTerms.DUTIES, settings.firstStart())
                         .withPlace(() -> sharing.placeAmongCandidates(KEY, LeaseTerms.DUTIES.candidates()))
-                        .withFacts(reporter::onFact),
+                        .withFacts(fact -> {
+                            reporter.onFact(fact);
+                            capacity.onFact(fact);
+                        }),
                 loop.ticker(),
                 System::currentTimeMillis,
                 loop.scheduler());
         startExchange();
-        startController(platform.api().get(), reporter);
+        startController(platform.api().get(), reporter, capacity);
     }
 
     private void startExchange() {
@@ -133,17 +137,10 @@
         });
     }
 
-    private void startController(PlatformApi api, UsageReporter reporter) {
+    private void startController(PlatformApi api, UsageReporter reporter, CapacityController capacity) {
         DutySettings duties = settings.duties();
-        DutyController controller = DutyController.create(
-                settings.name(),
-                duties,
-                lease,
-                api,
-                reporter,
-                CapacityController.create(directory, loop.ticker()),
-                catalog,
-                loop.ticker());
+        DutyController controller =
+                DutyController.create(settings.name(), duties, lease, api, reporter, capacity, catalog, loop.ticker());
         loop.runRepeatedly("duties", controller::step);
     }
 
--- a/src/main/java/org/verbenatray/instance/DutyController.java
+++ b/src/main/java/org/verbenatray/instance/DutyController.java
@@ -115,6 +115,7 @@
     }
 
     private void orderServers(Catalog current) {
+        capacity.stateNeeds(current, lease::state);
         capacity.step(current, order -> watch(api.orderServers(holder(), order)));
     }
 
