Move the decisions about prompts into a package of their own

scheduling/ holds what decides about a prompt under load, without input and output: PromptScheduler (regular, deferred, refused), its admission, priorities, the estimate of first attempts, recent durations. PrefillStep, moved out of GenerationRelay (500 lines to 383), sends the prompt as decided; the decision may come later, for one made elsewhere.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -24,8 +24,6 @@
 import org.verbenatray.placement.PrefixCacheIndex;
 import org.verbenatray.relay.ConnectProbe;
 import org.verbenatray.relay.CrashProbe;
-import org.verbenatray.relay.FirstAttemptEstimator;
-import org.verbenatray.relay.LargePromptShare;
 import org.verbenatray.relay.LoadPoller;
 import org.verbenatray.relay.OpenCalls;
 import org.verbenatray.relay.RelayContext;
@@ -40,6 +38,9 @@
 import org.verbenatray.resilience.CrashLedger;
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.resilience.ServerRuns;
+import org.verbenatray.scheduling.FirstAttemptEstimator;
+import org.verbenatray.scheduling.PromptPlacement;
+import org.verbenatray.scheduling.PromptScheduler;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 
@@ -186,7 +187,7 @@
                 metrics,
                 sharing::onWorkChanged,
                 FirstAttemptEstimator.create(),
-                LargePromptShare.create(),
+                PromptPlacement.by(PromptScheduler.create(planner)),
                 CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns, statements),
                 ConnectProbe.create(loop.transport(), loop.thread()),
                 continuations,
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -1,7 +1,5 @@
 package org.verbenatray.relay;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +10,7 @@
 import org.verbenatray.placement.PrefillPlan;
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
+import org.verbenatray.scheduling.EnginePriority;
 import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.time.Deadline;
 import org.xnio.XnioIoThread;
@@ -23,25 +22,16 @@
  * <p>If a stream of a repeatable route fails, another engine of the same software version resumes it after the last
  * event that the caller has received. Used on one thread.
  */
-final class GenerationRelay implements ForwardListener {
+final class GenerationRelay implements ForwardListener, PrefillStep.Next {
     /** Retry-after time for a caller that no engine can serve. */
     private static final long RETRY_AFTER_MILLIS = 400;
 
-    /** Time added to the retry-after of an overload rejection, in which the engines work off their queues. */
-    private static final long CATCH_UP_MILLIS = 2_000;
-
     /** Time within which an engine must confirm that it has released a prefilled prompt. */
     private static final long RELEASE_TIMEOUT_MILLIS = 1_000;
 
-    /** Multiple of the expected time to first token after which a silent prefill engine is given up. */
-    private static final double PREFILL_TIMEOUT_FACTOR = 4;
-
     /** Interval in which a prefilled prompt looks for an engine whose limit admits it. */
     private static final long LIMIT_RECHECK_MILLIS = 50;
 
-    /** Largest number of prefill engines tried for one request. */
-    private static final int MAX_PREFILLS = 2;
-
     private final RelayContext context;
     private final RelayCall call;
     private final DecodeEngines decodeEngines;
@@ -49,7 +39,7 @@
     /** The engine limits of the service at the receipt of the call; empty if they are unknown. */
     private final Optional<EngineLimits> engineLimits;
 
-    private final List<Backend> triedPrefillEngines = new ArrayList<>();
+    private final PrefillStep prefillStep;
     private XnioIoThread.Key deadlineTimer;
 
     /** The running attempt, null if none. */
@@ -61,9 +51,6 @@
     /** When the prefill engine drops the prefilled prompt. */
     private Deadline prefilledPromptExpiry;
 
-    /** The plan for the prefill; null before planning, and where the prompt size or the engine limits are unknown. */
-    private PrefillPlan plan;
-
     /** When the request was last sent to an engine, in nanoseconds of the ticker. */
     private long sentNanos;
 
@@ -74,6 +61,7 @@
         this.context = context;
         this.call = call;
         this.decodeEngines = DecodeEngines.forCall(context, call);
+        this.prefillStep = PrefillStep.of(context, call, decodeEngines, this);
         this.eventOrder = new EventOrder(call.request().lastEventId());
         this.engineLimits = context.catalog()
                 .get()
@@ -180,93 +168,38 @@
         }
         Optional<PromptShape> prompt = call.request().prompt();
         if (prompt.isEmpty() || engineLimits.isEmpty()) {
-            decode(Optional.empty());
-            return;
-        }
-        placePrompt(prompt.get());
-    }
-
-    /** Plans the prefill and sends the request accordingly; rejects a deferred prompt that is expected too late. */
-    private void placePrompt(PromptShape prompt) {
-        plan = context.planner().planPrefill(prompt, decodeEngines.withPrefillEngines(), triedPrefillEngines, false);
-        boolean deferred = triedPrefillEngines.isEmpty()
-                && !call.request().continuesStream()
-                && !PromptAdmission.admitRegular(call, plan, context.largePrompts());
-        if (deferred) {
-            plan = context.planner().planPrefill(prompt, decodeEngines.withPrefillEngines(), triedPrefillEngines, true);
-        }
-        call.addLogField("plan_ms", Math.round(plan.expectedFirstTokenMillis()));
-        call.addLogField("wait_ms", Math.round(plan.expectedWaitMillis()));
-        call.addLogField("deferred", deferred);
-        double excessMillis = PromptAdmission.excessDelayMillis(call, plan);
-        if (deferred && excessMillis > 0) {
-            deadlineTimer.remove();
-            call.giveUp("overloaded", Math.round(CATCH_UP_MILLIS + excessMillis));
-        } else if (plan.handover() && triedPrefillEngines.size() < MAX_PREFILLS) {
-            prefill(prompt);
+            generate(Optional.empty());
         } else {
-            decode(plan.handover() ? Optional.empty() : plan.engine());
+            prefillStep.start(prompt.get());
         }
     }
 
-    /** Sends the prompt to the prefill engine of the plan. */
-    private void prefill(PromptShape prompt) {
-        Backend backend = plan.engine().orElseThrow();
-        if (backend.unreachable()) {
-            giveUp("no_server_in_reach");
-            return;
-        }
-        triedPrefillEngines.add(backend);
-        long remainingMillis = call.times().remainingFirstEventMillis();
-        if (remainingMillis <= 0) {
-            giveUp("caller_out_of_patience");
-            return;
-        }
-        ForwardOptions options = new ForwardOptions(
-                backend,
-                remainingMillis,
-                EnginePriority.ofPrompt(call, plan),
-                true,
-                plan.fetchFrom(),
-                Optional.empty(),
-                Optional.empty(),
-                ConnectionUse.POOLED);
-        long now = context.ticker().nanos();
-        sentNanos = now;
-        long silenceMillis = SilenceTimeout.millis(call.route(), remainingMillis);
-        long firstByteMillis = (long) Math.max(silenceMillis, PREFILL_TIMEOUT_FACTOR * plan.expectedFirstTokenMillis());
-        ResponseTimeouts timeouts = new ResponseTimeouts(
-                Deadline.afterMillis(now, Math.min(remainingMillis, firstByteMillis)),
-                silenceMillis,
-                Deadline.afterMillis(now, remainingMillis));
-        if (send(options, plan.work(), timeouts, new PrefillListener(backend, prompt))) {
-            context.planner().recordAssigned(backend, prompt);
-        }
-    }
-
-    /** Sends the request and returns true, or gives up if it must not be sent any more. */
-    private boolean send(
-            ForwardOptions options, PrefillWork work, ResponseTimeouts timeouts, ForwardListener listener) {
-        attempt = call.send(options, work, timeouts, listener).orElse(null);
-        if (attempt == null) {
-            deadlineTimer.remove();
-            releasePrefilledPrompt();
-            call.giveUpUnsendable();
-        }
-        return attempt != null;
-    }
-
     /** Goes on to the decode engine after a successful prefill. */
-    private void decodePrefilled(Backend backend, String handle) {
-        prefilledPrompt = new PrefilledPrompt(backend, handle);
+    @Override
+    public void generatePrefilled(PrefilledPrompt prefilled) {
+        prefilledPrompt = prefilled;
         prefilledPromptExpiry = Deadline.afterMillis(
                 context.ticker().nanos(),
                 engineLimits.map(EngineLimits::handleTtlMillis).orElse(0L));
-        decode(Optional.empty());
+        generate(Optional.empty());
+    }
+
+    @Override
+    public void refuse(long retryAfterMillis) {
+        deadlineTimer.remove();
+        call.giveUp("overloaded", retryAfterMillis);
+    }
+
+    @Override
+    public void stop() {
+        deadlineTimer.remove();
+        releasePrefilledPrompt();
+        call.giveUpUnsendable();
     }
 
     /** Sends the request to the given decode engine, or to the best one if none is given. */
-    private void decode(Optional<Backend> preferred) {
+    @Override
+    public void generate(Optional<Backend> preferred) {
         if (call.times().remainingMillis() <= 0) {
             handleDeadline();
             return;
@@ -289,15 +222,20 @@
         ForwardOptions options = new ForwardOptions(
                 backend,
                 call.times().remainingMillis(),
-                prefilledPrompt == null ? EnginePriority.ofPrompt(call, plan) : EnginePriority.prefilled(),
+                prefilledPrompt == null
+                        ? call.enginePriority(prefillStep.work().deferred())
+                        : EnginePriority.prefilled(),
                 false,
                 Optional.empty(),
                 Optional.ofNullable(prefilledPrompt),
                 eventOrder.last(),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.CONFIRMED);
         sentNanos = context.ticker().nanos();
-        PrefillWork work = prefilledPrompt == null && plan != null ? plan.work() : PrefillWork.NONE;
-        send(options, work, call.responseTimeouts(), this);
+        PrefillWork work = prefilledPrompt == null ? prefillStep.work() : PrefillWork.NONE;
+        attempt = call.send(options, work, call.responseTimeouts(), this).orElse(null);
+        if (attempt == null) {
+            stop();
+        }
     }
 
     /**
@@ -314,7 +252,7 @@
                     .executeAfter(
                             call.guard().wrap(() -> {
                                 if (!call.finished()) {
-                                    decode(Optional.empty());
+                                    generate(Optional.empty());
                                 }
                             }),
                             LIMIT_RECHECK_MILLIS,
@@ -338,10 +276,13 @@
             context.continuations().recordServer(call.request().streamId(), backend);
         }
         call.request().prompt().ifPresent(prompt -> {
-            if (prefilledPrompt == null
-                    && plan != null
-                    && plan.engine().filter(backend::equals).isPresent()) {
-                context.planner().recordPrefilled(plan, prompt, millisSinceSent());
+            boolean asPlanned = prefillStep
+                    .plan()
+                    .flatMap(PrefillPlan::engine)
+                    .filter(backend::equals)
+                    .isPresent();
+            if (prefilledPrompt == null && asPlanned) {
+                prefillStep.recordFirstToken((context.ticker().nanos() - sentNanos) / 1e6);
             } else {
                 context.planner().recordCached(backend, prompt);
             }
@@ -349,10 +290,6 @@
         prefilledPrompt = null;
     }
 
-    private double millisSinceSent() {
-        return (context.ticker().nanos() - sentNanos) / 1e6;
-    }
-
     /** Relays a response that is not a stream, or retries after a server error. */
     private void handleResponse(ForwardAttempt ended, ForwardOutcome outcome) {
         boolean retryable = outcome.status() >= 500 && call.route().repeatable();
@@ -380,7 +317,7 @@
             return;
         }
         if (call.tryReserveRetry()) {
-            decode(Optional.empty());
+            generate(Optional.empty());
             return;
         }
         continueLaterOrGiveUp(outcome);
@@ -393,7 +330,8 @@
         }
     }
 
-    private void giveUp(String outcome) {
+    @Override
+    public void giveUp(String outcome) {
         deadlineTimer.remove();
         releasePrefilledPrompt();
         call.giveUpUnlessForwarded(outcome, RETRY_AFTER_MILLIS);
@@ -404,9 +342,10 @@
         if (call.finished()) {
             return;
         }
+        prefillStep.cancel();
         if (attempt != null) {
             attempt.cancel();
-            if (attempt.sendingStarted() && !attempt.prefillOnly()) {
+            if (attempt.sendingStarted()) {
                 call.recordPossibleRun();
             }
             attempt = null;
@@ -417,6 +356,7 @@
     /** Cancels the running attempt when the caller has disconnected. */
     private void callerDisconnected(DisconnectCause cause) {
         deadlineTimer.remove();
+        prefillStep.cancel();
         if (attempt != null) {
             attempt.cancel();
             attempt = null;
@@ -440,61 +380,4 @@
                     .exceptionally(failure -> null);
         }
     }
-
-    /** Receives the outcome of a prefill. */
-    private final class PrefillListener implements ForwardListener {
-        private final Backend backend;
-        private final PromptShape prompt;
-
-        PrefillListener(Backend backend, PromptShape prompt) {
-            this.backend = backend;
-            this.prompt = prompt;
-        }
-
-        @Override
-        public boolean acceptsEvents() {
-            return false;
-        }
-
-        @Override
-        public void onEvent(ServerResponseHead head, StreamEvent event) {
-            throw new IllegalStateException("the response of a prefill engine has no events");
-        }
-
-        @Override
-        public boolean reserveMoveFromSilentServer() {
-            return otherEngineAccepts() && call.attempts().tryHoldRetry();
-        }
-
-        /** Returns whether an engine accepts requests to which the prompt was not sent for prefill. */
-        private boolean otherEngineAccepts() {
-            long now = context.ticker().nanos();
-            return decodeEngines.withPrefillEngines().stream()
-                    .anyMatch(engine -> !triedPrefillEngines.contains(engine) && !engine.paused(now));
-        }
-
-        @Override
-        public void onOutcome(ForwardOutcome outcome) {
-            ForwardAttempt ended = attempt;
-            attempt = null;
-            call.recordOutcome(ended, outcome, false);
-            if (call.finished()) {
-                return;
-            }
-            Optional<String> handle =
-                    outcome.status() == 200 ? context.dialect().parsePrefillHandle(outcome.body()) : Optional.empty();
-            if (outcome.kind() == ForwardOutcome.Kind.ANSWERED && handle.isPresent()) {
-                call.addLogField("prefill_ms", Math.round(millisSinceSent()));
-                call.addLogField("tokens", prompt.promptTokens() - plan.cachedTokens());
-                context.planner().recordPrefilled(plan, prompt, millisSinceSent());
-                decodePrefilled(backend, handle.get());
-                return;
-            }
-            if (outcome.unsent() || call.attempts().tryHoldRetry()) {
-                plan();
-                return;
-            }
-            giveUp("prefill_" + outcome.kind().name().toLowerCase(Locale.ROOT));
-        }
-    }
 }
--- a/src/main/java/org/verbenatray/relay/OpenCalls.java
+++ b/src/main/java/org/verbenatray/relay/OpenCalls.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.LongStream;
+import org.verbenatray.scheduling.RecentDurations;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Ticker;
 
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -8,6 +8,7 @@
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.catalog.Route;
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
+import org.verbenatray.scheduling.EnginePriority;
 import org.verbenatray.time.Deadline;
 
 /**
@@ -126,6 +127,11 @@
         return matched.priority();
     }
 
+    /** Returns the priority of the prompt at engines. */
+    int enginePriority(boolean deferred) {
+        return EnginePriority.ofPrompt(priority(), deferred, times.millisSinceFirstAttempt() > 0);
+    }
+
     /** Returns the name of the service that serves the request. */
     String service() {
         return service;
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -14,6 +14,8 @@
 import org.verbenatray.resilience.CrashLedger;
 import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.resilience.ServerRuns;
+import org.verbenatray.scheduling.FirstAttemptEstimator;
+import org.verbenatray.scheduling.PromptPlacement;
 import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.time.Scheduler;
 import org.verbenatray.time.Ticker;
@@ -39,7 +41,7 @@
  * @param metrics the metrics
  * @param onWorkChanged receives each server whose open work from this instance has changed
  * @param firstAttempts estimates how long ago callers sent their first attempts
- * @param largePrompts decides which large prompts are scheduled with regular priority
+ * @param placement decides where and in which order prompts are processed
  * @param crashProbe detects crashed servers
  * @param connectProbe finds out when servers that could not be connected to are reachable again
  * @param continuations knows the software versions at which streams may be continued
@@ -67,7 +69,7 @@
         RelayMetrics metrics,
         Consumer<Backend> onWorkChanged,
         FirstAttemptEstimator firstAttempts,
-        LargePromptShare largePrompts,
+        PromptPlacement placement,
         CrashProbe crashProbe,
         ConnectProbe connectProbe,
         StreamContinuations continuations,
--- a/src/main/java/org/verbenatray/relay/EnginePriority.java
+++ b/src/main/java/org/verbenatray/scheduling/EnginePriority.java
@@ -1,9 +1,7 @@
-package org.verbenatray.relay;
-
-import org.verbenatray.placement.PrefillPlan;
+package org.verbenatray.scheduling;
 
 /** Computes the priority of a request in the queue of an engine, from 0 (first) to 9 (last). */
-final class EnginePriority {
+public final class EnginePriority {
     /**
      * Priority of a prompt that another engine has prefilled: it occupies memory on two engines and needs little work.
      */
@@ -21,7 +19,7 @@
     private EnginePriority() {}
 
     /** Returns the priority of a request whose prompt another engine has prefilled. */
-    static int prefilled() {
+    public static int prefilled() {
         return PREFILLED;
     }
 
@@ -40,12 +38,17 @@
         return Math.min(LOWEST, DEFERRED_RETRY + 1 + routePriority);
     }
 
-    /** Returns the priority of a request that an engine has to prefill; the plan is null if there is none. */
-    static int ofPrompt(RelayCall call, PrefillPlan plan) {
-        int priority = call.priority();
-        if (plan == null || !plan.work().deferred()) {
+    /**
+     * Returns the priority of a request whose prompt an engine has to process.
+     *
+     * @param priority the priority of the request, zero being the highest
+     * @param deferred whether its prompt runs only when no other prompt waits
+     * @param retry whether its caller asks again
+     */
+    public static int ofPrompt(int priority, boolean deferred, boolean retry) {
+        if (!deferred) {
             return regular(priority);
         }
-        return call.times().millisSinceFirstAttempt() > 0 ? deferredRetry() : deferred(priority);
+        return retry ? deferredRetry() : deferred(priority);
     }
 }
--- a/src/main/java/org/verbenatray/relay/FirstAttemptEstimator.java
+++ b/src/main/java/org/verbenatray/scheduling/FirstAttemptEstimator.java
@@ -1,4 +1,4 @@
-package org.verbenatray.relay;
+package org.verbenatray.scheduling;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -28,7 +28,7 @@
      * Records the remaining time of a request and returns a lower bound of the time since the caller's first attempt,
      * in milliseconds.
      */
-    double recordAndEstimateMillis(String route, long remainingMillis) {
+    public double recordAndEstimateMillis(String route, long remainingMillis) {
         double maxMillis = Math.max(remainingMillis, DECAY_PER_REQUEST * longestMillis.getOrDefault(route, 0.0));
         longestMillis.put(route, maxMillis);
         return Math.max(0, MIN_TIMEOUT_RATIO * maxMillis - remainingMillis);
--- a/src/main/java/org/verbenatray/relay/LargePromptShare.java
+++ b/src/main/java/org/verbenatray/scheduling/LargePromptShare.java
@@ -1,4 +1,4 @@
-package org.verbenatray.relay;
+package org.verbenatray.scheduling;
 
 /**
  * Decides which large prompts are scheduled with regular priority although they are expected late: those needed to keep
--- a/src/main/java/org/verbenatray/relay/PromptAdmission.java
+++ b/src/main/java/org/verbenatray/scheduling/PromptAdmission.java
@@ -1,4 +1,4 @@
-package org.verbenatray.relay;
+package org.verbenatray.scheduling;
 
 import org.verbenatray.placement.PrefillPlan;
 
@@ -26,10 +26,10 @@
      * decision. Regular are prompts expected within the target, and large ones that would otherwise get less than their
      * share.
      */
-    static boolean admitRegular(RelayCall call, PrefillPlan plan, LargePromptShare largePrompts) {
-        double targetMillis = call.route().latencyTargetMillis();
-        double expectedMillis = call.times().elapsedMillis() + plan.expectedFirstTokenMillis();
-        boolean onTime = call.times().millisSinceFirstAttempt() + expectedMillis <= targetMillis;
+    static boolean admitRegular(PromptRequest request, PrefillPlan plan, LargePromptShare largePrompts) {
+        double targetMillis = request.targetMillis();
+        double expectedMillis = request.elapsedMillis() + plan.expectedFirstTokenMillis();
+        boolean onTime = request.sinceFirstAttemptMillis() + expectedMillis <= targetMillis;
         boolean large =
                 plan.expectedFirstTokenMillis() - plan.expectedWaitMillis() > LARGE_PROMPT_TARGET_SHARE * targetMillis;
         if (large) {
@@ -42,9 +42,9 @@
     /**
      * Returns by how many milliseconds a deferred prompt exceeds its limits; zero or less if it is expected in time.
      */
-    static double excessDelayMillis(RelayCall call, PrefillPlan plan) {
-        double limitMillis = call.times().firstEventTimeoutMillis();
-        return call.times().elapsedMillis()
+    static double excessDelayMillis(PromptRequest request, PrefillPlan plan) {
+        double limitMillis = request.timeoutMillis();
+        return request.elapsedMillis()
                 + Math.max(
                         plan.expectedWaitMillis() - MAX_DEFERRED_WAIT_SHARE * limitMillis,
                         plan.expectedFirstTokenMillis() - MAX_FIRST_TOKEN_SHARE * limitMillis);
--- /dev/null
+++ b/src/main/java/org/verbenatray/scheduling/PromptScheduler.java
@@ -0,0 +1,49 @@
+package org.verbenatray.scheduling;
+
+import java.util.Collection;
+import java.util.List;
+import org.verbenatray.backends.Backend;
+import org.verbenatray.placement.EnginePlanner;
+import org.verbenatray.placement.PrefillPlan;
+
+/**
+ * Schedules prompts, for a load in which more come for some seconds than the engines process in time: a prompt that can
+ * be on time is placed where its first token is expected soonest; one that can't is deferred behind all that can, or
+ * refused at once if it would come too late for its caller. Used on one thread.
+ */
+public final class PromptScheduler {
+    /** Time added to the retry-after of a refused prompt, in which the engines work off their queues. */
+    private static final long CATCH_UP_MILLIS = 2_000;
+
+    private final EnginePlanner planner;
+
+    private final LargePromptShare largePrompts = LargePromptShare.create();
+
+    private PromptScheduler(EnginePlanner planner) {
+        this.planner = planner;
+    }
+
+    /** Creates a scheduler that places prompts by a planner. */
+    public static PromptScheduler create(EnginePlanner planner) {
+        return new PromptScheduler(planner);
+    }
+
+    /**
+     * Decides about a prompt.
+     *
+     * @param request the prompt
+     * @param engines the engines of its service
+     * @param tried the engines that are excluded because they were tried before
+     */
+    public PromptDecision decide(PromptRequest request, List<Backend> engines, Collection<Backend> tried) {
+        PrefillPlan regular = planner.planPrefill(request.prompt(), engines, tried, false);
+        if (!request.deferrable() || PromptAdmission.admitRegular(request, regular, largePrompts)) {
+            return PromptDecision.send(regular);
+        }
+        PrefillPlan deferred = planner.planPrefill(request.prompt(), engines, tried, true);
+        double excessMillis = PromptAdmission.excessDelayMillis(request, deferred);
+        return excessMillis > 0
+                ? PromptDecision.refuse(deferred, Math.round(CATCH_UP_MILLIS + excessMillis))
+                : PromptDecision.send(deferred);
+    }
+}
--- a/src/main/java/org/verbenatray/relay/RecentDurations.java
+++ b/src/main/java/org/verbenatray/scheduling/RecentDurations.java
@@ -1,4 +1,4 @@
-package org.verbenatray.relay;
+package org.verbenatray.scheduling;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -9,7 +9,7 @@
 import org.verbenatray.time.Deadline;
 
 /** How long the requests of each route have lately taken from their receipt to their end. Used on one thread. */
-final class RecentDurations {
+public final class RecentDurations {
     /** The number of durations of a route that count at most: the newest. */
     private static final int MAX_COUNT = 100;
 
@@ -25,12 +25,12 @@
     private RecentDurations() {}
 
     /** Creates an object that knows no durations. */
-    static RecentDurations create() {
+    public static RecentDurations create() {
         return new RecentDurations();
     }
 
     /** Records that a request of a route has ended after the given time in milliseconds. */
-    void record(String route, long millis, long nowNanos) {
+    public void record(String route, long millis, long nowNanos) {
         Deque<Duration> durations = byRoute.computeIfAbsent(route, name -> new ArrayDeque<>());
         if (durations.size() == MAX_COUNT) {
             durations.removeFirst();
@@ -43,7 +43,7 @@
      *
      * @param openMillis how long each open request of the route takes already, as servers may have become slow
      */
-    OptionalLong expectedMillis(String route, LongStream openMillis, long nowNanos) {
+    public OptionalLong expectedMillis(String route, LongStream openMillis, long nowNanos) {
         Deque<Duration> durations = byRoute.getOrDefault(route, new ArrayDeque<>());
         while (!durations.isEmpty() && durations.peekFirst().countsUntil().hasPassed(nowNanos)) {
             durations.removeFirst();
--- a/src/test/java/org/verbenatray/relay/FirstAttemptEstimatorTest.java
+++ b/src/test/java/org/verbenatray/scheduling/FirstAttemptEstimatorTest.java
@@ -1,4 +1,4 @@
-package org.verbenatray.relay;
+package org.verbenatray.scheduling;
 
 import org.testng.Assert;
 import org.testng.annotations.Test;
--- a/src/test/java/org/verbenatray/relay/LargePromptShareTest.java
+++ b/src/test/java/org/verbenatray/scheduling/LargePromptShareTest.java
@@ -1,4 +1,4 @@
-package org.verbenatray.relay;
+package org.verbenatray.scheduling;
 
 import java.util.stream.IntStream;
 import org.testng.Assert;
--- a/src/test/java/org/verbenatray/relay/RecentDurationsTest.java
+++ b/src/test/java/org/verbenatray/scheduling/RecentDurationsTest.java
@@ -1,4 +1,4 @@
-package org.verbenatray.relay;
+package org.verbenatray.scheduling;
 
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
