Place long prompts of a large fleet through one scheduler a domain

Change: SharedPlacement asks the scheduler of the failure domain by a datagram, the next instance in the order while it is silent, and places by itself where none answers. Small fleets are served as before.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -19,6 +19,7 @@
 import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.memory.MemoryAccount;
 import org.verbenatray.placement.EnginePlanner;
+import org.verbenatray.placement.EngineView;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.placement.PrefillTimeModel;
 import org.verbenatray.placement.PrefixCacheIndex;
@@ -41,6 +42,7 @@
 import org.verbenatray.scheduling.FirstAttemptEstimator;
 import org.verbenatray.scheduling.PromptPlacement;
 import org.verbenatray.scheduling.PromptScheduler;
+import org.verbenatray.scheduling.SharedPlacement;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 
@@ -97,6 +99,8 @@
 
     private final ReachingPeers reachingPeers;
 
+    private final SharedPlacement placement;
+
     private final LoadPoller loadPoller;
 
     private final RelayHandler handler;
@@ -143,17 +147,13 @@
                 this::onPeerReport,
                 this::listenForInstances);
         this.duties = Duties.create(settings, loop, sharing, directory, catalog);
-        this.reachingPeers = new ReachingPeers(
-                settings.failureDomain(),
-                cutOffDetector::isPartitioned,
-                sharing::find,
-                () -> ThreadLocalRandom.current().nextDouble(),
-                loop.ticker());
+        this.reachingPeers = createReachingPeers();
         this.recentVersions = RecentVersions.create(directory, loop.ticker(), settings.leavingServerMillis());
         this.continuations = createContinuations();
         this.limits = createLimits();
         ServerStatements statements = ServerStatements.create(dialect, limits, sharing::recordLeaving, loop.ticker());
         this.planner = createPlanner(chooser, prefixCacheIndex);
+        this.placement = createPlacement(chooser, prefixCacheIndex);
         this.loadPoller = LoadPoller.create(
                 loop.transport(),
                 loop.thread(),
@@ -187,7 +187,7 @@
                 metrics,
                 sharing::onWorkChanged,
                 FirstAttemptEstimator.create(),
-                PromptPlacement.by(PromptScheduler.create(planner)),
+                placement,
                 CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns, statements),
                 ConnectProbe.create(loop.transport(), loop.thread()),
                 continuations,
@@ -241,10 +241,37 @@
                 prefixCacheIndex,
                 PrefillTimeModel.untrained(),
                 chooser,
-                sharing::remoteWork,
+                EngineView.ofEqualEngines(sharing::remoteWork),
                 sharing::recordPrompt);
     }
 
+    private ReachingPeers createReachingPeers() {
+        return new ReachingPeers(
+                settings.failureDomain(),
+                cutOffDetector::isPartitioned,
+                sharing::find,
+                () -> ThreadLocalRandom.current().nextDouble(),
+                loop.ticker());
+    }
+
+    private SharedPlacement createPlacement(LeastLoadedChooser chooser, PrefixCacheIndex prefixCacheIndex) {
+        SharedPlacement created = SharedPlacement.create(
+                sharing.placementFleet(),
+                PromptPlacement.by(PromptScheduler.create(planner)),
+                directory,
+                view -> EnginePlanner.create(
+                        loop.ticker(),
+                        prefixCacheIndex,
+                        PrefillTimeModel.untrained(),
+                        chooser,
+                        view,
+                        (engine, prompt, processed) -> {}),
+                loop.ticker(),
+                loop.scheduler());
+        sharing.register(new WorkSharing.DatagramReceiver(SharedPlacement::recognizes, created::receive));
+        return created;
+    }
+
     /** Returns the server for callers. */
     public RelayServer server() {
         return server;
@@ -357,6 +384,7 @@
         StageController stageController = StageController.create(context, settings.name(), lease);
         loop.runRepeatedly("maintenance", this::runMaintenance);
         loop.runRepeatedly("polls", loadPoller::pollNext);
+        loop.runRepeatedly("placed work", placement::tellWork);
         loop.runRepeatedly("stages", () -> {
             stageController.planStages();
             return STAGE_CHECK_INTERVAL_MILLIS;
@@ -407,6 +435,7 @@
         String boot = backend.entry().bootId();
         loop.transport().closeIdleConnections(boot);
         planner.removeEngine(backend);
+        placement.removeEngine(boot);
         recentVersions.recordEnded(backend);
         limits.remove(boot);
         if (!backend.announcedLeaving()) {
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -42,6 +42,7 @@
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.relay.LoadPoller;
 import org.verbenatray.resilience.CrashExchange;
+import org.verbenatray.scheduling.SharedPlacement;
 import org.verbenatray.state.KeyedFollower;
 import org.verbenatray.state.RetryPacer;
 import org.verbenatray.telemetry.Event;
@@ -245,6 +246,11 @@
         return new LoadPoller.Sharing(exchangePeers::placeInGroup, reports::publish);
     }
 
+    /** Returns the fleet for the placement of prompts. */
+    SharedPlacement.Fleet placementFleet() {
+        return new PlacementFleet(settings, exchangePeers, this);
+    }
+
     /** Passes datagrams of a further kind to a receiver. */
     void register(DatagramReceiver receiver) {
         receivers.add(receiver);
--- a/src/main/java/org/verbenatray/openwork/ExchangePeers.java
+++ b/src/main/java/org/verbenatray/openwork/ExchangePeers.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.verbenatray.continuation.StreamHomes;
 import org.verbenatray.limits.LimitSharers;
 
@@ -47,6 +48,9 @@
     /** The sharers by server and number, kept until the list of instances changes. */
     private final Map<String, LimitSharers> limitSharers = new HashMap<>();
 
+    /** The first instances of domains by key, domain and number, kept until the list of instances changes. */
+    private final Map<String, List<String>> orders = new HashMap<>();
+
     /** The places of this instance by key, kept until the list of instances changes. */
     private final Map<String, Integer> places = new HashMap<>();
 
@@ -157,6 +161,28 @@
         });
     }
 
+    /**
+     * Returns the first instances of a failure domain in the order of a key, at most the given number. All instances
+     * that see the same list derive the same ones.
+     */
+    public List<String> firstOfDomain(String key, String domain, int count) {
+        return orders.computeIfAbsent(
+                key + "|" + domain + "|" + count,
+                each -> rank(key).stream()
+                        .filter(instance -> instance.domain().equals(domain))
+                        .limit(count)
+                        .map(RankedInstance::name)
+                        .toList());
+    }
+
+    /** Returns the failure domains of the other instances, without that of this one. */
+    public Set<String> otherDomains() {
+        return others.values().stream()
+                .map(ListedInstance::domain)
+                .filter(domain -> !domain.equals(ownDomain))
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the given number of instances for a key, or all if there are not so many. */
     private Set<String> choose(String key, int count) {
         List<RankedInstance> ranked = rank(key);
@@ -211,6 +237,7 @@
     private void select() {
         limitSharers.clear();
         places.clear();
+        orders.clear();
         group = selectGroup();
         selectedAddresses = others.entrySet().stream()
                 .sorted(Comparator.comparingLong(other -> pairHash(other.getKey())))
--- a/src/main/java/org/verbenatray/placement/EnginePlanner.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlanner.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Function;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendLoad;
 import org.verbenatray.backends.BackendStage;
@@ -61,8 +60,7 @@
     /** Provides the pauses and penalties of engines. */
     private final LeastLoadedChooser chooser;
 
-    /** Returns the open work of the other instances at an engine, by its boot id. */
-    private final Function<String, EngineWork> remoteWork;
+    private final EngineView view;
 
     /** Notified of each long prompt that an engine was assigned or has processed. */
     private final PromptPlacementListener placementListener;
@@ -72,20 +70,20 @@
             PrefixCacheIndex prefixCacheIndex,
             PrefillTimeModel prefillTimeModel,
             LeastLoadedChooser chooser,
-            Function<String, EngineWork> remoteWork,
+            EngineView view,
             PromptPlacementListener placementListener) {
         this.ticker = ticker;
         this.prefixCacheIndex = prefixCacheIndex;
         this.prefillTimeModel = prefillTimeModel;
         this.chooser = chooser;
-        this.remoteWork = remoteWork;
+        this.view = view;
         this.placementListener = placementListener;
     }
 
     /**
      * Creates a planner.
      *
-     * @param remoteWork returns the open work of the other instances at an engine, by its boot id
+     * @param view what is known of engines
      * @param placementListener is notified of each long prompt that an engine was assigned or has processed
      */
     public static EnginePlanner create(
@@ -93,9 +91,14 @@
             PrefixCacheIndex prefixCacheIndex,
             PrefillTimeModel prefillTimeModel,
             LeastLoadedChooser chooser,
-            Function<String, EngineWork> remoteWork,
+            EngineView view,
             PromptPlacementListener placementListener) {
-        return new EnginePlanner(ticker, prefixCacheIndex, prefillTimeModel, chooser, remoteWork, placementListener);
+        return new EnginePlanner(ticker, prefixCacheIndex, prefillTimeModel, chooser, view, placementListener);
+    }
+
+    /** Returns the model of the time that an engine needs for a prompt. */
+    public PrefillTimeModel prefillTimeModel() {
+        return prefillTimeModel;
     }
 
     /** Returns the index of the cached prefixes of all engines. */
@@ -137,6 +140,7 @@
             double cost = plan.expectedFirstTokenMillis()
                     + FAILURE_PENALTY_MILLIS * candidate.failureRate()
                     + candidate.delayMillis(now)
+                    + view.extraMillis().applyAsDouble(candidate)
                     + (awayFromHome ? AWAY_FROM_HOME_MILLIS : 0)
                     + chooser.penalty(candidate, now);
             if (cost < bestCost) {
@@ -219,14 +223,15 @@
         boolean fetches = cacheHolderTokens - ownTokens >= MIN_FETCH_TOKENS;
         int cached = fetches ? cacheHolderTokens : ownTokens;
         double busyMillis = prefillTimeModel.busyMillis(cached, prompt.promptTokens() - cached);
+        double slowness = view.slowness().applyAsDouble(engine);
         EngineWork work = totalWork(engine);
-        double waitMillis = work.microsAhead(deferred) / 1_000.0;
+        double waitMillis = slowness * work.microsAhead(deferred) / 1_000.0;
         double addedMillis = prefillTimeModel.fixedLatencyMillis() + (fetches ? FETCH_MILLIS : 0);
         if (isPrefill(engine)) {
-            addedMillis += busyMillis + HANDOVER_MILLIS;
+            addedMillis += slowness * busyMillis + HANDOVER_MILLIS;
         } else {
             waitMillis = DECODE_ENGINE_SLOWDOWN * waitMillis + OPEN_REQUEST_MILLIS * work.openRequests();
-            addedMillis += DECODE_ENGINE_SLOWDOWN * busyMillis;
+            addedMillis += DECODE_ENGINE_SLOWDOWN * slowness * busyMillis;
         }
         return new PrefillPlan(
                 Optional.of(engine),
@@ -263,7 +268,7 @@
 
     /** Returns the open work of this and all other instances at an engine. */
     private EngineWork totalWork(Backend engine) {
-        return engine.openWork().plus(remoteWork.apply(engine.entry().bootId()));
+        return view.openWork().apply(engine);
     }
 
     /** Returns the length of the cached prefix of a prompt at an engine, in tokens. */
--- /dev/null
+++ b/src/main/java/org/verbenatray/placement/EngineView.java
@@ -0,0 +1,24 @@
+package org.verbenatray.placement;
+
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+import org.verbenatray.backends.Backend;
+import org.verbenatray.openwork.EngineWork;
+
+/**
+ * What is known of engines when a prompt is placed.
+ *
+ * @param openWork returns the open work of all instances at an engine
+ * @param slowness returns the time that an engine takes for a prompt, as a multiple of that of the others
+ * @param extraMillis returns what else speaks against an engine, in milliseconds of delay
+ */
+public record EngineView(
+        Function<Backend, EngineWork> openWork,
+        ToDoubleFunction<Backend> slowness,
+        ToDoubleFunction<Backend> extraMillis) {
+    /** Returns a view of equal engines, with the work of this instance and that of the others by boot id. */
+    public static EngineView ofEqualEngines(Function<String, EngineWork> remoteWork) {
+        return new EngineView(
+                engine -> engine.openWork().plus(remoteWork.apply(engine.entry().bootId())), engine -> 1, engine -> 0);
+    }
+}
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -304,6 +304,7 @@
 
     /** Retries at another engine, or gives up. */
     private void retry(ForwardAttempt ended, ForwardOutcome outcome) {
+        prefillStep.cancel();
         decodeEngines.recordTried(ended.backend());
         if (!outcome.unsent()) {
             releasePrefilledPrompt();
--- a/src/main/java/org/verbenatray/relay/PrefillStep.java
+++ b/src/main/java/org/verbenatray/relay/PrefillStep.java
@@ -4,12 +4,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.placement.PrefillPlan;
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.scheduling.PlacedPrompt;
+import org.verbenatray.scheduling.PromptOutcome;
 import org.verbenatray.scheduling.PromptRequest;
 import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.time.Deadline;
@@ -75,7 +75,7 @@
     /** Records that an engine that processes the prompt itself has produced the first token. */
     void recordFirstToken(double millis) {
         context.planner().recordPrefilled(plan().orElseThrow(), prompt, millis);
-        placed.onProcessed().accept(OptionalDouble.of(millis));
+        endPlacement(PromptOutcome.processed(millis));
     }
 
     /** Ends the step; a running attempt is cancelled. */
@@ -84,7 +84,7 @@
             attempt.cancel();
             attempt = null;
         }
-        endPlacement(OptionalDouble.empty());
+        endPlacement(PromptOutcome.WITHDRAWN);
     }
 
     private void schedule() {
@@ -95,7 +95,7 @@
                 call.times().millisSinceFirstAttempt(),
                 call.times().firstEventTimeoutMillis(),
                 tried.isEmpty() && !call.request().continuesStream());
-        endPlacement(OptionalDouble.empty());
+        endPlacement(PromptOutcome.WITHDRAWN);
         context.placement()
                 .place(
                         request,
@@ -108,13 +108,16 @@
     private void follow(PlacedPrompt decided) {
         placed = decided;
         if (call.finished()) {
-            endPlacement(OptionalDouble.empty());
+            endPlacement(PromptOutcome.WITHDRAWN);
             return;
         }
         PrefillPlan plan = decided.decision().plan();
         call.addLogField("plan_ms", Math.round(plan.expectedFirstTokenMillis()));
         call.addLogField("wait_ms", Math.round(plan.expectedWaitMillis()));
         call.addLogField("deferred", plan.work().deferred());
+        if (!decided.decidedBy().isEmpty()) {
+            call.addLogField("placed_by", decided.decidedBy());
+        }
         if (decided.decision().retryAfterMillis().isPresent()) {
             next.refuse(decided.decision().retryAfterMillis().getAsLong());
         } else if (plan.handover() && tried.size() < MAX_PREFILLS) {
@@ -150,7 +153,7 @@
         attempt = call.send(options, plan.work(), timeouts(plan, remainingMillis), this)
                 .orElse(null);
         if (attempt == null) {
-            endPlacement(OptionalDouble.empty());
+            endPlacement(PromptOutcome.WITHDRAWN);
             next.stop();
         } else {
             context.planner().recordAssigned(backend, prompt);
@@ -194,14 +197,17 @@
         attempt = null;
         call.recordOutcome(ended, outcome, false);
         if (call.finished()) {
-            endPlacement(OptionalDouble.empty());
+            endPlacement(PromptOutcome.WITHDRAWN);
             return;
         }
         Optional<String> handle =
                 outcome.status() == 200 ? context.dialect().parsePrefillHandle(outcome.body()) : Optional.empty();
         if (outcome.kind() == ForwardOutcome.Kind.ANSWERED && handle.isPresent()) {
             handOver(new PrefilledPrompt(ended.backend(), handle.get()));
-        } else if (outcome.unsent() || call.attempts().tryHoldRetry()) {
+            return;
+        }
+        endPlacement(PromptOutcome.FAILED);
+        if (outcome.unsent() || call.attempts().tryHoldRetry()) {
             schedule();
         } else {
             giveUp("prefill_" + outcome.kind().name().toLowerCase(Locale.ROOT));
@@ -214,21 +220,21 @@
         call.addLogField("prefill_ms", Math.round(millis));
         call.addLogField("tokens", prompt.promptTokens() - plan.cachedTokens());
         context.planner().recordPrefilled(plan, prompt, millis);
-        endPlacement(OptionalDouble.of(millis));
+        endPlacement(PromptOutcome.processed(millis));
         next.generatePrefilled(prefilled);
     }
 
     private void giveUp(String outcome) {
-        endPlacement(OptionalDouble.empty());
+        endPlacement(PromptOutcome.WITHDRAWN);
         next.giveUp(outcome);
     }
 
-    /** Tells who has placed the prompt, once, that its engine is done with it. */
-    private void endPlacement(OptionalDouble millis) {
+    /** Tells who has placed the prompt, once, what became of it. */
+    private void endPlacement(PromptOutcome outcome) {
         if (placed != null) {
             PlacedPrompt ended = placed;
-            placed = new PlacedPrompt(ended.decision(), ignored -> {});
-            ended.onProcessed().accept(millis);
+            placed = ended.ended();
+            ended.onEnd().accept(outcome);
         }
     }
 
--- a/src/test/java/org/verbenatray/placement/EnginePlannerTest.java
+++ b/src/test/java/org/verbenatray/placement/EnginePlannerTest.java
@@ -54,7 +54,7 @@
                 PrefixCacheIndex.empty(),
                 PrefillTimeModel.untrained(),
                 LeastLoadedChooser.create("z1", () -> 0),
-                bootId -> remoteWork.getOrDefault(bootId, EngineWork.NONE),
+                EngineView.ofEqualEngines(bootId -> remoteWork.getOrDefault(bootId, EngineWork.NONE)),
                 (engine, prompt, processed) -> notified.add(engine));
     }
 
