Tell less often what many instances are told

Cause: in a zone of 25 instances with 63 engines each instance received 63 notices of reports a second, one for each report, and 40 notices of open work, and sent as many (computed; PollScheduleTest counts the former).

Change: where nine or more instances share the polls, each polls its engines together, after 1.6 s instead of 1, and tells them in one notice; the age of what is known stays below 3 s. In a fleet of more than thirteen open work is confirmed each 600 ms instead of 300. Small fleets are as before.

--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -243,7 +243,10 @@
 
     /** Returns how this instance shares the polls of engines with others. */
     LoadPoller.Sharing pollSharing() {
-        return new LoadPoller.Sharing(exchangePeers::placeInGroup, reports::publish);
+        return new LoadPoller.Sharing(
+                exchangePeers::placeInGroup,
+                () -> exchangePeers.groupAddresses().size(),
+                reports::publish);
     }
 
     /** Returns the fleet for the placement of prompts. */
--- a/src/main/java/org/verbenatray/openwork/RemoteWork.java
+++ b/src/main/java/org/verbenatray/openwork/RemoteWork.java
@@ -15,6 +15,9 @@
     /** The time after which unconfirmed work expires; more than three confirmation intervals. */
     private static final long EXPIRY_MILLIS = 1_000;
 
+    /** The same where each peer represents several instances, which confirm less often. */
+    private static final long SAMPLE_EXPIRY_MILLIS = 2_000;
+
     private final Ticker ticker;
 
     /** The number of instances that each peer represents. */
@@ -44,7 +47,8 @@
             return;
         }
         reporter.sequence = notice.sequence();
-        Deadline expiry = Deadline.afterMillis(ticker.nanos(), EXPIRY_MILLIS);
+        long expiryMillis = weight.getAsDouble() <= 1 ? EXPIRY_MILLIS : SAMPLE_EXPIRY_MILLIS;
+        Deadline expiry = Deadline.afterMillis(ticker.nanos(), expiryMillis);
         for (Map.Entry<String, EngineWork> engine : notice.workByEngine().entrySet()) {
             if (engine.getValue().equals(EngineWork.NONE)) {
                 reporter.engines.remove(engine.getKey());
--- a/src/main/java/org/verbenatray/openwork/WorkExchange.java
+++ b/src/main/java/org/verbenatray/openwork/WorkExchange.java
@@ -33,6 +33,9 @@
 
     private static final long CONFIRMATION_INTERVAL_MILLIS = 300;
 
+    /** The interval where the peers are a sample of a larger fleet, so that all work is known only roughly. */
+    private static final long SAMPLE_INTERVAL_MILLIS = 600;
+
     /** The maximum number of engines in one notice, so that it fits a packet. */
     private static final int MAX_ENGINES = 16;
 
@@ -178,7 +181,8 @@
             send(Map.of(), crashes.subList(0, Math.min(MAX_CRASHES, crashes.size())));
         }
         remoteWork.removeExpired();
-        scheduler.runAt(Deadline.afterMillis(ticker.nanos(), CONFIRMATION_INTERVAL_MILLIS), this::confirm);
+        long intervalMillis = peers.sampleWeight() <= 1 ? CONFIRMATION_INTERVAL_MILLIS : SAMPLE_INTERVAL_MILLIS;
+        scheduler.runAt(Deadline.afterMillis(ticker.nanos(), intervalMillis), this::confirm);
     }
 
     /** Sends the work at the given engines to all peers, in as many notices as needed. */
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.ToIntFunction;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -21,7 +22,7 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Polls engines, one at a time, for their load and for changes of their prefix cache, sends their reports to the other
+ * Polls engines for their load and for changes of their prefix cache, sends their reports to the other
  * instances, and applies the reports that those send.
  */
 public final class LoadPoller {
@@ -72,7 +73,7 @@
         this.prefixCacheIndex = prefixMemory;
         this.statements = statements;
         this.reach = reach;
-        this.schedule = new PollSchedule(sharing.place());
+        this.schedule = new PollSchedule(sharing.place(), sharing.groupSize());
         this.onReport = sharing.onReport();
     }
 
@@ -89,7 +90,7 @@
         return new LoadPoller(transport, thread, dialect, directory, prefixMemory, statements, reach, sharing);
     }
 
-    /** Polls the engine that is due, if any, and returns the delay in milliseconds until the next look. */
+    /** Polls the engines that are due, if any, and returns the delay in milliseconds until the next look. */
     public long pollNext() {
         List<Backend> engines = directory.all().stream()
                 .filter(backend -> !backend.leaving() && backend.entry().stage() != BackendStage.PLAIN)
@@ -100,7 +101,7 @@
         }
         schedule.retain(engines);
         boolean doubtful = reach.suspectsNewConnections();
-        schedule.next(engines, doubtful, ticker.nanos()).ifPresent(engine -> {
+        schedule.due(engines, doubtful, ticker.nanos()).forEach(engine -> {
             schedule.recordKnown(engine.entry().bootId(), ticker.nanos());
             pollLoad(engine);
             pollCacheChanges(engine);
@@ -223,7 +224,8 @@
      * How instances share the polls.
      *
      * @param place returns the place of this instance in the order in which instances poll an engine, by its boot id
+     * @param groupSize returns the number of other instances that share the polls
      * @param onReport receives what engines report to this instance, for the others
      */
-    public record Sharing(ToIntFunction<String> place, Consumer<EngineReport> onReport) {}
+    public record Sharing(ToIntFunction<String> place, IntSupplier groupSize, Consumer<EngineReport> onReport) {}
 }
--- a/src/main/java/org/verbenatray/relay/PollSchedule.java
+++ b/src/main/java/org/verbenatray/relay/PollSchedule.java
@@ -1,11 +1,13 @@
 package org.verbenatray.relay;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.ToIntFunction;
 import org.verbenatray.backends.Backend;
 
@@ -17,37 +19,47 @@
  * own to poll. Used on one thread.
  */
 final class PollSchedule {
-    /** The age of the newest report at which the first instance polls, in milliseconds. */
-    static final long FIRST_TURN_MILLIS = 1_000;
+    /** The most engines that are polled together with another one. */
+    private static final int MAX_TOGETHER = 8;
 
-    /** The age at which the second instance polls, in milliseconds. */
-    static final long SECOND_TURN_MILLIS = 1_500;
-
-    /** The age by which each further instance waits longer, in milliseconds. */
-    static final long TURN_STEP_MILLIS = 100;
+    /** The number of other instances in a group from which on it is large. */
+    private static final int MIN_LARGE_GROUP = 8;
 
     /** The age at which any instance polls, in milliseconds. */
-    static final long LAST_TURN_MILLIS = 2_500;
+    private static final long LAST_TURN_MILLIS = 2_500;
 
     /** The age at which engines are polled while it is doubtful whether any can be reached, in milliseconds. */
-    static final long DOUBTFUL_TURN_MILLIS = 500;
+    private static final long DOUBTFUL_TURN_MILLIS = 500;
 
     /** The shortest time between two polls, in milliseconds. */
     private static final long MIN_INTERVAL_MILLIS = 20;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    /** The turns where few instances share the polls. */
+    private static final Turns SMALL_GROUP = new Turns(1_000, 1_500, 100, 0);
+
+    /**
+     * The turns where many instances share the polls. Each report is told to all of them, so each instance polls its
+     * engines together and tells their reports in one notice.
+     */
+    private static final Turns LARGE_GROUP = new Turns(1_600, 2_000, 50, 600);
+
     /** Returns the place of this instance in the order of an engine, by its boot id; zero is the first. */
     private final ToIntFunction<String> place;
 
+    /** Returns the number of other instances that share the polls. */
+    private final IntSupplier groupSize;
+
     /** When the newest report of each engine was made, or its last poll by this instance, by boot id. */
     private final Map<String, Long> knownNanos = new HashMap<>();
 
     /** The engines that another instance could not reach lately and that this one has not polled since. */
     private final Set<String> doubted = new HashSet<>();
 
-    PollSchedule(ToIntFunction<String> place) {
+    PollSchedule(ToIntFunction<String> place, IntSupplier groupSize) {
         this.place = place;
+        this.groupSize = groupSize;
     }
 
     /** Records that an engine was polled, or that a report of it is known, at the given time. */
@@ -61,8 +73,27 @@
         doubted.add(boot);
     }
 
-    /** Returns the engine that is due longest; empty if none is due. */
-    Optional<Backend> next(List<Backend> engines, boolean doubtful, long nowNanos) {
+    /**
+     * Returns the engines to poll now: the one that is due longest, if one is due, and the known ones that soon would
+     * be this instance's turn.
+     */
+    List<Backend> due(List<Backend> engines, boolean doubtful, long nowNanos) {
+        Optional<Backend> longest = dueLongest(engines, doubtful, nowNanos);
+        if (longest.isEmpty()) {
+            return List.of();
+        }
+        List<Backend> due = new ArrayList<>();
+        due.add(longest.get());
+        long soonNanos = nowNanos + turns().togetherMillis() * NANOS_PER_MILLI;
+        engines.stream()
+                .filter(engine -> engine != longest.get() && isFirstOfKnown(engine))
+                .filter(engine -> dueNanos(engine, doubtful, nowNanos) - soonNanos < 0)
+                .limit(MAX_TOGETHER)
+                .forEach(due::add);
+        return due;
+    }
+
+    private Optional<Backend> dueLongest(List<Backend> engines, boolean doubtful, long nowNanos) {
         Backend most = null;
         long mostNanos = -1;
         for (Backend engine : engines) {
@@ -75,9 +106,19 @@
         return Optional.ofNullable(most);
     }
 
+    /** Returns whether an engine has been polled before, and this instance is the first to poll it again. */
+    private boolean isFirstOfKnown(Backend engine) {
+        String boot = engine.entry().bootId();
+        return turns().togetherMillis() > 0 && knownNanos.containsKey(boot) && place.applyAsInt(boot) == 0;
+    }
+
+    private Turns turns() {
+        return groupSize.getAsInt() < MIN_LARGE_GROUP ? SMALL_GROUP : LARGE_GROUP;
+    }
+
     /** Returns the time in milliseconds until the next engine is due. */
     long waitMillis(List<Backend> engines, boolean doubtful, long nowNanos) {
-        long waitNanos = FIRST_TURN_MILLIS * NANOS_PER_MILLI;
+        long waitNanos = turns().firstMillis() * NANOS_PER_MILLI;
         for (Backend engine : engines) {
             waitNanos = Math.min(waitNanos, dueNanos(engine, doubtful, nowNanos) - nowNanos);
         }
@@ -109,8 +150,19 @@
         }
         int position =
                 engine.unreachable() ? 0 : place.applyAsInt(engine.entry().bootId());
+        Turns turns = turns();
         return position == 0
-                ? FIRST_TURN_MILLIS
-                : Math.min(LAST_TURN_MILLIS, SECOND_TURN_MILLIS + (position - 1) * TURN_STEP_MILLIS);
+                ? turns.firstMillis()
+                : Math.min(LAST_TURN_MILLIS, turns.secondMillis() + (position - 1) * turns.stepMillis());
     }
+
+    /**
+     * The ages of the newest report at which instances poll, in milliseconds.
+     *
+     * @param firstMillis the age at which the first instance polls
+     * @param secondMillis the age at which the second instance polls
+     * @param stepMillis the age by which each further instance waits longer
+     * @param togetherMillis the time before its turn at which an engine is polled together with another one
+     */
+    private record Turns(long firstMillis, long secondMillis, long stepMillis, long togetherMillis) {}
 }
