Prefer engines that generate output faster, in large fleets

Change: instances tell each other the longest gap between events of their streams, within the notices of reports, and weigh an engine's lasting slowness against its open requests.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -195,6 +195,7 @@
                 statements,
                 cutOffDetector,
                 duties::recordBegun,
+                sharing.speeds()::recordOwn,
                 reachingPeers);
     }
 
@@ -241,10 +242,15 @@
                 prefixCacheIndex,
                 PrefillTimeModel.untrained(),
                 chooser,
-                EngineView.ofEqualEngines(sharing::remoteWork),
+                EngineView.ofEqualEngines(sharing::remoteWork).withGenerationSlowness(this::generationSlowness),
                 sharing::recordPrompt);
     }
 
+    /** Returns the slowness of an engine; in a small fleet, where an engine serves few streams, all are equal. */
+    private double generationSlowness(Backend engine) {
+        return sharing.isLargeFleet() ? sharing.speeds().slowness(engine.entry().bootId()) : 1;
+    }
+
     private ReachingPeers createReachingPeers() {
         return new ReachingPeers(
                 settings.failureDomain(),
@@ -436,6 +442,7 @@
         loop.transport().closeIdleConnections(boot);
         planner.removeEngine(backend);
         placement.removeEngine(boot);
+        sharing.speeds().remove(boot);
         recentVersions.recordEnded(backend);
         limits.remove(boot);
         if (!backend.announcedLeaving()) {
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -42,6 +42,7 @@
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.relay.LoadPoller;
 import org.verbenatray.resilience.CrashExchange;
+import org.verbenatray.scheduling.GenerationSpeeds;
 import org.verbenatray.scheduling.SharedPlacement;
 import org.verbenatray.state.KeyedFollower;
 import org.verbenatray.state.RetryPacer;
@@ -91,6 +92,9 @@
     /** Null before the start and when no port could be opened. */
     private WorkExchange exchange;
 
+    /** The speeds at which engines generate output. */
+    private final GenerationSpeeds speeds = GenerationSpeeds.create();
+
     private final ReportExchange reports;
 
     private final LeavingExchange leavingServers;
@@ -151,6 +155,7 @@
                     }
                     onPeerReport.accept(peer.report());
                 },
+                new ReportExchange.Speeds(speeds::takeUntold, speeds::record),
                 loop.ticker(),
                 loop.scheduler());
         this.leavingServers = LeavingExchange.create(
@@ -249,6 +254,16 @@
                 reports::publish);
     }
 
+    /** Returns the speeds at which engines generate output, as this and the other instances have seen them. */
+    GenerationSpeeds speeds() {
+        return speeds;
+    }
+
+    /** Returns whether there are too many instances for each to know the work of all others. */
+    boolean isLargeFleet() {
+        return exchangePeers.sampleWeight() > 1;
+    }
+
     /** Returns the fleet for the placement of prompts. */
     SharedPlacement.Fleet placementFleet() {
         return new PlacementFleet(settings, exchangePeers, this);
--- a/src/main/java/org/verbenatray/openwork/ReportExchange.java
+++ b/src/main/java/org/verbenatray/openwork/ReportExchange.java
@@ -41,6 +41,8 @@
 
     private final Consumer<PeerReport> listener;
 
+    private final Speeds speeds;
+
     private final Ticker ticker;
 
     private final Scheduler scheduler;
@@ -56,12 +58,14 @@
             Supplier<Collection<InetSocketAddress>> receivers,
             BiConsumer<InetSocketAddress, byte[]> sender,
             Consumer<PeerReport> listener,
+            Speeds speeds,
             Ticker ticker,
             Scheduler scheduler) {
         this.instance = instance;
         this.receivers = receivers;
         this.sender = sender;
         this.listener = listener;
+        this.speeds = speeds;
         this.ticker = ticker;
         this.scheduler = scheduler;
     }
@@ -85,6 +89,7 @@
         try {
             ReportNoticeCodec.Notice notice = ReportNoticeCodec.decode(datagram);
             notice.reports().forEach(report -> listener.accept(new PeerReport(notice.instance(), report)));
+            notice.samples().forEach(speeds.told());
         } catch (IOException e) {
             Event.named("report_notice_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
         }
@@ -113,7 +118,8 @@
 
     private void send(List<byte[]> reports) {
         if (!reports.isEmpty()) {
-            byte[] datagram = ReportNoticeCodec.encode(instance, reports);
+            byte[] datagram =
+                    ReportNoticeCodec.encode(instance, reports, speeds.toTell().get());
             receivers.get().forEach(address -> sender.accept(address, datagram));
         }
     }
@@ -126,6 +132,14 @@
      */
     public record PeerReport(String instance, EngineReport report) {}
 
+    /**
+     * The speeds of engines, which travel with the reports.
+     *
+     * @param toTell supplies the samples that the others were not told
+     * @param told receives the samples of the others
+     */
+    public record Speeds(Supplier<List<SpeedSample>> toTell, Consumer<SpeedSample> told) {}
+
     /** A report to send.
      *
      * @param report the report
--- a/src/main/java/org/verbenatray/openwork/ReportNoticeCodec.java
+++ b/src/main/java/org/verbenatray/openwork/ReportNoticeCodec.java
@@ -21,6 +21,11 @@
     /** A nested message with one report. */
     private static final int REPORT = 2;
 
+    /** A nested message with one sample of the speed of an engine. */
+    private static final int SPEED = 3;
+
+    private static final int GAP_MILLIS = 2;
+
     private static final int BOOT = 1;
     private static final int AGO_MILLIS = 2;
     private static final int ANSWERED = 3;
@@ -49,16 +54,40 @@
         return datagram.length > 0 && datagram[0] == FIRST_BYTE;
     }
 
-    /** Encodes a notice of encoded reports. */
-    static byte[] encode(String instance, List<byte[]> reports) {
+    /** Encodes a notice of encoded reports and of samples. */
+    static byte[] encode(String instance, List<byte[]> reports, List<SpeedSample> samples) {
         return write(out -> {
             out.writeString(INSTANCE, instance);
             for (byte[] report : reports) {
                 out.writeByteArray(REPORT, report);
             }
+            for (SpeedSample sample : samples) {
+                out.writeByteArray(SPEED, encodeSample(sample));
+            }
         });
     }
 
+    private static byte[] encodeSample(SpeedSample sample) {
+        return write(out -> {
+            out.writeString(BOOT, sample.boot());
+            out.writeDouble(GAP_MILLIS, sample.gapMillis());
+        });
+    }
+
+    private static SpeedSample decodeSample(byte[] bytes) throws IOException {
+        CodedInputStream in = CodedInputStream.newInstance(bytes);
+        String boot = "";
+        double gapMillis = 0;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (WireFormat.getTagFieldNumber(tag)) {
+                case BOOT -> boot = in.readString();
+                case GAP_MILLIS -> gapMillis = in.readDouble();
+                default -> in.skipField(tag);
+            }
+        }
+        return new SpeedSample(boot, gapMillis);
+    }
+
     /** Encodes one report. */
     static byte[] encodeReport(EngineReport report) {
         return write(out -> {
@@ -83,14 +112,16 @@
         CodedInputStream in = CodedInputStream.newInstance(bytes);
         String instance = "";
         List<EngineReport> reports = new ArrayList<>();
+        List<SpeedSample> samples = new ArrayList<>();
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case INSTANCE -> instance = in.readString();
                 case REPORT -> reports.add(decodeReport(in.readByteArray()));
+                case SPEED -> samples.add(decodeSample(in.readByteArray()));
                 default -> in.skipField(tag);
             }
         }
-        return new Notice(instance, reports);
+        return new Notice(instance, reports, samples);
     }
 
     private static EngineReport decodeReport(byte[] bytes) throws IOException {
@@ -196,6 +227,7 @@
      *
      * @param instance the name of its sender
      * @param reports the reports
+     * @param samples the speeds of engines
      */
-    record Notice(String instance, List<EngineReport> reports) {}
+    record Notice(String instance, List<EngineReport> reports, List<SpeedSample> samples) {}
 }
--- a/src/main/java/org/verbenatray/placement/EnginePlanner.java
+++ b/src/main/java/org/verbenatray/placement/EnginePlanner.java
@@ -45,6 +45,12 @@
     /** The penalty for an engine with a failure rate of 1; lower rates count in proportion. */
     private static final double FAILURE_PENALTY_MILLIS = 2_000;
 
+    /** The number of open requests that outweigh an engine that generates output half as fast as others. */
+    private static final double SLOW_GENERATION_REQUESTS = 6;
+
+    /** The delay that outweighs an engine that generates output half as fast as others, in milliseconds. */
+    private static final double SLOW_GENERATION_MILLIS = 60;
+
     /** The age beyond which a reported load is ignored. */
     private static final long MAX_LOAD_AGE_MILLIS = 3_000;
 
@@ -141,6 +147,7 @@
                     + FAILURE_PENALTY_MILLIS * candidate.failureRate()
                     + candidate.delayMillis(now)
                     + view.extraMillis().applyAsDouble(candidate)
+                    + (isPrefill(candidate) ? 0 : SLOW_GENERATION_MILLIS * lag(candidate))
                     + (awayFromHome ? AWAY_FROM_HOME_MILLIS : 0)
                     + chooser.penalty(candidate, now);
             if (cost < bestCost) {
@@ -164,14 +171,13 @@
                 .filter(engine -> !isPrefill(engine) && !tried.contains(engine))
                 .toList();
         Optional<Backend> leastLoaded = LeastLoadedChooser.unpausedOrAll(decodeEngines, now).stream()
-                .min(Comparator.comparingDouble(
-                        engine -> totalWork(engine).openRequests() + chooser.penalty(engine, now)));
+                .min(Comparator.comparingDouble(engine -> weightedRequests(engine) + chooser.penalty(engine, now)));
         if (leastLoaded.isEmpty() || prompt.isEmpty() || prompt.get().promptTokens() < MIN_LONG_PROMPT_TOKENS) {
             return leastLoaded;
         }
-        double maxOpenRequests = totalWork(leastLoaded.get()).openRequests() + MAX_AFFINITY_EXCESS_REQUESTS;
+        double maxOpenRequests = weightedRequests(leastLoaded.get()) + MAX_AFFINITY_EXCESS_REQUESTS;
         return RendezvousRanking.rank(prompt.get().affinityKey(), decodeEngines, engine -> 1).stream()
-                .filter(engine -> !engine.paused(now) && totalWork(engine).openRequests() <= maxOpenRequests)
+                .filter(engine -> !engine.paused(now) && weightedRequests(engine) <= maxOpenRequests)
                 .max(Comparator.comparingInt(engine -> cachedTokens(engine, prompt.get())))
                 .or(() -> leastLoaded);
     }
@@ -266,6 +272,16 @@
                 .findFirst();
     }
 
+    /** Returns the open requests of an engine, with what outweighs its speed of generation. */
+    private double weightedRequests(Backend engine) {
+        return totalWork(engine).openRequests() + SLOW_GENERATION_REQUESTS * lag(engine);
+    }
+
+    /** Returns how much longer an engine takes between two events than others, as a share; negative if less. */
+    private double lag(Backend engine) {
+        return view.generationSlowness().applyAsDouble(engine) - 1;
+    }
+
     /** Returns the open work of this and all other instances at an engine. */
     private EngineWork totalWork(Backend engine) {
         return view.openWork().apply(engine);
--- a/src/main/java/org/verbenatray/placement/EngineView.java
+++ b/src/main/java/org/verbenatray/placement/EngineView.java
@@ -10,15 +10,25 @@
  *
  * @param openWork returns the open work of all instances at an engine
  * @param slowness returns the time that an engine takes for a prompt, as a multiple of that of the others
+ * @param generationSlowness returns the time between two events of an engine, as a multiple of that of the others
  * @param extraMillis returns what else speaks against an engine, in milliseconds of delay
  */
 public record EngineView(
         Function<Backend, EngineWork> openWork,
         ToDoubleFunction<Backend> slowness,
+        ToDoubleFunction<Backend> generationSlowness,
         ToDoubleFunction<Backend> extraMillis) {
     /** Returns a view of equal engines, with the work of this instance and that of the others by boot id. */
     public static EngineView ofEqualEngines(Function<String, EngineWork> remoteWork) {
         return new EngineView(
-                engine -> engine.openWork().plus(remoteWork.apply(engine.entry().bootId())), engine -> 1, engine -> 0);
+                engine -> engine.openWork().plus(remoteWork.apply(engine.entry().bootId())),
+                engine -> 1,
+                engine -> 1,
+                engine -> 0);
+    }
+
+    /** Returns this view with engines that generate output at different speeds. */
+    public EngineView withGenerationSlowness(ToDoubleFunction<Backend> other) {
+        return new EngineView(openWork, slowness, other, extraMillis);
     }
 }
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -7,6 +7,7 @@
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.catalog.BackendService;
 import org.verbenatray.catalog.EngineLimits;
+import org.verbenatray.openwork.SpeedSample;
 import org.verbenatray.placement.PrefillPlan;
 import org.verbenatray.placement.PromptShape;
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
@@ -54,6 +55,8 @@
     /** When the request was last sent to an engine, in nanoseconds of the ticker. */
     private long sentNanos;
 
+    private final EventGaps eventGaps = new EventGaps();
+
     /** The order of the events relayed to the caller, after those that it has received before. */
     private final EventOrder eventOrder;
 
@@ -99,6 +102,7 @@
     public void onEvent(ServerResponseHead head, StreamEvent event) {
         if (!call.finished()) {
             eventOrder.record(event);
+            eventGaps.record(context.ticker().nanos());
             if (!call.response().started()) {
                 generationStarted();
             }
@@ -122,6 +126,10 @@
     public void onOutcome(ForwardOutcome outcome) {
         ForwardAttempt ended = attempt;
         attempt = null;
+        eventGaps
+                .takeLongestMillis()
+                .ifPresent(millis -> context.speedSamples()
+                        .accept(new SpeedSample(ended.backend().entry().bootId(), millis)));
         call.recordOutcome(ended, outcome, true);
         if (call.finished()) {
             return;
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -9,6 +9,7 @@
 import org.verbenatray.catalog.CurrentCatalog;
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.limits.ServerLimits;
+import org.verbenatray.openwork.SpeedSample;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.resilience.CrashLedger;
@@ -49,6 +50,7 @@
  * @param statements records what servers state in their answers
  * @param reach receives what shows whether this instance reaches the servers
  * @param begunRequests receives each request that a server has begun to run for a customer
+ * @param speedSamples receives how fast engines have generated output
  * @param forwardingTargets the instances to which requests are forwarded while servers are out of reach
  */
 public record RelayContext(
@@ -77,6 +79,7 @@
         ServerStatements statements,
         ReachListener reach,
         BegunRequests begunRequests,
+        Consumer<SpeedSample> speedSamples,
         ForwardingTargets forwardingTargets) {
     /** Returns a scheduler that runs its tasks on the I/O thread. */
     Scheduler scheduler() {
--- a/src/main/java/org/verbenatray/scheduling/DomainScheduler.java
+++ b/src/main/java/org/verbenatray/scheduling/DomainScheduler.java
@@ -47,6 +47,7 @@
         this.planner = planners.apply(new EngineView(
                 engine -> placedWork.at(engine.entry().bootId()),
                 engine -> speeds.slowness(engine.entry().bootId()),
+                engine -> 1,
                 this::extraMillis));
         this.scheduler = PromptScheduler.create(planner);
     }
--- a/src/test/java/org/verbenatray/openwork/WorkNoticeCodecTest.java
+++ b/src/test/java/org/verbenatray/openwork/WorkNoticeCodecTest.java
@@ -42,7 +42,7 @@
     public void otherKindsOfDatagramsAreNoNotices() {
         WorkNotice notice = new WorkNotice("i1", 1, 1, Map.of(), Map.of(), List.of(), List.of());
         Assert.assertTrue(WorkNoticeCodec.recognizes(WorkNoticeCodec.encode(notice)));
-        Assert.assertFalse(WorkNoticeCodec.recognizes(ReportNoticeCodec.encode("i1", List.of())));
+        Assert.assertFalse(WorkNoticeCodec.recognizes(ReportNoticeCodec.encode("i1", List.of(), List.of())));
         Assert.assertFalse(WorkNoticeCodec.recognizes(new byte[] {(byte) 0x9a, 1}));
         Assert.assertFalse(WorkNoticeCodec.recognizes(new byte[0]));
     }
