Let the split of a large fleet follow how busy its prefill engines are

An engine was moved only while each engine had reported lately, one each four seconds, and only when more than 1.2 prompts wait at each.

Change: with 24 engines or more the split follows the share of busy prefill engines, several engines at once, while three quarters have reported; slow decode engines become prefill engines first, whose prompts have no pauses. Small fleets are planned as before.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -387,7 +387,8 @@
         sharing.start(platform.instances(), logs.pacer(), crashExchange, continuations, limits);
         limits.startConfirming();
         duties.start(platform);
-        StageController stageController = StageController.create(context, settings.name(), lease);
+        StageController stageController =
+                StageController.create(context, settings.name(), lease, this::generationSlowness);
         loop.runRepeatedly("maintenance", this::runMaintenance);
         loop.runRepeatedly("polls", loadPoller::pollNext);
         loop.runRepeatedly("placed work", placement::tellWork);
--- a/src/main/java/org/verbenatray/relay/StageController.java
+++ b/src/main/java/org/verbenatray/relay/StageController.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.ToDoubleFunction;
 import org.verbenatray.authority.LogLease;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendLoad;
@@ -39,21 +40,31 @@
     private final String instance;
     private final LogLease lease;
 
+    /** Returns how much slower an engine generates output than the others. */
+    private final ToDoubleFunction<Backend> generationSlowness;
+
     /** Planners by service name. */
     private final Map<String, StagePlanner> planners = new HashMap<>();
 
     /** When each engine may get its next order, by boot id. */
     private final Map<String, Deadline> settlingUntil = new HashMap<>();
 
-    private StageController(RelayContext context, String instance, LogLease lease) {
+    private StageController(
+            RelayContext context, String instance, LogLease lease, ToDoubleFunction<Backend> generationSlowness) {
         this.context = context;
         this.instance = instance;
         this.lease = lease;
+        this.generationSlowness = generationSlowness;
     }
 
-    /** Creates a controller for the instance with the given name, which acts while it holds the lease. */
-    public static StageController create(RelayContext context, String instance, LogLease lease) {
-        return new StageController(context, instance, lease);
+    /**
+     * Creates a controller for the instance with the given name, which acts while it holds the lease.
+     *
+     * @param generationSlowness returns how much slower an engine generates output than the others, 1 if it does not
+     */
+    public static StageController create(
+            RelayContext context, String instance, LogLease lease, ToDoubleFunction<Backend> generationSlowness) {
+        return new StageController(context, instance, lease, generationSlowness);
     }
 
     /**
@@ -72,11 +83,12 @@
     }
 
     private void plan(BackendService service) {
-        StagePlanner planner = planners.computeIfAbsent(service.name(), name -> StagePlanner.create(context.ticker()));
-        planner.planChange(
+        StagePlanner planner = planners.computeIfAbsent(
+                service.name(), name -> StagePlanner.create(context.ticker(), generationSlowness));
+        planner.planChanges(
                         context.directory().usable(service.name()),
                         service.engineLimits().orElseThrow().slots())
-                .ifPresent(this::sendOrder);
+                .forEach(this::sendOrder);
     }
 
     /**
