Order reclaimable servers early, keep those that make up for others; fewer writes of crashes

By reading: a part of prompts that all requests share is cleared by all instances within a second, and each of them deleted its records; instances told of a crash wrote it before its finder did; processes that are no candidate for the duties read the lease each 4 s.

Change: orders for more reclaimable servers don't wait for the need to settle; permanent servers stay until most of the need is there; a tenth instead of an eighth is permanent. An answer of a domain scheduler is awaited for 60 ms (6 in 100 were later than 40).

Tests: CapacityPlannerTest, one case more; the existing ones of crashes and leases.

--- a/src/main/java/org/verbenatray/authority/LogLease.java
+++ b/src/main/java/org/verbenatray/authority/LogLease.java
@@ -39,7 +39,7 @@
     /** The part of the time between two reads, and before a claim, that differs from process to process. */
     private static final double SPREAD_SHARE = 0.25;
 
-    /** How much more rarely a process reads that is no candidate, and how much longer it waits before it claims. */
+    /** How much longer a process that is no candidate waits before it claims. */
     private static final int DISTANT_FACTOR = 4;
 
     /**
@@ -240,7 +240,7 @@
         }
         long untilClaimMillis = claimAt.remainingMillis(ticker.nanos());
         if (untilClaimMillis > 0) {
-            long readMillis = distanceFactor() * terms.readMillis();
+            long readMillis = isCandidate() ? terms.readMillis() : terms.distantReadMillis();
             schedule(Math.min(readMillis, untilClaimMillis) + spreadMillis(), this::watch);
             return;
         }
@@ -281,8 +281,12 @@
         return tail.end() == 0 && neverRestored;
     }
 
+    private boolean isCandidate() {
+        return options.place().getAsInt() < terms.candidates();
+    }
+
     private int distanceFactor() {
-        return options.place().getAsInt() < terms.candidates() ? 1 : DISTANT_FACTOR;
+        return isCandidate() ? 1 : DISTANT_FACTOR;
     }
 
     /** Returns the part of a delay that differs from process to process, so that they do not call at once. */
--- a/src/main/java/org/verbenatray/capacity/CapacityController.java
+++ b/src/main/java/org/verbenatray/capacity/CapacityController.java
@@ -130,12 +130,11 @@
                 .sorted()
                 .map(domain -> servers(service, scaling, domain))
                 .toList();
-        OptionalInt servers = needed(service.name()).value();
-        if (servers.isEmpty()) {
-            return List.of();
-        }
-        return CapacityPlanner.plan(scaling, domains, servers.getAsInt()).stream()
+        NeededServers need = needed(service.name());
+        boolean isKnown = need.value().isPresent();
+        return CapacityPlanner.plan(scaling, domains, need.atLeast()).stream()
                 .flatMap(plan -> ordersOf(service.name(), plan).stream())
+                .filter(order -> isKnown || order.reclaimable() && isIncrease(order))
                 .sorted(Comparator.comparing(order -> !isIncrease(order)))
                 .toList();
     }
--- a/src/main/java/org/verbenatray/capacity/CapacityPlanner.java
+++ b/src/main/java/org/verbenatray/capacity/CapacityPlanner.java
@@ -16,11 +16,14 @@
  */
 public final class CapacityPlanner {
     /** The part of the needed servers that is permanent. */
-    private static final double PERMANENT_SHARE = 0.12;
+    private static final double PERMANENT_SHARE = 0.1;
 
     /** The part of the needed servers below which permanent ones make up for those that are missing. */
     private static final double CRITICAL_SHARE = 0.6;
 
+    /** The part of the needed servers below which permanent ones that make up for others are kept. */
+    private static final double RECOVERED_SHARE = 0.85;
+
     private CapacityPlanner() {}
 
     /**
@@ -41,10 +44,24 @@
             plans.add(new DomainPlan(domain.domain(), permanent, Math.max(0, reclaimable)));
         }
         int present = domains.stream().mapToInt(DomainServers::total).sum();
+        if (present < RECOVERED_SHARE * needed) {
+            plans = keepingPermanent(plans, domains, scaling.max());
+        }
         int missing = (int) Math.ceil(CRITICAL_SHARE * needed) - present;
         return missing <= 0 ? plans : withPermanent(plans, domains, missing, scaling.max());
     }
 
+    /** Returns the plans without giving up permanent servers. */
+    private static List<DomainPlan> keepingPermanent(List<DomainPlan> plans, List<DomainServers> domains, int max) {
+        List<DomainPlan> result = new ArrayList<>();
+        for (int index = 0; index < plans.size(); index++) {
+            DomainPlan plan = plans.get(index);
+            int kept = Math.max(plan.permanent(), domains.get(index).permanent());
+            result.add(new DomainPlan(plan.domain(), kept, Math.min(plan.reclaimable(), max - kept)));
+        }
+        return result;
+    }
+
     /** Adds missing permanent servers to the plans, in the cheapest domains first, and no more than these may have. */
     private static List<DomainPlan> withPermanent(
             List<DomainPlan> plans, List<DomainServers> domains, int missing, int max) {
--- a/src/main/java/org/verbenatray/capacity/NeededServers.java
+++ b/src/main/java/org/verbenatray/capacity/NeededServers.java
@@ -55,7 +55,12 @@
 
     /** Returns the number that is needed; empty while it is not known. */
     OptionalInt value() {
-        return settled ? OptionalInt.of(entries.peekFirst().value()) : OptionalInt.empty();
+        return settled ? OptionalInt.of(atLeast()) : OptionalInt.empty();
+    }
+
+    /** Returns a number that is needed at least. */
+    int atLeast() {
+        return entries.isEmpty() ? 0 : entries.peekFirst().value();
     }
 
     /** A number that counts until its expiry. */
--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -45,8 +45,11 @@
 
     private static final long FIRST_CRASH_DELAY_MILLIS = 1_000;
 
-    /** Longest delay after which an instance writes a crash that another one has found. */
-    private static final long MAX_FOREIGN_DELAY_MILLIS = 4_000;
+    /** Delay after which an instance writes a crash that another one has found, unless that one has written it. */
+    private static final long FOREIGN_DELAY_MILLIS = 1_500;
+
+    /** The random part of a delay after which one of many instances writes or deletes a record for all. */
+    private static final long RANDOM_DELAY_MILLIS = 4_000;
 
     /** Longest delay after which an instance deletes an expired record. */
     private static final long MAX_DELETION_DELAY_MILLIS = 30_000;
@@ -142,7 +145,7 @@
     public void receive(Crash crash) {
         if (ledger.recordCrash(crash)) {
             recordHeard(crash);
-            unwritten.put(crash, randomDelay(MAX_FOREIGN_DELAY_MILLIS));
+            unwritten.put(crash, foreignDelay());
         }
     }
 
@@ -167,9 +170,14 @@
         crashes.forEach(crash -> delete(crash, randomDelay(MAX_DELETION_DELAY_MILLIS)));
     }
 
-    /** Deletes the records of a request that this instance has cleared. */
+    /**
+     * Deletes the records of a request that this instance has cleared. A part of prompts that many requests share is
+     * cleared by all instances at the same time, so one of them deletes its records.
+     */
     public void onCleared(Collection<Crash> crashes) {
-        crashes.forEach(crash -> delete(crash, new Deadline(ticker.nanos())));
+        crashes.forEach(crash -> delete(
+                crash,
+                PartKey.isPart(crash.suspect()) ? randomDelay(RANDOM_DELAY_MILLIS) : new Deadline(ticker.nanos())));
     }
 
     private void delete(Crash crash, Deadline when) {
@@ -190,7 +198,7 @@
         });
         ledger.crashes().stream()
                 .filter(crash -> !listed.contains(crash))
-                .forEach(crash -> unwritten.putIfAbsent(crash, randomDelay(MAX_FOREIGN_DELAY_MILLIS)));
+                .forEach(crash -> unwritten.putIfAbsent(crash, foreignDelay()));
     }
 
     @Override
@@ -273,6 +281,11 @@
         recent.put(crash, Deadline.afterMillis(ticker.nanos(), TELLING_MILLIS));
     }
 
+    private Deadline foreignDelay() {
+        return Deadline.afterMillis(
+                ticker.nanos(), FOREIGN_DELAY_MILLIS + (long) (random.getAsDouble() * RANDOM_DELAY_MILLIS));
+    }
+
     private Deadline randomDelay(long maxMillis) {
         return Deadline.afterMillis(ticker.nanos(), (long) (random.getAsDouble() * maxMillis));
     }
--- a/src/main/java/org/verbenatray/scheduling/SharedPlacement.java
+++ b/src/main/java/org/verbenatray/scheduling/SharedPlacement.java
@@ -33,7 +33,7 @@
  */
 public final class SharedPlacement implements PromptPlacement {
     /** The time for which an answer is awaited, in milliseconds; a small part of the target of a long prompt. */
-    private static final long ANSWER_MILLIS = 40;
+    private static final long ANSWER_MILLIS = 60;
 
     /** The time for which a scheduler that has not answered is not asked, in milliseconds. */
     private static final long SILENCE_MILLIS = 1_000;
--- a/src/test/java/org/verbenatray/capacity/CapacityPlannerTest.java
+++ b/src/test/java/org/verbenatray/capacity/CapacityPlannerTest.java
@@ -61,6 +61,15 @@
         Assert.assertTrue(plans.get(0).permanent() > plans.get(1).permanent(), "the cheapest domain comes first");
     }
 
+    /** Servers that were ordered because too few were left were given up as soon as they served, and ordered again. */
+    @Test
+    public void permanentServersThatMakeUpForOthersAreKeptUntilThoseAreBack() {
+        List<DomainPlan> during = CapacityPlanner.plan(SCALING, domains(8, 16, 2, 0, 2, 4), NEEDED);
+        Assert.assertEquals(during.get(0).permanent(), 8);
+        List<DomainPlan> after = CapacityPlanner.plan(SCALING, domains(8, 16, 2, 16, 2, 16), NEEDED);
+        Assert.assertEquals(after.get(0).permanent(), 2);
+    }
+
     @Test
     public void thePlanStaysWithinTheBoundsOfADomain() {
         for (int needed : new int[] {0, 1, 5, 48, 90, 400}) {
