--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -126,10 +126,7 @@
     public void onOutcome(ForwardOutcome outcome) {
         ForwardAttempt ended = attempt;
         attempt = null;
-        eventGaps
-                .takeLongestMillis()
-                .ifPresent(millis -> context.speedSamples()
-                        .accept(new SpeedSample(ended.backend().entry().bootId(), millis)));
+        eventGaps.takeLongestMillis().ifPresent(millis -> recordGap(ended.backend(), millis));
         call.recordOutcome(ended, outcome, true);
         if (call.finished()) {
             return;
@@ -298,6 +295,12 @@
         prefilledPrompt = null;
     }
 
+    /** Records the longest time between two events of a run, for the choice of engines and for the log. */
+    private void recordGap(Backend backend, double millis) {
+        context.speedSamples().accept(new SpeedSample(backend.entry().bootId(), millis));
+        call.addLogField("gap_ms", Math.round(millis));
+    }
+
     /** Relays a response that is not a stream, or retries after a server error. */
     private void handleResponse(ForwardAttempt ended, ForwardOutcome outcome) {
         boolean retryable = outcome.status() >= 500 && call.route().repeatable();
