Find the pace of servers that have started or recovered

Wish of the operators. Servers that failed are now tried in turns, the first answer is told to the group, and the share of instances that use the server grows with its answers.

--- a/src/main/java/org/verbenatray/backends/Backend.java
+++ b/src/main/java/org/verbenatray/backends/Backend.java
@@ -188,6 +188,27 @@
         failureRate += (1 - failureRate) * EWMA_WEIGHT / 4;
     }
 
+    /** Forgets that the server has failed, as it answers others; returns whether it had failed. */
+    public boolean forgetFailures() {
+        boolean hadFailed = consecutiveFailures > 0;
+        if (hadFailed) {
+            pausedUntil = null;
+            consecutiveFailures = 0;
+            failureRate = 0;
+        }
+        return hadFailed;
+    }
+
+    /** Lets the server be chosen like any other once, though it has failed, as only that shows whether it serves. */
+    public void beginTrial() {
+        failureRate = 0;
+    }
+
+    /** Returns how often the server has failed since it last answered well. */
+    public int consecutiveFailures() {
+        return consecutiveFailures;
+    }
+
     /** Returns true if the server is unreachable or paused after a failure or a rejection. */
     public boolean paused(long nowNanos) {
         return unreachable || pausedUntil != null && !pausedUntil.hasPassed(nowNanos);
--- a/src/main/java/org/verbenatray/backends/BackendDirectory.java
+++ b/src/main/java/org/verbenatray/backends/BackendDirectory.java
@@ -34,6 +34,9 @@
 
     private final Ticker ticker;
 
+    /** Called for each server process that has started after the list was first read. */
+    private final Consumer<Backend> onStarted;
+
     /** Called for each server process that has ended. */
     private final Consumer<Backend> onEnded;
 
@@ -58,14 +61,20 @@
 
     private boolean loaded;
 
-    private BackendDirectory(Ticker ticker, Consumer<Backend> onEnded) {
+    private BackendDirectory(Ticker ticker, Consumer<Backend> onStarted, Consumer<Backend> onEnded) {
         this.ticker = ticker;
+        this.onStarted = onStarted;
         this.onEnded = onEnded;
     }
 
     /** Creates an empty directory that reports each ended server process to the given consumer. */
     public static BackendDirectory empty(Ticker ticker, Consumer<Backend> onEnded) {
-        return new BackendDirectory(ticker, onEnded);
+        return empty(ticker, started -> {}, onEnded);
+    }
+
+    /** Creates an empty directory that reports the starts of server processes and their ends to the given consumers. */
+    public static BackendDirectory empty(Ticker ticker, Consumer<Backend> onStarted, Consumer<Backend> onEnded) {
+        return new BackendDirectory(ticker, onStarted, onEnded);
     }
 
     /** Returns true if the list was read at least once. */
@@ -117,9 +126,13 @@
             if (current != null) {
                 end(current, "restarted");
             }
-            byId.put(entry.id(), Backend.of(entry));
+            Backend listed = Backend.of(entry);
+            byId.put(entry.id(), listed);
             logChange("backend_listed", entry);
             rebuildUsable();
+            if (loaded) {
+                onStarted.accept(listed);
+            }
             return true;
         }
         if (!current.entry().equals(entry)) {
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -3,8 +3,6 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadLocalRandom;
@@ -18,6 +16,7 @@
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.memory.MemoryAccount;
+import org.verbenatray.pace.ServerPace;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.EngineView;
 import org.verbenatray.placement.LeastLoadedChooser;
@@ -37,7 +36,6 @@
 import org.verbenatray.resilience.Crash;
 import org.verbenatray.resilience.CrashExchange;
 import org.verbenatray.resilience.CrashLedger;
-import org.verbenatray.resilience.RetryBudget;
 import org.verbenatray.resilience.ServerRuns;
 import org.verbenatray.scheduling.FirstAttemptEstimator;
 import org.verbenatray.scheduling.PromptPlacement;
@@ -82,8 +80,9 @@
 
     private final ServerRuns serverRuns;
 
-    /** The retry budgets by service. */
-    private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    private final RetryBudgets retryBudgets;
+
+    private final ServerPace pace;
 
     private final RecentVersions recentVersions;
 
@@ -129,7 +128,7 @@
         this.stop = GracefulStop.create(loop.ticker(), loop.scheduler());
         this.openCalls = OpenCalls.create(loop.ticker());
         this.catalog = CurrentCatalog.empty(loop.ticker());
-        this.directory = BackendDirectory.empty(loop.ticker(), this::onBackendEnded);
+        this.directory = BackendDirectory.empty(loop.ticker(), this::onBackendStarted, this::onBackendEnded);
         this.cutOffDetector = CutOffDetector.of(loop.ticker(), directory);
         this.crashesDue = Deadline.afterMillis(loop.ticker().nanos(), MAX_CRASHES_WAIT_MILLIS);
         this.crashes = CrashLedger.create(loop.ticker(), cleared -> crashExchange.onCleared(cleared));
@@ -146,6 +145,8 @@
                 this::onAnsweredOther,
                 this::onPeerReport,
                 this::listenForInstances);
+        this.retryBudgets = new RetryBudgets(() -> this.settings, sharing.fleetShare(), loop.ticker());
+        this.pace = ServerPaces.create(settings, sharing, directory, loop);
         this.duties = Duties.create(settings, loop, sharing, directory, catalog);
         this.reachingPeers = createReachingPeers();
         this.recentVersions = RecentVersions.create(directory, loop.ticker(), settings.leavingServerMillis());
@@ -178,7 +179,7 @@
                 directory,
                 chooser,
                 planner,
-                this::retryBudget,
+                retryBudgets::of,
                 crashes,
                 serverRuns,
                 stop,
@@ -196,6 +197,7 @@
                 cutOffDetector,
                 duties::recordBegun,
                 sharing.speeds()::recordOwn,
+                pace,
                 reachingPeers);
     }
 
@@ -316,10 +318,7 @@
                 return;
             }
             settings = newer;
-            retryBudgets
-                    .values()
-                    .forEach(retryBudget ->
-                            retryBudget.configure(newer.instanceRetryRatio(), newer.retryWindowMillis()));
+            retryBudgets.configure();
             Event.named("settings_in_force")
                     .with("retry_ratio", newer.retryRatio())
                     .with("retry_extra", newer.retryExtra())
@@ -402,23 +401,13 @@
     private long runMaintenance() {
         directory.removeExpired();
         cutOffDetector.update();
+        pace.beginTrials(directory.all());
         continuations.tellWhenMixed();
         crashExchange.onExpired(crashes.removeExpired());
         serverRuns.removeExpired();
         return MAINTENANCE_INTERVAL_MILLIS;
     }
 
-    /** Returns the retry budget of a service, creating it on first use. */
-    private RetryBudget retryBudget(String service) {
-        return retryBudgets.computeIfAbsent(
-                service,
-                name -> RetryBudget.create(
-                        loop.ticker(),
-                        settings.instanceRetryRatio(),
-                        settings.retryWindowMillis(),
-                        () -> settings.retryExtra() * sharing.fleetShare().of(settings.retryWindowMillis())));
-    }
-
     private void onRoutesChanged(Catalog routes) {
         metrics.setCatalogVersion(routes.version());
         server.applyLimits(routes.limits());
@@ -437,6 +426,10 @@
         server.listenForInstances(address, handler::handleForwarded);
     }
 
+    private void onBackendStarted(Backend backend) {
+        pace.recordStarted(backend);
+    }
+
     /** Removes all state of one boot of a backend server that has ended. */
     private void onBackendEnded(Backend backend) {
         String boot = backend.entry().bootId();
@@ -444,6 +437,7 @@
         planner.removeEngine(backend);
         placement.removeEngine(boot);
         sharing.speeds().remove(boot);
+        pace.remove(boot);
         recentVersions.recordEnded(backend);
         limits.remove(boot);
         if (!backend.announcedLeaving()) {
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -274,6 +274,11 @@
         receivers.add(receiver);
     }
 
+    /** Returns the addresses of the other instances of the group. */
+    Collection<InetSocketAddress> groupAddresses() {
+        return exchangePeers.groupAddresses();
+    }
+
     /** Returns the addresses of all other instances. */
     Collection<InetSocketAddress> allInstances() {
         return exchangePeers.allAddresses();
--- a/src/main/java/org/verbenatray/relay/CallServers.java
+++ b/src/main/java/org/verbenatray/relay/CallServers.java
@@ -19,11 +19,16 @@
         return new CallServers(context, service);
     }
 
-    /** Returns the servers that accept a request now: they are not leaving, and no limit or pause forbids it. */
+    /**
+     * Returns the servers that accept a request now: they are not leaving, and no limit or pause forbids it. Those
+     * whose pace is still being found are left to other instances, unless there is no other server.
+     */
     List<Backend> usable() {
-        return context.directory().usable(service).stream()
+        List<Backend> accepting = context.directory().usable(service).stream()
                 .filter(this::withinLimit)
                 .toList();
+        List<Backend> paced = accepting.stream().filter(context.pace()::admits).toList();
+        return paced.isEmpty() ? accepting : paced;
     }
 
     /** Returns whether there are servers that are not leaving, but none of them could be reached lately. */
--- a/src/main/java/org/verbenatray/relay/RelayContext.java
+++ b/src/main/java/org/verbenatray/relay/RelayContext.java
@@ -10,6 +10,7 @@
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.openwork.SpeedSample;
+import org.verbenatray.pace.ServerPace;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.LeastLoadedChooser;
 import org.verbenatray.resilience.CrashLedger;
@@ -51,6 +52,7 @@
  * @param reach receives what shows whether this instance reaches the servers
  * @param begunRequests receives each request that a server has begun to run for a customer
  * @param speedSamples receives how fast engines have generated output
+ * @param pace admits requests to servers that have started or recovered
  * @param forwardingTargets the instances to which requests are forwarded while servers are out of reach
  */
 public record RelayContext(
@@ -80,6 +82,7 @@
         ReachListener reach,
         BegunRequests begunRequests,
         Consumer<SpeedSample> speedSamples,
+        ServerPace pace,
         ForwardingTargets forwardingTargets) {
     /** Returns a scheduler that runs its tasks on the I/O thread. */
     Scheduler scheduler() {
--- a/src/main/java/org/verbenatray/relay/ServerHealth.java
+++ b/src/main/java/org/verbenatray/relay/ServerHealth.java
@@ -13,6 +13,7 @@
         switch (outcome.kind()) {
             case NOT_SENT -> {
                 context.reach().onNotConnected(backend);
+                context.pace().recordRefusal(backend);
                 backend.recordFailure(now);
                 backend.markUnreachable();
                 if (backend.entry().stage() == BackendStage.PLAIN) {
@@ -20,14 +21,19 @@
                 }
             }
             case SILENT, BROKEN -> {
+                context.pace().recordRefusal(backend);
                 backend.recordFailure(now);
                 context.crashProbe().probe(backend);
             }
-            case NOT_RUN, NOT_ADMITTED -> backend.recordRejection(now);
+            case NOT_RUN, NOT_ADMITTED -> {
+                context.pace().recordRefusal(backend);
+                backend.recordRejection(now);
+            }
             default -> {
                 if (outcome.status() >= 500) {
                     backend.recordErrorResponse();
                 } else {
+                    context.pace().recordSuccess(backend);
                     backend.recordSuccess();
                 }
             }
