--- a/src/main/java/org/verbenatray/servers/ConnectionOpener.java
+++ b/src/main/java/org/verbenatray/servers/ConnectionOpener.java
@@ -17,7 +17,7 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Opens connections of an I/O thread whose incoming bytes are bounded before the HTTP client parses them.
+ * Opens connections of an I/O thread whose incoming bytes are checked before the HTTP client parses them.
  *
  * <p>The client opens its connections through an {@link XnioIoThread} and offers no other access to their bytes. So
  * this object passes itself to the client in place of the I/O thread and delegates to it. It is never started as a
@@ -34,7 +34,7 @@
     private StreamConnection opened;
 
     /** The incoming bytes of that connection. */
-    private BoundedSource openedSource;
+    private ResponseSource openedSource;
 
     ConnectionOpener(XnioIoThread thread, ByteBufferPool buffers) {
         super(thread.getWorker(), thread.getNumber());
@@ -67,7 +67,7 @@
                 connection -> {
                     opened = connection;
                     openedSource =
-                            new BoundedSource(connection.getSourceChannel().getConduit());
+                            new ResponseSource(connection.getSourceChannel().getConduit());
                     connection.getSourceChannel().setConduit(openedSource);
                     listener.handleEvent(connection);
                     opened = null;
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -8,8 +8,11 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
 import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
+import org.verbenatray.telemetry.Event;
 import org.xnio.ChannelListeners;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -22,6 +25,8 @@
     /** The largest part of a body in one write, for which the JDK takes as much memory outside the heap. */
     private static final int MAX_WRITE_BYTES = 64 * 1024;
 
+    private static final Logger log = System.getLogger(HttpExchange.class.getName());
+
     private final HttpTransport transport;
 
     private final HttpCall call;
@@ -72,7 +77,7 @@
             return;
         }
         call.requestId().ifPresent(openConnection::recordCarried);
-        openConnection.source().recordProgress();
+        openConnection.source().expectResponse(call.method());
         openConnection.client().sendRequest(request(), callback(this::onRequestStarted));
     }
 
@@ -145,35 +150,43 @@
         }
     }
 
-    /** Passes the response head to the listener and starts to read the body. */
+    /**
+     * Passes the response head to the listener and starts to read the body. Where there is none, the client may still
+     * wait for one.
+     */
     private void onResponse(ClientExchange exchange) {
         if (finished) {
             return;
         }
         responseStarted = true;
         ClientResponse response = exchange.getResponse();
-        listener.onHead(new ResponseHead(response.getResponseCode(), response.getResponseHeaders()));
-        boolean keepAlive =
-                !"close".equalsIgnoreCase(response.getResponseHeaders().getFirst(Headers.CONNECTION));
-        readBody(exchange.getResponseChannel(), ByteBuffer.allocate(READ_BUFFER_BYTES), keepAlive);
+        listener.onHead(new ResponseHead(
+                response.getResponseCode(),
+                response.getResponseHeaders(),
+                connection.source().endsWithConnection()));
+        if (!connection.source().hasBody() && !connection.source().isReusable()) {
+            finish();
+            return;
+        }
+        readBody(exchange.getResponseChannel(), ByteBuffer.allocate(READ_BUFFER_BYTES));
     }
 
     /** Reads until the body ends, or until no more bytes are available and continues when there are. */
-    private void readBody(StreamSourceChannel channel, ByteBuffer buffer, boolean keepAlive) {
+    private void readBody(StreamSourceChannel channel, ByteBuffer buffer) {
         try {
             while (!finished) {
-                if (!listener.readsOn(() -> resumeBody(channel, buffer, keepAlive))) {
+                if (!listener.readsOn(() -> resumeBody(channel, buffer))) {
                     channel.suspendReads();
                     return;
                 }
                 buffer.clear();
                 int count = channel.read(buffer);
                 if (count < 0) {
-                    finish(keepAlive);
+                    finish();
                     return;
                 }
                 if (count == 0) {
-                    channel.getReadSetter().set(ready -> readBody(ready, buffer, keepAlive));
+                    channel.getReadSetter().set(ready -> readBody(ready, buffer));
                     channel.resumeReads();
                     return;
                 }
@@ -188,17 +201,25 @@
         }
     }
 
-    private void resumeBody(StreamSourceChannel channel, ByteBuffer buffer, boolean keepAlive) {
-        thread.execute(() -> readBody(channel, buffer, keepAlive));
+    private void resumeBody(StreamSourceChannel channel, ByteBuffer buffer) {
+        thread.execute(() -> readBody(channel, buffer));
     }
 
-    /** Ends the exchange after a complete response and returns the connection to the pool if it can be reused. */
-    private void finish(boolean keepAlive) {
+    /**
+     * Ends the exchange at the end of the body. After a complete response the connection returns to the pool if it can
+     * be reused.
+     */
+    private void finish() {
         if (finished) {
             return;
         }
+        if (!connection.source().isComplete()) {
+            fail(ServerFailure.create(
+                    ServerFailure.Kind.BROKEN, "connection to " + call.address() + " ended before the response did"));
+            return;
+        }
         finished = true;
-        if (keepAlive && requestFlushed) {
+        if (requestFlushed && connection.source().isReusable()) {
             transport.release(thread, call.pool(), connection);
         } else {
             closeConnection();
@@ -215,8 +236,7 @@
             return;
         }
         if (connection.source().endedByContent()) {
-            fail(ServerFailure.create(
-                    ServerFailure.Kind.BAD_RESPONSE, "unusable response from " + call.address() + ": " + e, e));
+            reject(e);
             return;
         }
         if (reused
@@ -233,6 +253,21 @@
                 ServerFailure.Kind.BROKEN, "connection to " + call.address() + " broke: " + e.getMessage(), e));
     }
 
+    /** Fails the exchange because of the bytes that the server has sent. */
+    private void reject(IOException e) {
+        Event.named("response_rejected")
+                .with("server", call.address().getAuthority())
+                .with("method", call.method())
+                .with("path", call.path())
+                .with("id", call.requestId().orElse(""))
+                .with("why", e.getMessage())
+                .log(log, Level.WARNING);
+        fail(ServerFailure.create(
+                ServerFailure.Kind.BAD_RESPONSE,
+                "unusable response from " + call.address() + ": " + e.getMessage(),
+                e));
+    }
+
     private void closeConnection() {
         if (connection != null) {
             connection.close();
--- a/src/main/java/org/verbenatray/servers/ServerConnection.java
+++ b/src/main/java/org/verbenatray/servers/ServerConnection.java
@@ -17,12 +17,12 @@
  * @param carriedIds the ids of the last requests, oldest first
  */
 record ServerConnection(
-        ClientConnection client, StreamConnection socket, BoundedSource source, Deque<String> carriedIds) {
+        ClientConnection client, StreamConnection socket, ResponseSource source, Deque<String> carriedIds) {
     /** The number of requests that a connection remembers. */
     private static final int MAX_CARRIED_IDS = 32;
 
     /** Returns a connection that has carried no request. */
-    static ServerConnection of(ClientConnection client, StreamConnection socket, BoundedSource source) {
+    static ServerConnection of(ClientConnection client, StreamConnection socket, ResponseSource source) {
         return new ServerConnection(client, socket, source, new ArrayDeque<>());
     }
 
@@ -39,9 +39,9 @@
         return carriedIds.contains(requestId);
     }
 
-    /** Returns whether the connection is open. */
+    /** Returns whether the connection is open and the server has sent nothing unasked as far as was read. */
     boolean isOpen() {
-        return client.isOpen();
+        return client.isOpen() && !source.hasExcess();
     }
 
     /** Returns whether the connection is open and the server has neither closed it nor sent anything unasked. */
