--- a/src/main/java/org/verbenatray/framing/ChunkTracker.java
+++ b/src/main/java/org/verbenatray/framing/ChunkTracker.java
@@ -37,8 +37,8 @@
     private void endLine() throws MalformedMessageException {
         switch (part) {
             case SIZE -> startChunk(ChunkSize.of(line));
-            case DATA_END -> part = Part.SIZE;
-            default -> endTrailerLine();
+            case DATA_END -> endChunk();
+            default -> addTrailerLine();
         }
     }
 
@@ -47,9 +47,18 @@
         part = bytes == 0 ? Part.TRAILER : Part.DATA;
     }
 
-    private void endTrailerLine() {
+    private void endChunk() throws MalformedMessageException {
+        if (line.length() > 0) {
+            throw MalformedMessageException.of("a chunk is longer than its size");
+        }
+        part = Part.SIZE;
+    }
+
+    private void addTrailerLine() throws MalformedMessageException {
         if (line.length() == 0) {
             part = Part.DONE;
+        } else {
+            FieldLine.of(line);
         }
     }
 
--- a/src/test/java/org/verbenatray/platform/BrokenAnswer.java
+++ b/src/test/java/org/verbenatray/platform/BrokenAnswer.java
@@ -72,7 +72,27 @@
     CODING_BLANK_BEFORE_COLON("HTTP/1.1 200 OK\r\n%sTransfer-Encoding : chunked\r\nContent-Length: 5\r\n\r\nwhole"),
     CODING_BESIDE_LENGTH(
             "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + "5\r\nwhole\r\n0\r\n\r\n"),
-    CODING_IN_FIRST_VERSION("HTTP/1.0 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+    CODING_IN_FIRST_VERSION("HTTP/1.0 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"),
+    CHUNK_LARGER_THAN_ITS_SIZE(chunked("2\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SMALLER_THAN_ITS_SIZE(chunked("6\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_BEFORE_A_WORD(chunked("5 no extension\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_BEFORE_A_LETTER(chunked("2z\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_EXTENSION_WITHOUT_NAME(chunked("5;\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_EXTENSION_WITH_CONTROL(chunked("5;a\u0001b\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_EXTENSION_UNQUOTED(chunked("5;a=\"b\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_NEGATIVE(chunked("-5\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_PLUS(chunked("+5\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_HEXADECIMAL_MARK(chunked("0x5\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_AFTER_BLANK(chunked(" 5\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_TOO_LARGE(chunked("10000000000000005\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_EMPTY(chunked("\r\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_NO_NUMBER(chunked("whole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_LINE_FEED_ALONE(chunked("5\nwhole\r\n0\r\n\r\n")),
+    CHUNK_SIZE_CARRIAGE_RETURN_ALONE(chunked("5\rwhole\r\n0\r\n\r\n")),
+    CHUNK_END_LINE_FEED_ALONE(chunked("5\r\nwhole\n0\r\n\r\n")),
+    TRAILER_WITHOUT_COLON(chunked("5\r\nwhole\r\n0\r\nno field\r\n\r\n")),
+    TRAILER_FOLDED(chunked("5\r\nwhole\r\n0\r\nX-Note: a\r\n b\r\n\r\n")),
+    TRAILER_CONTROL_IN_NAME(chunked("5\r\nwhole\r\n0\r\nX\u0001Note: a\r\n\r\n"));
 
     private final String text;
 
@@ -96,4 +116,8 @@
         String ownFields = "Request-Id: " + request.header("request-id") + "\r\nServer-Stamp: mark\r\n";
         return text.replace("%s", ownFields).getBytes(StandardCharsets.ISO_8859_1);
     }
+
+    private static String chunked(String body) {
+        return "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n" + body;
+    }
 }
--- a/src/test/java/org/verbenatray/platform/BrokenAnswerTest.java
+++ b/src/test/java/org/verbenatray/platform/BrokenAnswerTest.java
@@ -109,6 +109,25 @@
         Assert.assertEquals(reply.body(), "id: 1\ndata: a\n\n");
     }
 
+    /** The framing of a stream breaks after its first event. */
+    @Test
+    public void aStreamWhoseChunksBreakIsVisiblyBrokenOff() throws Exception {
+        List<String> rests = List.of(
+                "2\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+                "11 x\r\nid: 2\ndata: bcd\n\n\r\n0\r\n\r\n",
+                "11\nid: 2\ndata: bcd\n\n\r\n0\r\n\r\n",
+                "0\r\nno field\r\n\r\n");
+        for (String rest : rests) {
+            answerCallers((request, connection, out) -> {
+                out.write(ScriptedServer.streamHead(request));
+                out.write(ScriptedServer.eventChunk(1, "a"));
+                RelayFixture.send(connection, rest);
+            });
+            CallerReply reply = exchange("/stream/x", "rest" + rests.indexOf(rest));
+            Assert.assertFalse(reply.status() == 200 && reply.whole(), reply.toString());
+        }
+    }
+
     /** Interim responses are no answer, and the final one after them is. */
     @Test
     public void theAnswerBehindInterimResponsesIsPassedOn() throws Exception {
