--- a/src/main/java/org/verbenatray/framing/ResponseTracker.java
+++ b/src/main/java/org/verbenatray/framing/ResponseTracker.java
@@ -74,12 +74,15 @@
         return Optional.ofNullable(framing);
     }
 
-    /** Returns whether the response is complete. */
-    public boolean isComplete() {
+    /**
+     * Returns whether the response is complete. One that ends with its connection is complete only if the whole request
+     * was written by then: a server that ends its connection earlier has not read the request.
+     */
+    public boolean isComplete(boolean requestWritten) {
         if (framing == null) {
             return false;
         }
-        return framing.bodyEnd() == BodyEnd.CONNECTION ? connectionEnded : body.isComplete();
+        return framing.bodyEnd() == BodyEnd.CONNECTION ? connectionEnded && requestWritten : body.isComplete();
     }
 
     private void keep(ByteBuffer taken) {
--- a/src/main/java/org/verbenatray/servers/ConnectionOpener.java
+++ b/src/main/java/org/verbenatray/servers/ConnectionOpener.java
@@ -24,7 +24,14 @@
  * thread.
  */
 final class ConnectionOpener extends XnioIoThread {
-    private static final OptionMap CONNECT_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+    /**
+     * The send buffer of a connection, in bytes: what a server that has not read it may leave of a request that counts
+     * as written. Without a bound it grows to megabytes.
+     */
+    private static final int SEND_BUFFER_BYTES = 128 * 1024;
+
+    private static final OptionMap CONNECT_OPTIONS =
+            OptionMap.create(Options.TCP_NODELAY, true, Options.SEND_BUFFER, SEND_BUFFER_BYTES);
 
     private final XnioIoThread thread;
 
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -213,9 +213,10 @@
         if (finished) {
             return;
         }
-        if (!connection.source().isComplete()) {
-            fail(ServerFailure.create(
-                    ServerFailure.Kind.BROKEN, "connection to " + call.address() + " ended before the response did"));
+        if (!connection.source().isComplete(requestFlushed)) {
+            reject(ServerFailure.create(
+                    ServerFailure.Kind.BROKEN,
+                    "the connection ended before the response, or before the request was read"));
             return;
         }
         finished = true;
@@ -236,7 +237,7 @@
             return;
         }
         if (connection.source().endedByContent()) {
-            reject(e);
+            reject(ServerFailure.create(ServerFailure.Kind.BAD_RESPONSE, "unusable response: " + e.getMessage(), e));
             return;
         }
         if (reused
@@ -253,19 +254,16 @@
                 ServerFailure.Kind.BROKEN, "connection to " + call.address() + " broke: " + e.getMessage(), e));
     }
 
-    /** Fails the exchange because of the bytes that the server has sent. */
-    private void reject(IOException e) {
+    /** Ends the exchange with a failure that the response shows, and logs it. */
+    private void reject(ServerFailure failure) {
         Event.named("response_rejected")
                 .with("server", call.address().getAuthority())
                 .with("method", call.method())
                 .with("path", call.path())
                 .with("id", call.requestId().orElse(""))
-                .with("why", e.getMessage())
+                .with("why", failure.getMessage())
                 .log(log, Level.WARNING);
-        fail(ServerFailure.create(
-                ServerFailure.Kind.BAD_RESPONSE,
-                "unusable response from " + call.address() + ": " + e.getMessage(),
-                e));
+        fail(failure);
     }
 
     private void closeConnection() {
--- a/src/main/java/org/verbenatray/servers/ResponseSource.java
+++ b/src/main/java/org/verbenatray/servers/ResponseSource.java
@@ -79,9 +79,9 @@
         overheadBytes = 0;
     }
 
-    /** Returns whether the response is complete. */
-    boolean isComplete() {
-        return response.isComplete();
+    /** Returns whether the response is complete, given whether the whole request was written. */
+    boolean isComplete(boolean requestWritten) {
+        return response.isComplete(requestWritten);
     }
 
     /** Returns whether the end of the response is the end of the connection. */
@@ -207,7 +207,7 @@
         if (received.hasRemaining()) {
             endAtExcess();
         }
-        if (response.isComplete()) {
+        if (response.isComplete(true)) {
             expecting = false;
         }
         return body;
--- a/src/test/java/org/verbenatray/framing/ResponseTrackerPropertiesTest.java
+++ b/src/test/java/org/verbenatray/framing/ResponseTrackerPropertiesTest.java
@@ -58,7 +58,7 @@
         String head = "";
         StringBuilder body = new StringBuilder();
         int from = 0;
-        while (from < bytes.length && !tracker.isComplete()) {
+        while (from < bytes.length && !tracker.isComplete(true)) {
             int length = Math.min(bytes.length - from, 1 + random.nextInt(random.nextBoolean() ? 3 : 200));
             ByteBuffer part = ByteBuffer.wrap(bytes, from, length);
             if (tracker.framing().isEmpty()) {
@@ -73,7 +73,7 @@
             }
             from += length;
         }
-        return new Received(head, body.toString(), tracker.isComplete());
+        return new Received(head, body.toString(), tracker.isComplete(true));
     }
 
     private static byte[] bytes(String text) {
