--- a/src/main/java/org/verbenatray/framing/FieldLine.java
+++ b/src/main/java/org/verbenatray/framing/FieldLine.java
@@ -1,7 +1,5 @@
 package org.verbenatray.framing;
 
-import java.util.Locale;
-
 /**
  * A line of a head or a trailer that holds one field.
  *
@@ -32,8 +30,15 @@
 
     /** Returns whether the field has the given name, which is in lower case. */
     boolean isNamed(String name) {
-        return nameEnd == name.length()
-                && line.text(0, nameEnd).toLowerCase(Locale.ROOT).equals(name);
+        if (nameEnd != name.length()) {
+            return false;
+        }
+        for (int index = 0; index < nameEnd; index++) {
+            if (Character.toLowerCase(line.at(index)) != name.charAt(index)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Returns the value without the blanks around it. */
--- a/src/main/java/org/verbenatray/framing/LineBuffer.java
+++ b/src/main/java/org/verbenatray/framing/LineBuffer.java
@@ -6,6 +6,9 @@
 
 /** Assembles the lines of a message, each of which ends with a carriage return and a line feed. */
 final class LineBuffer {
+    /** The longest line; no reader accepts a longer head. */
+    static final int MAX_LINE_BYTES = 64 * 1024;
+
     private static final int MIN_CAPACITY_BYTES = 128;
 
     private byte[] bytes = new byte[MIN_CAPACITY_BYTES];
@@ -19,7 +22,7 @@
     /**
      * Takes bytes up to the end of the line. Returns whether the line is complete.
      *
-     * @throws MalformedMessageException if a line feed stands without a carriage return
+     * @throws MalformedMessageException if a line feed stands without a carriage return, or the line is too long
      */
     boolean take(ByteBuffer received) throws MalformedMessageException {
         if (complete) {
@@ -56,7 +59,10 @@
         return new String(bytes, from, to - from, StandardCharsets.ISO_8859_1);
     }
 
-    private void append(byte next) {
+    private void append(byte next) throws MalformedMessageException {
+        if (size == MAX_LINE_BYTES) {
+            throw MalformedMessageException.of("a line is longer than " + MAX_LINE_BYTES + " bytes");
+        }
         if (size == bytes.length) {
             bytes = Arrays.copyOf(bytes, 2 * size);
         }
--- a/src/main/java/org/verbenatray/framing/MessageBytes.java
+++ b/src/main/java/org/verbenatray/framing/MessageBytes.java
@@ -27,6 +27,11 @@
         return unsigned >= ' ' && unsigned != DELETE || isBlank(unsigned);
     }
 
+    /** Returns whether a byte is a visible character of ASCII, such as those of a request's target. */
+    static boolean isVisible(int value) {
+        return value > ' ' && value < DELETE;
+    }
+
     /** Returns whether a byte is a space or a tab. */
     static boolean isBlank(int value) {
         return value == ' ' || value == '\t';
--- a/src/main/java/org/verbenatray/framing/StatusLine.java
+++ b/src/main/java/org/verbenatray/framing/StatusLine.java
@@ -7,9 +7,7 @@
  * @param status the status, from 100 to 599
  */
 record StatusLine(int minorVersion, int status) {
-    private static final String VERSION = "HTTP/1.";
-
-    private static final int STATUS_START = VERSION.length() + 2;
+    private static final int STATUS_START = HttpVersion.LENGTH + 1;
 
     private static final int STATUS_END = STATUS_START + 3;
 
@@ -23,13 +21,10 @@
      * @throws MalformedMessageException if the line is not a version, a status and a reason with a space between them
      */
     static StatusLine of(LineBuffer line) throws MalformedMessageException {
-        if (line.length() <= STATUS_END || line.at(STATUS_START - 1) != ' ' || line.at(STATUS_END) != ' ') {
+        if (line.length() <= STATUS_END || line.at(HttpVersion.LENGTH) != ' ' || line.at(STATUS_END) != ' ') {
             throw MalformedMessageException.of("the first line is not a status line");
         }
-        int minorVersion = line.at(VERSION.length()) - '0';
-        if (!line.text(0, VERSION.length()).equals(VERSION) || minorVersion != 0 && minorVersion != 1) {
-            throw MalformedMessageException.of("the version is neither HTTP/1.1 nor HTTP/1.0");
-        }
+        int minorVersion = HttpVersion.minorOf(line, 0, HttpVersion.LENGTH);
         for (int index = STATUS_END; index < line.length(); index++) {
             if (!MessageBytes.isText(line.at(index))) {
                 throw MalformedMessageException.of("the reason of the status holds a control character");
--- a/src/main/java/org/verbenatray/relay/CallerConnection.java
+++ b/src/main/java/org/verbenatray/relay/CallerConnection.java
@@ -8,6 +8,8 @@
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.verbenatray.framing.RequestTracker;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Ticker;
 import org.xnio.Buffers;
@@ -18,7 +20,10 @@
 import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
-/** A connection of a caller, which is closed if the caller takes longer than the limits allow. Used on one thread. */
+/**
+ * A connection of a caller, which is closed if the caller takes longer than the limits allow, and whose requests are
+ * checked before they are relayed. Used on one thread.
+ */
 final class CallerConnection {
     private static final int REQUEST_TIMEOUT = 408;
 
@@ -47,9 +52,14 @@
 
     private final WatchedSource source;
 
+    private final RequestTracker requests = RequestTracker.create();
+
     /** The open request, null between requests. */
     private HttpServerExchange open;
 
+    /** The number of requests whose head was read. */
+    private long begunRequests;
+
     private CallerConnection(StreamConnection connection, CallerPatience patience, Ticker ticker) {
         this.connection = connection;
         this.socket = connection.getSinkChannel().getConduit();
@@ -71,9 +81,10 @@
         return connection.isOpen();
     }
 
-    /** Records that the head of a request was read. */
-    void requestBegun(HttpServerExchange exchange) {
+    /** Records that the head of a request was read. Returns why the request is malformed; empty if it is not so far. */
+    Optional<String> requestBegun(HttpServerExchange exchange) {
         open = exchange;
+        begunRequests++;
         pace.headRead(ticker.nanos(), exchange::isRequestComplete);
         exchange.addExchangeCompleteListener((ended, next) -> {
             open = null;
@@ -81,6 +92,7 @@
             source.discarding = !ended.isPersistent();
             next.proceed();
         });
+        return requests.malformation(begunRequests - 1);
     }
 
     /** Closes the connection if the caller takes too long; a request that was begun is refused if possible. */
@@ -203,24 +215,32 @@
                 return discard();
             }
             int count = super.read(target);
-            record(count);
+            inputEnded = count < 0;
+            if (count > 0) {
+                pace.bytesRead(ticker.nanos());
+                check(target.duplicate().flip().position(target.position() - count));
+            }
             return count;
         }
 
         @Override
         public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-            if (discarding) {
-                return discard();
+            for (int index = offset; index < offset + length; index++) {
+                if (targets[index].hasRemaining()) {
+                    return read(targets[index]);
+                }
             }
-            long count = super.read(targets, offset, length);
-            record(count);
-            return count;
+            return 0;
         }
 
-        private void record(long count) {
-            inputEnded = count < 0;
-            if (count > 0) {
-                pace.bytesRead(ticker.nanos());
+        /** Follows received bytes; fails if the body that is being read turns out to be malformed. */
+        private void check(ByteBuffer received) throws IOException {
+            requests.take(received);
+            if (open != null && !open.isRequestComplete()) {
+                Optional<String> malformation = requests.malformation(begunRequests - 1);
+                if (malformation.isPresent()) {
+                    throw new IOException(malformation.get());
+                }
             }
         }
 
--- a/src/main/java/org/verbenatray/relay/CallerListener.java
+++ b/src/main/java/org/verbenatray/relay/CallerListener.java
@@ -8,12 +8,17 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.IdentityHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.catalog.CallerLimits;
+import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Ticker;
+import org.verbenatray.web.Responses;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -36,6 +41,8 @@
     /** The time between two checks of all connections, in milliseconds. */
     private static final long CHECK_INTERVAL_MILLIS = 250;
 
+    private static final Logger log = System.getLogger(CallerListener.class.getName());
+
     private final XnioIoThread thread;
 
     private final Ticker ticker;
@@ -116,13 +123,26 @@
     private void handle(HttpServerExchange exchange, HttpHandler callers) throws Exception {
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
             CallerConnection caller = connections.get(connection.getChannel());
-            if (caller != null) {
-                caller.requestBegun(exchange);
+            Optional<String> malformation = caller == null ? Optional.empty() : caller.requestBegun(exchange);
+            if (malformation.isPresent()) {
+                refuse(exchange, malformation.get());
+                return;
             }
         }
         callers.handleRequest(exchange);
     }
 
+    /** Refuses a malformed request and closes its connection, as nothing tells where the next request begins. */
+    private static void refuse(HttpServerExchange exchange, String malformation) {
+        Event.named("request_malformed")
+                .with("caller", exchange.getSourceAddress())
+                .with("path", exchange.getRequestURI())
+                .with("why", malformation)
+                .log(log, Level.INFO);
+        exchange.setPersistent(false);
+        Responses.sendText(exchange, 400, "text/plain", "the request is malformed: " + malformation + "\n");
+    }
+
     private void scheduleCheck() {
         thread.executeAfter(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -3,7 +3,6 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
-import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
@@ -101,10 +100,6 @@
             reject(exchange, 503, "the instance is stopping", RelayCall.STOPPING_RETRY_AFTER_MILLIS);
             return;
         }
-        if (!isWellFramed(exchange.getRequestHeaders())) {
-            reject(exchange, 400, "the framing of the request is ambiguous; send one length or chunks", 0);
-            return;
-        }
         Optional<Catalog> catalog = context.catalog().get();
         if (catalog.isEmpty()) {
             reject(exchange, 503, "no routes are known yet", NO_ROUTES_RETRY_AFTER_MILLIS);
@@ -269,16 +264,6 @@
         exchange.getResponseSender().send(ByteBuffer.wrap((reason + "\n").getBytes(StandardCharsets.US_ASCII)));
     }
 
-    /** Returns whether the length of the body is given unambiguously: by one content length or by chunked encoding. */
-    private static boolean isWellFramed(HeaderMap headers) {
-        HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
-        HeaderValues codings = headers.get(Headers.TRANSFER_ENCODING);
-        if (lengths != null && (lengths.size() > 1 || codings != null)) {
-            return false;
-        }
-        return codings == null || codings.size() == 1 && "chunked".equalsIgnoreCase(codings.getFirst());
-    }
-
     /** Returns the size of the request target and the headers in bytes. */
     private static int headerBytes(HttpServerExchange exchange) {
         int total = exchange.getRequestURI().length();
