--- a/src/main/java/org/verbenatray/relay/CallSuspects.java
+++ b/src/main/java/org/verbenatray/relay/CallSuspects.java
@@ -60,10 +60,13 @@
         partsAtRisk(prefillOnly).forEach(part -> runs.recordLost(part, boot));
     }
 
-    /** Records that a run ended with its connection; parameters as for {@link #recordLost}. */
-    void recordUnproved(String boot, boolean prefillOnly) {
-        runs.recordUnproved(fingerprint, boot);
-        partsAtRisk(prefillOnly).forEach(part -> runs.recordUnproved(part, boot));
+    /**
+     * Records that a run ended with its connection; parameters as for {@link #recordLost}. If the server is found to
+     * live, a success counts as one that is proved by the end of its response.
+     */
+    void recordUnproved(String boot, boolean prefillOnly, boolean success) {
+        runs.recordUnproved(fingerprint, boot, success && !prefillOnly ? this::recordSuccess : () -> {});
+        partsAtRisk(prefillOnly).forEach(part -> runs.recordUnproved(part, boot, () -> {}));
     }
 
     /** Records that a run which may have been taken for lost was completed; parameters as for {@link #recordLost}. */
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -281,7 +281,7 @@
             case BROKEN, SILENT -> evidence.recordLost();
             case ANSWERED, STREAM_ENDED -> {
                 if (endsWithConnection) {
-                    evidence.recordUnproved();
+                    evidence.recordUnproved(head.status() < 300 && !continuesStream());
                 } else {
                     evidence.recordCompleted();
                 }
--- a/src/main/java/org/verbenatray/relay/RunEvidence.java
+++ b/src/main/java/org/verbenatray/relay/RunEvidence.java
@@ -86,9 +86,13 @@
         call.suspects().recordCompleted(boot, prefillOnly);
     }
 
-    /** Records a response of a run that ended with its connection, which shows nothing until the server is checked. */
-    void recordUnproved() {
-        call.suspects().recordUnproved(backend.entry().bootId(), prefillOnly);
+    /**
+     * Records a response of a run that ended with its connection, which shows nothing until the server is checked.
+     *
+     * @param success whether it is a success if the server lives
+     */
+    void recordUnproved(boolean success) {
+        call.suspects().recordUnproved(backend.entry().bootId(), prefillOnly, success);
         context.crashProbe().probe(backend);
     }
 
--- a/src/main/java/org/verbenatray/resilience/ServerRuns.java
+++ b/src/main/java/org/verbenatray/resilience/ServerRuns.java
@@ -1,7 +1,9 @@
 package org.verbenatray.resilience;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
@@ -47,15 +49,15 @@
             onCrash.accept(new Crash(suspect, boot));
             return;
         }
-        putLost(suspect, boot, true);
+        putLost(suspect, boot, Optional.empty());
     }
 
     /**
      * Records that a request was sent to a server and that its response ended with the connection: the server has
-     * completed it or has ended. It counts as lost until the server is found to live.
+     * completed it or has ended. It counts as lost until the server is found to live; the task is run then.
      */
-    public void recordUnproved(String suspect, String boot) {
-        putLost(suspect, boot, false);
+    public void recordUnproved(String suspect, String boot, Runnable onProved) {
+        putLost(suspect, boot, Optional.of(onProved));
     }
 
     /** Records that a server has run a request to its end; a run that was taken for lost before was only late. */
@@ -69,11 +71,15 @@
     /** Records that a server has responded to a check sent at the given time in nanoseconds of the ticker. */
     public void recordChecked(String boot, long sentNanos) {
         Map<String, LostRun> lost = lostRuns.getOrDefault(boot, Map.of());
-        lost.values().removeIf(run -> !run.certain && run.lostNanos - sentNanos <= 0);
+        List<LostRun> proved = lost.values().stream()
+                .filter(run -> run.onProved.isPresent() && run.lostNanos - sentNanos <= 0)
+                .toList();
+        lost.values().removeAll(proved);
+        proved.forEach(run -> run.onProved.get().run());
     }
 
-    private void putLost(String suspect, String boot, boolean certain) {
-        LostRun run = new LostRun(ticker.nanos(), certain, relatedUntil());
+    private void putLost(String suspect, String boot, Optional<Runnable> onProved) {
+        LostRun run = new LostRun(ticker.nanos(), onProved, relatedUntil());
         lostRuns.computeIfAbsent(boot, key -> new HashMap<>()).put(suspect, run);
     }
 
@@ -112,8 +118,8 @@
      * A run that ended without a response, or with one that may have been cut.
      *
      * @param lostNanos when it ended, in nanoseconds of the ticker
-     * @param certain whether there was no complete response
+     * @param onProved run if its response turns out to be complete; empty if there was no complete response
      * @param relatedUntil until when the end of the server is attributed to it
      */
-    private record LostRun(long lostNanos, boolean certain, Deadline relatedUntil) {}
+    private record LostRun(long lostNanos, Optional<Runnable> onProved, Deadline relatedUntil) {}
 }
--- a/src/test/java/org/verbenatray/platform/CrashingPartTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingPartTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -21,6 +22,10 @@
     private static final int MAX_CRASHES = 5 + 3;
 
     private final AtomicInteger requestNumber = new AtomicInteger();
+
+    /** Whether the answers of engines have neither a length nor chunks, so that they end with their connections. */
+    private volatile boolean unframed;
+
     private FakeStore store;
     private List<ScriptedServer> engines;
     private List<RelayInstance> instances;
@@ -31,9 +36,10 @@
         store.put("keyed.op", "config", RelayFixture.configurationJson(1));
         engines = new ArrayList<>();
         instances = new ArrayList<>();
+        unframed = false;
         for (int number = 0; number < ENGINES; number++) {
             ScriptedServer engine = ScriptedServer.start((request, connection, out) -> {});
-            engine.setScript((request, connection, out) -> serve(engine, request, out));
+            engine.setScript((request, connection, out) -> serve(engine, request, connection, out));
             engines.add(engine);
             ServerListing listing = ServerListing.engine("e" + number, "decode", engine);
             store.put("keyed.servers", listing.id(), listing.entryJson("ready", 1));
@@ -57,6 +63,15 @@
         Assert.assertTrue(crashedEngines() <= MAX_CRASHES, "engines ended: " + crashedEngines());
     }
 
+    /** An answer that ends with its connection was no success, so that nothing told the part from an outage. */
+    @Test
+    public void theyAreRejectedAlsoWhereNoAnswerHasALength() throws Exception {
+        unframed = true;
+        startInstances(1);
+        sendUntilRejected(0);
+        Assert.assertTrue(crashedEngines() <= MAX_CRASHES, "engines ended: " + crashedEngines());
+    }
+
     @Test
     public void soundRequestsWithTheSameFirstPartAreServedOn() throws Exception {
         startInstances(1);
@@ -125,18 +140,22 @@
         return engines.stream().filter(ScriptedServer::crashed).count();
     }
 
-    private static void serve(ScriptedServer engine, Request request, OutputStream out) throws IOException {
+    private void serve(ScriptedServer engine, Request request, Socket connection, OutputStream out) throws IOException {
         if (request.line().startsWith("GET")) {
             out.write(ScriptedServer.response(request, 200, "", "{\"stage\":\"decode\",\"seq\":0}"));
             return;
         }
-        out.write(ScriptedServer.streamHead(request));
+        out.write(unframed ? ScriptedServer.streamHeadWithoutLength(request) : ScriptedServer.streamHead(request));
         out.flush();
         if (request.header("prompt-prefix").contains("bad:")) {
             engine.crash();
-            return;
+        } else if (unframed) {
+            out.write(ScriptedServer.event(1, "done"));
+            out.flush();
+            connection.close();
+        } else {
+            out.write(ScriptedServer.eventChunk(1, "done"));
+            out.write(ScriptedServer.lastChunk());
         }
-        out.write(ScriptedServer.eventChunk(1, "done"));
-        out.write(ScriptedServer.lastChunk());
     }
 }
--- a/src/test/java/org/verbenatray/platform/ScriptedServer.java
+++ b/src/test/java/org/verbenatray/platform/ScriptedServer.java
@@ -179,9 +179,21 @@
                 .getBytes(StandardCharsets.ISO_8859_1);
     }
 
+    /** Returns the head of an event stream with neither a length nor chunks, which ends with its connection. */
+    static byte[] streamHeadWithoutLength(Request request) {
+        return new String(streamHead(request), StandardCharsets.ISO_8859_1)
+                .replace("Transfer-Encoding: chunked\r\n", "")
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Returns one event. */
+    static byte[] event(int id, String data) {
+        return ("id: " + id + "\ndata: " + data + "\n\n").getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     /** Returns a chunk that holds one event. */
     static byte[] eventChunk(int id, String data) {
-        return chunk("id: " + id + "\ndata: " + data + "\n\n");
+        return chunk(new String(event(id, data), StandardCharsets.ISO_8859_1));
     }
 
     /** Returns a chunk that holds the given text. */
--- a/src/test/java/org/verbenatray/resilience/ServerRunsTest.java
+++ b/src/test/java/org/verbenatray/resilience/ServerRunsTest.java
@@ -74,21 +74,25 @@
     /** Every response without a length would have counted against its request when its server crashed later. */
     @Test
     public void aResponseWithoutAMarkedEndDoesNotCountOnceItsServerIsFoundToLive() {
-        runs.recordUnproved("innocent", "s@1");
+        List<String> proved = new ArrayList<>();
+        runs.recordUnproved("innocent", "s@1", () -> proved.add("innocent"));
         runs.recordLost("bad", "s@1");
         runs.recordChecked("s@1", time.nanos());
         runs.recordEnd("s@1");
         Assert.assertEquals(found, List.of(new Crash("bad", "s@1")));
+        Assert.assertEquals(proved, List.of("innocent"));
     }
 
     @Test
     public void aResponseWithoutAMarkedEndCountsIfItsServerHasEnded() {
         runs.recordChecked("s@1", time.nanos());
         time.advanceMillis(1);
-        runs.recordUnproved("bad", "s@1");
+        List<String> proved = new ArrayList<>();
+        runs.recordUnproved("bad", "s@1", () -> proved.add("bad"));
         runs.recordChecked("s@1", time.nanos() - 1_000_000);
         runs.recordEnd("s@1");
         Assert.assertEquals(found, List.of(new Crash("bad", "s@1")));
+        Assert.assertEquals(proved, List.of());
     }
 
     @Test
