--- a/src/main/java/org/verbenatray/relay/CallSuspects.java
+++ b/src/main/java/org/verbenatray/relay/CallSuspects.java
@@ -49,34 +49,45 @@
         ledger.recordSuccess(fingerprint, partKeys);
     }
 
+    /** Records that a run that generates went on after its beginning. */
+    void recordEstablished() {
+        ledger.recordEstablished(partKeys);
+    }
+
     /**
      * Records that a run was lost.
      *
      * @param boot the boot of the server
-     * @param prefillOnly whether the server only did the prefill: parts crash servers that generate
+     * @param partsAtRisk whether a part of the prompt may have ended the server: parts do so as it begins to generate
      */
-    void recordLost(String boot, boolean prefillOnly) {
+    void recordLost(String boot, boolean partsAtRisk) {
         runs.recordLost(fingerprint, boot);
-        partsAtRisk(prefillOnly).forEach(part -> runs.recordLost(part, boot));
+        partsIf(partsAtRisk).forEach(part -> runs.recordLost(part, boot));
     }
 
     /**
-     * Records that a run ended with its connection; parameters as for {@link #recordLost}. If the server is found to
-     * live, a success counts as one that is proved by the end of its response.
+     * Records that a run ended with its connection; parameters as for {@link #recordLost}.
+     *
+     * @param success whether it counts as a success once the server is found to live
      */
-    void recordUnproved(String boot, boolean prefillOnly, boolean success) {
-        runs.recordUnproved(fingerprint, boot, success && !prefillOnly ? this::recordSuccess : () -> {});
-        partsAtRisk(prefillOnly).forEach(part -> runs.recordUnproved(part, boot, () -> {}));
+    void recordUnproved(String boot, boolean partsAtRisk, boolean success) {
+        runs.recordUnproved(fingerprint, boot, success ? this::recordSuccess : () -> {});
+        partsIf(partsAtRisk).forEach(part -> runs.recordUnproved(part, boot, () -> {}));
     }
 
-    /** Records that a run which may have been taken for lost was completed; parameters as for {@link #recordLost}. */
-    void recordCompleted(String boot, boolean prefillOnly) {
+    /**
+     * Records that a run which may have been taken for lost was completed.
+     *
+     * @param boot the boot of the server
+     * @param generated whether the server generated, so that the parts of the prompt were at risk
+     */
+    void recordCompleted(String boot, boolean generated) {
         runs.recordCompleted(fingerprint, boot);
-        partsAtRisk(prefillOnly).forEach(part -> runs.recordCompleted(part, boot));
+        partsIf(generated).forEach(part -> runs.recordCompleted(part, boot));
     }
 
-    private List<String> partsAtRisk(boolean prefillOnly) {
-        return prefillOnly ? List.of() : partKeys;
+    private List<String> partsIf(boolean counted) {
+        return counted ? partKeys : List.of();
     }
 
     /** Adds what is known against the request to its log line. */
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -207,6 +207,7 @@
             return;
         }
         eventArrived = true;
+        evidence.recordEvent();
         recordPromptProcessed();
         listener.onEvent(head, event);
     }
--- a/src/main/java/org/verbenatray/relay/RunEvidence.java
+++ b/src/main/java/org/verbenatray/relay/RunEvidence.java
@@ -13,6 +13,9 @@
     /** Silence after which the server of an abandoned run is checked, longer than pauses between events. */
     private static final long SILENCE_MILLIS = 300;
 
+    /** Time from the first event after which further ones show that the server did not end under the beginning. */
+    private static final long ESTABLISHED_MILLIS = 500;
+
     /** Silence after which the server is checked during a run of a request that has crashed others. */
     private static final long SUSPECT_SILENCE_MILLIS = 1_000;
 
@@ -26,6 +29,12 @@
     /** Whether the server may have received the request. */
     private boolean sent;
 
+    /** When the run counts as established if it still brings events; null before its first event. */
+    private Deadline establishedFrom;
+
+    /** Whether the run was reported as established. */
+    private boolean established;
+
     /** When the server is silent enough to be checked, counted from its last bytes. */
     private Deadline silentFrom;
 
@@ -64,10 +73,21 @@
         suspectCheckDue = Deadline.afterMillis(now, SUSPECT_SILENCE_MILLIS);
     }
 
+    /** Records that an event of the stream has arrived. */
+    void recordEvent() {
+        long now = context.ticker().nanos();
+        if (establishedFrom == null) {
+            establishedFrom = Deadline.afterMillis(now, ESTABLISHED_MILLIS);
+        } else if (!established && establishedFrom.hasPassed(now)) {
+            established = true;
+            call.suspects().recordEstablished();
+        }
+    }
+
     /** Records that the run has ended without a complete response. */
     void recordLost() {
         if (sent) {
-            call.suspects().recordLost(backend.entry().bootId(), prefillOnly);
+            call.suspects().recordLost(backend.entry().bootId(), partsAtRisk());
         }
     }
 
@@ -83,7 +103,7 @@
     void recordCompleted() {
         String boot = backend.entry().bootId();
         context.serverRuns().recordAlive(boot);
-        call.suspects().recordCompleted(boot, prefillOnly);
+        call.suspects().recordCompleted(boot, !prefillOnly);
     }
 
     /**
@@ -92,7 +112,7 @@
      * @param success whether it is a success if the server lives
      */
     void recordUnproved(boolean success) {
-        call.suspects().recordUnproved(backend.entry().bootId(), prefillOnly, success);
+        call.suspects().recordUnproved(backend.entry().bootId(), partsAtRisk(), success && !prefillOnly);
         context.crashProbe().probe(backend);
     }
 
@@ -108,6 +128,11 @@
         }
     }
 
+    /** Returns whether a part of the prompt may end the server: one that does so ends it as it begins to generate. */
+    private boolean partsAtRisk() {
+        return !prefillOnly && !established;
+    }
+
     private void scheduleCheck() {
         long waitMillis = suspectCheckDue.remainingMillis(context.ticker().nanos()) + 1;
         timer = context.thread().executeAfter(call.guard().wrap(this::check), waitMillis, TimeUnit.MILLISECONDS);
--- a/src/main/java/org/verbenatray/resilience/CrashLedger.java
+++ b/src/main/java/org/verbenatray/resilience/CrashLedger.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -28,8 +29,8 @@
     /** Crashes that block a part with which requests have succeeded lately. */
     private static final int PROVED_PART_CRASHES_TO_BLOCK = 8;
 
-    /** Successes of requests without a part, since its first crash, that show that servers work but for it. */
-    private static final int SUCCESSES_WITHOUT_PART = 3;
+    /** Runs without a part, since its first crash, that show that servers work but for it. */
+    private static final int RUNS_WITHOUT_PART = 3;
 
     /** Time since its last crash for which a request is blocked. */
     private static final long BLOCK_MILLIS = 120_000;
@@ -74,7 +75,8 @@
             return false;
         }
         CrashHistory history = historyBySuspect.computeIfAbsent(
-                crash.suspect(), key -> new CrashHistory(partSuccesses.requestsOfModel(key)));
+                crash.suspect(),
+                key -> new CrashHistory(partSuccesses.requestsOfModel(key), partSuccesses.establishedRunsOfModel(key)));
         boolean isNew = history.boots.add(crash.boot());
         if (isNew) {
             history.blockEnd = Deadline.afterMillis(ticker.nanos(), BLOCK_MILLIS);
@@ -93,6 +95,18 @@
         partKeys.forEach(this::clear);
     }
 
+    /**
+     * Records that a run went on after its beginning. That clears nothing, as its server may still end under it, but a
+     * part that ends each server at once is not in it.
+     */
+    public void recordEstablished(Collection<String> partKeys) {
+        partSuccesses.recordEstablished(partKeys);
+        partKeys.stream()
+                .map(historyBySuspect::get)
+                .filter(Objects::nonNull)
+                .forEach(history -> history.established = true);
+    }
+
     private void clear(String suspect) {
         if (historyBySuspect.containsKey(suspect)) {
             List<Crash> cleared = crashesOf(List.of(suspect));
@@ -148,16 +162,21 @@
 
     /**
      * Returns whether a part of prompts is taken to crash servers: several ended under it, and since the first of them
-     * no request with it has run to its end (which would have cleared it), while others of its model have.
+     * no request with it has run to its end (which would have cleared it), while others of its model have. Where
+     * servers end so often that hardly a request runs to its end, it counts likewise which runs went on after their
+     * beginning.
      */
     private boolean isBlockedPart(String key) {
         CrashHistory history = historyBySuspect.get(key);
         if (history == null || history.blockEnd.hasPassed(ticker.nanos())) {
             return false;
         }
-        boolean othersSucceed = partSuccesses.requestsOfModel(key) - history.successesBefore >= SUCCESSES_WITHOUT_PART;
-        int enough = partSuccesses.within(key, RETENTION_MILLIS) ? PROVED_PART_CRASHES_TO_BLOCK : PART_CRASHES_TO_BLOCK;
-        return othersSucceed && history.boots.size() >= enough;
+        boolean othersSucceed = partSuccesses.requestsOfModel(key) - history.successesBefore >= RUNS_WITHOUT_PART;
+        boolean onlyOthersGoOn = !history.established
+                && partSuccesses.establishedRunsOfModel(key) - history.establishedBefore >= RUNS_WITHOUT_PART;
+        boolean trusted = history.established || partSuccesses.within(key, RETENTION_MILLIS);
+        int enough = trusted ? PROVED_PART_CRASHES_TO_BLOCK : PART_CRASHES_TO_BLOCK;
+        return (othersSucceed || onlyOthersGoOn) && history.boots.size() >= enough;
     }
 
     /** Returns the number of servers that ended under a request or a part of prompts, as far as it is known here. */
@@ -203,12 +222,19 @@
         /** For a part of prompts: how many requests of its model had succeeded before its first crash. */
         private final long successesBefore;
 
+        /** For a part of prompts: how many runs for its model went on after their beginning before its first crash. */
+        private final long establishedBefore;
+
+        /** For a part of prompts: whether a run with it went on after its beginning since its first crash. */
+        private boolean established;
+
         private Deadline blockEnd;
 
         private Deadline expiry;
 
-        private CrashHistory(long successesBefore) {
+        private CrashHistory(long successesBefore, long establishedBefore) {
             this.successesBefore = successesBefore;
+            this.establishedBefore = establishedBefore;
         }
     }
 }
--- a/src/main/java/org/verbenatray/resilience/PartSuccesses.java
+++ b/src/main/java/org/verbenatray/resilience/PartSuccesses.java
@@ -18,6 +18,9 @@
     /** The number of requests that ran to their end, by model. */
     private final Map<String, Long> requestsByModel = new HashMap<>();
 
+    /** The number of runs that went on after their beginning, by model. */
+    private final Map<String, Long> establishedByModel = new HashMap<>();
+
     /** When each part last succeeded, in nanoseconds of the ticker, least recent first. */
     private final Map<String, Long> nanosByPart = new LinkedHashMap<>(64, 0.75f, true) {
         @Override
@@ -38,7 +41,16 @@
     /** Records that a request whose prompt has the given parts has run to its end. */
     void record(Collection<String> parts) {
         parts.forEach(part -> nanosByPart.put(part, ticker.nanos()));
-        parts.stream().map(PartKey::modelOf).distinct().forEach(model -> requestsByModel.merge(model, 1L, Long::sum));
+        countModels(parts, requestsByModel);
+    }
+
+    /** Records that a run of a request whose prompt has the given parts went on after its beginning. */
+    void recordEstablished(Collection<String> parts) {
+        countModels(parts, establishedByModel);
+    }
+
+    private static void countModels(Collection<String> parts, Map<String, Long> counts) {
+        parts.stream().map(PartKey::modelOf).distinct().forEach(model -> counts.merge(model, 1L, Long::sum));
     }
 
     /** Returns the number of requests of a part's model that have run to their end. */
@@ -46,6 +58,11 @@
         return requestsByModel.getOrDefault(PartKey.modelOf(part), 0L);
     }
 
+    /** Returns the number of runs for a part's model that went on after their beginning. */
+    long establishedRunsOfModel(String part) {
+        return establishedByModel.getOrDefault(PartKey.modelOf(part), 0L);
+    }
+
     /** Returns whether a part has succeeded within the given time in milliseconds. */
     boolean within(String part, long millis) {
         Long nanos = nanosByPart.get(part);
--- a/src/test/java/org/verbenatray/platform/CrashingPartTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingPartTest.java
@@ -1,10 +1,12 @@
 package org.verbenatray.platform;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
@@ -21,11 +23,20 @@
     /** The number of engines that may end: five, and one under each of the three requests that may follow. */
     private static final int MAX_CRASHES = 5 + 3;
 
+    /** The pause between two events of an answer without end. */
+    private static final long EVENT_PAUSE_MILLIS = 50;
+
+    /** The time for which a sound stream is read: longer than the beginning of a run. */
+    private static final long LONG_STREAM_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
     private final AtomicInteger requestNumber = new AtomicInteger();
 
     /** Whether the answers of engines have neither a length nor chunks, so that they end with their connections. */
     private volatile boolean unframed;
 
+    /** Whether the answers of engines to sound requests go on without an end. */
+    private volatile boolean endless;
+
     private FakeStore store;
     private List<ScriptedServer> engines;
     private List<RelayInstance> instances;
@@ -37,6 +48,7 @@
         engines = new ArrayList<>();
         instances = new ArrayList<>();
         unframed = false;
+        endless = false;
         for (int number = 0; number < ENGINES; number++) {
             ScriptedServer engine = ScriptedServer.start((request, connection, out) -> {});
             engine.setScript((request, connection, out) -> serve(engine, request, connection, out));
@@ -72,6 +84,19 @@
         Assert.assertTrue(crashedEngines() <= MAX_CRASHES, "engines ended: " + crashedEngines());
     }
 
+    /** Long runs hardly reach their end while engines end, so that nothing told the part from an outage. */
+    @Test
+    public void theyAreRejectedAlsoWhereNoRequestRunsToItsEnd() throws Exception {
+        endless = true;
+        startInstances(1);
+        boolean rejected = false;
+        while (!rejected && crashedEngines() < ENGINES - 1) {
+            readLongStream();
+            rejected = sendCrashing(0).contains("crashes_servers");
+        }
+        Assert.assertTrue(crashedEngines() <= MAX_CRASHES, "engines ended: " + crashedEngines());
+    }
+
     @Test
     public void soundRequestsWithTheSameFirstPartAreServedOn() throws Exception {
         startInstances(1);
@@ -101,6 +126,18 @@
         }
     }
 
+    /** Reads a sound stream for longer than its beginning and leaves it. */
+    private void readLongStream() throws Exception {
+        try (Socket caller = RelayFixture.connect(instances.get(0))) {
+            RelayFixture.send(caller, request("good"));
+            InputStream in = caller.getInputStream();
+            long until = System.nanoTime() + LONG_STREAM_NANOS;
+            while (in.read() >= 0 && System.nanoTime() < until) {
+                // Reads on.
+            }
+        }
+    }
+
     /** Sends crashing requests until one is rejected, or until so many engines have ended that none will be. */
     private void sendUntilRejected(int instance) throws Exception {
         for (int round = 0; round < 200 && crashedEngines() < ENGINES - 1; round++) {
@@ -128,12 +165,15 @@
         return send(instance, "good");
     }
 
-    /** Sends a request whose prompt begins with a common part, goes on with the given one and ends with its own. */
     private String send(int instance, String part) throws Exception {
+        return RelayFixture.exchange(instances.get(instance), request(part));
+    }
+
+    /** Returns a request whose prompt begins with a common part, goes on with the given one and ends with its own. */
+    private String request(String part) {
         int number = requestNumber.incrementAndGet();
         String prompt = "Token-Count: 35,5\r\nPrompt-Prefix: f1:10," + part + ":20,own" + number + ":5\r\n";
-        String request = RelayFixture.postRequest("/stream/x" + number, "id" + number, prompt, "body" + number);
-        return RelayFixture.exchange(instances.get(instance), request);
+        return RelayFixture.postRequest("/stream/x" + number, "id" + number, prompt, "body" + number);
     }
 
     private long crashedEngines() {
@@ -149,6 +189,8 @@
         out.flush();
         if (request.header("prompt-prefix").contains("bad:")) {
             engine.crash();
+        } else if (endless) {
+            writeWithoutEnd(out);
         } else if (unframed) {
             out.write(ScriptedServer.event(1, "done"));
             out.flush();
@@ -158,4 +200,17 @@
             out.write(ScriptedServer.lastChunk());
         }
     }
+
+    /** Writes an event from time to time until the peer closes the connection. */
+    private static void writeWithoutEnd(OutputStream out) throws IOException {
+        try {
+            for (int id = 1; true; id++) {
+                out.write(ScriptedServer.eventChunk(id, "going on"));
+                out.flush();
+                TimeUnit.MILLISECONDS.sleep(EVENT_PAUSE_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/src/test/java/org/verbenatray/resilience/CrashLedgerTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashLedgerTest.java
@@ -128,13 +128,42 @@
         Assert.assertTrue(isPartBlocked("guilty"));
     }
 
+    /** Where servers end every second, requests of several seconds hardly reach their end. */
+    @Test
+    public void aPartIsBlockedIfOnlyRunsWithoutItGoOnAfterTheirBeginning() {
+        for (int server = 0; server < 4; server++) {
+            Assert.assertFalse(isPartBlocked("guilty"));
+            crashUnder(List.of("first", "guilty"), server);
+            ledger.recordEstablished(keys("first", "sound"));
+        }
+        Assert.assertTrue(isPartBlocked("guilty"));
+        Assert.assertFalse(isPartBlocked("first"));
+        Assert.assertFalse(isPartBlocked("sound"));
+    }
+
+    @Test
+    public void aPartWhoseRunsGoOnNeedsMoreCrashesAndTheSuccessOfOthers() {
+        crashUnder(List.of("doubtful"), 0);
+        ledger.recordEstablished(keys("doubtful"));
+        for (int server = 1; server < 8; server++) {
+            ledger.recordEstablished(keys("other"));
+            succeed("other");
+            Assert.assertFalse(isPartBlocked("doubtful"));
+            crashUnder(List.of("doubtful"), server);
+        }
+        Assert.assertTrue(isPartBlocked("doubtful"));
+    }
+
     private void crashUnder(List<String> parts, int server) {
         parts.forEach(part -> ledger.recordCrash(new Crash(PartKey.of("m", part), "s" + server + "@1")));
     }
 
     private void succeed(String... parts) {
-        ledger.recordSuccess(
-                "sound", Stream.of(parts).map(part -> PartKey.of("m", part)).toList());
+        ledger.recordSuccess("sound", keys(parts));
+    }
+
+    private static List<String> keys(String... parts) {
+        return Stream.of(parts).map(part -> PartKey.of("m", part)).toList();
     }
 
     private boolean isPartBlocked(String part) {
--- a/src/test/java/org/verbenatray/resilience/CrashingPartPropertiesTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashingPartPropertiesTest.java
@@ -28,18 +28,28 @@
     private static final int SOUND_REQUESTS_PER_STEP = 6;
     private static final int SOUND_PARTS = 12;
 
+    /** Steps from the start of a run after which it counts as established. */
+    private static final int ESTABLISHED_STEPS = 6;
+
     /** One in so many steps brings a crashing request. */
     private static final int STEPS_PER_CRASHING_REQUEST = 4;
 
     @Property(tries = 150, seed = "26")
     void afterTheFifthCrashFewCrashingRequestsAreSent(@ForAll long seed) {
-        Simulation simulation = play(seed, true);
+        Simulation simulation = play(seed, true, Lengths.SHORT);
+        Assert.assertTrue(simulation.lateSendings <= 3, "late sendings: " + simulation.lateSendings);
+    }
+
+    /** Runs of seconds hardly reach their end while engines crash, so that no request without the part succeeded. */
+    @Property(tries = 150, seed = "26")
+    void afterTheFifthCrashFewCrashingRequestsAreSentBesideLongRuns(@ForAll long seed) {
+        Simulation simulation = play(seed, true, Lengths.LONG);
         Assert.assertTrue(simulation.lateSendings <= 3, "late sendings: " + simulation.lateSendings);
     }
 
     @Property(tries = 150, seed = "26")
     void soundRequestsWithTheSameFirstPartGoOn(@ForAll long seed) {
-        Simulation simulation = play(seed, true);
+        Simulation simulation = play(seed, true, Lengths.SHORT);
         Assert.assertTrue(
                 2 * simulation.lateRefusedSound <= simulation.lateSound,
                 simulation.lateRefusedSound + " of " + simulation.lateSound + " refused");
@@ -48,24 +58,52 @@
     /** An ordinary crash of many engines at once must not refuse the parts of the requests that they ran. */
     @Property(tries = 150, seed = "26")
     void withoutACrashingPartSoundRequestsAreNotRefused(@ForAll long seed) {
-        Simulation simulation = play(seed, false);
+        Simulation simulation = play(seed, false, Lengths.SHORT);
         Assert.assertTrue(
                 50 * simulation.refusedSound <= simulation.sound,
                 simulation.refusedSound + " of " + simulation.sound + " refused");
     }
 
-    private static Simulation play(long seed, boolean crashingPart) {
-        Simulation simulation = new Simulation(new Random(seed), crashingPart);
+    @Property(tries = 150, seed = "26")
+    void soundRequestsWithTheSameFirstPartGoOnBesideLongRuns(@ForAll long seed) {
+        Simulation simulation = play(seed, true, Lengths.LONG);
+        Assert.assertTrue(
+                2 * simulation.lateRefusedSound <= simulation.lateSound,
+                simulation.lateRefusedSound + " of " + simulation.lateSound + " refused");
+    }
+
+    private static Simulation play(long seed, boolean crashingPart, Lengths soundLengths) {
+        Simulation simulation = new Simulation(new Random(seed), crashingPart, soundLengths);
         for (int step = 0; step < STEPS; step++) {
             simulation.run(step);
         }
         return simulation;
     }
 
+    /** How many steps runs last. */
+    private enum Lengths {
+        /** Runs that end between the crashes. */
+        SHORT(1, 4),
+        /** Runs that hardly reach their end while engines crash. */
+        LONG(25, 50);
+
+        private final int least;
+
+        private final int most;
+
+        Lengths(int least, int most) {
+            this.least = least;
+            this.most = most;
+        }
+    }
+
     /** One drawn course of events. */
     private static final class Simulation {
         private final Random random;
         private final boolean crashingPart;
+
+        private final Lengths soundLengths;
+
         private final int firstSendStep;
         private final ManualTime time = new ManualTime();
         private final FakeKeyedLog log = new FakeKeyedLog();
@@ -88,9 +126,10 @@
         private int lateSound;
         private int lateRefusedSound;
 
-        Simulation(Random random, boolean crashingPart) {
+        Simulation(Random random, boolean crashingPart, Lengths soundLengths) {
             this.random = random;
             this.crashingPart = crashingPart;
+            this.soundLengths = soundLengths;
             this.firstSendStep = 20 + random.nextInt(STEPS / 4);
             for (int number = 0; number < INSTANCES; number++) {
                 instances.add(new Instance());
@@ -176,13 +215,17 @@
             if (step < downUntil[engine]) {
                 return false;
             }
-            runs.add(new Run(
-                    instance, "request" + requestNumber++, parts, engine, crashing, step + 1 + random.nextInt(4)));
+            Lengths lengths = crashing ? Lengths.SHORT : soundLengths;
+            int steps = lengths.least + random.nextInt(lengths.most - lengths.least + 1);
+            runs.add(new Run(instance, "request" + requestNumber++, parts, engine, crashing, step, step + steps));
             return true;
         }
 
         private void finishRuns(int step) {
             for (Run run : List.copyOf(runs)) {
+                if (step == run.startStep + ESTABLISHED_STEPS) {
+                    run.instance.ledger.recordEstablished(run.parts);
+                }
                 if (run.endStep > step || !runs.contains(run)) {
                     continue;
                 }
@@ -207,7 +250,8 @@
             List<Run> lost = runs.stream().filter(run -> run.engine == engine).toList();
             runs.removeAll(lost);
             lost.forEach(run -> time.runAt(
-                    Deadline.afterMillis(time.nanos(), random.nextInt(300)), () -> run.instance.recordLost(run, boot)));
+                    Deadline.afterMillis(time.nanos(), random.nextInt(300)),
+                    () -> run.instance.recordLost(run, boot, step)));
         }
 
         /** What one instance knows. */
@@ -226,9 +270,11 @@
                 exchange.onCleared(cleared);
             }
 
-            private void recordLost(Run run, String boot) {
+            private void recordLost(Run run, String boot, int step) {
                 record(new Crash(run.request, boot));
-                run.parts.forEach(part -> record(new Crash(part, boot)));
+                if (step < run.startStep + ESTABLISHED_STEPS) {
+                    run.parts.forEach(part -> record(new Crash(part, boot)));
+                }
             }
 
             private void record(Crash crash) {
@@ -240,6 +286,12 @@
 
         /** A request that an engine runs. */
         private record Run(
-                Instance instance, String request, List<String> parts, int engine, boolean crashing, int endStep) {}
+                Instance instance,
+                String request,
+                List<String> parts,
+                int engine,
+                boolean crashing,
+                int startStep,
+                int endStep) {}
     }
 }
