--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -227,7 +227,7 @@
         Event.named("started")
                 .with("instance", settings.name())
                 .with("domain", settings.failureDomain())
-                .with("callers", settings.addresses().callers())
+                .with("callers", instance.server.callersAddress())
                 .log(log, Level.INFO);
         return instance;
     }
--- a/src/test/java/org/verbenatray/processes/BinaryProcess.java
+++ b/src/test/java/org/verbenatray/processes/BinaryProcess.java
@@ -10,8 +10,13 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** A process of the binary, started from the classes under test. */
-final class BinaryProcess implements AutoCloseable {
+/** A process of the binary or of a stand-in, started from the classes under test. */
+public final class BinaryProcess implements AutoCloseable {
+    private static final String BINARY = "org.verbenatray.cli.Main";
+
+    /** Marks the lines of a library, which may come first. */
+    private static final String LIBRARY_LINE = "event=library_message";
+
     /** The timeout for the end of a process in seconds. */
     private static final long EXIT_TIMEOUT_SECONDS = 30;
 
@@ -25,27 +30,24 @@
     }
 
     /** Starts a command and waits for the first line of its output. */
-    static BinaryProcess start(String... arguments) throws IOException {
-        Process process = new ProcessBuilder(command(arguments))
-                .redirectError(new File("target", "process-" + arguments[0] + "-" + System.nanoTime() + ".log"))
-                .start();
-        BufferedReader lines =
-                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
-        String line = lines.readLine();
-        if (line == null) {
-            throw new IOException(String.join(" ", arguments) + " ended without output");
-        }
-        return new BinaryProcess(process, line);
+    public static BinaryProcess start(String... arguments) throws IOException {
+        return launch(arguments[0], command(BINARY, arguments));
+    }
+
+    /** Starts a stand-in by its main class and waits for the first line of its output. */
+    public static BinaryProcess startStandIn(Class<?> mainClass) throws IOException {
+        return launch(mainClass.getSimpleName(), command(mainClass.getName()));
     }
 
     /** Runs a command to its end and returns its exit code. */
     static int run(String... arguments) throws IOException, InterruptedException {
-        Process process = new ProcessBuilder(command(arguments)).inheritIO().start();
+        Process process =
+                new ProcessBuilder(command(BINARY, arguments)).inheritIO().start();
         return process.waitFor();
     }
 
     /** Returns the value of a key=value pair in the first line of the output. */
-    String value(String key) {
+    public String value(String key) {
         for (String pair : firstLine.split(" ")) {
             if (pair.startsWith(key + "=")) {
                 return pair.substring(key.length() + 1);
@@ -74,6 +76,11 @@
         process.destroyForcibly();
     }
 
+    /** Returns whether the process runs. */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
     /** Waits for the end of the process and returns whether it ended within the timeout. */
     boolean waitForExit() throws InterruptedException {
         return process.waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -84,20 +91,36 @@
         process.destroyForcibly();
     }
 
-    private static List<String> command(String... arguments) {
+    private static BinaryProcess launch(String name, List<String> command) throws IOException {
+        Process process = new ProcessBuilder(command)
+                .redirectError(new File("target", "process-" + name + "-" + System.nanoTime() + ".log"))
+                .start();
+        BufferedReader lines =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        String line = lines.readLine();
+        while (line != null && line.contains(LIBRARY_LINE)) {
+            line = lines.readLine();
+        }
+        if (line == null) {
+            throw new IOException(name + " ended without output");
+        }
+        return new BinaryProcess(process, line);
+    }
+
+    private static List<String> command(String mainClass, String... arguments) {
         List<String> command = new ArrayList<>();
         command.add(new File(System.getProperty("java.home"), "bin/java").getPath());
         command.add("-Xmx128m");
         command.add("-XX:TieredStopAtLevel=1");
         command.add("-cp");
         command.add(System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
-        command.add("org.verbenatray.cli.Main");
+        command.add(mainClass);
         command.addAll(List.of(arguments));
         return command;
     }
 
     /** Kills all processes in the reverse order of their start. */
-    static void closeAll(List<BinaryProcess> processes) {
+    public static void closeAll(List<BinaryProcess> processes) {
         for (int i = processes.size() - 1; i >= 0; i--) {
             try (BinaryProcess process = processes.get(i)) {
                 process.kill();
