--- a/src/test/java/org/verbenatray/platform/BrokenAnswerTest.java
+++ b/src/test/java/org/verbenatray/platform/BrokenAnswerTest.java
@@ -128,6 +128,46 @@
         }
     }
 
+    /** Broken answers that hold the handle of a prefilled prompt. */
+    @DataProvider
+    public Object[] handleAnswers() {
+        String handle = "{\"kvHandle\":\"h1\",\"tokens\":9}";
+        String length = Integer.toString(handle.length());
+        return new Object[] {
+            "HTTP/1.1 200 OK\r\n%sContent-Length: +" + length + "\r\n\r\n" + handle,
+            "HTTP/1.1 200 OK\r\n%sContent-Length:\r\n " + length + "\r\n\r\n" + handle,
+            "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: shuffled\r\n\r\n" + handle,
+            "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(handle.length()) + " x\r\n"
+                    + handle + "\r\n0\r\n\r\n"
+        };
+    }
+
+    /** A prefill engine in trouble costs its prompt the prefill, and no handle is taken from its answer. */
+    @Test(dataProvider = "handleAnswers")
+    public void aPromptIsGeneratedWithoutThePrefillThatIsAnsweredSo(String answer) throws Exception {
+        Script broken = (request, connection, out) -> {
+            out.write(BrokenAnswer.bytes(answer, request));
+            out.flush();
+            connection.close();
+        };
+        try (ScriptedServer prefill = ScriptedServer.start(broken);
+                ScriptedServer decode = ScriptedServer.start(BrokenAnswerTest::answerWell);
+                RelayFixture own = RelayFixture.startReady(
+                        ServerListing.engine("p1", "prefill", prefill), ServerListing.engine("d1", "decode", decode))) {
+            String prompt = "Token-Count: 9000,5\r\nPrompt-Prefix: ab:8000,cd:1000\r\n";
+            String text = own.exchange(RelayFixture.postRequest("/stream/x", "id1", prompt, "b"));
+            Assert.assertTrue(text.startsWith("HTTP/1.1 200") && text.endsWith("{}"), text);
+            Assert.assertTrue(
+                    prefill.requests().stream()
+                            .anyMatch(request -> request.header("request-id").equals("id1")),
+                    "the prompt was not sent to the prefill engine");
+            Assert.assertTrue(
+                    decode.requests().stream()
+                            .allMatch(request -> request.header("kv-source").isEmpty()),
+                    "the handle was used");
+        }
+    }
+
     /** Interim responses are no answer, and the final one after them is. */
     @Test
     public void theAnswerBehindInterimResponsesIsPassedOn() throws Exception {
