--- a/src/main/java/org/verbenatray/framing/BodyTracker.java
+++ b/src/main/java/org/verbenatray/framing/BodyTracker.java
@@ -4,6 +4,15 @@
 
 /** Follows the bytes of one body to its end. Used by one reader. */
 interface BodyTracker {
+    /** Returns a tracker of the body of a response. */
+    static BodyTracker of(ResponseFraming framing) {
+        return switch (framing.bodyEnd()) {
+            case LENGTH -> ofLength(framing.bodyBytes());
+            case LAST_CHUNK -> ofChunks();
+            case CONNECTION -> untilConnectionEnds();
+        };
+    }
+
     /** Returns a tracker of a body of the given length in bytes. */
     static BodyTracker ofLength(long bytes) {
         return new LengthTracker(bytes);
--- a/src/main/java/org/verbenatray/framing/ResponseTracker.java
+++ b/src/main/java/org/verbenatray/framing/ResponseTracker.java
@@ -44,14 +44,14 @@
      * @throws MalformedMessageException if the head breaks the grammar or does not tell where the response ends
      */
     public Optional<byte[]> takeHead(ByteBuffer received) throws MalformedMessageException {
+        ByteBuffer taken = received.duplicate();
         while (received.hasRemaining() && framing == null) {
-            ByteBuffer taken = received.duplicate();
-            boolean lineComplete = line.take(received);
-            keep(taken.limit(received.position()));
-            if (lineComplete) {
-                endLine();
+            if (line.take(received) && endsInterim()) {
+                head.reset();
+                taken.position(received.position());
             }
         }
+        keep(taken.limit(received.position()));
         return framing == null ? Optional.empty() : Optional.of(head.toByteArray());
     }
 
@@ -86,35 +86,29 @@
     }
 
     private void keep(ByteBuffer taken) {
-        while (taken.hasRemaining()) {
-            head.write(taken.get());
-        }
+        byte[] bytes = new byte[taken.remaining()];
+        taken.get(bytes);
+        head.writeBytes(bytes);
     }
 
-    private void endLine() throws MalformedMessageException {
+    /** Handles a complete line of the head; returns whether it ends an interim response. */
+    private boolean endsInterim() throws MalformedMessageException {
         if (statusLine == null) {
             statusLine = StatusLine.of(line);
-        } else if (line.length() > 0) {
+            return false;
+        }
+        if (line.length() > 0) {
             fields.add(FieldLine.of(line));
-        } else {
-            endHead();
+            return false;
         }
-    }
-
-    /** Starts the body, or waits for the next head after an interim response. */
-    private void endHead() throws MalformedMessageException {
         ResponseFraming stated = ResponseFraming.of(statusLine, fields, method);
         if (stated.isInterim()) {
-            head.reset();
             statusLine = null;
             fields = new FramingFields();
-            return;
+            return true;
         }
         framing = stated;
-        body = switch (stated.bodyEnd()) {
-            case LENGTH -> BodyTracker.ofLength(stated.bodyBytes());
-            case LAST_CHUNK -> BodyTracker.ofChunks();
-            case CONNECTION -> BodyTracker.untilConnectionEnds();
-        };
+        body = BodyTracker.of(stated);
+        return false;
     }
 }
