--- a/src/main/java/org/verbenatray/relay/CallerConnection.java
+++ b/src/main/java/org/verbenatray/relay/CallerConnection.java
@@ -12,11 +12,11 @@
 import org.verbenatray.framing.RequestTracker;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Ticker;
+import org.verbenatray.web.BufferedReads;
 import org.xnio.Buffers;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.AbstractStreamSinkConduit;
-import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -198,7 +198,7 @@
      * to close, but closes at the first byte, and a close with unread bytes resets the connection, so that the caller
      * loses the response.
      */
-    private final class WatchedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    private final class WatchedSource extends BufferedReads {
         private boolean inputEnded;
 
         private boolean discarding;
@@ -214,7 +214,7 @@
             if (discarding) {
                 return discard();
             }
-            int count = super.read(target);
+            int count = next.read(target);
             inputEnded = count < 0;
             if (count > 0) {
                 pace.bytesRead(ticker.nanos());
@@ -223,16 +223,6 @@
             return count;
         }
 
-        @Override
-        public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-            for (int index = offset; index < offset + length; index++) {
-                if (targets[index].hasRemaining()) {
-                    return read(targets[index]);
-                }
-            }
-            return 0;
-        }
-
         /** Follows received bytes; fails if the body that is being read turns out to be malformed. */
         private void check(ByteBuffer received) throws IOException {
             requests.take(received);
@@ -256,7 +246,7 @@
         /** Reads what has arrived; returns zero, or -1 at the end of the input and when there is too much of it. */
         private int discard() throws IOException {
             ByteBuffer buffer = ByteBuffer.allocate(DISCARD_BUFFER_BYTES);
-            int count = super.read(buffer);
+            int count = next.read(buffer);
             inputEnded = count < 0;
             discardedBytes += Math.max(0, count);
             return inputEnded || discardedBytes > MAX_DISCARDED_BYTES ? -1 : 0;
--- a/src/main/java/org/verbenatray/servers/ResponseSource.java
+++ b/src/main/java/org/verbenatray/servers/ResponseSource.java
@@ -2,14 +2,12 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.util.Optional;
 import org.verbenatray.framing.BodyEnd;
 import org.verbenatray.framing.MalformedMessageException;
 import org.verbenatray.framing.ResponseFraming;
 import org.verbenatray.framing.ResponseTracker;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.verbenatray.web.BufferedReads;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
@@ -24,7 +22,7 @@
  *
  * <p>Used on the I/O thread of the connection only.
  */
-final class ResponseSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class ResponseSource extends BufferedReads {
     /**
      * The largest number of bytes without a byte of a body. More than a turn and a read buffer, since a single read of
      * a body of tiny chunks takes up to a turn of bytes.
@@ -137,26 +135,6 @@
         }
     }
 
-    @Override
-    public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-        for (int index = offset; index < offset + length; index++) {
-            if (targets[index].hasRemaining()) {
-                return read(targets[index]);
-            }
-        }
-        return 0;
-    }
-
-    @Override
-    public long transferTo(long position, long count, FileChannel target) {
-        throw new UnsupportedOperationException("responses are read into buffers only");
-    }
-
-    @Override
-    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target) {
-        throw new UnsupportedOperationException("responses are read into buffers only");
-    }
-
     /** Reads until the head is complete or no more bytes are available; the target is used as a buffer meanwhile. */
     private int readHead(ByteBuffer target) throws IOException {
         while (true) {
--- a/src/main/java/org/verbenatray/web/package-info.java
+++ b/src/main/java/org/verbenatray/web/package-info.java
@@ -1,2 +1,2 @@
-/** HTTP server helpers shared by entry instances and stand-ins. */
+/** HTTP helpers shared by entry instances, their clients and stand-ins. */
 package org.verbenatray.web;
--- a/src/test/java/org/verbenatray/platform/AnswerEndTest.java
+++ b/src/test/java/org/verbenatray/platform/AnswerEndTest.java
@@ -4,39 +4,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.verbenatray.instance.EventLoop;
 import org.verbenatray.platform.ScriptedServer.Script;
 import org.verbenatray.servers.BufferedResponse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.time.Deadline;
-import org.verbenatray.time.Ticker;
 
 /** Where the answers end that are collected whole: those to status checks, orders, polls and the store. */
-public final class AnswerEndTest {
+public final class AnswerEndTest extends EventLoopTest {
     private static final int MAX_BODY_BYTES = 64 * 1024;
 
-    private static final int TIMEOUT_SECONDS = 20;
-
-    private EventLoop loop;
-
-    @BeforeClass
-    public void startLoop() {
-        loop = EventLoop.start(Ticker.system());
-    }
-
-    @AfterClass
-    public void stopLoop() {
-        loop.close();
-    }
-
     @DataProvider
     public Object[] brokenAnswers() {
         return BrokenAnswer.values();
@@ -124,17 +105,8 @@
 
     private CompletableFuture<BufferedResponse> call(String method, ScriptedServer server) {
         URI address = URI.create("http://" + server.address());
-        Deadline deadline = Deadline.afterMillis(loop.ticker().nanos(), TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+        Deadline deadline = Deadline.afterMillis(loop().ticker().nanos(), TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
         HttpCall call = HttpCall.create(method, address, "/x", Map.of(), new byte[0]);
-        return loop.transport().call(call, loop.thread(), deadline, MAX_BODY_BYTES);
-    }
-
-    private static ServerFailure failureOf(CompletableFuture<BufferedResponse> call) throws Exception {
-        try {
-            BufferedResponse response = call.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-            throw new AssertionError("a response of status " + response.status() + ": " + response.text());
-        } catch (ExecutionException e) {
-            return (ServerFailure) e.getCause();
-        }
+        return loop().transport().call(call, loop().thread(), deadline, MAX_BODY_BYTES);
     }
 }
--- a/src/test/java/org/verbenatray/platform/BrokenPlatformAnswerTest.java
+++ b/src/test/java/org/verbenatray/platform/BrokenPlatformAnswerTest.java
@@ -9,35 +9,17 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.verbenatray.duties.DutyHolder;
 import org.verbenatray.duties.DutyOutcome;
 import org.verbenatray.duties.UsageReport;
-import org.verbenatray.instance.EventLoop;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.log.LogUnavailableException;
 import org.verbenatray.relay.RelayMetrics;
-import org.verbenatray.time.Ticker;
 
 /** Answers of the platform that break the grammar of HTTP: nothing is taken from them, and a call may have acted. */
-public final class BrokenPlatformAnswerTest {
-    private static final int TIMEOUT_SECONDS = 20;
-
-    private EventLoop loop;
-
-    @BeforeClass
-    public void startLoop() {
-        loop = EventLoop.start(Ticker.system());
-    }
-
-    @AfterClass
-    public void stopLoop() {
-        loop.close();
-    }
-
+public final class BrokenPlatformAnswerTest extends EventLoopTest {
     @DataProvider
     public Object[] answers() {
         return BrokenAnswer.values();
@@ -46,7 +28,7 @@
     @Test(dataProvider = "answers")
     public void theStoreCountsAsUnavailable(BrokenAnswer answer) throws Exception {
         try (ScriptedServer server = ScriptedServer.start(answer.script(true))) {
-            StoreClient store = StoreClient.create(loop, addressOf(server), RelayMetrics.create());
+            StoreClient store = StoreClient.create(loop(), addressOf(server), RelayMetrics.create());
             byte[] content = "record".getBytes(StandardCharsets.US_ASCII);
             assertUnavailable(store.keyedTopic("keyed.x").newestRecords(Optional.empty()));
             assertUnavailable(store.keyedTopic("keyed.x").changes(0, 0));
@@ -61,7 +43,7 @@
     @Test(dataProvider = "answers")
     public void theOutcomeOfADutyIsUnknown(BrokenAnswer answer) throws Exception {
         try (ScriptedServer server = ScriptedServer.start(answer.script(true))) {
-            PlatformApiClient api = PlatformApiClient.create(loop, addressOf(server), RelayMetrics.create());
+            PlatformApiClient api = PlatformApiClient.create(loop(), addressOf(server), RelayMetrics.create());
             DutyOutcome outcome = api.reportUsage(new DutyHolder("m1", 1), new UsageReport(1, new TreeMap<>()))
                     .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
             Assert.assertEquals(outcome, DutyOutcome.UNKNOWN);
--- a/src/test/java/org/verbenatray/platform/EndlessCallTest.java
+++ b/src/test/java/org/verbenatray/platform/EndlessCallTest.java
@@ -2,40 +2,23 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.verbenatray.instance.EventLoop;
 import org.verbenatray.platform.EndlessAnswer.EndlessScript;
 import org.verbenatray.servers.BufferedResponse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.time.Deadline;
-import org.verbenatray.time.Ticker;
 
 /** Answers without end to the calls whose whole response is collected: reports, orders, status checks, the store. */
-public final class EndlessCallTest {
+public final class EndlessCallTest extends EventLoopTest {
     /** The largest limit of a collected response: that of the store. */
     private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
 
     private static final long DEADLINE_MILLIS = 15_000;
 
-    private EventLoop loop;
-
-    @BeforeClass
-    public void startLoop() {
-        loop = EventLoop.start(Ticker.system());
-    }
-
-    @AfterClass
-    public void stopLoop() {
-        loop.close();
-    }
-
     @DataProvider
     public Object[] answers() {
         return EndlessAnswer.values();
@@ -94,17 +77,7 @@
 
     private CompletableFuture<BufferedResponse> call(ScriptedServer server) {
         HttpCall call = HttpCall.withoutBody("GET", "http://" + server.address(), "/x");
-        Deadline deadline = Deadline.afterMillis(loop.ticker().nanos(), DEADLINE_MILLIS);
-        return loop.transport().call(call, loop.thread(), deadline, MAX_BODY_BYTES);
-    }
-
-    private static ServerFailure failureOf(CompletableFuture<BufferedResponse> call) throws Exception {
-        try {
-            BufferedResponse response = call.get(20, TimeUnit.SECONDS);
-            throw new AssertionError("a response of status " + response.status() + ", "
-                    + response.text().length() + " chars");
-        } catch (ExecutionException e) {
-            return (ServerFailure) e.getCause();
-        }
+        Deadline deadline = Deadline.afterMillis(loop().ticker().nanos(), DEADLINE_MILLIS);
+        return loop().transport().call(call, loop().thread(), deadline, MAX_BODY_BYTES);
     }
 }
--- a/src/test/java/org/verbenatray/platform/EndlessEngineTest.java
+++ b/src/test/java/org/verbenatray/platform/EndlessEngineTest.java
@@ -3,32 +3,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.testng.Assert;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.verbenatray.instance.EventLoop;
 import org.verbenatray.platform.EndlessAnswer.EndlessScript;
 import org.verbenatray.servers.EngineChunk;
 import org.verbenatray.servers.HttpEngineClient;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.servers.StreamListener;
-import org.verbenatray.time.Ticker;
 
 /** Answers without end to the product's own client of engines. */
-public final class EndlessEngineTest {
-    private EventLoop loop;
-
-    @BeforeClass
-    public void startLoop() {
-        loop = EventLoop.start(Ticker.system());
-    }
-
-    @AfterClass
-    public void stopLoop() {
-        loop.close();
-    }
-
+public final class EndlessEngineTest extends EventLoopTest {
     /** Answers of status 200 whose lines never end or are no chunks, and refusals of short lines. */
     @DataProvider
     public Object[] answers() {
@@ -48,8 +32,8 @@
         EndlessScript script = answer.script();
         CompletableFuture<ServerFailure> failed = new CompletableFuture<>();
         try (ScriptedServer server = ScriptedServer.start(script)) {
-            HttpEngineClient.create(loop.transport())
-                    .resume("http://" + server.address(), "d1", 0, loop.thread(), listener(failed));
+            HttpEngineClient.create(loop().transport())
+                    .resume("http://" + server.address(), "d1", 0, loop().thread(), listener(failed));
             Assert.assertEquals(failed.get(20, TimeUnit.SECONDS).kind(), ServerFailure.Kind.BAD_RESPONSE);
             RelayFixture.waitUntil(() -> script.closedByPeer() == 1);
             Assert.assertEquals(script.started(), 1);
--- a/src/test/java/org/verbenatray/platform/PipelinedRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/PipelinedRequestTest.java
@@ -45,6 +45,21 @@
         }
     }
 
+    /** The HTTP library reads over the body of a refused request by itself. */
+    @Test
+    public void aRequestBehindALongOneThatWasRefusedUnreadIsRun() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start(PipelinedRequestTest::serve);
+                RelayFixture relay = RelayFixture.startReady(ServerListing.plain("s1", server));
+                Socket caller = relay.connect()) {
+            String tooLong = RelayFixture.postRequest("/unsafe/x", "id1", "", "b".repeat(150_000));
+            RelayFixture.send(caller, tooLong);
+            InputStream in = new BufferedInputStream(caller.getInputStream());
+            Assert.assertEquals(CallerReply.read(in).status(), 413);
+            RelayFixture.send(caller, NEXT_REQUEST);
+            assertNextAnswered(server, RelayFixture.readResponse(in));
+        }
+    }
+
     @Test
     public void aCallerThatLeavesAfterAPipelinedRequestIsNoticed() throws Exception {
         try (ScriptedServer server = ScriptedServer.start((request, connection, out) -> {});
