Log when a request was sent, what was cancelled, and how late the event loop runs

The log told when a request came and ended, so that a request that was sent after its caller had left looked like one whose close was noticed late. Now the line `answer` has `sent_ms`, and `tried` names cancelled attempts, with or without a byte sent; `event_loop_late` and a histogram tell how late a regular task ran, which needs no wake-up of its own.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -55,9 +55,6 @@
     /** The time between two maintenance runs in milliseconds. */
     private static final long MAINTENANCE_INTERVAL_MILLIS = 200;
 
-    /** The time between two checks of the engines' stages in milliseconds. */
-    private static final long STAGE_CHECK_INTERVAL_MILLIS = 500;
-
     /** The longest time for which an instance waits for the known crashes before it is ready, in milliseconds. */
     private static final long MAX_CRASHES_WAIT_MILLIS = 3_000;
 
@@ -403,13 +400,11 @@
         duties.start(platform);
         StageController stageController =
                 StageController.create(context, settings.name(), lease, this::generationSlowness);
-        loop.runRepeatedly("maintenance", this::runMaintenance);
+        loop.runRepeatedly(
+                "maintenance", LoopLateness.measure(this::runMaintenance, loop.ticker(), metrics::recordLoopLateness));
         loop.runRepeatedly("polls", loadPoller::pollNext);
         loop.runRepeatedly("placed work", placement::tellWork);
-        loop.runRepeatedly("stages", () -> {
-            stageController.planStages();
-            return STAGE_CHECK_INTERVAL_MILLIS;
-        });
+        loop.runRepeatedly("stages", stageController::planStages);
     }
 
     /** Removes expired entries and checks whether this instance is cut off; returns the time to the next run. */
--- a/src/main/java/org/verbenatray/relay/CallRecord.java
+++ b/src/main/java/org/verbenatray/relay/CallRecord.java
@@ -7,6 +7,10 @@
 
 /** Collects what the log line and the metrics of one call state. Used on one thread. */
 final class CallRecord {
+    private static final String CANCELLED = "CANCELLED";
+
+    private static final String CANCELLED_UNSENT = "CANCELLED_UNSENT";
+
     private static final Logger log = System.getLogger(CallRecord.class.getName());
 
     private final RelayContext context;
@@ -15,6 +19,9 @@
     /** Attempts and further fields, for the log line of the final response. */
     private final StringBuilder fields = new StringBuilder();
 
+    /** When the request was last sent, in nanoseconds of the ticker; zero before that. */
+    private long lastSentNanos;
+
     /** When the first byte of the response was relayed, in nanoseconds of the ticker; zero before that. */
     private long firstByteNanos;
 
@@ -30,17 +37,30 @@
 
     /** Adds the outcome of an attempt at a server. */
     void addAttempt(String service, BackendEntry server, ForwardOutcome outcome) {
-        fields.append(' ').append(server.id());
-        if (!server.softwareVersion().isEmpty()) {
-            fields.append('/').append(server.softwareVersion());
-        }
-        fields.append('=').append(outcome.kind());
+        add(nameOf(server), outcome.kind());
         if (outcome.status() > 0) {
             fields.append(':').append(outcome.status());
         }
         context.metrics().recordForward(service, outcome.kind().name());
     }
 
+    /** Adds an attempt that was cancelled: whether its receiver may have the request. */
+    void addCancelled(String service, RunningAttempt attempt) {
+        String kind = attempt.sendingStarted() ? CANCELLED : CANCELLED_UNSENT;
+        add(attempt.receiver(), kind);
+        context.metrics().recordForward(service, kind);
+    }
+
+    /** Records that the request is sent now. */
+    void addSending() {
+        lastSentNanos = context.ticker().nanos();
+    }
+
+    /** Returns a server as the log names it. */
+    static String nameOf(BackendEntry server) {
+        return server.softwareVersion().isEmpty() ? server.id() : server.id() + "/" + server.softwareVersion();
+    }
+
     /** Adds the time to the first byte of the response. */
     void addFirstByte() {
         firstByteNanos = context.ticker().nanos();
@@ -61,6 +81,9 @@
                 .with("status", status)
                 .with("end", end.label())
                 .with("ms", sinceReceiptNanos(now) / 1_000_000);
+        if (lastSentNanos > 0) {
+            event.with("sent_ms", sinceReceiptNanos(lastSentNanos) / 1_000_000);
+        }
         if (firstByteNanos > 0) {
             event.with("first_ms", sinceReceiptNanos(firstByteNanos) / 1_000_000);
         }
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -128,9 +128,15 @@
         return options.prefillOnly();
     }
 
+    @Override
+    public String receiver() {
+        return CallRecord.nameOf(options.backend().entry());
+    }
+
     @Override
     public void cancel() {
         if (!closed) {
+            call.recordCancelled(this);
             close();
             cancellation.cancel();
             evidence.recordAbandoned();
@@ -147,6 +153,7 @@
     @Override
     public void onSending() {
         sendingStarted = true;
+        call.recordSending();
         evidence.recordSending();
     }
 
--- a/src/main/java/org/verbenatray/relay/PeerRelay.java
+++ b/src/main/java/org/verbenatray/relay/PeerRelay.java
@@ -115,9 +115,15 @@
         return false;
     }
 
+    @Override
+    public String receiver() {
+        return tried.get(tried.size() - 1).getHost();
+    }
+
     @Override
     public void cancel() {
         if (!closed) {
+            call.recordCancelled(this);
             close();
             cancellation.cancel();
         }
@@ -126,6 +132,7 @@
     @Override
     public void onSending() {
         sendingStarted = true;
+        call.recordSending();
     }
 
     @Override
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -295,6 +295,16 @@
         }
     }
 
+    /** Records that bytes of the request are about to be written to a server or to another instance. */
+    void recordSending() {
+        record.addSending();
+    }
+
+    /** Records an attempt that is cancelled without an outcome. */
+    void recordCancelled(RunningAttempt attempt) {
+        record.addCancelled(service, attempt);
+    }
+
     /** Adds a field to the log line of the final response. */
     void addLogField(String key, Object value) {
         record.add(key, value);
--- a/src/main/java/org/verbenatray/relay/RelayMetrics.java
+++ b/src/main/java/org/verbenatray/relay/RelayMetrics.java
@@ -44,6 +44,13 @@
             .classicUpperBounds(BUCKET_BOUNDS_SECONDS)
             .register(registry);
 
+    private final Histogram loopLateness = Histogram.builder()
+            .name("verbenatray_event_loop_late_seconds")
+            .help("How late a regular task of the event loop ran; closes of callers and responses wait as long.")
+            .classicOnly()
+            .classicUpperBounds(BUCKET_BOUNDS_SECONDS)
+            .register(registry);
+
     private final Counter requestsRead = Counter.builder()
             .name("verbenatray_relay_requests_read_total")
             .help("Requests of callers that were read whole.")
@@ -105,6 +112,11 @@
         firstByte.labelValues(kind).observe(seconds);
     }
 
+    /** Records how late a regular task of the event loop ran, in seconds. */
+    public void recordLoopLateness(double seconds) {
+        loopLateness.observe(seconds);
+    }
+
     /** Counts a request that was read whole. */
     void recordRequestRead() {
         requestsRead.inc();
--- a/src/main/java/org/verbenatray/relay/StageController.java
+++ b/src/main/java/org/verbenatray/relay/StageController.java
@@ -24,6 +24,9 @@
  * that an engine rejects those of a former holder.
  */
 public final class StageController {
+    /** The time between two checks of the stages in milliseconds. */
+    private static final long CHECK_INTERVAL_MILLIS = 500;
+
     private static final long RESPONSE_TIMEOUT_MILLIS = 1_000;
 
     /** Time after an order in which the same engine gets no other, since the order may be executed late. */
@@ -69,13 +72,16 @@
 
     /**
      * Plans the stages of every service with engines and sends the orders that are due; does nothing without the lease
-     * or while the process stops.
+     * or while the process stops. Returns the time to the next run in milliseconds.
      */
-    public void planStages() {
-        OptionalLong fencingToken = lease.activeFencingToken();
-        if (fencingToken.isEmpty() || context.stop().isStopping()) {
-            return;
+    public long planStages() {
+        if (lease.activeFencingToken().isPresent() && !context.stop().isStopping()) {
+            planServices();
         }
+        return CHECK_INTERVAL_MILLIS;
+    }
+
+    private void planServices() {
         context.catalog().get().map(Catalog::services).stream()
                 .flatMap(Collection::stream)
                 .filter(service -> service.engineLimits().isPresent())
