--- a/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
@@ -9,6 +9,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.verbenatray.platform.ScriptedServer.Request;
+import org.verbenatray.relay.RequestEnd;
 
 /** Requests that an instance which reaches no server sends through one that does. */
 public final class ForwardedRequestTest {
@@ -84,6 +85,31 @@
         RelayFixture.waitUntil(() -> closedByPeers() > closedBefore, CLOSE_TIMEOUT_SECONDS);
     }
 
+    @Test
+    public void aRequestIsNotForwardedOnceItsCallerHasLeft() throws Exception {
+        keepAnswering();
+        RelayFixture.exchange(fleet.instance(0), PartitionableFleet.request("/resume/x", "before"));
+        keepAnswering();
+        HeldLoop.hold(this::sendAndClose, fleet.loop(0));
+        awaitLeft();
+        Assert.assertEquals(fleet.arrivals("left").size(), 0);
+    }
+
+    @Test
+    public void aForwardedRequestIsNotSentOnceItsCallerHasLeft() throws Exception {
+        keepAnswering();
+        HeldLoop.hold(
+                () -> {
+                    sendAndClose();
+                    awaitLeft();
+                },
+                fleet.loop(1),
+                fleet.loop(2));
+        RelayFixture.waitUntil(() -> openRequests(1) + openRequests(2) == 0);
+        keepAnswering();
+        Assert.assertEquals(fleet.arrivals("left").size(), 0);
+    }
+
     @Test
     public void aRequestWhoseOtherInstanceEndsMidwayIsNotSentAgainAndLooksIncomplete() throws Exception {
         keepAnswering();
@@ -156,6 +182,24 @@
         TimeUnit.MILLISECONDS.sleep(20);
     }
 
+    /** Sends a request to the partitioned instance and closes its connection. */
+    private void sendAndClose() throws Exception {
+        try (Socket caller = RelayFixture.connect(fleet.instance(0))) {
+            RelayFixture.send(caller, PartitionableFleet.request("/resume/x", "left"));
+        }
+    }
+
+    /** Waits until the partitioned instance has noticed that a caller has left. */
+    private void awaitLeft() throws Exception {
+        RelayFixture.waitUntil(
+                () -> fleet.instance(0).readState().join().requestEnds().containsKey(RequestEnd.CALLER_LEFT));
+        fleet.call(0, fleet.request("/resume/x"));
+    }
+
+    private int openRequests(int instance) {
+        return fleet.instance(instance).readState().join().openRequests();
+    }
+
     private int closedByPeers() {
         return fleet.engines().stream()
                 .mapToInt(ScriptedServer::closedByPeerCount)
--- a/src/test/java/org/verbenatray/platform/PartitionableFleet.java
+++ b/src/test/java/org/verbenatray/platform/PartitionableFleet.java
@@ -36,6 +36,7 @@
     private final FakeStore store;
     private final List<ScriptedServer> engines = new ArrayList<>();
     private final List<RelayInstance> instances = new ArrayList<>();
+    private final List<EventLoop> loops = new ArrayList<>();
     private final ExecutorService callers = Executors.newCachedThreadPool();
 
     /** Accepts connections and never answers, as a peer behind a partition. */
@@ -90,6 +91,11 @@
         return instances.get(number);
     }
 
+    /** Returns the event loop of an instance. */
+    EventLoop loop(int number) {
+        return loops.get(number);
+    }
+
     /** Returns the engines. */
     List<ScriptedServer> engines() {
         return engines;
@@ -182,11 +188,9 @@
     private RelayInstance startInstance(int number) {
         String settings =
                 RelayFixture.settingsText(store.address(number)).replace("nodeName=m1", "nodeName=m" + number);
-        return RelayLauncher.launch(
-                SettingsFile.parse(settings).toPlatformSettings(),
-                0,
-                EventLoop.start(Ticker.system()),
-                partitionable(number));
+        EventLoop loop = EventLoop.start(Ticker.system());
+        loops.add(loop);
+        return RelayLauncher.launch(SettingsFile.parse(settings).toPlatformSettings(), 0, loop, partitionable(number));
     }
 
     /** Returns a translation whose calls to servers get no answer while the instance is partitioned. */
--- a/src/test/java/org/verbenatray/platform/PipelinedRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/PipelinedRequestTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import org.testng.Assert;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Script;
@@ -14,6 +15,9 @@
 
 /** Requests that arrive on a connection before the response of the previous one is complete. */
 public final class PipelinedRequestTest {
+    /** The time in which a server must see its connection closed. */
+    private static final int CLOSE_TIMEOUT_SECONDS = 5;
+
     private static final String STREAM_REQUEST =
             RelayFixture.postRequest("/stream/x", "id1", "Token-Count: 10,5\r\n", "hello");
 
@@ -76,6 +80,57 @@
         }
     }
 
+    /** Sizes of the body behind the open request: one that is accepted, and one that is larger than that. */
+    @DataProvider
+    Object[][] bodySizes() {
+        return new Object[][] {{90_000}, {200_000}, {2_000_000}};
+    }
+
+    @Test(dataProvider = "bodySizes")
+    public void aCallerThatLeavesAfterALargePipelinedRequestIsNoticed(int bodySize) throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((request, connection, out) -> {});
+                RelayFixture relay = RelayFixture.startReady(ServerListing.plain("s1", server))) {
+            Socket caller = relay.connect();
+            RelayFixture.send(caller, RelayFixture.getRequest("/safe/x", "id1"));
+            relay.await(() -> server.requests().size() == 1);
+            RelayFixture.send(caller, RelayFixture.postRequest("/unsafe/x", "id2", "", "b".repeat(bodySize)));
+            relay.passIoRounds();
+            caller.close();
+            relay.await(() -> server.closedByPeerCount() == 1, CLOSE_TIMEOUT_SECONDS);
+            relay.passIoRounds();
+            Assert.assertEquals(server.requests().size(), 1);
+        }
+    }
+
+    @Test
+    public void aLargeRequestThatArrivesDuringAResponseIsRunUnchanged() throws Exception {
+        CountDownLatch answerAllowed = new CountDownLatch(1);
+        Script script = (request, connection, out) -> {
+            if (request.header("request-id").equals("id1")) {
+                Latches.await(answerAllowed);
+            }
+            serve(request, connection, out);
+        };
+        String body = "0123456789".repeat(9_900);
+        try (ScriptedServer server = ScriptedServer.start(script);
+                RelayFixture relay = RelayFixture.startReady(ServerListing.plain("s1", server));
+                Socket caller = relay.connect()) {
+            RelayFixture.send(caller, RelayFixture.postRequest("/unsafe/x", "id1", "", "b"));
+            relay.await(() -> caseCount(server, "id1") == 1);
+            RelayFixture.send(
+                    caller,
+                    RelayFixture.postRequest("/unsafe/x", "id2", "", body) + NEXT_REQUEST.replace("id2", "id3"));
+            relay.passIoRounds();
+            answerAllowed.countDown();
+            InputStream in = new BufferedInputStream(caller.getInputStream());
+            for (int number = 1; number <= 3; number++) {
+                String text = RelayFixture.readResponse(in);
+                Assert.assertTrue(text.startsWith("HTTP/1.1 200") && text.endsWith("whole"), number + " " + text);
+            }
+            Assert.assertEquals(server.requests().get(1).body(), body);
+        }
+    }
+
     /** Sends the next request in two pieces: one with the first request, one while that is being answered. */
     private static void assertBothAnswered(String firstRequest, int firstBytes) throws Exception {
         CountDownLatch answerAllowed = new CountDownLatch(1);
