A close behind a large pipelined request is noticed

What callers and servers saw: a caller that had sent a request of more than 64 KB behind an open one and then left was worked for to the end; its open request was even sent to a second server.

Cause: the close of a connection lies behind all bytes that were sent before it, and the reading ahead ended for good at 64 KB.

Fix: pipelined bytes are kept up to the largest request that is accepted, as memory allows; what is more is read and discarded, and the connection is closed after the response, which HTTP permits. A caller that sends 16 MB of it is disconnected. The watch has a class of its own; its buffer grows by doubling instead of being copied for each kilobyte.

--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -1,12 +1,9 @@
 package org.verbenatray.relay;
 
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import io.undertow.util.ImmediatePooledByteBuffer;
 import io.undertow.util.Protocols;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -28,12 +25,6 @@
      */
     private static final int MAX_BACKLOG_BYTES = 1024 * 1024;
 
-    /**
-     * Limit of the bytes of pipelined requests that are read during a response; beyond it the connection is not watched
-     * any more.
-     */
-    private static final int MAX_PIPELINED_BYTES = 64 * 1024;
-
     /**
      * The most bytes that are written together with the head. The HTTP library refers to them as long as the connection
      * is open.
@@ -48,6 +39,9 @@
     /** Runs the listeners of the connection. */
     private final RequestGuard guard;
 
+    /** Watches the connection while the response is due. */
+    private final CallerWatch watch;
+
     private final Backlog backlog = new Backlog();
 
     /** The bytes of the response that the caller has not read, as a share of the account. */
@@ -82,6 +76,7 @@
     private CallerResponse(HttpServerExchange exchange, MemoryAccount memory, RequestGuard guard) {
         this.exchange = exchange;
         this.guard = guard;
+        this.watch = CallerWatch.of(exchange, memory, guard, this::onWatchEnded);
         this.unread = memory.open(
                 MemoryUse.UNREAD,
                 () -> exchange.getIoThread().execute(guard.wrap(() -> disconnect(DisconnectCause.BACKLOG_FULL))));
@@ -119,13 +114,7 @@
      */
     void onDisconnect(Consumer<DisconnectCause> listener) {
         disconnectListener = listener;
-        if (exchange.getConnection() instanceof HttpServerConnection connection) {
-            connection
-                    .getChannel()
-                    .getSourceChannel()
-                    .setReadListener(readable -> guard.run(() -> checkConnection(connection)));
-            connection.getOriginalSourceConduit().resumeReads();
-        }
+        watch.start();
     }
 
     /** Sends a complete response; does nothing if a response was started or the caller has disconnected. */
@@ -138,7 +127,7 @@
             return;
         }
         closed = true;
-        stopConnectionChecks();
+        watch.stop();
         exchange.getResponseSender().send(ByteBuffer.wrap(body));
     }
 
@@ -196,6 +185,7 @@
     /** Closes the caller's connection, so that the response cannot be mistaken for a complete one. */
     void abort() {
         closed = true;
+        watch.stop();
         IoUtils.safeClose(exchange.getConnection());
     }
 
@@ -229,7 +219,7 @@
             }
             if (ending) {
                 closed = true;
-                stopConnectionChecks();
+                watch.stop();
                 channel.shutdownWrites();
             }
             if (!channel.flush()) {
@@ -268,69 +258,17 @@
         }
     }
 
-    /**
-     * Checks whether the caller has closed its connection. Bytes of a pipelined next request are put back for the
-     * server.
-     */
-    private void checkConnection(HttpServerConnection connection) {
-        if (closed) {
-            connection.getOriginalSourceConduit().suspendReads();
-            return;
-        }
-        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-        int count;
-        DisconnectCause cause = DisconnectCause.CALLER_CLOSED;
-        try {
-            count = connection.getOriginalSourceConduit().read(pooled.getBuffer());
-        } catch (IOException e) {
-            count = -1;
-            cause = DisconnectCause.CONNECTION_BROKEN;
-        }
-        if (count > 0) {
-            pooled.getBuffer().flip();
-            if (keepForServer(connection, pooled) > MAX_PIPELINED_BYTES) {
-                connection.getOriginalSourceConduit().suspendReads();
-            }
-            return;
-        }
-        pooled.close();
-        if (count < 0 && cause == DisconnectCause.CALLER_CLOSED) {
-            endInput(connection);
-        } else if (count < 0) {
+    private void onWatchEnded(DisconnectCause cause) {
+        if (cause == DisconnectCause.CALLER_CLOSED) {
+            endInput();
+        } else {
             disconnect(cause);
         }
     }
 
-    /**
-     * Keeps bytes of pipelined requests for the server, behind those that it has read with this request. Returns the
-     * number of bytes kept.
-     */
-    private static int keepForServer(HttpServerConnection connection, PooledByteBuffer later) {
-        PooledByteBuffer earlier = connection.getExtraBytes();
-        if (earlier == null) {
-            connection.setExtraBytes(later);
-            return later.getBuffer().remaining();
-        }
-        ByteBuffer joined = ByteBuffer.allocate(
-                earlier.getBuffer().remaining() + later.getBuffer().remaining());
-        joined.put(earlier.getBuffer()).put(later.getBuffer()).flip();
-        earlier.close();
-        later.close();
-        connection.setExtraBytes(new ImmediatePooledByteBuffer(joined));
-        return joined.remaining();
-    }
-
-    /** Stops watching the connection, so that the server reads the caller's next request. */
-    private void stopConnectionChecks() {
-        if (exchange.getConnection() instanceof HttpServerConnection connection) {
-            connection.getOriginalSourceConduit().suspendReads();
-        }
-    }
-
     /** Notifies the listener that the caller sends nothing more. */
-    private void endInput(HttpServerConnection connection) {
+    private void endInput() {
         inputEnded = true;
-        connection.getOriginalSourceConduit().suspendReads();
         exchange.setPersistent(false);
         disconnectListener.accept(DisconnectCause.CALLER_CLOSED);
     }
@@ -339,6 +277,7 @@
     private void disconnect(DisconnectCause cause) {
         if (!closed) {
             closed = true;
+            watch.stop();
             IoUtils.safeClose(exchange.getConnection());
             disconnectListener.accept(cause);
         }
@@ -350,6 +289,8 @@
         CALLER_CLOSED,
         /** The connection broke. */
         CONNECTION_BROKEN,
+        /** The caller sent more behind its request than is read while the request is open. */
+        PIPELINED_TOO_MUCH,
         /** The caller read its response so slowly that the limit of buffered bytes was reached. */
         BACKLOG_FULL
     }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -436,6 +436,7 @@
      */
     void callerDisconnected(DisconnectCause cause) {
         switch (cause) {
+            case PIPELINED_TOO_MUCH -> finish(RequestEnd.CUT_BY_INSTANCE, "pipelined_too_much", 0);
             case BACKLOG_FULL -> finish(RequestEnd.CUT_BY_INSTANCE, "backlog_full", 0);
             case CONNECTION_BROKEN -> finish(RequestEnd.CALLER_LEFT, CALLER_LEFT, 0);
             case CALLER_CLOSED -> refuseLeft();
