A request is not sent once its caller has left

Cause: an instance looked at its callers' connections only when the event loop came to them. One that runs late (just started, or in a burst) finds a request with its close behind it, or goes on with tasks and timers (the first sending, a retry, the way through another instance) while the close lies unread in its socket.

Fix: right before bytes of a request are written to a server or to another instance, the caller's connection is read; if the caller has left, the request is not sent, and the connection to the server stays in its pool. All sendings pass there: first ones, retries, prefills, the generation behind them, the hop through another instance.

--- a/src/main/java/org/verbenatray/relay/CallerResponse.java
+++ b/src/main/java/org/verbenatray/relay/CallerResponse.java
@@ -117,6 +117,14 @@
         watch.start();
     }
 
+    /**
+     * Looks now whether the caller has closed its connection, and notifies the listener if it has: its close may have
+     * arrived while the event loop did other work.
+     */
+    void checkCaller() {
+        watch.check();
+    }
+
     /** Sends a complete response; does nothing if a response was started or the caller has disconnected. */
     void send(int status, Map<String, String> headers, byte[] body) {
         if (!writeHead(status, headers)) {
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -152,6 +152,10 @@
 
     @Override
     public void onSending() {
+        call.response().checkCaller();
+        if (closed) {
+            return;
+        }
         sendingStarted = true;
         call.recordSending();
         evidence.recordSending();
--- a/src/main/java/org/verbenatray/relay/PeerRelay.java
+++ b/src/main/java/org/verbenatray/relay/PeerRelay.java
@@ -131,6 +131,10 @@
 
     @Override
     public void onSending() {
+        call.response().checkCaller();
+        if (closed) {
+            return;
+        }
         sendingStarted = true;
         call.recordSending();
     }
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -67,15 +67,15 @@
             transport.release(thread, call.pool(), openConnection);
             return;
         }
-        connection = openConnection;
-        reused = usedBefore;
-        unsentBody.clear();
-        requestFlushed = false;
         listener.onSending();
         if (finished) {
             transport.release(thread, call.pool(), openConnection);
             return;
         }
+        connection = openConnection;
+        reused = usedBefore;
+        unsentBody.clear();
+        requestFlushed = false;
         call.requestId().ifPresent(openConnection::recordCarried);
         openConnection.source().expectResponse(call.method());
         openConnection.client().sendRequest(request(), callback(this::onRequestStarted));
