Silence is concluded only after what has arrived was read

Cause, of the same class: the I/O thread runs all due timers before it looks at its connections again. A process that runs late finds the time limits of its peers passed before it has read what they sent in time, and takes its own lateness for theirs.

Fix: a timer whose task concludes something from silence runs that task after another round of I/O (a byte through a pipe that the thread reads among its connections), unless it is removed in that round. Silent servers, deadlines of requests and calls, connects and the scheduler of a failure domain go by it.

--- a/src/main/java/org/verbenatray/instance/EventLoop.java
+++ b/src/main/java/org/verbenatray/instance/EventLoop.java
@@ -99,6 +99,12 @@
         };
     }
 
+    /** Returns a scheduler as {@link #scheduler()} for tasks that conclude something from silence. */
+    public Scheduler silenceScheduler() {
+        return (when, task) ->
+                transport.silenceTimers().schedule(thread(), task, when.remainingMillis(ticker.nanos()) + 1);
+    }
+
     /**
      * Runs a task on the I/O thread again and again: each time after the delay in milliseconds that it returned, or
      * after a second if it has failed with an exception, which is logged.
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -287,7 +287,7 @@
                         view,
                         (engine, prompt, processed) -> {}),
                 loop.ticker(),
-                loop.scheduler());
+                loop.silenceScheduler());
         sharing.register(new WorkSharing.DatagramReceiver(SharedPlacement::recognizes, created::receive));
         return created;
     }
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.servers.Cancellation;
@@ -336,7 +335,9 @@
     /** Schedules a check shortly after the progress deadline. */
     private void scheduleProgressCheck() {
         long wait = progressDeadline.remainingMillis(context.ticker().nanos()) + 1;
-        timer = context.thread().executeAfter(call.guard().wrap(this::checkProgress), wait, TimeUnit.MILLISECONDS);
+        timer = context.transport()
+                .silenceTimers()
+                .schedule(context.thread(), call.guard().wrap(this::checkProgress), wait);
     }
 
     /** Returns whether the server reports queued requests: its silence is then no sign of a failure. */
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -76,11 +76,7 @@
     static void start(RelayContext context, RelayCall call) {
         GenerationRelay relay = new GenerationRelay(context, call);
         call.response().onDisconnect(relay::callerDisconnected);
-        relay.deadlineTimer = context.thread()
-                .executeAfter(
-                        call.guard().wrap(relay::handleDeadline),
-                        call.times().remainingMillis() + 1,
-                        TimeUnit.MILLISECONDS);
+        relay.deadlineTimer = call.scheduleAtDeadline(relay::handleDeadline);
         if (call.request().continuesStream()) {
             relay.findRequiredVersion();
         } else {
--- a/src/main/java/org/verbenatray/relay/PeerRelay.java
+++ b/src/main/java/org/verbenatray/relay/PeerRelay.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
 import org.verbenatray.servers.Cancellation;
 import org.verbenatray.servers.HttpCall;
@@ -77,11 +76,7 @@
             return;
         }
         call.response().onDisconnect(relay::callerDisconnected);
-        relay.deadlineTimer = context.thread()
-                .executeAfter(
-                        call.guard().wrap(relay::handleDeadline),
-                        call.times().remainingMillis() + 1,
-                        TimeUnit.MILLISECONDS);
+        relay.deadlineTimer = call.scheduleAtDeadline(relay::handleDeadline);
         relay.send(instance.get());
     }
 
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.PrefillWork;
@@ -43,11 +42,7 @@
     static void start(RelayContext context, RelayCall call) {
         PlainRelay relay = new PlainRelay(context, call);
         call.response().onDisconnect(relay::callerDisconnected);
-        relay.deadlineTimer = context.thread()
-                .executeAfter(
-                        call.guard().wrap(relay::handleDeadline),
-                        call.times().remainingMillis() + 1,
-                        TimeUnit.MILLISECONDS);
+        relay.deadlineTimer = call.scheduleAtDeadline(relay::handleDeadline);
         relay.send();
     }
 
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -11,6 +11,7 @@
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
 import org.verbenatray.scheduling.EnginePriority;
 import org.verbenatray.time.Deadline;
+import org.xnio.XnioIoThread;
 
 /**
  * One request from receipt to final response: its deadline, its attempts, its retry rules and its log line. Used on one
@@ -262,6 +263,13 @@
         return true;
     }
 
+    /** Runs a step once the deadline has passed and what had arrived by then is read. */
+    XnioIoThread.Key scheduleAtDeadline(Runnable step) {
+        return context.transport()
+                .silenceTimers()
+                .schedule(context.thread(), guard.wrap(step), times.remainingMillis() + 1);
+    }
+
     /** Returns the timeouts of an attempt: the silence of a server matters only if the request can be moved. */
     ResponseTimeouts responseTimeouts() {
         if (!route.repeatable()) {
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -61,6 +61,8 @@
 
     private final MemoryAccount memory;
 
+    private final SilenceTimers silenceTimers;
+
     /** The time beyond a round trip for which the reset of a new connection is awaited, in milliseconds. */
     private final long admissionMillis;
 
@@ -77,6 +79,7 @@
         this.admissionMillis = admissionMillis;
         this.buffers = buffers;
         this.ticker = ticker;
+        this.silenceTimers = SilenceTimers.create();
     }
 
     /** Returns a transport on the I/O threads of a worker, without a bound on the sum of its responses. */
@@ -103,6 +106,11 @@
         return ticker;
     }
 
+    /** Returns the timers of what is concluded from silence. */
+    public SilenceTimers silenceTimers() {
+        return silenceTimers;
+    }
+
     /** Returns the account of the bytes that are kept. */
     public MemoryAccount memory() {
         return memory;
@@ -119,12 +127,12 @@
         ResponseCollector collector = new ResponseCollector(maxBodyBytes, memory, thread);
         Cancellation cancellation = exchange(call, thread, collector);
         collector.setCancellation(cancellation);
-        XnioIoThread.Key timer = thread.executeAfter(
+        XnioIoThread.Key timer = silenceTimers.schedule(
+                thread,
                 () -> collector.onFailure(ServerFailure.create(
                         ServerFailure.Kind.TIMED_OUT,
                         "no complete response from " + call.address() + " by the deadline")),
-                Math.max(1, deadline.remainingMillis(ticker.nanos())),
-                TimeUnit.MILLISECONDS);
+                Math.max(1, deadline.remainingMillis(ticker.nanos())));
         collector.future().whenComplete((response, failure) -> timer.remove());
         return collector.future();
     }
@@ -274,12 +282,12 @@
      */
     private void open(
             URI address, XnioIoThread thread, Consumer<ServerConnection> onOpen, Consumer<ServerFailure> onFailure) {
-        XnioIoThread.Key timer = thread.executeAfter(
+        XnioIoThread.Key timer = silenceTimers.schedule(
+                thread,
                 () -> onFailure.accept(ServerFailure.create(
                         ServerFailure.Kind.NOT_CONNECTED,
                         "no connection to " + address + " within " + CONNECT_TIMEOUT_MILLIS + " ms")),
-                CONNECT_TIMEOUT_MILLIS,
-                TimeUnit.MILLISECONDS);
+                CONNECT_TIMEOUT_MILLIS);
         if (address.getPort() < 1 || address.getPort() > MAX_PORT) {
             timer.remove();
             onFailure.accept(
