Nothing is planned for a request whose caller left before it was read

Cause, as in: closes were looked at only before the sending, behind all work for the request.

Fix: the connection is looked at once the request is read and matched, before anything else is done for it. A caller that closes the sending half right behind its request is refused (503, not run) more often than before; that was and is one of the two answers it may get.

--- a/src/main/java/org/verbenatray/relay/RelayHandler.java
+++ b/src/main/java/org/verbenatray/relay/RelayHandler.java
@@ -211,6 +211,11 @@
         if (!matched.forwarded()) {
             context.retryBudgets().apply(call.service()).recordRequest();
         }
+        response.onDisconnect(call::callerDisconnected);
+        response.checkCaller();
+        if (call.finished()) {
+            return;
+        }
         if (!call.maySend()) {
             call.giveUpUnsendable();
         } else if (context.forwardingTargets().isPartitioned()) {
--- a/src/test/java/org/verbenatray/platform/RelayFixture.java
+++ b/src/test/java/org/verbenatray/platform/RelayFixture.java
@@ -71,6 +71,11 @@
         return startReady(loop, PlatformProtocol.create(), "4", servers);
     }
 
+    /** Starts an instance on an event loop and with a translation of its own, and waits until it is ready. */
+    static RelayFixture startReady(EventLoop loop, RelayDialect dialect, ServerListing... servers) throws Exception {
+        return startReady(loop, dialect, "4", servers);
+    }
+
     private static RelayFixture startReady(RelayDialect dialect, String retryRatio, ServerListing... servers)
             throws Exception {
         return startReady(EventLoop.start(Ticker.system()), dialect, retryRatio, servers);
