What a caller gets is written in one place; tests share a watched translation

RelayCall, the longest file of the relay, relayed responses and streams in two places each; CallAnswer does both now. No behaviour changes.

--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -1,6 +1,5 @@
 package org.verbenatray.relay;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -55,7 +54,7 @@
     private final String service;
     private final CallTimes times;
     private final CallerResponse response;
-    private final OwnResponseHeaders ownHeaders;
+    private final CallAnswer answer;
 
     /** Runs the tasks, timers and listeners of the call. */
     private final RequestGuard guard;
@@ -101,7 +100,7 @@
         this.record = new CallRecord(context, matched);
         this.attempts = CallAttempts.create(route, () -> context.retryBudgets().apply(service));
         this.response = response;
-        this.ownHeaders = OwnResponseHeaders.of(context);
+        this.answer = CallAnswer.of(request.id(), response, OwnResponseHeaders.of(context), record);
         this.guard = guard;
         this.suspects = CallSuspects.of(request, context);
         this.servers = CallServers.of(context, service);
@@ -330,8 +329,7 @@
 
     /** Relays a complete response of another instance, which is a server's response or a refusal of its own. */
     void relayForwarded(ServerResponseHead head, byte[] body) {
-        record.addFirstByte();
-        response.send(head.status(), ownHeaders.withConnection(head.headers()), body);
+        answer.relay(head, body);
         finish(head.authentic() ? RequestEnd.ANSWERED : RequestEnd.REFUSED, "forwarded", head.status());
     }
 
@@ -342,26 +340,18 @@
             giveUp("unproved_refusal", 0);
             return;
         }
-        record.addFirstByte();
-        response.send(head.status(), ownHeaders.withConnection(head.headers()), outcome.body());
+        answer.relay(head, outcome.body());
         finish(RequestEnd.ANSWERED, "answered", head.status());
     }
 
     /** Relays the next event of a stream to the caller. */
     void relayEvent(ServerResponseHead head, StreamEvent event) {
-        if (!response.started()) {
-            record.addFirstByte();
-            response.startStream(head.status(), ownHeaders.withConnection(head.headers()));
-        }
-        response.write(event.bytes());
+        answer.relayEvent(head, event);
     }
 
     /** Ends the stream to the caller as complete. */
     void endStream(ServerResponseHead head) {
-        if (!response.started()) {
-            response.startStream(head.status(), ownHeaders.withConnection(head.headers()));
-        }
-        response.endStream();
+        answer.endStream(head);
         finish(RequestEnd.ANSWERED, "answered", head.status());
     }
 
@@ -473,10 +463,7 @@
 
     /** Sends a response produced by this instance. */
     private void sendOwnResponse(int status, String outcome, Optional<Long> retryAfterMillis, RequestEnd end) {
-        response.send(
-                status,
-                ownHeaders.ownResponse(request.id(), retryAfterMillis),
-                (outcome + "\n").getBytes(StandardCharsets.US_ASCII));
+        answer.sendOwn(status, outcome, retryAfterMillis);
         finish(end, outcome, status);
     }
 
--- a/src/test/java/org/verbenatray/platform/FailingDialect.java
+++ b/src/test/java/org/verbenatray/platform/FailingDialect.java
@@ -1,7 +1,5 @@
 package org.verbenatray.platform;
 
-import java.lang.reflect.InvocationTargetException;
-import java.lang.reflect.Proxy;
 import java.util.function.BooleanSupplier;
 import org.verbenatray.relay.RelayDialect;
 
@@ -11,19 +9,10 @@
 
     /** Returns a translation whose method of the given name throws while the condition holds. */
     static RelayDialect failingIn(String method, BooleanSupplier condition) {
-        RelayDialect real = PlatformProtocol.create();
-        return (RelayDialect) Proxy.newProxyInstance(
-                RelayDialect.class.getClassLoader(),
-                new Class<?>[] {RelayDialect.class},
-                (proxy, called, arguments) -> {
-                    if (called.getName().equals(method) && condition.getAsBoolean()) {
-                        throw new IllegalStateException("injected failure of " + method);
-                    }
-                    try {
-                        return called.invoke(real, arguments);
-                    } catch (InvocationTargetException e) {
-                        throw e.getCause();
-                    }
-                });
+        return InterceptedDialect.before(method, () -> {
+            if (condition.getAsBoolean()) {
+                throw new IllegalStateException("injected failure of " + method);
+            }
+        });
     }
 }
--- a/src/test/java/org/verbenatray/platform/GoneCallerTest.java
+++ b/src/test/java/org/verbenatray/platform/GoneCallerTest.java
@@ -3,7 +3,6 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.lang.reflect.Proxy;
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -13,7 +12,6 @@
 import org.verbenatray.instance.EventLoop;
 import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Script;
-import org.verbenatray.relay.RelayDialect;
 import org.verbenatray.relay.RequestEnd;
 import org.verbenatray.time.Ticker;
 
@@ -96,27 +94,15 @@
         AtomicInteger translated = new AtomicInteger();
         try (ScriptedServer server = ScriptedServer.start(ANSWER);
                 RelayFixture relay = RelayFixture.startReady(
-                        loop, countingSendings(translated), ServerListing.engine("e1", "decode", server))) {
+                        loop,
+                        InterceptedDialect.before("forward", translated::incrementAndGet),
+                        ServerListing.engine("e1", "decode", server))) {
             HeldLoop.hold(() -> sendAndClose(relay.connect(), request("/resume/x", "left")), loop);
             assertNotSent(relay, server);
             Assert.assertEquals(translated.get(), 0);
         }
     }
 
-    /** Returns a translation that counts the requests of callers that it translates for a server. */
-    private static RelayDialect countingSendings(AtomicInteger count) {
-        RelayDialect real = PlatformProtocol.create();
-        return (RelayDialect) Proxy.newProxyInstance(
-                RelayDialect.class.getClassLoader(),
-                new Class<?>[] {RelayDialect.class},
-                (proxy, called, arguments) -> {
-                    if (called.getName().equals("forward")) {
-                        count.incrementAndGet();
-                    }
-                    return called.invoke(real, arguments);
-                });
-    }
-
     /** Starts an instance that has an idle connection to each server on which a request of the path is served. */
     private RelayFixture startWarm(String path, ScriptedServer... servers) throws Exception {
         loop = EventLoop.start(Ticker.system());
