A cancelled request is reset, so that what has not arrived is not delivered

Where a server, or the way to it, is slow to take them, the whole request arrives long after the cancel.

Fix: a cancel resets the connection. The bytes that wait in the sender's buffers are dropped, and the server learns of it without reading.

--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -81,11 +81,14 @@
         openConnection.client().sendRequest(request(), callback(this::onRequestStarted));
     }
 
-    /** Cancels the exchange without a call of the listener. */
+    /** Cancels the exchange without a call of the listener; its server gets no more of the request. */
     void cancel() {
-        if (!finished) {
-            finished = true;
-            closeConnection();
+        if (finished) {
+            return;
+        }
+        finished = true;
+        if (connection != null) {
+            connection.abort();
         }
     }
 
--- a/src/main/java/org/verbenatray/servers/ServerConnection.java
+++ b/src/main/java/org/verbenatray/servers/ServerConnection.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.StreamConnection;
 
 /**
@@ -53,6 +54,19 @@
         }
     }
 
+    /**
+     * Resets the connection, so that what has not arrived is not delivered: a close would reach the server only behind
+     * all bytes of the request.
+     */
+    void abort() {
+        try {
+            socket.setOption(Options.CLOSE_ABORT, true);
+        } catch (IOException e) {
+            // The connection is closed already.
+        }
+        close();
+    }
+
     /**
      * Closes the connection in both directions at once and ignores errors. The client itself would close only the
      * sending half and wait for the server, which continues a request until both halves are closed.
