A part of an answer that is reset behind its end is not whole

Cause: an answer without a length ends with its connection. An upload that fits into the buffers counts as written, so nothing told that the server had not read it, and a reset behind the end is hidden by the end.

Fix: the end of such an answer to a request with a body is held back for 5 ms; if the connection was reset by then, the answer is broken: 502, or the next server's answer where the request may be repeated.

Answers that end after the upload was read are whole as before.

--- a/src/main/java/org/verbenatray/servers/ConnectionOpener.java
+++ b/src/main/java/org/verbenatray/servers/ConnectionOpener.java
@@ -73,8 +73,7 @@
                 destination,
                 connection -> {
                     opened = connection;
-                    openedSource =
-                            new ResponseSource(connection.getSourceChannel().getConduit());
+                    openedSource = new ResponseSource(new ConfirmedEnd(connection));
                     connection.getSourceChannel().setConduit(openedSource);
                     listener.handleEvent(connection);
                     opened = null;
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -77,7 +77,7 @@
         unsentBody.clear();
         requestFlushed = false;
         call.requestId().ifPresent(openConnection::recordCarried);
-        openConnection.source().expectResponse(call.method());
+        openConnection.source().expectResponse(call.method(), call.body().length > 0);
         openConnection.client().sendRequest(request(), callback(this::onRequestStarted));
     }
 
--- a/src/main/java/org/verbenatray/servers/ResponseSource.java
+++ b/src/main/java/org/verbenatray/servers/ResponseSource.java
@@ -8,7 +8,6 @@
 import org.verbenatray.framing.ResponseFraming;
 import org.verbenatray.framing.ResponseTracker;
 import org.verbenatray.web.BufferedReads;
-import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * The incoming bytes of one connection before the HTTP client parses them. Only the bytes of well-formed responses are
@@ -34,6 +33,12 @@
 
     private static final ByteBuffer NO_BYTES = ByteBuffer.allocate(0);
 
+    /** Holds back the end of the connection. */
+    private final ConfirmedEnd end;
+
+    /** Whether the request has a body, which its server may leave unread. */
+    private boolean requestHasBody;
+
     /** Follows the response that is expected, or the last one; null before the first request. */
     private ResponseTracker response;
 
@@ -61,12 +66,14 @@
     /** Whether the rest of the incoming bytes is not wanted. */
     private boolean ended;
 
-    ResponseSource(StreamSourceConduit next) {
+    ResponseSource(ConfirmedEnd next) {
         super(next);
+        this.end = next;
     }
 
-    /** Expects the response to a request with the given method. */
-    void expectResponse(String method) {
+    /** Expects the response to a request with the given method and with or without a body. */
+    void expectResponse(String method, boolean hasRequestBody) {
+        requestHasBody = hasRequestBody;
         response = ResponseTracker.ofRequest(method);
         expecting = true;
         recordProgress();
@@ -224,6 +231,7 @@
             return 0;
         }
         closedByServer = true;
+        end.setNeeded(requestHasBody && expecting && endsWithConnection());
         int count = next.read(target);
         closedByServer = count < 0;
         if (closedByServer && response != null) {
--- a/src/test/java/org/verbenatray/platform/EarlyAnswerTest.java
+++ b/src/test/java/org/verbenatray/platform/EarlyAnswerTest.java
@@ -61,6 +61,23 @@
         }
     }
 
+    /** Uploads that fit into the buffers of both ends, so that they are written at once. */
+    @DataProvider
+    public Object[] buffered() {
+        return new Object[] {1, 10_000, 100_000};
+    }
+
+    @Test(dataProvider = "buffered")
+    public void aPartThatIsResetRightBehindItsEndIsNoAnswer(int uploadBytes) throws Exception {
+        try (EarlyServer server = EarlyServer.start(EarlyServer.End.END_AND_RESET);
+                RelayFixture relay = startReady(listing("s1", server.address()))) {
+            for (int number = 0; number < REPETITIONS; number++) {
+                CallerReply reply = upload(relay, "/unsafe/x", "id" + number, uploadBytes);
+                Assert.assertEquals(reply.status(), 502, reply.toString());
+            }
+        }
+    }
+
     /** By itself, the end of the connection completes an answer without a length. */
     @Test(dataProvider = "uploads")
     public void anAnswerThatEndsAfterTheUploadWasReadIsWhole(int uploadBytes) throws Exception {
