--- a/src/main/java/org/verbenatray/relay/CallerWatch.java
+++ b/src/main/java/org/verbenatray/relay/CallerWatch.java
@@ -16,9 +16,6 @@
  * Used on one thread.
  */
 final class CallerWatch {
-    /** The largest head of a request that the HTTP server reads. */
-    private static final int MAX_HEAD_BYTES = 64 * 1024;
-
     /** The bytes that are discarded; a caller that sends more than that is disconnected. */
     private static final long MAX_DISCARDED_BYTES = 16L * 1024 * 1024;
 
@@ -41,7 +38,7 @@
         this.exchange = exchange;
         this.guard = guard;
         this.onEnd = onEnd;
-        this.pipelined = PipelinedBytes.upTo(exchange.getMaxEntitySize() + MAX_HEAD_BYTES, memory);
+        this.pipelined = PipelinedBytes.upTo(exchange.getMaxEntitySize() + RelayServer.MAX_HEADER_BYTES, memory);
         ExchangeEnd.onEnd(exchange, pipelined::close);
     }
 
--- a/src/main/java/org/verbenatray/relay/RelayServer.java
+++ b/src/main/java/org/verbenatray/relay/RelayServer.java
@@ -21,7 +21,7 @@
  */
 public final class RelayServer implements AutoCloseable {
     /** Largest total size of the headers that is read; the catalog may allow less. */
-    private static final int MAX_HEADER_BYTES = 64 * 1024;
+    static final int MAX_HEADER_BYTES = 64 * 1024;
 
     /** Time within which the head of a request for readiness or metrics must arrive. */
     private static final int HEAD_TIMEOUT_MILLIS = 10_000;
