In doubt, few new connections are tried at a time

Cause: one server that cannot be connected to puts it in doubt whether this instance can open any connection.

Fix: at most three such connections are tried at a time, as many as prove that an instance is partitioned; the other polls use kept connections.

--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -35,6 +35,12 @@
 
     private static final int MAX_RESPONSE_BYTES = 256 * 1024;
 
+    /**
+     * The most new connections that are tried at a time in doubt, as many as prove a partition. Each costs its engine
+     * time in which it accepts no request.
+     */
+    private static final int MAX_TRIALS = 3;
+
     /** The failures of a poll that show that requests should not be sent to the engine. */
     private static final Set<ServerFailure.Kind> UNUSABLE =
             Set.of(ServerFailure.Kind.NOT_CONNECTED, ServerFailure.Kind.TIMED_OUT, ServerFailure.Kind.BAD_RESPONSE);
@@ -53,6 +59,9 @@
 
     private final PollSchedule schedule;
 
+    /** The new connections that are being tried. */
+    private int openTrials;
+
     /** Receives what engines report to this instance, for the others. */
     private final Consumer<EngineReport> onReport;
 
@@ -142,13 +151,14 @@
     }
 
     /**
-     * Requests the changes of the prefix cache since the last known position, on a new connection while it is doubtful
-     * whether any can be opened.
+     * Requests the changes of the prefix cache since the last known position; a few of these requests use new
+     * connections while it is doubtful whether any can be opened.
      */
     private void pollCacheChanges(Backend backend) {
         String boot = backend.entry().bootId();
         HttpCall call = dialect.cacheChanges(backend, prefixCacheIndex.nextChangeNumber(boot));
-        boolean opensConnection = reach.suspectsNewConnections();
+        boolean opensConnection = reach.suspectsNewConnections() && openTrials < MAX_TRIALS;
+        openTrials += opensConnection ? 1 : 0;
         send(
                 backend,
                 opensConnection ? call.onNewConnection() : call,
@@ -158,6 +168,7 @@
                 }),
                 failure -> {
                     if (opensConnection) {
+                        openTrials--;
                         recordNewConnection(backend, failure);
                     } else {
                         recordPoll(backend, failure);
