An engine that was just listed is polled by few instances at a time

Cause: an engine of which no report is known was due at once at every instance.

Fix: where many instances share the polls, each waits for its place in the order of the engine, 50 ms a place, and drops the poll if a report arrives meanwhile. Small groups poll as before.

--- a/src/main/java/org/verbenatray/relay/PollSchedule.java
+++ b/src/main/java/org/verbenatray/relay/PollSchedule.java
@@ -40,13 +40,13 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     /** The turns where few instances share the polls. */
-    private static final Turns SMALL_GROUP = new Turns(1_000, 1_500, 100, 0);
+    private static final Turns SMALL_GROUP = new Turns(1_000, 1_500, 100, 0, 0);
 
     /**
      * The turns where many instances share the polls. Each report is told to all of them, so each instance polls its
      * engines together and tells their reports in one notice.
      */
-    private static final Turns LARGE_GROUP = new Turns(1_600, 2_000, 50, 600);
+    private static final Turns LARGE_GROUP = new Turns(1_600, 2_000, 50, 600, 50);
 
     /** Returns the place of this instance in the order of an engine, by its boot id; zero is the first. */
     private final ToIntFunction<String> place;
@@ -57,6 +57,9 @@
     /** When the newest report of each engine was made, or its last poll by this instance, by boot id. */
     private final Map<String, Long> knownNanos = new HashMap<>();
 
+    /** When each engine was first due of which no report was known, by boot id. */
+    private final Map<String, Long> listedNanos = new HashMap<>();
+
     /** When this instance last polled each engine, by boot id. */
     private final Map<String, Long> polledNanos = new HashMap<>();
 
@@ -150,6 +153,7 @@
                     engines.stream().map(engine -> engine.entry().bootId()).toList();
             knownNanos.keySet().retainAll(boots);
             polledNanos.keySet().retainAll(boots);
+            listedNanos.keySet().retainAll(boots);
             doubted.retainAll(boots);
         }
     }
@@ -157,9 +161,13 @@
     private long dueNanos(Backend engine, boolean doubtful, long nowNanos) {
         String boot = engine.entry().bootId();
         Long known = knownNanos.get(boot);
-        if (known == null || doubted.contains(boot)) {
+        if (doubted.contains(boot)) {
             return nowNanos;
         }
+        if (known == null) {
+            long listed = listedNanos.computeIfAbsent(boot, key -> nowNanos);
+            return listed + place.applyAsInt(boot) * turns().firstStepMillis() * NANOS_PER_MILLI;
+        }
         return known + turnMillis(engine, doubtful) * NANOS_PER_MILLI;
     }
 
@@ -182,6 +190,9 @@
      * @param secondMillis the age at which the second instance polls
      * @param stepMillis the age by which each further instance waits longer
      * @param togetherMillis the time before its turn at which an engine is polled together with another one
+     * @param firstStepMillis the time by which each further instance waits longer with an engine of which no report is
+     *     known: if all polled it at once, it could accept no requests for a while
      */
-    private record Turns(long firstMillis, long secondMillis, long stepMillis, long togetherMillis) {}
+    private record Turns(
+            long firstMillis, long secondMillis, long stepMillis, long togetherMillis, long firstStepMillis) {}
 }
--- a/src/test/java/org/verbenatray/relay/PollScheduleTest.java
+++ b/src/test/java/org/verbenatray/relay/PollScheduleTest.java
@@ -28,6 +28,12 @@
     /** The age up to which load reports are used, and a little more. */
     private static final long MAX_AGE_MILLIS = 3_000;
 
+    /** The time in which a report reaches the other instances, in milliseconds. */
+    private static final long NOTICE_MILLIS = 100;
+
+    /** The first polls of an engine until its report has arrived: three of each of three groups. */
+    private static final int MAX_FIRST_POLLS = 9;
+
     /** The share of notices that are lost. */
     private static final double LOSS = 0.01;
 
@@ -43,6 +49,11 @@
     private int pollsOfSilent;
     private int notices;
 
+    /** The engine whose polls are counted, null for none. */
+    private Backend watched;
+
+    private int pollsOfWatched;
+
     @DataProvider
     public Object[][] fleets() {
         return new Object[][] {{6, 13, 4}, {30, 20, 5}, {95, 47, 5}, {300, 60, 9}};
@@ -108,22 +119,27 @@
         Assert.assertTrue(pollsOfSilent <= 75 * 6, "polls of the engine: " + pollsOfSilent);
     }
 
+    /** All instances polled it at once, over new connections, so that it could accept no requests for seconds. */
+    @Test
+    public void anEngineThatHasJustBeenListedIsPolledByFewInstancesAtATime() {
+        start(69, 108, 3);
+        run(5_000);
+        engines.add(engine("new"));
+        nodes.forEach(node -> node.deaf = true);
+        watched = engines.get(108);
+        run(NOTICE_MILLIS);
+        Assert.assertTrue(pollsOfWatched >= 1, "polls of the engine: " + pollsOfWatched);
+        Assert.assertTrue(pollsOfWatched <= MAX_FIRST_POLLS, "polls of the engine: " + pollsOfWatched);
+        nodes.forEach(node -> node.deaf = false);
+        Assert.assertTrue(run(5_000) <= MAX_AGE_MILLIS);
+    }
+
     private void start(int instances, int engineCount, int domains) {
         nodes.clear();
         engines.clear();
         nowMillis = 0;
         for (int number = 0; number < engineCount; number++) {
-            engines.add(Backend.of(new BackendEntry(
-                    "e" + number,
-                    "engines",
-                    URI.create("http://10.0.0.1:1"),
-                    "z",
-                    BackendStage.DECODE,
-                    false,
-                    1,
-                    "v",
-                    false,
-                    1)));
+            engines.add(engine("e" + number));
         }
         Map<String, ListedInstance> listed = new HashMap<>();
         for (int number = 0; number < instances; number++) {
@@ -136,6 +152,11 @@
         }
     }
 
+    private static Backend engine(String id) {
+        return Backend.of(new BackendEntry(
+                id, "engines", URI.create("http://10.0.0.1:1"), "z", BackendStage.DECODE, false, 1, "v", false, 1));
+    }
+
     /** Runs all instances for a time and returns the age of the oldest report at one that lives, after two seconds. */
     private long run(long millis) {
         long begin = nowMillis;
@@ -186,6 +207,7 @@
             polls += due.size();
             due.forEach(engine -> schedule.recordPolled(engine.entry().bootId(), nowMillis * NANOS_PER_MILLI));
             pollsOfSilent += due.contains(silent) ? 1 : 0;
+            pollsOfWatched += due.contains(watched) ? 1 : 0;
             due.forEach(this::learn);
             for (InetSocketAddress address : peers.groupAddresses()) {
                 notices++;
