FailedHandlingTest counts runs of a request, not the check of its server

What the test asserts stays as strict: the request is sent to run once, and refused as possibly run.

--- a/src/test/java/org/verbenatray/platform/FailedHandlingTest.java
+++ b/src/test/java/org/verbenatray/platform/FailedHandlingTest.java
@@ -48,7 +48,7 @@
                         ServerListing.plain("s2", second))) {
             String text = relay.exchange(RelayFixture.postRequest("/unsafe/x", "id1", "", "b"));
             Assert.assertTrue(text.startsWith("HTTP/1.1 502") && text.contains("internal_error"), text);
-            Assert.assertEquals(first.requests().size() + second.requests().size(), 1);
+            Assert.assertEquals(runs(first) + runs(second), 1);
             assertOneEnd(relay, RequestEnd.REFUSED);
         }
     }
@@ -99,6 +99,13 @@
         }
     }
 
+    /** Returns the number of requests that a server was sent to run; the instance checks it after a lost run. */
+    private static long runs(ScriptedServer server) {
+        return server.requests().stream()
+                .filter(request -> request.line().startsWith("POST"))
+                .count();
+    }
+
     private static void assertNotRun(RelayFixture relay, ScriptedServer server, String text) throws Exception {
         Assert.assertTrue(text.startsWith("HTTP/1.1 503") && text.contains("Retry-After"), text);
         Assert.assertEquals(server.requests().size(), 0);
