Review case 9: a part of prompts that crashes engines, at a machine with few others

Requests with the part come each 0.7 s at one machine of three, which gets a sound request each 8 s besides.

--- a/review/common-2/Case9.java
+++ b/review/common-2/Case9.java
@@ -1,8 +1,5 @@
-import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,29 +8,39 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Four engines of eight truncate a few of their streams behind the last event: the end is missing. */
+/** One part of prompts crashes each engine; the requests with it come at a machine that has few others. */
 final class Case9 {
-    private static final int ENGINES = 8;
+    private static final int ENGINES = 12;
 
-    private static final int CALLERS_PER_RELAY = 40;
+    private static final int SOUND_CALLERS_PER_RELAY = 15;
 
     private static final int EVENTS = 9;
 
     private static final int EVENT_GAP_MILLIS = 40;
 
-    /** One in so many streams of a faulty engine is truncated: 5 in 100. */
-    private static final int TRUNCATED_ONE_IN = 20;
+    private static final long DOWN_MILLIS = 3_000;
 
-    private static final int PERIODS = 3;
+    private static final long BETWEEN_MILLIS = 700;
 
-    private static final long FAULTY_MILLIS = 5_000;
+    /** The time between two requests without the part at the machine at which those with it come. */
+    private static final long RARE_MILLIS = 8_000;
 
-    /** What the engines that ran a request did, by request id. */
-    private static final Map<String, String> RUNS = new ConcurrentHashMap<>();
+    private static final long TROUBLE_MILLIS = 40_000;
 
-    private static final AtomicInteger TRUNCATED = new AtomicInteger();
+    private static final long CONTACT_MILLIS = 3_000;
 
-    private static volatile boolean faulty;
+    private static final String DEADLY_PART = "dead0001";
+
+    private static final AtomicInteger STARTS = new AtomicInteger();
+
+    /** When each engine crashed, in milliseconds since the start of the script. */
+    private static final List<Long> CRASHES = new ArrayList<>();
+
+    /** When requests with the part reached an engine, and at which machine they had come. */
+    private static final List<Long> ARRIVALS = new ArrayList<>();
+
+    /** The requests without the part that engines were running as they crashed. */
+    private static final AtomicInteger CUT = new AtomicInteger();
 
     private static volatile boolean stopped;
 
@@ -44,10 +51,7 @@
         Lab.Store store = new Lab.Store();
         store.put("keyed.op", "config", Lab.configuration(1));
         for (int index = 0; index < ENGINES; index++) {
-            new Engine(store, Lab.ip(index + 11), "e" + index, "z" + (index % 3 + 1)).start();
-        }
-        for (int index = 0; index < 3; index++) {
-            new Lab.Server(store, Lab.ip(index + 41), "p" + index, "app", "z" + (index + 1), "", "v1", 6).start();
+            new Engine(store, Lab.ip(index + 11), 0, "z" + (index % 3 + 1)).start();
         }
         int internal = Lab.freeInternalPorts(Lab.ip(2), Lab.ip(3), Lab.ip(4));
         List<Lab.Relay> relays = new ArrayList<>();
@@ -58,106 +62,127 @@
         for (Lab.Relay relay : relays) {
             relay.awaitReady(30_000);
         }
-        Map<String, Integer> outcomes = new ConcurrentHashMap<>();
-        Map<String, Integer> lost = new ConcurrentHashMap<>();
-        for (Lab.Relay relay : relays) {
-            for (int index = 0; index < CALLERS_PER_RELAY; index++) {
+        Map<String, Integer> sound = new ConcurrentHashMap<>();
+        Map<String, Integer> deadly = new ConcurrentHashMap<>();
+        for (Lab.Relay relay : relays.subList(1, 3)) {
+            for (int index = 0; index < SOUND_CALLERS_PER_RELAY; index++) {
                 int caller = index;
-                Lab.daemon(() -> call(relay, caller, outcomes, lost));
+                Lab.daemon(() -> callSound(relay, caller, sound));
             }
         }
-        Lab.sleep(5_000);
-        Lab.note("before the disruption: " + outcomes + ", lost " + lost);
-        for (int period = 0; period < PERIODS; period++) {
-            faulty = Lab.TROUBLE;
-            Lab.note(faulty ? "e0 to e3 truncate one in " + TRUNCATED_ONE_IN + " of their streams" : "no disruption");
-            Lab.sleep(FAULTY_MILLIS);
-            faulty = false;
-            Lab.note("no engine is faulty");
-            Lab.sleep(5_000);
+        Lab.sleep(6_000);
+        Lab.note("before the disruption, requests without the part: " + sound);
+        long end = Lab.millis() + TROUBLE_MILLIS;
+        Lab.daemon(() -> callRarely(relays.get(0), sound));
+        Lab.note(Lab.TROUBLE ? "requests with the part come at " + relays.get(0).name : "no disruption");
+        while (Lab.millis() < end) {
+            Lab.daemon(() -> callDeadly(relays.get(0), deadly));
+            Lab.sleep(BETWEEN_MILLIS);
         }
         stopped = true;
         Lab.sleep(4_500);
-        Lab.note("streams truncated by e0 to e3: " + TRUNCATED);
-        Lab.note("outcomes: " + outcomes);
-        boolean broken = lost.values().stream().anyMatch(count -> count > 3);
-        Lab.verdict(broken, "requests that were passed on to a sound engine, which answered them whole, and whose kept"
-                + " channel was closed without a complete answer: " + lost + "; " + TRUNCATED
-                + " streams were truncated");
+        Lab.note("requests without the part: " + sound);
+        Lab.note("requests at " + relays.get(0).name + ": " + deadly);
+        judge();
     }
 
-    /** Sends one request after the other on a kept channel. */
-    private static void call(Lab.Relay relay, int caller, Map<String, Integer> outcomes, Map<String, Integer> lost) {
-        Lab.sleep(caller * 400L / CALLERS_PER_RELAY);
-        while (!stopped) {
-            try (Socket channel = new Socket()) {
-                channel.connect(new InetSocketAddress(Lab.loopback(relay.ip), relay.front), 1000);
-                channel.setTcpNoDelay(true);
-                channel.setSoTimeout(6_000);
-                InputStream in = new BufferedInputStream(channel.getInputStream());
-                boolean open = true;
-                for (int sent = 0; open && !stopped; sent++) {
-                    String id = Lab.newId();
-                    long begin = Lab.millis();
-                    byte[] body = new byte[380];
-                    ThreadLocalRandom.current().nextBytes(body);
-                    try {
-                        OutputStream out = channel.getOutputStream();
-                        out.write(Lab.ascii(Lab.request("POST", "/check/" + caller, id, 4000,
-                                Lab.prompt(291, EVENTS, Integer.toHexString(0xa000 + caller)), body.length)));
-                        out.write(body);
-                        out.flush();
-                        Lab.Head head = Lab.readHead(in);
-                        if (head == null) {
-                            throw new IOException("closed without an answer");
-                        }
-                        Lab.readBody(in, head);
-                        outcomes.merge(Integer.toString(head.status()), 1, Integer::sum);
-                        open = !"close".equalsIgnoreCase(head.get("Connection"));
-                    } catch (IOException e) {
-                        outcomes.merge("channel ended", 1, Integer::sum);
-                        open = false;
-                        String runs = RUNS.getOrDefault(id, "");
-                        Lab.note(id + " at " + relay.name + ", request " + sent + " of its channel: " + e.getMessage()
-                                + " after " + (Lab.millis() - begin) + " ms; runs:" + runs);
-                        if (sent > 0 && runs.contains("whole")) {
-                            lost.merge(relay.name, 1, Integer::sum);
-                        }
-                    }
-                }
-            } catch (IOException e) {
-                outcomes.merge("not connected", 1, Integer::sum);
-                Lab.sleep(300);
+    private static void judge() {
+        synchronized (CRASHES) {
+            int crashes = CRASHES.size();
+            if (crashes < 5) {
+                Lab.verdict(false, crashes + " engines crashed");
             }
+            long from = CRASHES.get(4) + CONTACT_MILLIS;
+            long late = ARRIVALS.stream().filter(at -> at > from).count();
+            Lab.verdict(late > 3, late + " requests with the part reached engines later than 3 s after the fifth crash; "
+                    + crashes + " engines crashed, under " + CUT + " requests without the part");
         }
     }
 
+    private static void callSound(Lab.Relay relay, int caller, Map<String, Integer> outcomes) {
+        Lab.sleep(caller * 27L);
+        while (!stopped) {
+            Lab.Attempt attempt = send(relay, caller % 3 == 0 ? "/review/" : "/check/", "5c1e07a2");
+            outcomes.merge(attempt.outcome(), 1, Integer::sum);
+            Lab.sleep("200".equals(attempt.outcome()) ? 50 : 300);
+        }
+    }
+
+    /** The few requests without the part that come at the machine with the others. */
+    private static void callRarely(Lab.Relay relay, Map<String, Integer> outcomes) {
+        while (!stopped) {
+            Lab.Attempt attempt = send(relay, "/check/", "5c1e07a2");
+            outcomes.merge(attempt.outcome() + " at " + relay.name, 1, Integer::sum);
+            Lab.sleep(RARE_MILLIS);
+        }
+    }
+
+    /** Sends one request with the part; with TROUBLE=0 one without it. No two are alike. */
+    private static void callDeadly(Lab.Relay relay, Map<String, Integer> outcomes) {
+        Lab.Attempt attempt = send(relay, "/review/", Lab.TROUBLE ? DEADLY_PART : "5c1e07a2");
+        outcomes.merge(attempt.outcome(), 1, Integer::sum);
+    }
+
+    private static Lab.Attempt send(Lab.Relay relay, String path, String part) {
+        byte[] body = new byte[380];
+        ThreadLocalRandom.current().nextBytes(body);
+        String last = Integer.toHexString(ThreadLocalRandom.current().nextInt() | 0x10000000);
+        return Lab.send(relay.ip, relay.front, "POST", path + last, 4000, Map.of("Model", "m", "Token-Count",
+                "291," + EVENTS, "Prompt-Prefix", part + ":92," + last + ":199"), body);
+    }
+
     private static final class Engine extends Lab.Server {
-        Engine(Lab.Store store, String address, String id, String zone) {
-            super(store, address, id, "llm", zone, "decode", "v1", 64);
+        private final AtomicInteger running = new AtomicInteger();
+
+        private boolean crashed;
+
+        Engine(Lab.Store store, String address, int port, String zone) {
+            super(store, address, port, "e" + STARTS.incrementAndGet(), "llm", zone, "decode", "v1", 64);
         }
 
         @Override
         boolean run(Lab.Head head, byte[] body, Socket channel, OutputStream out) throws IOException {
-            String request = head.get("Request-Id");
-            String last = head.get("Last-Event-Id");
+            boolean deadly = head.get("Prompt-Prefix").startsWith(DEADLY_PART);
+            if (deadly) {
+                synchronized (CRASHES) {
+                    ARRIVALS.add(Lab.millis());
+                }
+                Lab.sleep(EVENT_GAP_MILLIS);
+                crash(head.get("Request-Id"));
+                return false;
+            }
+            running.incrementAndGet();
             startStream(head, out);
+            String last = head.get("Last-Event-Id");
             for (long number = last == null ? 1 : Long.parseLong(last) + 1; number <= EVENTS; number++) {
                 Lab.sleep(EVENT_GAP_MILLIS);
-                chunk(out, event(number, request + " token " + number));
-            }
-            boolean mayFail = faulty && id.compareTo("e3") <= 0;
-            if (mayFail && last == null && ThreadLocalRandom.current().nextInt(TRUNCATED_ONE_IN) == 0) {
-                TRUNCATED.incrementAndGet();
-                RUNS.merge(request, " " + id + " truncated behind event " + EVENTS, String::concat);
-                Lab.sleep(5);
-                return false;
+                chunk(out, event(number, "token " + number));
             }
             out.write(Lab.ascii("0\r\n\r\n"));
             out.flush();
-            RUNS.merge(request, " " + id + " whole" + (last == null ? "" : " from Last-Event-Id " + last),
-                    String::concat);
+            running.decrementAndGet();
             return true;
         }
+
+        /** Ends this engine as in a crash; one of another id is at its address some seconds later. */
+        private synchronized void crash(String request) {
+            if (crashed) {
+                return;
+            }
+            crashed = true;
+            int cut = running.get();
+            CUT.addAndGet(cut);
+            synchronized (CRASHES) {
+                CRASHES.add(Lab.millis());
+                Lab.note(id + " crashes under " + request + ", crash " + CRASHES.size() + "; it ran " + cut
+                        + " others");
+            }
+            end();
+            Lab.daemon(() -> {
+                Lab.sleep(DOWN_MILLIS);
+                store.put("keyed.servers", id, null);
+                new Engine(store, socket.getInetAddress().getHostAddress(), socket.getLocalPort(), zone).start();
+            });
+        }
     }
 }
--- a/review/common-2/Lab.java
+++ b/review/common-2/Lab.java
@@ -37,6 +37,9 @@
 
     static final long START = System.nanoTime();
 
+    /** The time after which a script ends by itself. */
+    private static final long MAX_MILLIS = 110_000;
+
     private static PrintWriter record;
 
     /** The loopback network of this run: relays listen on fixed ports too, so that each needs an address of its own. */
@@ -52,6 +55,10 @@
 
     static synchronized void openRecord() throws IOException {
         record = new PrintWriter(Files.newBufferedWriter(Path.of(System.getenv("RECORD"))), true);
+        daemon(() -> {
+            sleep(MAX_MILLIS);
+            unusable("it took too long");
+        });
     }
 
     static long millis() {
