--- a/review/common-2/Case6.java
+++ b/review/common-2/Case6.java
@@ -24,7 +24,7 @@
 
     private static final int EVENT_GAP_MILLIS = 100;
 
-    /** The bytes a second of each answer without end; 36 of them take less than the link of a machine. */
+    /** The bytes a second of each answer without end; those of one machine take less than its link. */
     private static final long ENDLESS_BYTES_PER_SECOND = 2_000_000;
 
     /** The time from sending after which the end of a channel is put down to the caller's time budget. */
