What an engine sends in place of its first event is not joined with another's stream

Cause: an event without an id was passed on as long as none with an id had come. When the engine broke off, the position of the stream (the id of its last event) was still empty, so the next engine sent it from its beginning, behind the text. The position was taken to tell all that the caller has; of events without an id it tells nothing.

Why this fix works: events before the first one with a position are kept back, per attempt, until the engine goes on or ends its answer as a whole, and are dropped if it breaks off, so another engine begins with nothing passed on. So a complete answer holds the bytes of one server, or events whose ids follow one another. Related: a comment alone is no rest of a stream; without chunks, a text before the end of the connection is no whole stream.

New name outside: dropped_events, in the line `answer`.

--- a/src/main/java/org/verbenatray/relay/EventOrder.java
+++ b/src/main/java/org/verbenatray/relay/EventOrder.java
@@ -1,6 +1,5 @@
 package org.verbenatray.relay;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -9,11 +8,12 @@
  * What a faulty server sends in place of an event, such as the text of an error, has none. Used on one thread.
  */
 final class EventOrder {
-    private static final char COMMENT = ':';
-
-    /** The id of the last event, empty before the first. */
+    /** The id after which a server goes on with the stream, empty before the first. */
     private Optional<String> last;
 
+    /** Whether each event that was passed on, but for comments, has a position. */
+    private boolean allPlaced = true;
+
     /** Creates the order of a stream that goes on after the event with the given id, or that begins. */
     EventOrder(Optional<String> last) {
         this.last = last;
@@ -22,34 +22,32 @@
     /** Returns whether an event may come next. */
     boolean accepts(StreamEvent event) {
         if (event.id().isEmpty()) {
-            return last.isEmpty() || isComment(event);
+            return last.isEmpty() || event.isComment();
         }
-        OptionalLong before = last.map(EventOrder::number).orElse(OptionalLong.empty());
-        OptionalLong next = number(event.id().get());
+        OptionalLong before = last.map(StreamEvent::number).orElse(OptionalLong.empty());
+        OptionalLong next = event.position();
         return before.isEmpty() || next.isPresent() && next.getAsLong() > before.getAsLong();
     }
 
-    /** Records the id of an event that was passed on. */
+    /** Records an event that was passed on. */
     void record(StreamEvent event) {
-        last = event.id().or(() -> last);
+        if (event.position().isPresent()) {
+            last = event.id();
+        } else if (!event.isComment()) {
+            allPlaced = false;
+        }
     }
 
-    /** Returns the id of the last event; empty before the first. */
+    /** Returns the id after which another server goes on with the stream; empty if it begins the stream. */
     Optional<String> last() {
         return last;
     }
 
-    /** Returns whether an event holds comments only, with which servers keep connections alive. */
-    private static boolean isComment(StreamEvent event) {
-        return new String(event.bytes(), StandardCharsets.UTF_8)
-                .lines()
-                .filter(line -> !line.isEmpty())
-                .allMatch(line -> line.charAt(0) == COMMENT);
-    }
-
-    /** Returns an id as a number; empty if it is none. */
-    private static OptionalLong number(String id) {
-        boolean digits = !id.isEmpty() && id.length() <= 18 && id.chars().allMatch(Character::isDigit);
-        return digits ? OptionalLong.of(Long.parseLong(id)) : OptionalLong.empty();
+    /**
+     * Returns whether another server can go on with the stream: the rest that it sends follows on all that was passed
+     * on only if that is told by the id of the last event.
+     */
+    boolean canGoOnElsewhere() {
+        return allPlaced;
     }
 }
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -57,7 +57,10 @@
     /** Whether the response ends with its connection, so that the end of the server looks like its end. */
     private boolean endsWithConnection;
 
-    /** Whether an event of the stream has arrived. */
+    /** Whether the caller had received events of an earlier attempt when this one began. */
+    private final boolean sendsRest;
+
+    /** Whether an event of the stream has arrived; if the stream may go on elsewhere, one with an id. */
     private boolean eventArrived;
 
     /** Whether writing the request has started, so that the server may have received it. */
@@ -82,6 +85,7 @@
         this.work = work;
         this.timeouts = timeouts;
         this.listener = listener;
+        this.sendsRest = call.response().started();
         this.evidence = RunEvidence.start(context, call, options);
         int maxBodyBytes =
                 options.prefillOnly() ? ResponseLimits.MAX_PREFILL_BODY_BYTES : ResponseLimits.MAX_BODY_BYTES;
@@ -196,7 +200,7 @@
             splitter.feed(piece, this::handleEvent);
             listener.onEventsRead();
             if (!closed) {
-                buffer.setEventBytes(splitter.partialBytes());
+                buffer.setEventBytes(splitter.partialBytes() + listener.keptBytes());
             }
             if (splitter.partialBytes() > ResponseLimits.MAX_EVENT_BYTES) {
                 rejectResponse("an event is larger than " + ResponseLimits.MAX_EVENT_BYTES + " bytes");
@@ -216,7 +220,7 @@
             rejectResponse("an event does not follow those before");
             return;
         }
-        eventArrived = true;
+        eventArrived |= !call.route().repeatable() || event.id().isPresent();
         evidence.recordEvent();
         recordPromptProcessed();
         listener.onEvent(head, event);
@@ -233,7 +237,7 @@
             finish(ForwardOutcome.Kind.BROKEN, "the stream ended inside an event");
         } else if (deliversEvents() && endsWithConnection && !eventArrived && !continuesStream()) {
             finish(ForwardOutcome.Kind.BROKEN, "the connection ended before the first event");
-        } else if (deliversEvents() && !eventArrived && call.response().started()) {
+        } else if (deliversEvents() && !eventArrived && sendsRest) {
             finish(ForwardOutcome.Kind.BROKEN, "the rest of a stream without an event");
         } else if (deliversEvents()) {
             finish(ForwardOutcome.Kind.STREAM_ENDED, "ended");
--- a/src/main/java/org/verbenatray/relay/ForwardListener.java
+++ b/src/main/java/org/verbenatray/relay/ForwardListener.java
@@ -10,6 +10,11 @@
         return true;
     }
 
+    /** Returns the size of the events that were received and that the listener has not passed on. */
+    default int keptBytes() {
+        return 0;
+    }
+
     /** Receives the next event of a stream with the given response head. */
     void onEvent(ServerResponseHead head, StreamEvent event);
 
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -1,5 +1,6 @@
 package org.verbenatray.relay;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -60,6 +61,9 @@
     /** The order of the events relayed to the caller, after those that it has received before. */
     private final EventOrder eventOrder;
 
+    /** The events at the beginning of the running attempt that are kept back. */
+    private LeadingEvents leadingEvents = LeadingEvents.passingOn();
+
     private GenerationRelay(RelayContext context, RelayCall call) {
         this.context = context;
         this.call = call;
@@ -94,13 +98,26 @@
         return eventOrder.accepts(event);
     }
 
+    @Override
+    public int keptBytes() {
+        return leadingEvents.keptBytes();
+    }
+
     @Override
     public void onEvent(ServerResponseHead head, StreamEvent event) {
         if (!call.finished()) {
+            long now = context.ticker().nanos();
+            eventGaps.record(now);
+            call.recordBegun(now);
+            relayEvents(head, attempt.backend(), leadingEvents.add(event, now));
+        }
+    }
+
+    private void relayEvents(ServerResponseHead head, Backend backend, List<StreamEvent> events) {
+        for (StreamEvent event : events) {
             eventOrder.record(event);
-            eventGaps.record(context.ticker().nanos());
             if (!call.response().started()) {
-                generationStarted();
+                generationStarted(backend);
             }
             call.relayEvent(head, event);
         }
@@ -108,7 +125,8 @@
 
     @Override
     public boolean reserveMoveFromSilentServer() {
-        return call.attempts().attemptsLeftAfterCurrent()
+        return eventOrder.canGoOnElsewhere()
+                && call.attempts().attemptsLeftAfterCurrent()
                 && decodeEngines.otherAccepts(attempt.backend())
                 && call.attempts().tryHoldRetry();
     }
@@ -127,13 +145,25 @@
         if (call.finished()) {
             return;
         }
+        List<StreamEvent> keptBack = leadingEvents.takeAll();
         switch (outcome.kind()) {
             case STREAM_ENDED -> {
                 deadlineTimer.remove();
-                call.endStream(outcome.head().orElseThrow());
+                ServerResponseHead head = outcome.head().orElseThrow();
+                relayEvents(head, ended.backend(), keptBack);
+                call.endStream(head);
             }
             case ANSWERED -> handleResponse(ended, outcome);
-            default -> retry(ended, outcome);
+            default -> {
+                logDropped(keptBack);
+                retry(ended, outcome);
+            }
+        }
+    }
+
+    private void logDropped(List<StreamEvent> events) {
+        if (!events.isEmpty()) {
+            call.addLogField("dropped_events", events.size());
         }
     }
 
@@ -232,6 +262,7 @@
                 eventOrder.last(),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.CONFIRMED);
         sentNanos = context.ticker().nanos();
+        leadingEvents = repeatable ? LeadingEvents.keepingBack() : LeadingEvents.passingOn();
         PrefillWork work = prefilledPrompt == null ? prefillStep.work() : PrefillWork.NONE;
         attempt = call.send(options, work, call.responseTimeouts(), this).orElse(null);
         if (attempt == null) {
@@ -269,9 +300,7 @@
      * Records that an engine generates output: the rest must come from its software version, it has fetched any
      * prefilled prompt, and it now has the prompt in its cache.
      */
-    private void generationStarted() {
-        Backend backend = attempt.backend();
-        call.recordBegun(context.ticker().nanos());
+    private void generationStarted(Backend backend) {
         decodeEngines.require(backend.entry().softwareVersion());
         if (call.route().repeatable()) {
             context.continuations().recordServer(call.request().streamId(), backend);
@@ -316,7 +345,12 @@
         if (!outcome.unsent()) {
             releasePrefilledPrompt();
         }
-        continueOrGiveUp(outcome.kind().name().toLowerCase(Locale.ROOT));
+        String kind = outcome.kind().name().toLowerCase(Locale.ROOT);
+        if (eventOrder.canGoOnElsewhere()) {
+            continueOrGiveUp(kind);
+        } else {
+            giveUp(kind);
+        }
     }
 
     /** Sends the request, or the rest of its stream, to another engine if the attempts and the retry budget allow. */
--- a/src/main/java/org/verbenatray/relay/RequestGuard.java
+++ b/src/main/java/org/verbenatray/relay/RequestGuard.java
@@ -114,6 +114,11 @@
             return listener.accepts(event);
         }
 
+        @Override
+        public int keptBytes() {
+            return listener.keptBytes();
+        }
+
         @Override
         public void onEvent(ServerResponseHead head, StreamEvent event) {
             run(() -> listener.onEvent(head, event));
--- a/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -58,6 +59,31 @@
         Assert.assertEquals(fleet.arrivals("watched").size(), 1);
     }
 
+    /** Callers got the text of one run and the whole stream of another as one complete answer (review/8). */
+    @Test
+    public void aTextAfterWhichAnEngineBreaksOffIsNotJoinedWithTheStreamOfAnother() throws Exception {
+        AtomicBoolean spoilt = new AtomicBoolean();
+        fleet.setGeneration((request, connection, out) -> {
+            out.write(ScriptedServer.streamHead(request));
+            if (request.header("request-id").equals("spoilt") && spoilt.compareAndSet(false, true)) {
+                out.write(ScriptedServer.chunk("internal error\n\n"));
+                out.flush();
+                connection.close();
+                return;
+            }
+            out.write(ScriptedServer.eventChunk(1, "first"));
+            out.write(ScriptedServer.lastChunk());
+        });
+        keepAnswering();
+        try (Socket caller = RelayFixture.connect(fleet.instance(0))) {
+            RelayFixture.send(caller, PartitionableFleet.request("/resume/x", "spoilt"));
+            CallerReply reply = CallerReply.read(new BufferedInputStream(caller.getInputStream()));
+            Assert.assertTrue(reply.whole(), reply.toString());
+            Assert.assertEquals(reply.body(), "id: 1\ndata: first\n\n");
+        }
+        Assert.assertEquals(fleet.arrivals("spoilt").size(), 2);
+    }
+
     @Test
     public void aRequestThatMayNotBeRepeatedArrivesOnceWithItsBodyAndLessTime() throws Exception {
         keepAnswering();
