Log what speaks for or against a part of prompts under which servers end

The lines crash_found and crash_heard told only the number of crashes.

Change: they tell the evidence for a part, too. For that, the counts behind the judgement become types of their own (RunCounts, PartEvidence, CrashHistory), moved out of CrashLedger without a change of what is blocked.

New names outside: completed_without, established_without, established, succeeded_before in crash_found and crash_heard.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -37,6 +37,7 @@
 import org.verbenatray.relay.ServerStatements;
 import org.verbenatray.relay.StageController;
 import org.verbenatray.resilience.Crash;
+import org.verbenatray.resilience.CrashEvents;
 import org.verbenatray.resilience.CrashExchange;
 import org.verbenatray.resilience.CrashLedger;
 import org.verbenatray.resilience.ServerRuns;
@@ -460,11 +461,7 @@
         if (!crashes.recordCrash(crash)) {
             return;
         }
-        Event.named("crash_found")
-                .with("fingerprint", crash.suspect())
-                .with("backend", crash.boot())
-                .with("crashes", crashes.crashCount(crash.suspect()))
-                .log(log, Level.WARNING);
+        CrashEvents.describe("crash_found", crash, crashes).log(log, Level.WARNING);
         crashExchange.publish(crash);
     }
 
--- a/src/main/java/org/verbenatray/resilience/CrashExchange.java
+++ b/src/main/java/org/verbenatray/resilience/CrashExchange.java
@@ -265,11 +265,7 @@
 
     private void recordHeard(Crash crash) {
         tellForSomeTime(crash);
-        Event.named("crash_heard")
-                .with("fingerprint", crash.suspect())
-                .with("backend", crash.boot())
-                .with("crashes", ledger.crashCount(crash.suspect()))
-                .log(log, Level.INFO);
+        CrashEvents.describe("crash_heard", crash, ledger).log(log, Level.INFO);
     }
 
     private void recordWritten(Crash crash) {
--- a/src/main/java/org/verbenatray/resilience/CrashLedger.java
+++ b/src/main/java/org/verbenatray/resilience/CrashLedger.java
@@ -23,21 +23,6 @@
 public final class CrashLedger {
     private static final int CRASHES_TO_BLOCK = 3;
 
-    /** Crashes that block a part of prompts; one fewer than may happen, so that one may go unnoticed. */
-    private static final int PART_CRASHES_TO_BLOCK = 4;
-
-    /** Crashes that block a part with which requests have succeeded lately. */
-    private static final int PROVED_PART_CRASHES_TO_BLOCK = 8;
-
-    /** Runs without a part, since its first crash, that show that servers work but for it. */
-    private static final int RUNS_WITHOUT_PART = 3;
-
-    /** Time since its last crash for which a request is blocked. */
-    private static final long BLOCK_MILLIS = 120_000;
-
-    /** Time since its last crash after which the crashes of a request are forgotten. Until then one more blocks it. */
-    private static final long RETENTION_MILLIS = 600_000;
-
     /** The number of cleared crashes that are remembered. */
     private static final int MAX_CLEARED = 8_192;
 
@@ -74,15 +59,9 @@
         if (clearedUntil.containsKey(crash)) {
             return false;
         }
-        CrashHistory history = historyBySuspect.computeIfAbsent(
-                crash.suspect(),
-                key -> new CrashHistory(partSuccesses.requestsOfModel(key), partSuccesses.establishedRunsOfModel(key)));
-        boolean isNew = history.boots.add(crash.boot());
-        if (isNew) {
-            history.blockEnd = Deadline.afterMillis(ticker.nanos(), BLOCK_MILLIS);
-            history.expiry = Deadline.afterMillis(ticker.nanos(), RETENTION_MILLIS);
-        }
-        return isNew;
+        return historyBySuspect
+                .computeIfAbsent(crash.suspect(), key -> CrashHistory.after(partSuccesses.countsOfModel(key)))
+                .add(crash.boot(), ticker.nanos());
     }
 
     /**
@@ -101,10 +80,7 @@
      */
     public void recordEstablished(Collection<String> partKeys) {
         partSuccesses.recordEstablished(partKeys);
-        partKeys.stream()
-                .map(historyBySuspect::get)
-                .filter(Objects::nonNull)
-                .forEach(history -> history.established = true);
+        partKeys.stream().map(historyBySuspect::get).filter(Objects::nonNull).forEach(CrashHistory::recordEstablished);
     }
 
     private void clear(String suspect) {
@@ -117,14 +93,14 @@
     }
 
     private void rememberCleared(Crash crash) {
-        clearedUntil.put(crash, Deadline.afterMillis(ticker.nanos(), RETENTION_MILLIS));
+        clearedUntil.put(crash, Deadline.afterMillis(ticker.nanos(), CrashHistory.RETENTION_MILLIS));
     }
 
     /** Forgets a crash that another instance has cleared. */
     public void forget(Crash crash) {
         rememberCleared(crash);
         CrashHistory history = historyBySuspect.get(crash.suspect());
-        if (history != null && history.boots.remove(crash.boot()) && history.boots.isEmpty()) {
+        if (history != null && history.remove(crash.boot()) && history.boots().isEmpty()) {
             historyBySuspect.remove(crash.suspect());
         }
     }
@@ -138,11 +114,11 @@
             return Optional.empty();
         }
         CrashHistory history = historyBySuspect.get(fingerprint);
-        Set<String> unexplained = new HashSet<>(history.boots);
-        blockedParts().forEach(part -> unexplained.removeAll(part.boots));
+        Set<String> unexplained = new HashSet<>(history.boots());
+        blockedParts().forEach(part -> unexplained.removeAll(part.boots()));
         return unexplained.size() < CRASHES_TO_BLOCK
                 ? Optional.empty()
-                : Optional.of(history.blockEnd).filter(end -> !end.hasPassed(ticker.nanos()));
+                : Optional.of(history.blockEnd()).filter(end -> !end.hasPassed(ticker.nanos()));
     }
 
     /** Returns until when requests with any of these parts must not be sent; empty if none of them crashes servers. */
@@ -150,7 +126,7 @@
         long now = ticker.nanos();
         return partKeys.stream()
                 .filter(this::isBlockedPart)
-                .map(key -> historyBySuspect.get(key).blockEnd)
+                .map(key -> historyBySuspect.get(key).blockEnd())
                 .max(Comparator.comparingLong(end -> end.remainingMillis(now)));
     }
 
@@ -160,35 +136,37 @@
                 .map(Map.Entry::getValue);
     }
 
-    /**
-     * Returns whether a part of prompts is taken to crash servers: several ended under it, and since the first of them
-     * no request with it has run to its end (which would have cleared it), while others of its model have. Where
-     * servers end so often that hardly a request runs to its end, it counts likewise which runs went on after their
-     * beginning.
-     */
+    /** Returns whether requests with a part of prompts are blocked. */
     private boolean isBlockedPart(String key) {
         CrashHistory history = historyBySuspect.get(key);
-        if (history == null || history.blockEnd.hasPassed(ticker.nanos())) {
-            return false;
-        }
-        boolean othersSucceed = partSuccesses.requestsOfModel(key) - history.successesBefore >= RUNS_WITHOUT_PART;
-        boolean onlyOthersGoOn = !history.established
-                && partSuccesses.establishedRunsOfModel(key) - history.establishedBefore >= RUNS_WITHOUT_PART;
-        boolean trusted = history.established || partSuccesses.within(key, RETENTION_MILLIS);
-        int enough = trusted ? PROVED_PART_CRASHES_TO_BLOCK : PART_CRASHES_TO_BLOCK;
-        return (othersSucceed || onlyOthersGoOn) && history.boots.size() >= enough;
+        return history != null
+                && !history.blockEnd().hasPassed(ticker.nanos())
+                && evidence(key, history).blocksAfter(history.boots().size());
+    }
+
+    private PartEvidence evidence(String part, CrashHistory history) {
+        return history.evidence(
+                partSuccesses.countsOfModel(part), partSuccesses.within(part, CrashHistory.RETENTION_MILLIS));
+    }
+
+    /** Returns what speaks for or against a part of prompts; empty for a request, and if no server ended under it. */
+    public Optional<PartEvidence> evidence(String suspect) {
+        return Optional.ofNullable(historyBySuspect.get(suspect))
+                .filter(history -> PartKey.isPart(suspect))
+                .map(history -> evidence(suspect, history));
     }
 
     /** Returns the number of servers that ended under a request or a part of prompts, as far as it is known here. */
     public int crashCount(String suspect) {
         CrashHistory history = historyBySuspect.get(suspect);
-        return history == null ? 0 : history.boots.size();
+        return history == null ? 0 : history.boots().size();
     }
 
     /** Returns the number of servers that ended under each request, by fingerprint, and part, by its key. */
     public Map<String, Integer> crashCounts() {
         Map<String, Integer> counts = new HashMap<>();
-        historyBySuspect.forEach((suspect, history) -> counts.put(suspect, history.boots.size()));
+        historyBySuspect.forEach(
+                (suspect, history) -> counts.put(suspect, history.boots().size()));
         return counts;
     }
 
@@ -201,7 +179,7 @@
     public List<Crash> removeExpired() {
         long now = ticker.nanos();
         List<String> expired = historyBySuspect.entrySet().stream()
-                .filter(each -> each.getValue().expiry.hasPassed(now))
+                .filter(each -> each.getValue().expiry().hasPassed(now))
                 .map(Map.Entry::getKey)
                 .toList();
         List<Crash> removed = crashesOf(expired);
@@ -211,30 +189,8 @@
 
     private List<Crash> crashesOf(Collection<String> suspects) {
         return suspects.stream()
-                .flatMap(suspect -> historyBySuspect.get(suspect).boots.stream().map(boot -> new Crash(suspect, boot)))
+                .flatMap(suspect ->
+                        historyBySuspect.get(suspect).boots().stream().map(boot -> new Crash(suspect, boot)))
                 .toList();
     }
-
-    /** The servers that ended under one request or part of prompts. */
-    private static final class CrashHistory {
-        private final Set<String> boots = new HashSet<>();
-
-        /** For a part of prompts: how many requests of its model had succeeded before its first crash. */
-        private final long successesBefore;
-
-        /** For a part of prompts: how many runs for its model went on after their beginning before its first crash. */
-        private final long establishedBefore;
-
-        /** For a part of prompts: whether a run with it went on after its beginning since its first crash. */
-        private boolean established;
-
-        private Deadline blockEnd;
-
-        private Deadline expiry;
-
-        private CrashHistory(long successesBefore, long establishedBefore) {
-            this.successesBefore = successesBefore;
-            this.establishedBefore = establishedBefore;
-        }
-    }
 }
--- a/src/main/java/org/verbenatray/resilience/PartSuccesses.java
+++ b/src/main/java/org/verbenatray/resilience/PartSuccesses.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import org.verbenatray.time.Ticker;
 
 /**
@@ -15,11 +16,7 @@
 
     private final Ticker ticker;
 
-    /** The number of requests that ran to their end, by model. */
-    private final Map<String, Long> requestsByModel = new HashMap<>();
-
-    /** The number of runs that went on after their beginning, by model. */
-    private final Map<String, Long> establishedByModel = new HashMap<>();
+    private final Map<String, RunCounts> countsByModel = new HashMap<>();
 
     /** When each part last succeeded, in nanoseconds of the ticker, least recent first. */
     private final Map<String, Long> nanosByPart = new LinkedHashMap<>(64, 0.75f, true) {
@@ -41,26 +38,28 @@
     /** Records that a request whose prompt has the given parts has run to its end. */
     void record(Collection<String> parts) {
         parts.forEach(part -> nanosByPart.put(part, ticker.nanos()));
-        countModels(parts, requestsByModel);
+        countModels(parts, RunCounts::plusCompleted);
     }
 
     /** Records that a run of a request whose prompt has the given parts went on after its beginning. */
     void recordEstablished(Collection<String> parts) {
-        countModels(parts, establishedByModel);
+        countModels(parts, RunCounts::plusEstablished);
     }
 
-    private static void countModels(Collection<String> parts, Map<String, Long> counts) {
-        parts.stream().map(PartKey::modelOf).distinct().forEach(model -> counts.merge(model, 1L, Long::sum));
+    private void countModels(Collection<String> parts, UnaryOperator<RunCounts> next) {
+        parts.stream()
+                .map(PartKey::modelOf)
+                .distinct()
+                .forEach(model -> countsByModel.put(model, next.apply(counts(model))));
     }
 
-    /** Returns the number of requests of a part's model that have run to their end. */
-    long requestsOfModel(String part) {
-        return requestsByModel.getOrDefault(PartKey.modelOf(part), 0L);
+    /** Returns the counts of the runs for a part's model. */
+    RunCounts countsOfModel(String part) {
+        return counts(PartKey.modelOf(part));
     }
 
-    /** Returns the number of runs for a part's model that went on after their beginning. */
-    long establishedRunsOfModel(String part) {
-        return establishedByModel.getOrDefault(PartKey.modelOf(part), 0L);
+    private RunCounts counts(String model) {
+        return countsByModel.getOrDefault(model, RunCounts.NONE);
     }
 
     /** Returns whether a part has succeeded within the given time in milliseconds. */
