What all instances have seen tells a crashing part of prompts from an outage

Cause: what tells a part from an outage, runs without it that go well, was each instance's own. Crashes were shared, these runs were not.

Why this fix works: instances tell one another what they have seen for and against each part with two ends or more, and which parts have just succeeded. What any instance has seen in favour of a part counts at all.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -36,11 +36,6 @@
 import org.verbenatray.relay.RelayServer;
 import org.verbenatray.relay.ServerStatements;
 import org.verbenatray.relay.StageController;
-import org.verbenatray.resilience.Crash;
-import org.verbenatray.resilience.CrashEvents;
-import org.verbenatray.resilience.CrashExchange;
-import org.verbenatray.resilience.CrashLedger;
-import org.verbenatray.resilience.ServerRuns;
 import org.verbenatray.scheduling.FirstAttemptEstimator;
 import org.verbenatray.scheduling.PromptPlacement;
 import org.verbenatray.scheduling.PromptScheduler;
@@ -77,9 +72,7 @@
 
     private final EnginePlanner planner;
 
-    private final CrashLedger crashes;
-
-    private final ServerRuns serverRuns;
+    private final CrashKnowledge crashes;
 
     private final RetryBudgets retryBudgets;
 
@@ -112,9 +105,6 @@
     /** The lease that permits orders to engines, null before the start. */
     private LogLease lease;
 
-    /** Publishes requests that crash servers to the other instances, null before the start. */
-    private volatile CrashExchange crashExchange;
-
     private final GracefulStop stop;
 
     private final OpenCalls openCalls;
@@ -134,8 +124,6 @@
         this.directory = BackendDirectory.empty(loop.ticker(), this::onBackendStarted, this::onBackendEnded);
         this.cutOffDetector = CutOffDetector.of(loop.ticker(), directory);
         this.crashesDue = Deadline.afterMillis(loop.ticker().nanos(), MAX_CRASHES_WAIT_MILLIS);
-        this.crashes = CrashLedger.create(loop.ticker(), cleared -> crashExchange.onCleared(cleared));
-        this.serverRuns = ServerRuns.create(loop.ticker(), this::onCrashFound);
         RelayDialect dialect = platform.dialect();
         LeastLoadedChooser chooser = LeastLoadedChooser.create(
                 settings.failureDomain(), () -> ThreadLocalRandom.current().nextDouble());
@@ -148,6 +136,7 @@
                 this::onAnsweredOther,
                 this::onPeerReport,
                 this::listenForInstances);
+        this.crashes = CrashKnowledge.create(settings, sharing, loop);
         this.retryBudgets = new RetryBudgets(() -> this.settings, sharing.fleetShare(), loop.ticker());
         this.pace = ServerPaces.create(settings, sharing, directory, loop);
         this.duties = Duties.create(settings, loop, sharing, directory, catalog);
@@ -185,8 +174,8 @@
                 chooser,
                 planner,
                 retryBudgets::of,
-                crashes,
-                serverRuns,
+                crashes.ledger(),
+                crashes.runs(),
                 stop,
                 openCalls,
                 () -> stop.isStopping() || cutOffDetector.isCutOff(),
@@ -194,7 +183,7 @@
                 sharing::onWorkChanged,
                 FirstAttemptEstimator.create(),
                 placement,
-                CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, serverRuns, statements),
+                CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, crashes.runs(), statements),
                 ConnectProbe.create(loop.transport(), loop.thread()),
                 continuations,
                 limits,
@@ -316,8 +305,7 @@
         return !stop.isStopping()
                 && catalog.get().isPresent()
                 && directory.loaded()
-                && (crashExchange != null && crashExchange.loaded()
-                        || crashesDue.hasPassed(loop.ticker().nanos()))
+                && (crashes.loaded() || crashesDue.hasPassed(loop.ticker().nanos()))
                 && !cutOffDetector.isCutOff();
     }
 
@@ -395,8 +383,8 @@
                 loop.ticker()));
         logs.followServers(new ServersListener(platform.serverDecoder(), directory, cutOffDetector, recentVersions));
         lease = logs.watchOrdersLease();
-        crashExchange = logs.followCrashes(crashes);
-        sharing.start(platform.instances(), logs.pacer(), crashExchange, continuations, limits);
+        crashes.start(logs);
+        sharing.start(platform.instances(), logs.pacer(), crashes.exchange(), continuations, limits);
         limits.startConfirming();
         duties.start(platform);
         StageController stageController =
@@ -414,8 +402,7 @@
         cutOffDetector.update();
         pace.beginTrials(directory.all());
         continuations.tellWhenMixed();
-        crashExchange.onExpired(crashes.removeExpired());
-        serverRuns.removeExpired();
+        crashes.maintain();
         return MAINTENANCE_INTERVAL_MILLIS;
     }
 
@@ -452,17 +439,8 @@
         recentVersions.recordEnded(backend);
         limits.remove(boot);
         if (!backend.announcedLeaving()) {
-            serverRuns.recordEnd(boot);
-        }
-    }
-
-    /** Records, logs and publishes the end of a server under a request. */
-    private void onCrashFound(Crash crash) {
-        if (!crashes.recordCrash(crash)) {
-            return;
+            crashes.runs().recordEnd(boot);
         }
-        CrashEvents.describe("crash_found", crash, crashes).log(log, Level.WARNING);
-        crashExchange.publish(crash);
     }
 
     /** Reads the state of the process on its event loop. */
@@ -483,7 +461,7 @@
                 handler.counts().read(),
                 handler.counts().ends(),
                 sharing.peerCount(),
-                crashes.crashCounts(),
+                crashes.ledger().crashCounts(),
                 RelayInstanceState.MemoryState.of(memory()),
                 directory.all().stream()
                         .map(backend -> RelayInstanceState.BackendState.of(backend, limits))
--- a/src/main/java/org/verbenatray/resilience/CrashEvents.java
+++ b/src/main/java/org/verbenatray/resilience/CrashEvents.java
@@ -6,16 +6,18 @@
 public final class CrashEvents {
     private CrashEvents() {}
 
+    /** Returns a line about a crash that a ledger holds: under which suspect which server ended. */
+    public static Event describe(String name, Crash crash, CrashLedger ledger) {
+        return describe(name, crash.suspect(), ledger).with("backend", crash.boot());
+    }
+
     /**
-     * Returns a line about a crash that a ledger holds: under which request or part of prompts which server ended, how
-     * many ends are known there, and for a part what speaks for or against it.
+     * Returns a line about what a ledger holds of a request or part of prompts: how many servers ended under it, and
+     * for a part what speaks for or against it.
      */
-    public static Event describe(String name, Crash crash, CrashLedger ledger) {
-        Event event = Event.named(name)
-                .with("fingerprint", crash.suspect())
-                .with("backend", crash.boot())
-                .with("crashes", ledger.crashCount(crash.suspect()));
-        ledger.evidence(crash.suspect()).ifPresent(evidence -> addEvidence(event, evidence));
+    static Event describe(String name, String suspect, CrashLedger ledger) {
+        Event event = Event.named(name).with("fingerprint", suspect).with("crashes", ledger.crashCount(suspect));
+        ledger.evidence(suspect).ifPresent(evidence -> addEvidence(event, evidence));
         return event;
     }
 
--- a/src/main/java/org/verbenatray/resilience/CrashLedger.java
+++ b/src/main/java/org/verbenatray/resilience/CrashLedger.java
@@ -11,7 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
+import java.util.stream.Collectors;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
 
@@ -23,6 +23,9 @@
 public final class CrashLedger {
     private static final int CRASHES_TO_BLOCK = 3;
 
+    /** Crashes under a part from which on other instances are told what was seen of it. */
+    private static final int CRASHES_TO_STATE = 2;
+
     /** The number of cleared crashes that are remembered. */
     private static final int MAX_CLEARED = 8_192;
 
@@ -85,13 +88,18 @@
 
     private void clear(String suspect) {
         if (historyBySuspect.containsKey(suspect)) {
-            List<Crash> cleared = crashesOf(List.of(suspect));
-            historyBySuspect.remove(suspect);
-            cleared.forEach(this::rememberCleared);
-            onCleared.accept(cleared);
+            onCleared.accept(removeCleared(suspect));
         }
     }
 
+    /** Removes the crashes of a suspect, which do not count when they are told late, and returns them. */
+    private List<Crash> removeCleared(String suspect) {
+        List<Crash> cleared = crashesOf(List.of(suspect));
+        historyBySuspect.remove(suspect);
+        cleared.forEach(this::rememberCleared);
+        return cleared;
+    }
+
     private void rememberCleared(Crash crash) {
         clearedUntil.put(crash, Deadline.afterMillis(ticker.nanos(), CrashHistory.RETENTION_MILLIS));
     }
@@ -115,7 +123,9 @@
         }
         CrashHistory history = historyBySuspect.get(fingerprint);
         Set<String> unexplained = new HashSet<>(history.boots());
-        blockedParts().forEach(part -> unexplained.removeAll(part.boots()));
+        blockedPartKeys()
+                .forEach(
+                        part -> unexplained.removeAll(historyBySuspect.get(part).boots()));
         return unexplained.size() < CRASHES_TO_BLOCK
                 ? Optional.empty()
                 : Optional.of(history.blockEnd()).filter(end -> !end.hasPassed(ticker.nanos()));
@@ -130,32 +140,69 @@
                 .max(Comparator.comparingLong(end -> end.remainingMillis(now)));
     }
 
-    private Stream<CrashHistory> blockedParts() {
-        return historyBySuspect.entrySet().stream()
-                .filter(each -> PartKey.isPart(each.getKey()) && isBlockedPart(each.getKey()))
-                .map(Map.Entry::getValue);
-    }
-
     /** Returns whether requests with a part of prompts are blocked. */
     private boolean isBlockedPart(String key) {
         CrashHistory history = historyBySuspect.get(key);
         return history != null
                 && !history.blockEnd().hasPassed(ticker.nanos())
-                && evidence(key, history).blocksAfter(history.boots().size());
+                && history.blocksPart(ownEvidence(key, history));
     }
 
     private PartEvidence evidence(String part, CrashHistory history) {
-        return history.evidence(
-                partSuccesses.countsOfModel(part), partSuccesses.within(part, CrashHistory.RETENTION_MILLIS));
+        return history.withEvidenceOfOthers(ownEvidence(part, history));
     }
 
-    /** Returns what speaks for or against a part of prompts; empty for a request, and if no server ended under it. */
+    /**
+     * Returns what this and other instances have seen that speaks for or against a part of prompts; empty for a
+     * request, and if no server ended under it.
+     */
     public Optional<PartEvidence> evidence(String suspect) {
         return Optional.ofNullable(historyBySuspect.get(suspect))
                 .filter(history -> PartKey.isPart(suspect))
                 .map(history -> evidence(suspect, history));
     }
 
+    private PartEvidence ownEvidence(String part, CrashHistory history) {
+        return history.ownEvidence(
+                partSuccesses.countsOfModel(part), partSuccesses.within(part, CrashHistory.RETENTION_MILLIS));
+    }
+
+    /** Returns what this instance has seen of each part under which several servers ended, most of them first. */
+    List<PartStatement> statements() {
+        return historyBySuspect.entrySet().stream()
+                .filter(each ->
+                        PartKey.isPart(each.getKey()) && each.getValue().boots().size() >= CRASHES_TO_STATE)
+                .sorted(Comparator.comparingInt(each -> -each.getValue().boots().size()))
+                .map(each -> new PartStatement(each.getKey(), ownEvidence(each.getKey(), each.getValue())))
+                .toList();
+    }
+
+    /** Records what another instance has seen of a part, unless no server is known here to have ended under it. */
+    void recordStatement(String instance, PartStatement statement) {
+        Optional.ofNullable(historyBySuspect.get(statement.part()))
+                .ifPresent(history -> history.recordTold(instance, statement.evidence()));
+    }
+
+    /**
+     * Records that a request with a part has run to its end at another instance, which removes its crashes from the
+     * log; returns whether any were known here.
+     */
+    boolean recordSuccessElsewhere(String part) {
+        partSuccesses.recordElsewhere(part);
+        boolean known = historyBySuspect.containsKey(part);
+        if (known) {
+            removeCleared(part);
+        }
+        return known;
+    }
+
+    /** Returns the parts of prompts with which requests are blocked. */
+    Set<String> blockedPartKeys() {
+        return historyBySuspect.keySet().stream()
+                .filter(key -> PartKey.isPart(key) && isBlockedPart(key))
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the number of servers that ended under a request or a part of prompts, as far as it is known here. */
     public int crashCount(String suspect) {
         CrashHistory history = historyBySuspect.get(suspect);
--- a/src/main/java/org/verbenatray/resilience/PartEvidence.java
+++ b/src/main/java/org/verbenatray/resilience/PartEvidence.java
@@ -5,15 +5,15 @@
  * end since the first of them did: that one would have cleared it.
  *
  * @param completedWithout the number of requests of its model without it that have run to their end since then; counted
- *     up to {@link #ENOUGH_RUNS}
- * @param establishedWithout the number of runs for its model that went on after their beginning since then; counted up
- *     to {@link #ENOUGH_RUNS}
+ *     by each instance up to {@link #MAX_RUNS}
+ * @param establishedWithout the number of runs for its model that went on after their beginning since then; counted by
+ *     each instance up to {@link #MAX_RUNS}
  * @param established whether a run with it went on after its beginning since then
  * @param succeededBefore whether a request with it has run to its end in the time before
  */
 public record PartEvidence(int completedWithout, int establishedWithout, boolean established, boolean succeededBefore) {
-    /** Runs without a part, since its first crash, that show that servers work but for it. */
-    static final int ENOUGH_RUNS = 3;
+    /** The most runs that are counted, which is as many as a judgement asks for. */
+    static final int MAX_RUNS = 8;
 
     /** Crashes that block a part of prompts; one fewer than may happen, so that one may go unnoticed. */
     private static final int CRASHES_TO_BLOCK = 4;
@@ -24,21 +24,40 @@
     /** Returns the evidence for counts of runs since the first crash. */
     static PartEvidence of(RunCounts since, boolean established, boolean succeededBefore) {
         return new PartEvidence(
-                (int) Math.min(ENOUGH_RUNS, since.completed()),
-                (int) Math.min(ENOUGH_RUNS, since.established()),
+                (int) Math.min(MAX_RUNS, since.completed()),
+                (int) Math.min(MAX_RUNS, since.established()),
                 established,
                 succeededBefore);
     }
 
+    /** Returns this evidence and that of another instance together. */
+    PartEvidence plus(PartEvidence other) {
+        return new PartEvidence(
+                completedWithout + other.completedWithout,
+                establishedWithout + other.establishedWithout,
+                established || other.established,
+                succeededBefore || other.succeededBefore);
+    }
+
+    /** Returns these counts of runs with what speaks for the part in other evidence as well. */
+    PartEvidence withDoubtsOf(PartEvidence other) {
+        return new PartEvidence(
+                completedWithout,
+                establishedWithout,
+                established || other.established,
+                succeededBefore || other.succeededBefore);
+    }
+
     /**
-     * Returns whether the part is taken to crash servers that have ended under it in the given number: others succeed.
-     * Where servers end so often that hardly a request runs to its end, it counts likewise which runs went on after
-     * their beginning.
+     * Returns whether at least the given number of runs without the part show that servers work but for it: they ended
+     * well, or, where servers end so often that hardly a request runs to its end, only they went on.
      */
-    boolean blocksAfter(int crashes) {
-        boolean othersSucceed = completedWithout >= ENOUGH_RUNS;
-        boolean onlyOthersGoOn = !established && establishedWithout >= ENOUGH_RUNS;
-        int enough = established || succeededBefore ? TRUSTED_CRASHES_TO_BLOCK : CRASHES_TO_BLOCK;
-        return (othersSucceed || onlyOthersGoOn) && crashes >= enough;
+    boolean tellsFromOutage(int runs) {
+        return completedWithout >= runs || !established && establishedWithout >= runs;
+    }
+
+    /** Returns the number of servers that must have ended under the part before it is blocked. */
+    int crashesToBlock() {
+        return established || succeededBefore ? TRUSTED_CRASHES_TO_BLOCK : CRASHES_TO_BLOCK;
     }
 }
--- a/src/main/java/org/verbenatray/resilience/PartSuccesses.java
+++ b/src/main/java/org/verbenatray/resilience/PartSuccesses.java
@@ -41,6 +41,11 @@
         countModels(parts, RunCounts::plusCompleted);
     }
 
+    /** Records that a request with a part has run to its end at another instance. */
+    void recordElsewhere(String part) {
+        nanosByPart.put(part, ticker.nanos());
+    }
+
     /** Records that a run of a request whose prompt has the given parts went on after its beginning. */
     void recordEstablished(Collection<String> parts) {
         countModels(parts, RunCounts::plusEstablished);
--- a/src/test/java/org/verbenatray/platform/CrashingPartTest.java
+++ b/src/test/java/org/verbenatray/platform/CrashingPartTest.java
@@ -4,13 +4,16 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.verbenatray.instance.RelayInstance;
 import org.verbenatray.platform.RelayFixture.ServerListing;
@@ -29,6 +32,11 @@
     /** The time for which a sound stream is read: longer than the beginning of a run. */
     private static final long LONG_STREAM_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
+    /** The time between two requests with the part, longer than that within which ends of servers are one event. */
+    private static final long CRASH_INTERVAL_MILLIS = 400;
+
+    private static final int SOUND_REQUESTS_PER_CRASH = 3;
+
     private final AtomicInteger requestNumber = new AtomicInteger();
 
     /** Whether the answers of engines have neither a length nor chunks, so that they end with their connections. */
@@ -43,7 +51,7 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        store = FakeStore.startOnPorts(2);
+        store = FakeStore.startOnPorts(3);
         store.put("keyed.op", "config", RelayFixture.configurationJson(1));
         engines = new ArrayList<>();
         instances = new ArrayList<>();
@@ -117,6 +125,33 @@
         Assert.assertTrue(crashedEngines() <= MAX_CRASHES, "engines ended: " + crashedEngines());
     }
 
+    /** At which instances requests with the part come, while sound ones come at the last of three only. */
+    @DataProvider
+    public Object[][] instancesWithThePart() {
+        return new Object[][] {{List.of(0)}, {List.of(0, 1)}, {List.of(0, 1, 2)}};
+    }
+
+    /** An instance without sound requests of its own never told the part from an outage (review/9). */
+    @Test(dataProvider = "instancesWithThePart")
+    public void theyAreRejectedAlsoWhereNoOtherRequestsCome(List<Integer> withThePart) throws Exception {
+        startInstances(3);
+        RelayFixture.waitUntilConnected(instances);
+        Deque<Integer> rejecting = new ArrayDeque<>(withThePart);
+        while (!rejecting.isEmpty()) {
+            Assert.assertTrue(crashedEngines() < ENGINES - 1, "engines ended: " + crashedEngines());
+            for (int number = 0; number < SOUND_REQUESTS_PER_CRASH; number++) {
+                Assert.assertTrue(sendSound(2).contains("done"));
+            }
+            int instance = rejecting.remove();
+            if (!sendCrashing(instance).contains("crashes_servers")) {
+                rejecting.add(instance);
+            }
+            TimeUnit.MILLISECONDS.sleep(CRASH_INTERVAL_MILLIS);
+        }
+        Assert.assertTrue(crashedEngines() <= MAX_CRASHES, "engines ended: " + crashedEngines());
+        Assert.assertTrue(sendSound(0).contains("done"));
+    }
+
     private void startInstances(int count) throws Exception {
         for (int number = 0; number < count; number++) {
             instances.add(RelayFixture.startInstance(store.address(number), "m" + number));
--- a/src/test/java/org/verbenatray/resilience/CrashingPartPropertiesTest.java
+++ b/src/test/java/org/verbenatray/resilience/CrashingPartPropertiesTest.java
@@ -1,8 +1,10 @@
 package org.verbenatray.resilience;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.testng.Assert;
@@ -20,6 +22,10 @@
  */
 public final class CrashingPartPropertiesTest {
     private static final int INSTANCES = 5;
+
+    /** The instances at which most sound requests come if they are not spread evenly. */
+    private static final int MAIN_INSTANCES = 2;
+
     private static final int ENGINES = 8;
     private static final int STEPS = 500;
     private static final long STEP_MILLIS = 100;
@@ -47,6 +53,39 @@
         Assert.assertTrue(simulation.lateSendings <= 3, "late sendings: " + simulation.lateSendings);
     }
 
+    /** An instance without sound requests of its own never told the part from an outage (review/9). */
+    @Property(tries = 150, seed = "26")
+    void afterTheFifthCrashFewCrashingRequestsAreSentWhereNoOthersCome(@ForAll long seed) {
+        Simulation simulation = play(seed, true, Lengths.SHORT, Callers.APART);
+        Assert.assertTrue(simulation.lateSendings <= 3, "late sendings: " + simulation.lateSendings);
+    }
+
+    @Property(tries = 150, seed = "26")
+    void afterTheFifthCrashFewCrashingRequestsAreSentWhereNoOthersComeBesideLongRuns(@ForAll long seed) {
+        Simulation simulation = play(seed, true, Lengths.LONG, Callers.APART);
+        Assert.assertTrue(simulation.lateSendings <= 3, "late sendings: " + simulation.lateSendings);
+    }
+
+    @Property(tries = 150, seed = "26")
+    void soundRequestsGoOnWhereFewOfThemCome(@ForAll long seed) {
+        Simulation simulation = play(seed, true, Lengths.SHORT, Callers.UNEVEN);
+        Assert.assertTrue(
+                2 * simulation.lateRefusedSound <= simulation.lateSound,
+                simulation.lateRefusedSound + " of " + simulation.lateSound + " refused");
+    }
+
+    /** What others have seen must not make an instance with few requests refuse sound ones. */
+    @Property(tries = 150, seed = "26")
+    void withoutACrashingPartSoundRequestsAreNotRefusedWhereFewOfThemCome(@ForAll long seed) {
+        Simulation simulation = play(seed, false, Lengths.SHORT, Callers.UNEVEN);
+        Assert.assertTrue(
+                50 * simulation.refusedSound <= simulation.sound,
+                simulation.refusedSound + " of " + simulation.sound + " refused");
+        Assert.assertTrue(
+                50 * simulation.refusedWhereFew <= Math.max(50, simulation.soundWhereFew),
+                simulation.refusedWhereFew + " of " + simulation.soundWhereFew + " refused where few come");
+    }
+
     @Property(tries = 150, seed = "26")
     void soundRequestsWithTheSameFirstPartGoOn(@ForAll long seed) {
         Simulation simulation = play(seed, true, Lengths.SHORT);
@@ -73,7 +112,11 @@
     }
 
     private static Simulation play(long seed, boolean crashingPart, Lengths soundLengths) {
-        Simulation simulation = new Simulation(new Random(seed), crashingPart, soundLengths);
+        return play(seed, crashingPart, soundLengths, Callers.EVEN);
+    }
+
+    private static Simulation play(long seed, boolean crashingPart, Lengths soundLengths, Callers callers) {
+        Simulation simulation = new Simulation(new Random(seed), crashingPart, soundLengths, callers);
         for (int step = 0; step < STEPS; step++) {
             simulation.run(step);
         }
@@ -97,6 +140,30 @@
         }
     }
 
+    /** At which instances requests come. */
+    private enum Callers {
+        /** All at any instance. */
+        EVEN,
+        /** Sound ones at two instances, crashing ones at the others. */
+        APART,
+        /** Most sound ones at two instances, few at the others; crashing ones at any. */
+        UNEVEN;
+
+        /** One in so many sound requests comes at one of the instances with few. */
+        private static final int FEW_ONE_IN = 40;
+
+        int drawForSound(Random random) {
+            boolean anywhere = this == EVEN || this == UNEVEN && random.nextInt(FEW_ONE_IN) == 0;
+            return random.nextInt(anywhere ? INSTANCES : MAIN_INSTANCES);
+        }
+
+        int drawForCrashing(Random random) {
+            return this == APART
+                    ? MAIN_INSTANCES + random.nextInt(INSTANCES - MAIN_INSTANCES)
+                    : random.nextInt(INSTANCES);
+        }
+    }
+
     /** One drawn course of events. */
     private static final class Simulation {
         private final Random random;
@@ -104,6 +171,8 @@
 
         private final Lengths soundLengths;
 
+        private final Callers callers;
+
         private final int firstSendStep;
         private final ManualTime time = new ManualTime();
         private final FakeKeyedLog log = new FakeKeyedLog();
@@ -126,13 +195,19 @@
         private int lateSound;
         private int lateRefusedSound;
 
-        Simulation(Random random, boolean crashingPart, Lengths soundLengths) {
+        /** The sound requests at instances where few of them come. */
+        private int soundWhereFew;
+
+        private int refusedWhereFew;
+
+        Simulation(Random random, boolean crashingPart, Lengths soundLengths, Callers callers) {
             this.random = random;
             this.crashingPart = crashingPart;
             this.soundLengths = soundLengths;
+            this.callers = callers;
             this.firstSendStep = 20 + random.nextInt(STEPS / 4);
             for (int number = 0; number < INSTANCES; number++) {
-                instances.add(new Instance());
+                instances.add(new Instance(number));
             }
         }
 
@@ -143,6 +218,9 @@
             if (step % 3 == 0) {
                 tellOneAnother();
             }
+            if (step % 2 == 0) {
+                instances.forEach(instance -> instance.evidence.tell());
+            }
             for (int number = 0; number < SOUND_REQUESTS_PER_STEP; number++) {
                 sendSound(step);
             }
@@ -180,7 +258,8 @@
         }
 
         private void sendSound(int step) {
-            Instance instance = instances.get(random.nextInt(INSTANCES));
+            int number = callers.drawForSound(random);
+            Instance instance = instances.get(number);
             boolean late = fifthCrashStep > 0 && step - fifthCrashStep > 2 * CONTACT_STEPS;
             List<String> parts = parts("sound" + random.nextInt(SOUND_PARTS));
             boolean refused = instance.ledger.partsBlockedUntil(parts).isPresent();
@@ -188,13 +267,15 @@
             lateSound += late ? 1 : 0;
             refusedSound += refused ? 1 : 0;
             lateRefusedSound += refused && late ? 1 : 0;
+            soundWhereFew += number >= MAIN_INSTANCES ? 1 : 0;
+            refusedWhereFew += refused && number >= MAIN_INSTANCES ? 1 : 0;
             if (!refused) {
                 start(instance, parts, false, step);
             }
         }
 
         private void sendCrashing(int step) {
-            Instance instance = instances.get(random.nextInt(INSTANCES));
+            Instance instance = instances.get(callers.drawForCrashing(random));
             List<String> parts = parts("guilty");
             if (instance.ledger.partsBlockedUntil(parts).isPresent() || !start(instance, parts, true, step)) {
                 return;
@@ -254,9 +335,17 @@
                     () -> run.instance.recordLost(run, boot, step)));
         }
 
+        /** Passes a notice of evidence to the instance with the port of an address; one in five is lost. */
+        private void deliver(InetSocketAddress to, byte[] notice) {
+            if (random.nextInt(5) > 0) {
+                instances.get(to.getPort()).evidence.receive(notice);
+            }
+        }
+
         /** What one instance knows. */
         private final class Instance {
             private final CrashLedger ledger = CrashLedger.create(time, this::clear);
+            private final EvidenceExchange evidence;
             private final CrashExchange exchange = CrashExchange.start(
                     log,
                     ledger,
@@ -266,8 +355,18 @@
                     time,
                     time);
 
+            private Instance(int number) {
+                List<InetSocketAddress> others = IntStream.range(0, INSTANCES)
+                        .filter(other -> other != number)
+                        .mapToObj(other -> InetSocketAddress.createUnresolved("instance", other))
+                        .toList();
+                evidence = EvidenceExchange.create(
+                        "instance" + number, ledger, () -> others, Simulation.this::deliver, time);
+            }
+
             private void clear(List<Crash> cleared) {
                 exchange.onCleared(cleared);
+                evidence.onCleared(cleared);
             }
 
             private void recordLost(Run run, String boot, int step) {
