The prompt that a prefill engine holds has a class of its own

A prompt whose prefill engine has dropped it is no longer released there, as nothing is held; otherwise no change of behaviour.

--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -14,7 +14,6 @@
 import org.verbenatray.relay.CallerResponse.DisconnectCause;
 import org.verbenatray.scheduling.EnginePriority;
 import org.verbenatray.servers.ConnectionUse;
-import org.verbenatray.time.Deadline;
 import org.xnio.XnioIoThread;
 
 /**
@@ -28,9 +27,6 @@
     /** Retry-after time for a caller that no engine can serve. */
     private static final long RETRY_AFTER_MILLIS = 400;
 
-    /** Time within which an engine must confirm that it has released a prefilled prompt. */
-    private static final long RELEASE_TIMEOUT_MILLIS = 1_000;
-
     /** Interval in which a prefilled prompt looks for an engine whose limit admits it. */
     private static final long LIMIT_RECHECK_MILLIS = 50;
 
@@ -47,11 +43,8 @@
     /** The running attempt, null if none. */
     private ForwardAttempt attempt;
 
-    /** The prompt prefilled for the next decode engine, null if none. */
-    private PrefilledPrompt prefilledPrompt;
-
-    /** When the prefill engine drops the prefilled prompt. */
-    private Deadline prefilledPromptExpiry;
+    /** The prompt prefilled for the next decode engine. */
+    private final HeldPrompt prefilledPrompt;
 
     /** When the request was last sent to an engine, in nanoseconds of the ticker. */
     private long sentNanos;
@@ -69,6 +62,7 @@
         this.call = call;
         this.decodeEngines = DecodeEngines.forCall(context, call);
         this.prefillStep = PrefillStep.of(context, call, decodeEngines, this);
+        this.prefilledPrompt = HeldPrompt.none(context);
         this.eventOrder = new EventOrder(call.request().lastEventId());
         this.engineLimits = context.catalog()
                 .get()
@@ -208,10 +202,8 @@
     /** Goes on to the decode engine after a successful prefill. */
     @Override
     public void generatePrefilled(PrefilledPrompt prefilled) {
-        prefilledPrompt = prefilled;
-        prefilledPromptExpiry = Deadline.afterMillis(
-                context.ticker().nanos(),
-                engineLimits.map(EngineLimits::handleTtlMillis).orElse(0L));
+        prefilledPrompt.hold(
+                prefilled, engineLimits.map(EngineLimits::handleTtlMillis).orElse(0L));
         generate(Optional.empty());
     }
 
@@ -245,25 +237,20 @@
             continueLaterOrGiveUp("no_server_in_reach");
             return;
         }
-        if (prefilledPrompt != null
-                && prefilledPromptExpiry.hasPassed(context.ticker().nanos())) {
-            prefilledPrompt = null;
-        }
+        Optional<PrefilledPrompt> prefilled = prefilledPrompt.current();
         boolean repeatable = call.route().repeatable();
         ForwardOptions options = new ForwardOptions(
                 backend,
                 call.times().remainingMillis(),
-                prefilledPrompt == null
-                        ? call.enginePriority(prefillStep.work().deferred())
-                        : EnginePriority.prefilled(),
+                prefilled.isEmpty() ? call.enginePriority(prefillStep.work().deferred()) : EnginePriority.prefilled(),
                 false,
                 Optional.empty(),
-                Optional.ofNullable(prefilledPrompt),
+                prefilled,
                 eventOrder.last(),
                 repeatable ? ConnectionUse.POOLED : ConnectionUse.CONFIRMED);
         sentNanos = context.ticker().nanos();
         leadingEvents = repeatable ? LeadingEvents.keepingBack() : LeadingEvents.passingOn();
-        PrefillWork work = prefilledPrompt == null ? prefillStep.work() : PrefillWork.NONE;
+        PrefillWork work = prefilled.isEmpty() ? prefillStep.work() : PrefillWork.NONE;
         attempt = call.send(options, work, call.responseTimeouts(), this).orElse(null);
         if (attempt == null) {
             stop();
@@ -277,9 +264,8 @@
     private void handleMissingEngine() {
         if (!call.servers().limitsReached()) {
             continueLaterOrGiveUp(decodeEngines.missingOutcome());
-        } else if (prefilledPrompt != null
-                && call.times().remainingFirstEventMillis() > 0
-                && !prefilledPromptExpiry.hasPassed(context.ticker().nanos())) {
+        } else if (call.times().remainingFirstEventMillis() > 0
+                && prefilledPrompt.current().isPresent()) {
             context.thread()
                     .executeAfter(
                             call.guard().wrap(() -> {
@@ -305,19 +291,19 @@
         if (call.route().repeatable()) {
             context.continuations().recordServer(call.request().streamId(), backend);
         }
+        boolean fetched = prefilledPrompt.recordFetched();
         call.request().prompt().ifPresent(prompt -> {
             boolean asPlanned = prefillStep
                     .plan()
                     .flatMap(PrefillPlan::engine)
                     .filter(backend::equals)
                     .isPresent();
-            if (prefilledPrompt == null && asPlanned) {
+            if (!fetched && asPlanned) {
                 prefillStep.recordFirstToken((context.ticker().nanos() - sentNanos) / 1e6);
             } else {
                 context.planner().recordCached(backend, prompt);
             }
         });
-        prefilledPrompt = null;
     }
 
     /** Records the longest time between two events of a run, for the choice of engines and for the log. */
@@ -409,17 +395,8 @@
 
     /** Releases a prefilled prompt that no decode engine has fetched. */
     private void releasePrefilledPrompt() {
-        if (prefilledPrompt != null && (attempt == null || !attempt.sendingStarted())) {
-            PrefilledPrompt released = prefilledPrompt;
-            prefilledPrompt = null;
-            context.transport()
-                    .call(
-                            context.dialect().release(released),
-                            context.thread(),
-                            Deadline.afterMillis(context.ticker().nanos(), RELEASE_TIMEOUT_MILLIS),
-                            1_024)
-                    .thenAccept(response -> context.statements().recordStatusAnswer(released.engine(), response))
-                    .exceptionally(failure -> null);
+        if (attempt == null || !attempt.sendingStarted()) {
+            prefilledPrompt.release();
         }
     }
 }
