One place writes datagrams and recognizes their kind

Eleven codecs and exchanges repeated the same lines around the fields of a message. Besides, a notice of evidence cannot clear the crashes of a request, only those of a part of prompts, which it is about.

--- a/src/main/java/org/verbenatray/continuation/OriginMessageCodec.java
+++ b/src/main/java/org/verbenatray/continuation/OriginMessageCodec.java
@@ -3,12 +3,11 @@
 import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import org.verbenatray.datagrams.Datagrams;
 
 /** Encodes and decodes messages about origins as protobuf; unknown fields are skipped. */
 final class OriginMessageCodec {
@@ -40,20 +39,12 @@
 
     /** Returns whether a datagram holds such a message. */
     static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     /** Encodes a message. */
     static byte[] encode(OriginMessage message) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        try {
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-            write(message, out);
-            out.flush();
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory failed", e);
-        }
-        return bytes.toByteArray();
+        return Datagrams.write(out -> write(message, out));
     }
 
     private static void write(OriginMessage message, CodedOutputStream out) throws IOException {
--- /dev/null
+++ b/src/main/java/org/verbenatray/datagrams/package-info.java
@@ -0,0 +1,2 @@
+/** The form of the datagrams that instances send one another. */
+package org.verbenatray.datagrams;
--- a/src/main/java/org/verbenatray/limits/LimitNoticeCodec.java
+++ b/src/main/java/org/verbenatray/limits/LimitNoticeCodec.java
@@ -1,14 +1,12 @@
 package org.verbenatray.limits;
 
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalDouble;
+import org.verbenatray.datagrams.Datagrams;
 
 /** Encodes and decodes notices as protobuf messages; unknown fields are skipped. */
 final class LimitNoticeCodec {
@@ -35,24 +33,18 @@
 
     /** Returns whether a datagram holds a notice. */
     static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     /** Encodes a notice. */
     static byte[] encode(LimitNotice notice) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        return Datagrams.write(out -> {
             out.writeString(INSTANCE, notice.instance());
             out.writeUInt64(INCARNATION, notice.incarnation());
             for (LimitNotice.Report report : notice.reports()) {
                 out.writeByteArray(REPORT, encodeReport(report));
             }
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory failed", e);
-        }
+        });
     }
 
     /**
@@ -76,17 +68,15 @@
         return new LimitNotice(instance, incarnation, reports);
     }
 
-    private static byte[] encodeReport(LimitNotice.Report report) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-        out.writeString(BOOT, report.boot());
-        if (report.requestsPerSecond().isPresent()) {
-            out.writeDouble(REQUESTS_PER_SECOND, report.requestsPerSecond().getAsDouble());
-        }
-        out.writeUInt64(AGE_MILLIS, report.ageMillis());
-        out.writeUInt64(SENT, report.sent());
-        out.flush();
-        return bytes.toByteArray();
+    private static byte[] encodeReport(LimitNotice.Report report) {
+        return Datagrams.write(out -> {
+            out.writeString(BOOT, report.boot());
+            if (report.requestsPerSecond().isPresent()) {
+                out.writeDouble(REQUESTS_PER_SECOND, report.requestsPerSecond().getAsDouble());
+            }
+            out.writeUInt64(AGE_MILLIS, report.ageMillis());
+            out.writeUInt64(SENT, report.sent());
+        });
     }
 
     private static LimitNotice.Report decodeReport(byte[] bytes) throws IOException {
--- a/src/main/java/org/verbenatray/openwork/LeavingExchange.java
+++ b/src/main/java/org/verbenatray/openwork/LeavingExchange.java
@@ -1,11 +1,8 @@
 package org.verbenatray.openwork;
 
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -15,6 +12,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.verbenatray.datagrams.Datagrams;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Scheduler;
@@ -82,7 +80,7 @@
 
     /** Returns whether a datagram names leaving servers. */
     public static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     /** Records that the start of a server with the given boot id is leaving, and tells the others if that is news. */
@@ -109,15 +107,9 @@
     }
 
     private static byte[] encode(String boot) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        return Datagrams.write(out -> {
             out.writeString(BOOT, boot);
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        });
     }
 
     /** Returns the boot ids in a notice; skips fields that a later version may add. */
--- a/src/main/java/org/verbenatray/openwork/PartedNotice.java
+++ b/src/main/java/org/verbenatray/openwork/PartedNotice.java
@@ -3,7 +3,6 @@
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -18,6 +17,7 @@
 import java.util.Optional;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
+import org.verbenatray.datagrams.Datagrams;
 
 /**
  * A notice that does not fit a datagram: it is compressed and sent in parts, which its receiver puts together again. A
@@ -69,7 +69,7 @@
 
     /** Returns whether a datagram holds a part. */
     static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     /** Returns the datagrams of a notice; none if it is too large. */
@@ -129,18 +129,12 @@
     }
 
     private static byte[] encode(byte[] part, long hash, int number, int count) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        return Datagrams.write(out -> {
             out.writeByteArray(PART, part);
             out.writeFixed64(NOTICE, hash);
             out.writeUInt32(NUMBER, number);
             out.writeUInt32(COUNT, count);
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory failed", e);
-        }
+        });
     }
 
     private static byte[] compress(byte[] notice) {
--- a/src/main/java/org/verbenatray/openwork/ReadExchange.java
+++ b/src/main/java/org/verbenatray/openwork/ReadExchange.java
@@ -2,11 +2,8 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -19,6 +16,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.verbenatray.datagrams.Datagrams;
 import org.verbenatray.log.KeyedLog;
 import org.verbenatray.state.KeyedFollower;
 import org.verbenatray.state.KeyedFollower.PollTiming;
@@ -97,7 +95,7 @@
 
     /** Returns whether a datagram holds changes of a log, or a part of them. */
     public static boolean recognizes(byte[] datagram) {
-        return PartedNotice.recognizes(datagram) || datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return PartedNotice.recognizes(datagram) || Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     @Override
@@ -162,9 +160,7 @@
     }
 
     private byte[] encode(long epoch, long from, long to, List<KeyedLog.Entry> changes) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        return Datagrams.write(out -> {
             out.writeUInt64(FROM, from);
             out.writeUInt64(TO, to);
             out.writeString(LOG, name);
@@ -175,11 +171,7 @@
                     out.writeByteArray(VALUE, change.value().get());
                 }
             }
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory failed", e);
-        }
+        });
     }
 
     /** Receives the datagrams of the reads of all logs. Used on one thread. */
--- a/src/main/java/org/verbenatray/openwork/ReportNoticeCodec.java
+++ b/src/main/java/org/verbenatray/openwork/ReportNoticeCodec.java
@@ -1,17 +1,15 @@
 package org.verbenatray.openwork;
 
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.verbenatray.backends.BackendLoad;
 import org.verbenatray.backends.CacheChanges;
 import org.verbenatray.backends.EngineReport;
+import org.verbenatray.datagrams.Datagrams;
 
 /** Encodes and decodes notices of what engines report as protobuf messages; unknown fields are skipped. */
 final class ReportNoticeCodec {
@@ -51,12 +49,12 @@
 
     /** Returns whether a datagram holds a notice. */
     static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     /** Encodes a notice of encoded reports and of samples. */
     static byte[] encode(String instance, List<byte[]> reports, List<SpeedSample> samples) {
-        return write(out -> {
+        return Datagrams.write(out -> {
             out.writeString(INSTANCE, instance);
             for (byte[] report : reports) {
                 out.writeByteArray(REPORT, report);
@@ -68,7 +66,7 @@
     }
 
     private static byte[] encodeSample(SpeedSample sample) {
-        return write(out -> {
+        return Datagrams.write(out -> {
             out.writeString(BOOT, sample.boot());
             out.writeDouble(GAP_MILLIS, sample.gapMillis());
         });
@@ -90,7 +88,7 @@
 
     /** Encodes one report. */
     static byte[] encodeReport(EngineReport report) {
-        return write(out -> {
+        return Datagrams.write(out -> {
             out.writeString(BOOT, report.boot());
             out.writeUInt64(AGO_MILLIS, report.agoMillis());
             out.writeBool(ANSWERED, report.answered());
@@ -146,7 +144,7 @@
 
     /** Encodes a load: its fields in their order, numbered from 1. */
     private static byte[] encodeLoad(BackendLoad load) {
-        return write(out -> {
+        return Datagrams.write(out -> {
             out.writeInt32(1, load.waitingRequests());
             out.writeInt32(2, load.runningRequests());
             out.writeInt64(3, load.usedCacheTokens());
@@ -173,7 +171,7 @@
     }
 
     private static byte[] encodeChanges(CacheChanges changes) {
-        return write(out -> {
+        return Datagrams.write(out -> {
             out.writeString(EPOCH, changes.epoch());
             out.writeInt64(NEXT, changes.nextChangeNumber());
             out.writeBool(GAP, changes.gap());
@@ -204,24 +202,6 @@
         return new CacheChanges(epoch, next, gap, changes);
     }
 
-    private static byte[] write(Writer writer) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-            writer.write(out);
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory failed", e);
-        }
-    }
-
-    /** Writes the fields of a message. */
-    @FunctionalInterface
-    private interface Writer {
-        void write(CodedOutputStream out) throws IOException;
-    }
-
     /**
      * A notice.
      *
--- a/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
+++ b/src/main/java/org/verbenatray/openwork/WorkNoticeCodec.java
@@ -1,15 +1,13 @@
 package org.verbenatray.openwork;
 
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.verbenatray.datagrams.Datagrams;
 import org.verbenatray.resilience.Crash;
 
 /** Encodes and decodes notices as protobuf messages; unknown fields are skipped. */
@@ -62,14 +60,12 @@
 
     /** Returns whether a datagram holds a notice. */
     static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     /** Encodes a notice. */
     static byte[] encode(WorkNotice notice) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        return Datagrams.write(out -> {
             out.writeString(INSTANCE, notice.instance());
             out.writeUInt64(INCARNATION, notice.incarnation());
             out.writeUInt64(SEQUENCE, notice.sequence());
@@ -82,11 +78,7 @@
             for (Crash crash : notice.crashes()) {
                 out.writeByteArray(CRASH, encodeCrash(crash));
             }
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory failed", e);
-        }
+        });
     }
 
     /**
@@ -118,19 +110,17 @@
     }
 
     /** Encodes the work at one engine. */
-    private static byte[] encodeEngine(WorkNotice notice, String bootId, EngineWork work) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-        out.writeString(BOOT_ID, bootId);
-        out.writeUInt64(REGULAR_MICROS, work.regularMicros());
-        out.writeUInt64(DEFERRED_MICROS, work.deferredMicros());
-        out.writeUInt32(OPEN_REQUESTS, work.openRequests());
-        Long answeredAgo = notice.answeredAgoMillis().get(bootId);
-        if (answeredAgo != null) {
-            out.writeUInt64(ANSWERED_AGO_MILLIS, answeredAgo);
-        }
-        out.flush();
-        return bytes.toByteArray();
+    private static byte[] encodeEngine(WorkNotice notice, String bootId, EngineWork work) {
+        return Datagrams.write(out -> {
+            out.writeString(BOOT_ID, bootId);
+            out.writeUInt64(REGULAR_MICROS, work.regularMicros());
+            out.writeUInt64(DEFERRED_MICROS, work.deferredMicros());
+            out.writeUInt32(OPEN_REQUESTS, work.openRequests());
+            Long answeredAgo = notice.answeredAgoMillis().get(bootId);
+            if (answeredAgo != null) {
+                out.writeUInt64(ANSWERED_AGO_MILLIS, answeredAgo);
+            }
+        });
     }
 
     /** Decodes the work at one engine and when it last answered, and adds both to the maps. */
@@ -158,13 +148,11 @@
         }
     }
 
-    private static byte[] encodeCrash(Crash crash) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-        out.writeString(BOOT_ID, crash.boot());
-        out.writeString(FINGERPRINT, crash.suspect());
-        out.flush();
-        return bytes.toByteArray();
+    private static byte[] encodeCrash(Crash crash) {
+        return Datagrams.write(out -> {
+            out.writeString(BOOT_ID, crash.boot());
+            out.writeString(FINGERPRINT, crash.suspect());
+        });
     }
 
     private static Crash decodeCrash(byte[] bytes) throws IOException {
@@ -182,17 +170,15 @@
     }
 
     /** Encodes one placement. */
-    private static byte[] encodePlacement(PromptPlacement placement) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-        out.writeString(BOOT_ID, placement.bootId());
-        out.writeBool(PROCESSED, placement.processed());
-        for (Map.Entry<String, Integer> block : placement.blockTokens().entrySet()) {
-            out.writeString(BLOCK_ID, block.getKey());
-            out.writeUInt32(BLOCK_TOKENS, block.getValue());
-        }
-        out.flush();
-        return bytes.toByteArray();
+    private static byte[] encodePlacement(PromptPlacement placement) {
+        return Datagrams.write(out -> {
+            out.writeString(BOOT_ID, placement.bootId());
+            out.writeBool(PROCESSED, placement.processed());
+            for (Map.Entry<String, Integer> block : placement.blockTokens().entrySet()) {
+                out.writeString(BLOCK_ID, block.getKey());
+                out.writeUInt32(BLOCK_TOKENS, block.getValue());
+            }
+        });
     }
 
     /** Decodes one placement. */
--- a/src/main/java/org/verbenatray/pace/PaceExchange.java
+++ b/src/main/java/org/verbenatray/pace/PaceExchange.java
@@ -1,11 +1,8 @@
 package org.verbenatray.pace;
 
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -14,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.verbenatray.datagrams.Datagrams;
 import org.verbenatray.telemetry.Event;
 
 /** Sends what this instance learns of the pace of servers to the others of its group, and receives theirs. */
@@ -47,7 +45,7 @@
 
     /** Returns whether a datagram holds a notice. */
     public static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     /** Sends a notice; one that is lost is made up for by the next, or by time. */
@@ -72,17 +70,11 @@
 
     /** Encodes a notice. */
     static byte[] encode(PaceNotice notice) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        return Datagrams.write(out -> {
             out.writeString(BOOT, notice.boot());
             out.writeUInt32(KIND, notice.kind().ordinal());
             out.writeDouble(SHARE, notice.share());
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory failed", e);
-        }
+        });
     }
 
     /** Decodes a notice; fails if it is malformed. */
--- a/src/main/java/org/verbenatray/resilience/EvidenceExchange.java
+++ b/src/main/java/org/verbenatray/resilience/EvidenceExchange.java
@@ -130,7 +130,7 @@
     public void receive(byte[] datagram) {
         try {
             EvidenceNotice notice = EvidenceNoticeCodec.decode(datagram);
-            notice.succeeded().forEach(part -> recordSuccess(part, notice.instance()));
+            notice.succeeded().stream().filter(PartKey::isPart).forEach(part -> recordSuccess(part, notice.instance()));
             notice.statements().forEach(statement -> ledger.recordStatement(notice.instance(), statement));
         } catch (IOException e) {
             Event.named("evidence_notice_malformed").with("why", e.getMessage()).log(log, Level.WARNING);
--- a/src/main/java/org/verbenatray/resilience/EvidenceNoticeCodec.java
+++ b/src/main/java/org/verbenatray/resilience/EvidenceNoticeCodec.java
@@ -1,13 +1,11 @@
 package org.verbenatray.resilience;
 
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.verbenatray.datagrams.Datagrams;
 
 /** Encodes and decodes notices of evidence as protobuf messages; unknown fields are skipped. */
 final class EvidenceNoticeCodec {
@@ -37,14 +35,12 @@
 
     /** Returns whether a datagram holds a notice. */
     static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     /** Encodes a notice. */
     static byte[] encode(EvidenceNotice notice) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        return Datagrams.write(out -> {
             out.writeString(INSTANCE, notice.instance());
             for (PartStatement statement : notice.statements()) {
                 out.writeByteArray(STATEMENT, encode(statement));
@@ -52,23 +48,17 @@
             for (String part : notice.succeeded()) {
                 out.writeString(SUCCEEDED, part);
             }
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory failed", e);
-        }
+        });
     }
 
-    private static byte[] encode(PartStatement statement) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-        out.writeString(PART, statement.part());
-        out.writeUInt32(COMPLETED_WITHOUT, statement.evidence().completedWithout());
-        out.writeUInt32(ESTABLISHED_WITHOUT, statement.evidence().establishedWithout());
-        out.writeBool(ESTABLISHED, statement.evidence().established());
-        out.writeBool(SUCCEEDED_BEFORE, statement.evidence().succeededBefore());
-        out.flush();
-        return bytes.toByteArray();
+    private static byte[] encode(PartStatement statement) {
+        return Datagrams.write(out -> {
+            out.writeString(PART, statement.part());
+            out.writeUInt32(COMPLETED_WITHOUT, statement.evidence().completedWithout());
+            out.writeUInt32(ESTABLISHED_WITHOUT, statement.evidence().establishedWithout());
+            out.writeBool(ESTABLISHED, statement.evidence().established());
+            out.writeBool(SUCCEEDED_BEFORE, statement.evidence().succeededBefore());
+        });
     }
 
     /**
--- a/src/main/java/org/verbenatray/scheduling/PlacementCodec.java
+++ b/src/main/java/org/verbenatray/scheduling/PlacementCodec.java
@@ -3,9 +3,7 @@
 import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -16,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.verbenatray.backends.PrefillWork;
+import org.verbenatray.datagrams.Datagrams;
 import org.verbenatray.openwork.EngineWork;
 import org.verbenatray.placement.PromptBlock;
 import org.verbenatray.placement.PromptShape;
@@ -69,14 +68,12 @@
 
     /** Returns whether a datagram holds a message of placement. */
     static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     /** Encodes a message. */
     static byte[] encode(PlacementMessage message) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        return Datagrams.write(out -> {
             out.writeUInt32(KIND, kindOf(message));
             out.writeString(INSTANCE, message.instance());
             if (message instanceof PlacementMessage.Question question) {
@@ -88,11 +85,7 @@
             } else if (message instanceof PlacementMessage.Work work) {
                 write(work, out);
             }
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory failed", e);
-        }
+        });
     }
 
     private static int kindOf(PlacementMessage message) {
--- a/src/main/java/org/verbenatray/usage/UsageNoticeCodec.java
+++ b/src/main/java/org/verbenatray/usage/UsageNoticeCodec.java
@@ -1,13 +1,11 @@
 package org.verbenatray.usage;
 
 import com.google.protobuf.CodedInputStream;
-import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.HashMap;
 import java.util.Map;
+import org.verbenatray.datagrams.Datagrams;
 
 /** Encodes and decodes notices of counts as protobuf messages; unknown fields are skipped. */
 final class UsageNoticeCodec {
@@ -36,14 +34,12 @@
 
     /** Returns whether a datagram holds a notice. */
     static boolean recognizes(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FIRST_BYTE;
+        return Datagrams.beginsWith(datagram, FIRST_BYTE);
     }
 
     /** Encodes a notice. */
     static byte[] encode(UsageNotice notice) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        return Datagrams.write(out -> {
             out.writeString(INSTANCE, notice.instance());
             out.writeUInt64(INCARNATION, notice.incarnation());
             out.writeUInt64(UNTIL_MILLIS, notice.untilMillis());
@@ -59,11 +55,7 @@
                     out.writeUInt32(COUNT, count.getValue());
                 }
             }
-            out.flush();
-            return bytes.toByteArray();
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory failed", e);
-        }
+        });
     }
 
     /**
