What was seen of a part of prompts is told from its third crash on

Each server that ends leaves the parts of its runs with one or two crashes, until the next request with them succeeds. Each such success was told to twelve instances five times a second for 1.5 s, and each part with two crashes as well: work on instances with a tenth of a core, just when servers end.

--- a/src/main/java/org/verbenatray/resilience/CrashLedger.java
+++ b/src/main/java/org/verbenatray/resilience/CrashLedger.java
@@ -21,10 +21,13 @@
  * thread-safe: all calls come from one thread.
  */
 public final class CrashLedger {
-    private static final int CRASHES_TO_BLOCK = 3;
+    /**
+     * Crashes under a part from which on other instances are told what was seen of it: one fewer than block it, as each
+     * server that ends leaves many parts with one or two.
+     */
+    static final int CRASHES_TO_STATE = 3;
 
-    /** Crashes under a part from which on other instances are told what was seen of it. */
-    private static final int CRASHES_TO_STATE = 2;
+    private static final int CRASHES_TO_BLOCK = 3;
 
     /** The number of cleared crashes that are remembered. */
     private static final int MAX_CLEARED = 8_192;
--- a/src/main/java/org/verbenatray/resilience/EvidenceExchange.java
+++ b/src/main/java/org/verbenatray/resilience/EvidenceExchange.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.verbenatray.telemetry.Event;
 import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
@@ -94,12 +95,16 @@
         return EvidenceNoticeCodec.recognizes(datagram);
     }
 
-    /** Records that this instance has cleared the suspects of the given crashes. */
+    /** Records that this instance has cleared the suspects of the given crashes; those with few are not told. */
     public void onCleared(Collection<Crash> crashes) {
-        crashes.stream()
-                .map(Crash::suspect)
-                .filter(PartKey::isPart)
-                .forEach(part -> succeeded.put(part, Deadline.afterMillis(ticker.nanos(), TELL_SUCCESS_MILLIS)));
+        Map<String, Long> countBySuspect =
+                crashes.stream().collect(Collectors.groupingBy(Crash::suspect, Collectors.counting()));
+        Deadline until = Deadline.afterMillis(ticker.nanos(), TELL_SUCCESS_MILLIS);
+        countBySuspect.forEach((suspect, count) -> {
+            if (PartKey.isPart(suspect) && count >= CrashLedger.CRASHES_TO_STATE) {
+                succeeded.put(suspect, until);
+            }
+        });
     }
 
     /** Tells the other instances what has changed, and logs which parts are newly blocked; called regularly. */
