Log why the attempts of a request have failed

`answer` now has `failures`, the reasons in the order of the attempts; the reason was kept with each outcome already, and was read nowhere. An exception without a message is named by its class.

--- a/src/main/java/org/verbenatray/relay/CallRecord.java
+++ b/src/main/java/org/verbenatray/relay/CallRecord.java
@@ -2,6 +2,8 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
 import org.verbenatray.backends.BackendEntry;
 import org.verbenatray.telemetry.Event;
 
@@ -19,6 +21,9 @@
     /** Attempts and further fields, for the log line of the final response. */
     private final StringBuilder fields = new StringBuilder();
 
+    /** Why attempts have failed, in their order. */
+    private final List<String> failures = new ArrayList<>();
+
     /** When the request was last sent, in nanoseconds of the ticker; zero before that. */
     private long lastSentNanos;
 
@@ -41,6 +46,9 @@
         if (outcome.status() > 0) {
             fields.append(':').append(outcome.status());
         }
+        if (outcome.isFailure()) {
+            failures.add(outcome.detail());
+        }
         context.metrics().recordForward(service, outcome.kind().name());
     }
 
@@ -97,6 +105,9 @@
         if (budgetSpent) {
             fields.append(" budget=spent");
         }
+        if (!failures.isEmpty()) {
+            event.with("failures", String.join("; ", failures));
+        }
         event.with("left_ms", matched.deadline().remainingMillis(now))
                 .with("tried", fields.toString().trim());
         event.log(log, Level.INFO);
--- a/src/main/java/org/verbenatray/relay/ForwardOutcome.java
+++ b/src/main/java/org/verbenatray/relay/ForwardOutcome.java
@@ -43,6 +43,11 @@
         return !unsent() && kind != Kind.NOT_RUN;
     }
 
+    /** Returns whether the attempt has failed without a usable response; the detail tells why. */
+    boolean isFailure() {
+        return unsent() || kind == Kind.BROKEN || kind == Kind.SILENT;
+    }
+
     /** Returns whether the server has run the request to its end with success. */
     boolean isSuccess() {
         return (kind == Kind.ANSWERED || kind == Kind.STREAM_ENDED) && status() < 300;
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -253,8 +253,7 @@
             transport.startOnNewConnection(call, thread, this);
             return;
         }
-        fail(ServerFailure.create(
-                ServerFailure.Kind.BROKEN, "connection to " + call.address() + " broke: " + e.getMessage(), e));
+        fail(ServerFailure.create(ServerFailure.Kind.BROKEN, "connection to " + call.address() + " broke: " + e, e));
     }
 
     /** Ends the exchange with a failure that the response shows, and logs it. */
