A stream of which all events have come ends as complete though its end was lost

Cause: the next engine, asked for the rest, had nothing left and answered with a whole stream without events. That was taken for broken, as an engine that has lost the rest answers alike. The other way about, a caller that asked for the rest itself got any empty answer with a whole end.

Change: an empty rest is an outcome of its own (EMPTY_REST). The same engine is asked for the stream from its last event on; only if it sends that event once more and a whole end is the stream complete. Nothing is asked once as many events have come as the request allows tokens.

Why it works: a sound engine goes on behind Last-Event-Id, so it shows that it has the stream and that it ends there; one that has lost the rest sends nothing again.

Tests: EmptyRestTest, 24 of 38 cases failed on; ForwardedRequestTest (the hop), one of the two new cases failed there. BrokenStreamTest expected that an engine that sends nothing is asked once; two of its cases now expect the check too, and as before that the stream is cut.

--- a/src/main/java/org/verbenatray/relay/EventOrder.java
+++ b/src/main/java/org/verbenatray/relay/EventOrder.java
@@ -11,12 +11,21 @@
     /** The id after which a server goes on with the stream, empty before the first. */
     private Optional<String> last;
 
+    /** The id after which a server sends the last event once more, empty if it is the first one. */
+    private Optional<String> beforeLast;
+
+    /** The number of events with a position that were passed on. */
+    private int count;
+
     /** Whether each event that was passed on, but for comments, has a position. */
     private boolean allPlaced = true;
 
     /** Creates the order of a stream that goes on after the event with the given id, or that begins. */
     EventOrder(Optional<String> last) {
         this.last = last;
+        this.beforeLast = last.map(StreamEvent::number)
+                .filter(number -> number.orElse(0) > 0)
+                .map(number -> Long.toString(number.getAsLong() - 1));
     }
 
     /** Returns whether an event may come next. */
@@ -24,7 +33,7 @@
         if (event.id().isEmpty()) {
             return last.isEmpty() || event.isComment();
         }
-        OptionalLong before = last.map(StreamEvent::number).orElse(OptionalLong.empty());
+        OptionalLong before = lastPosition();
         OptionalLong next = event.position();
         return before.isEmpty() || next.isPresent() && next.getAsLong() > before.getAsLong();
     }
@@ -32,7 +41,9 @@
     /** Records an event that was passed on. */
     void record(StreamEvent event) {
         if (event.position().isPresent()) {
+            beforeLast = last;
             last = event.id();
+            count++;
         } else if (!event.isComment()) {
             allPlaced = false;
         }
@@ -43,6 +54,21 @@
         return last;
     }
 
+    /** Returns the id after which a server sends the last event once more; empty if that event begins the stream. */
+    Optional<String> beforeLast() {
+        return beforeLast;
+    }
+
+    /** Returns the position of the last event; empty if a server cannot be asked for that event. */
+    OptionalLong lastPosition() {
+        return last.map(StreamEvent::number).orElse(OptionalLong.empty());
+    }
+
+    /** Returns the number of events with a position that were passed on. */
+    int count() {
+        return count;
+    }
+
     /**
      * Returns whether another server can go on with the stream: the rest that it sends follows on all that was passed
      * on only if that is told by the id of the last event.
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -235,6 +235,8 @@
             finish(ForwardOutcome.Kind.BROKEN, "the head of the response cannot be used");
         } else if (deliversEvents() && splitter.isInsideEvent()) {
             finish(ForwardOutcome.Kind.BROKEN, "the stream ended inside an event");
+        } else if (isEmptyRest()) {
+            finish(ForwardOutcome.Kind.EMPTY_REST, "nothing of the rest of the stream");
         } else if (deliversEvents() && endsWithConnection && !eventArrived && !continuesStream()) {
             finish(ForwardOutcome.Kind.BROKEN, "the connection ended before the first event");
         } else if (deliversEvents() && !eventArrived && sendsRest) {
@@ -246,6 +248,16 @@
         }
     }
 
+    /** Returns whether the response is a success that holds no event of the rest that the server was asked for. */
+    private boolean isEmptyRest() {
+        boolean empty = deliversEvents() ? !eventArrived : buffer.isEmpty();
+        return empty
+                && continuesStream()
+                && head.status() < 300
+                && call.route().repeatable()
+                && listener.acceptsEvents();
+    }
+
     @Override
     public void onFailure(ServerFailure failure) {
         finish(kindOf(failure), failure.getMessage());
@@ -292,8 +304,15 @@
     private void recordEvidence(ForwardOutcome.Kind kind) {
         switch (kind) {
             case NOT_SENT, NOT_ADMITTED -> {}
-            case NOT_RUN -> evidence.recordRefused();
+            case NOT_RUN -> evidence.recordAlive();
             case BROKEN, SILENT -> evidence.recordLost();
+            case EMPTY_REST -> {
+                if (endsWithConnection) {
+                    evidence.recordUnproved(false);
+                } else {
+                    evidence.recordAlive();
+                }
+            }
             case ANSWERED, STREAM_ENDED -> {
                 if (endsWithConnection) {
                     evidence.recordUnproved(head.status() < 300 && !continuesStream());
--- a/src/main/java/org/verbenatray/relay/ForwardOutcome.java
+++ b/src/main/java/org/verbenatray/relay/ForwardOutcome.java
@@ -25,6 +25,11 @@
         ANSWERED,
         /** A stream ended regularly. */
         STREAM_ENDED,
+        /**
+         * The server was asked for the rest of a stream and sent a complete success that holds nothing of it. The
+         * stream may have ended, or the server has lost its rest.
+         */
+        EMPTY_REST,
         /**
          * The connection failed, or the response is invalid or belongs to another request; the request may have run.
          */
@@ -50,7 +55,13 @@
 
     /** Returns whether the server has run the request to its end with success. */
     boolean isSuccess() {
-        return (kind == Kind.ANSWERED || kind == Kind.STREAM_ENDED) && status() < 300;
+        boolean complete = kind == Kind.ANSWERED || kind == Kind.STREAM_ENDED || kind == Kind.EMPTY_REST;
+        return complete && status() < 300;
+    }
+
+    /** Returns the outcome of the same attempt whose response turned out to be unusable for the given reason. */
+    ForwardOutcome asBroken(String reason) {
+        return new ForwardOutcome(Kind.BROKEN, reason, head, new byte[0], false);
     }
 
     /** Returns the HTTP status of the response; zero if there is none. */
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -147,6 +147,7 @@
                 relayEvents(head, ended.backend(), keptBack);
                 call.endStream(head);
             }
+            case EMPTY_REST -> handleEmptyRest(ended, outcome, keptBack);
             case ANSWERED -> handleResponse(ended, outcome);
             default -> {
                 logDropped(keptBack);
@@ -155,6 +156,61 @@
         }
     }
 
+    /**
+     * Ends the stream if nothing can follow the last event; otherwise its server must show that nothing does. An answer
+     * to a caller whose own id tells no position is passed on, as it cannot be checked.
+     */
+    private void handleEmptyRest(ForwardAttempt ended, ForwardOutcome outcome, List<StreamEvent> comments) {
+        releasePrefilledPrompt();
+        boolean checkable = eventOrder.lastPosition().isPresent();
+        if (allTokensRelayed() || !checkable && !call.response().started()) {
+            endAtLastEvent(ended.backend(), outcome, comments);
+        } else if (checkable && call.tryReserveRepeat(ended.backend())) {
+            checkEnd(ended.backend(), outcome, comments);
+        } else {
+            retry(ended, outcome);
+        }
+    }
+
+    /** Returns whether as many events were relayed as the request allows tokens: each holds one at least. */
+    private boolean allTokensRelayed() {
+        int count = eventOrder.count();
+        return call.request()
+                .prompt()
+                .filter(prompt -> count >= prompt.maxOutputTokens())
+                .isPresent();
+    }
+
+    /** Asks a server that has sent nothing behind the last event for the stream from that event on. */
+    private void checkEnd(Backend backend, ForwardOutcome emptyRest, List<StreamEvent> comments) {
+        StreamEndCheck check = StreamEndCheck.of(eventOrder.lastPosition(), this, outcome -> {
+            ForwardAttempt ended = attempt;
+            attempt = null;
+            call.recordOutcome(ended, outcome, false);
+            if (call.finished()) {
+                return;
+            }
+            switch (outcome.kind()) {
+                case STREAM_ENDED -> endAtLastEvent(backend, emptyRest, comments);
+                case ANSWERED -> handleResponse(ended, outcome);
+                default -> retry(ended, outcome);
+            }
+        });
+        send(options(backend, eventOrder.beforeLast(), ConnectionUse.CONFIRMED), PrefillWork.NONE, check);
+    }
+
+    /** Ends the response with the answer that holds nothing behind the last event. */
+    private void endAtLastEvent(Backend backend, ForwardOutcome emptyRest, List<StreamEvent> comments) {
+        deadlineTimer.remove();
+        ServerResponseHead head = emptyRest.head().orElseThrow();
+        if (!call.response().started() && !head.eventStream()) {
+            call.relayResponse(emptyRest);
+            return;
+        }
+        relayEvents(head, backend, comments);
+        call.endStream(head);
+    }
+
     private void logDropped(List<StreamEvent> events) {
         if (!events.isEmpty()) {
             call.addLogField("dropped_events", events.size());
@@ -237,21 +293,31 @@
             continueLaterOrGiveUp("no_server_in_reach");
             return;
         }
-        Optional<PrefilledPrompt> prefilled = prefilledPrompt.current();
         boolean repeatable = call.route().repeatable();
-        ForwardOptions options = new ForwardOptions(
+        leadingEvents = repeatable ? LeadingEvents.keepingBack() : LeadingEvents.passingOn();
+        PrefillWork work = prefilledPrompt.current().isEmpty() ? prefillStep.work() : PrefillWork.NONE;
+        ConnectionUse connectionUse = repeatable ? ConnectionUse.POOLED : ConnectionUse.CONFIRMED;
+        send(options(backend, eventOrder.last(), connectionUse), work, this);
+    }
+
+    private ForwardOptions options(Backend backend, Optional<String> lastEventId, ConnectionUse connectionUse) {
+        Optional<PrefilledPrompt> prefilled = prefilledPrompt.current();
+        int priority =
+                prefilled.isEmpty() ? call.enginePriority(prefillStep.work().deferred()) : EnginePriority.prefilled();
+        return new ForwardOptions(
                 backend,
                 call.times().remainingMillis(),
-                prefilled.isEmpty() ? call.enginePriority(prefillStep.work().deferred()) : EnginePriority.prefilled(),
+                priority,
                 false,
                 Optional.empty(),
                 prefilled,
-                eventOrder.last(),
-                repeatable ? ConnectionUse.POOLED : ConnectionUse.CONFIRMED);
+                lastEventId,
+                connectionUse);
+    }
+
+    private void send(ForwardOptions options, PrefillWork work, ForwardListener listener) {
         sentNanos = context.ticker().nanos();
-        leadingEvents = repeatable ? LeadingEvents.keepingBack() : LeadingEvents.passingOn();
-        PrefillWork work = prefilled.isEmpty() ? prefillStep.work() : PrefillWork.NONE;
-        attempt = call.send(options, work, call.responseTimeouts(), this).orElse(null);
+        attempt = call.send(options, work, call.responseTimeouts(), listener).orElse(null);
         if (attempt == null) {
             stop();
         }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.catalog.Customer;
 import org.verbenatray.catalog.Route;
@@ -235,6 +236,14 @@
         return !response.inputEnded() && attempts.tryReserveAttempt();
     }
 
+    /**
+     * Returns whether the request may be sent once more to a server that has answered it, which adds no server to those
+     * that the route allows. Spends a retry from the budget.
+     */
+    boolean tryReserveRepeat(Backend server) {
+        return !response.inputEnded() && servers.usable().contains(server) && attempts.tryHoldRetry();
+    }
+
     /**
      * Returns whether the caller can no longer be told that the request has not run, so that a further attempt is its
      * only good end.
--- a/src/main/java/org/verbenatray/relay/ResponseBuffer.java
+++ b/src/main/java/org/verbenatray/relay/ResponseBuffer.java
@@ -93,6 +93,11 @@
         return share.isWaiting();
     }
 
+    /** Returns whether nothing of a body was received. */
+    boolean isEmpty() {
+        return body.size() == 0;
+    }
+
     /** Returns the bytes received and frees them. */
     byte[] take() {
         byte[] bytes = body.toByteArray();
--- a/src/main/java/org/verbenatray/relay/RunEvidence.java
+++ b/src/main/java/org/verbenatray/relay/RunEvidence.java
@@ -116,8 +116,8 @@
         context.crashProbe().probe(backend);
     }
 
-    /** Records that the server has refused to run the request. */
-    void recordRefused() {
+    /** Records that the server has completed a response for which it generated nothing, such as a refusal. */
+    void recordAlive() {
         context.serverRuns().recordAlive(backend.entry().bootId());
     }
 
--- a/src/main/java/org/verbenatray/relay/ServerHealth.java
+++ b/src/main/java/org/verbenatray/relay/ServerHealth.java
@@ -29,6 +29,9 @@
                 context.pace().recordRefusal(backend);
                 backend.recordRejection(now);
             }
+            case EMPTY_REST -> {
+                // Neither good nor bad until it is known whether the stream has ended.
+            }
             default -> {
                 if (outcome.status() >= 500) {
                     backend.recordErrorResponse();
--- a/src/test/java/org/verbenatray/platform/BrokenStreamTest.java
+++ b/src/test/java/org/verbenatray/platform/BrokenStreamTest.java
@@ -25,29 +25,40 @@
 
     private static final String EVENT_STREAM = "Content-Type: text/event-stream\r\n";
 
+    /** The ids after which the stream is asked for. */
+    private static final List<String> REST_ASKED_FOR = List.of("2");
+
+    /** The same where the next engine has sent nothing, and is asked whether the stream has ended. */
+    private static final List<String> END_CHECKED = List.of("2", "1");
+
     /** What the next engine responds with, by name. */
     @DataProvider
     public Object[][] answers() {
         return new Object[][] {
-            {"error", response(500, STAMP, ERROR)},
-            {"error that is not stamped", response(500, "", ERROR)},
-            {"error with the body of events", response(500, STAMP + EVENT_STREAM, "id: 9\ndata: " + ERROR + "\n\n")},
-            {"not found", response(404, STAMP, ERROR)},
-            {"busy, but not said not to have run", response(503, "", ERROR)},
-            {"success with a text", response(200, STAMP + "Content-Type: text/plain\r\n", ERROR)},
-            {"success of another request", otherRequest()},
-            {"an error as an event without id", stream("event: error\ndata: " + ERROR + "\n\n")},
-            {"a head as an event", stream("HTTP/1.1 500 Error\r\nX: " + ERROR + "\r\n\r\n")},
-            {"a text in place of an event", stream(ERROR + "\n\n")},
-            {"the last event once more", stream("id: 2\ndata: " + ERROR + "\n\n")},
-            {"the stream from its beginning", stream("id: 1\ndata: " + ERROR + "\n\n")},
-            {"an end without events", stream("")},
-            {"a head and the end of the connection", headThenClose()},
+            {"error", response(500, STAMP, ERROR), REST_ASKED_FOR},
+            {"error that is not stamped", response(500, "", ERROR), REST_ASKED_FOR},
+            {
+                "error with the body of events",
+                response(500, STAMP + EVENT_STREAM, "id: 9\ndata: " + ERROR + "\n\n"),
+                REST_ASKED_FOR
+            },
+            {"not found", response(404, STAMP, ERROR), REST_ASKED_FOR},
+            {"busy, but not said not to have run", response(503, "", ERROR), REST_ASKED_FOR},
+            {"success with a text", response(200, STAMP + "Content-Type: text/plain\r\n", ERROR), REST_ASKED_FOR},
+            {"success of another request", otherRequest(), REST_ASKED_FOR},
+            {"an error as an event without id", stream("event: error\ndata: " + ERROR + "\n\n"), REST_ASKED_FOR},
+            {"a head as an event", stream("HTTP/1.1 500 Error\r\nX: " + ERROR + "\r\n\r\n"), REST_ASKED_FOR},
+            {"a text in place of an event", stream(ERROR + "\n\n"), REST_ASKED_FOR},
+            {"the last event once more", stream("id: 2\ndata: " + ERROR + "\n\n"), REST_ASKED_FOR},
+            {"the stream from its beginning", stream("id: 1\ndata: " + ERROR + "\n\n"), REST_ASKED_FOR},
+            {"an end without events", stream(""), END_CHECKED},
+            {"a head and the end of the connection", headThenClose(), END_CHECKED},
         };
     }
 
     @Test(dataProvider = "answers")
-    public void theCallerGetsWhatCameBeforeAndABrokenConnection(String name, Script answer) throws Exception {
+    public void theCallerGetsWhatCameBeforeAndABrokenConnection(String name, Script answer, List<String> askedAfter)
+            throws Exception {
         Script script = (request, connection, out) -> {
             if (request.header("last-event-id").isEmpty()) {
                 begin(request, out);
@@ -71,7 +82,7 @@
                     .filter(id -> !id.isEmpty())
                     .distinct()
                     .toList();
-            Assert.assertEquals(resumedAfter, List.of("2"));
+            Assert.assertEquals(resumedAfter, askedAfter);
         }
     }
 
--- a/src/test/java/org/verbenatray/platform/CallerReply.java
+++ b/src/test/java/org/verbenatray/platform/CallerReply.java
@@ -17,6 +17,9 @@
  * @param whole whether the response is complete
  */
 record CallerReply(int status, Map<String, String> headers, String body, boolean whole) {
+    /** The status of a response that ends with its head. */
+    private static final int NO_CONTENT = 204;
+
     /** Reads a response to its end or to the end of the connection. */
     static CallerReply read(InputStream in) throws IOException {
         Map<String, String> headers = new TreeMap<>();
@@ -34,6 +37,9 @@
                     header.substring(colon + 1).trim());
         }
         int status = Integer.parseInt(statusLine.split(" ")[1]);
+        if (status == NO_CONTENT) {
+            return new CallerReply(status, headers, "", true);
+        }
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         boolean whole = headers.containsKey("content-length")
                 ? readCounted(in, Integer.parseInt(headers.get("content-length")), body)
--- /dev/null
+++ b/src/test/java/org/verbenatray/platform/EmptyRestTest.java
@@ -0,0 +1,306 @@
+package org.verbenatray.platform;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.verbenatray.platform.RelayFixture.ServerListing;
+import org.verbenatray.platform.ScriptedServer.Request;
+import org.verbenatray.platform.ScriptedServer.Script;
+
+/**
+ * Streams whose rest is asked for and comes without an event: either nothing was left of the stream, and it must end as
+ * complete, or the engine has lost the rest, and the stream must not look complete.
+ */
+public final class EmptyRestTest {
+    private static final String FIVE_TOKENS = "Token-Count: 10,5\r\nPrompt-Prefix: ab:10\r\n";
+
+    private static final String TWO_TOKENS = "Token-Count: 10,2\r\nPrompt-Prefix: ab:10\r\n";
+
+    private static final String LAST_EVENT_ID = "last-event-id";
+
+    private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+
+    private static final String EVENTS = FIRST_EVENT + "id: 2\ndata: b\n\n";
+
+    private static final String COMMENT = ": nothing left\n\n";
+
+    private static final String EVENT_STREAM = "Content-Type: text/event-stream\r\n";
+
+    private final List<ScriptedServer> engines = new ArrayList<>();
+
+    /** The requests for a generation that engines have received, in order. */
+    private final List<Arrival> arrivals = new ArrayList<>();
+
+    /** Serves the first request for a generation. */
+    private volatile Script beginning;
+
+    /** Serves the others. */
+    private volatile Script rest;
+
+    private RelayFixture relay;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        arrivals.clear();
+        for (int number = 0; number < 2; number++) {
+            int engine = number;
+            engines.add(ScriptedServer.start((request, connection, out) -> serve(engine, request, connection, out)));
+        }
+        relay = RelayFixture.startReady(
+                ServerListing.engine("e0", "decode", engines.get(0)),
+                ServerListing.engine("e1", "decode", engines.get(1)));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        relay.close();
+        for (ScriptedServer engine : engines) {
+            engine.close();
+        }
+        engines.clear();
+    }
+
+    /** The ways in which an engine says that it has nothing to send, by name. */
+    @DataProvider
+    public Object[][] emptyAnswers() {
+        return new Object[][] {
+            {"a last chunk", stream("")},
+            {"a length of zero", response(200, EVENT_STREAM)},
+            {"a length of zero of no type", response(200, "")},
+            {"no content", noContent()},
+            {"a comment", stream(COMMENT)},
+            {"the end of the connection", endOfConnection()},
+        };
+    }
+
+    /** Callers lost streams of which all events had come: the empty rest was taken for broken (review/10). */
+    @Test(dataProvider = "emptyAnswers")
+    public void aStreamOfWhichNothingWasLeftIsComplete(String name, Script nothing) throws Exception {
+        beginning = brokenOff(EVENTS);
+        rest = soundEngine(nothing);
+        CallerReply reply = call("id1", FIVE_TOKENS);
+        Assert.assertTrue(reply.whole(), reply.toString());
+        Assert.assertEquals(withoutComments(reply), EVENTS);
+        Assert.assertEquals(resumedAfter(), List.of("2", "1"));
+        Assert.assertEquals(arrivals.get(2).engine(), arrivals.get(1).engine(), "the engine that was asked again");
+    }
+
+    /** A stream ended as complete before its last event where an engine sent nothing of the rest (ORDER). */
+    @Test(dataProvider = "emptyAnswers")
+    public void aStreamWhoseRestWasLostIsNotComplete(String name, Script nothing) throws Exception {
+        beginning = brokenOff(EVENTS);
+        rest = nothing;
+        CallerReply reply = call("id1", FIVE_TOKENS);
+        Assert.assertFalse(reply.whole(), reply.toString());
+        Assert.assertEquals(withoutComments(reply), EVENTS);
+    }
+
+    /** The caller's own request for the rest of a stream ended as complete before the last event. */
+    @Test(dataProvider = "emptyAnswers")
+    public void aCallerThatAsksForALostRestDoesNotGetACompleteStream(String name, Script nothing) throws Exception {
+        CallerReply reply = callerAsksForRest(nothing);
+        Assert.assertEquals(reply.status(), 502, reply.toString());
+        Assert.assertEquals(resumedAfter().subList(0, 2), List.of("2", "1"));
+    }
+
+    @Test(dataProvider = "emptyAnswers")
+    public void aCallerThatHasAllEventsGetsTheAnswerOfTheEngine(String name, Script nothing) throws Exception {
+        CallerReply reply = callerAsksForRest(soundEngine(nothing));
+        Assert.assertTrue(reply.whole() && reply.status() < 300, reply.toString());
+        Assert.assertEquals(withoutComments(reply), "");
+        Assert.assertEquals(resumedAfter(), List.of("2", "1"));
+    }
+
+    @Test
+    public void nothingIsAskedAgainOnceAllTokensOfTheRequestHaveCome() throws Exception {
+        beginning = brokenOff(EVENTS);
+        rest = soundEngine(stream(""));
+        CallerReply reply = call("id1", TWO_TOKENS);
+        Assert.assertTrue(reply.whole(), reply.toString());
+        Assert.assertEquals(reply.body(), EVENTS);
+        Assert.assertEquals(resumedAfter(), List.of("2"));
+    }
+
+    @Test
+    public void aStreamOfOneEventIsAskedForFromItsBeginning() throws Exception {
+        beginning = brokenOff(FIRST_EVENT);
+        rest = (request, connection, out) -> {
+            boolean again = request.header(LAST_EVENT_ID).isEmpty();
+            stream(again ? FIRST_EVENT : "").serve(request, connection, out);
+        };
+        CallerReply reply = call("id1", FIVE_TOKENS);
+        Assert.assertTrue(reply.whole(), reply.toString());
+        Assert.assertEquals(reply.body(), FIRST_EVENT);
+        Assert.assertEquals(resumedAfter(), List.of("1", ""));
+    }
+
+    /** Ways in which the first engine fails behind the last event, by name. */
+    @DataProvider
+    public Object[][] lostEnds() {
+        return new Object[][] {
+            {"cut inside the last chunk", brokenOff(EVENTS, "0\r")},
+            {"cut inside a chunk", brokenOff(EVENTS, "5\r\n")},
+            {"silent", silentBehind(EVENTS)},
+        };
+    }
+
+    @Test(dataProvider = "lostEnds")
+    public void howTheEndWasLostMakesNoDifference(String name, Script lostEnd) throws Exception {
+        beginning = lostEnd;
+        rest = soundEngine(stream(""));
+        CallerReply reply = call("id1", FIVE_TOKENS);
+        Assert.assertTrue(reply.whole(), reply.toString());
+        Assert.assertEquals(reply.body(), EVENTS);
+    }
+
+    /** What an engine sends that has sent nothing behind event 2 and is asked for the stream behind event 1. */
+    @DataProvider
+    public Object[][] contradictions() {
+        return new Object[][] {
+            {"the stream goes on", stream("id: 2\ndata: b\n\nid: 3\ndata: c\n\n")},
+            {"another event", stream("id: 3\ndata: c\n\n")},
+            {"the stream from its beginning", stream(EVENTS)},
+            {"a text", stream("internal error\n\n")},
+            {"an event without an id", stream("data: b\n\n")},
+            {"half of the event", stream("id: 2\ndata")},
+            {"the event, and the end of the connection", brokenOff("id: 2\ndata: b\n\n")},
+            {"a failure", response(500, "")},
+        };
+    }
+
+    @Test(dataProvider = "contradictions")
+    public void anEngineThatDoesNotShowTheEndIsNotBelieved(String name, Script contradiction) throws Exception {
+        beginning = brokenOff(EVENTS);
+        rest = (request, connection, out) -> {
+            Script answer = request.header(LAST_EVENT_ID).equals("2") ? stream("") : contradiction;
+            answer.serve(request, connection, out);
+        };
+        CallerReply reply = call("id1", FIVE_TOKENS);
+        Assert.assertFalse(reply.whole(), reply.toString());
+        Assert.assertEquals(reply.body(), EVENTS);
+    }
+
+    @Test
+    public void anEngineThatEndedAStreamTruthfullyIsNotAvoided() throws Exception {
+        beginning = brokenOff(EVENTS);
+        rest = soundEngine(stream(""));
+        call("id1", FIVE_TOKENS);
+        int sound = arrivals.get(2).engine();
+        rest = stream(EVENTS);
+        call("id2", FIVE_TOKENS);
+        Assert.assertEquals(arrivals.get(arrivals.size() - 1).engine(), sound);
+    }
+
+    /** Lets a caller get a stream whole and ask for what follows its last event in a request of its own. */
+    private CallerReply callerAsksForRest(Script engine) throws IOException {
+        beginning = stream(EVENTS);
+        rest = engine;
+        call("id0", FIVE_TOKENS);
+        return call("id1", FIVE_TOKENS + "Last-Event-Id: 2\r\nResumes: id0\r\n");
+    }
+
+    private CallerReply call(String id, String headers) throws IOException {
+        try (Socket caller = relay.connect()) {
+            RelayFixture.send(caller, RelayFixture.postRequest("/resume/x", id, headers, "p"));
+            return CallerReply.read(new BufferedInputStream(caller.getInputStream()));
+        }
+    }
+
+    /** Returns the ids after which engines were asked for the rest of a stream, in order. */
+    private List<String> resumedAfter() {
+        return arrivals.stream().skip(1).map(Arrival::lastEventId).toList();
+    }
+
+    private static String withoutComments(CallerReply reply) {
+        return reply.body().replace(COMMENT, "");
+    }
+
+    private void serve(int engine, Request request, Socket connection, OutputStream out) throws IOException {
+        if (request.line().startsWith("GET")) {
+            out.write(ScriptedServer.response(request, 200, "", "{\"stage\":\"decode\",\"seq\":0}"));
+            return;
+        }
+        boolean first;
+        synchronized (arrivals) {
+            first = arrivals.isEmpty();
+            arrivals.add(new Arrival(engine, request.header(LAST_EVENT_ID)));
+        }
+        (first ? beginning : rest).serve(request, connection, out);
+    }
+
+    /** Returns the script of a sound engine, which answers as given where nothing is left behind the last event. */
+    private static Script soundEngine(Script nothing) {
+        return (request, connection, out) -> {
+            Script answer = request.header(LAST_EVENT_ID).equals("2") ? nothing : stream("id: 2\ndata: b\n\n");
+            answer.serve(request, connection, out);
+        };
+    }
+
+    private static Script stream(String events) {
+        return (request, connection, out) -> {
+            out.write(ScriptedServer.streamHead(request));
+            if (!events.isEmpty()) {
+                out.write(ScriptedServer.chunk(events));
+            }
+            out.write(ScriptedServer.lastChunk());
+        };
+    }
+
+    private static Script brokenOff(String events) {
+        return brokenOff(events, "");
+    }
+
+    /** Returns the script of an engine that breaks off behind the given events and further bytes. */
+    private static Script brokenOff(String events, String bytes) {
+        return (request, connection, out) -> {
+            out.write(ScriptedServer.streamHead(request));
+            out.write(ScriptedServer.chunk(events));
+            out.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+            connection.close();
+        };
+    }
+
+    private static Script silentBehind(String events) {
+        return (request, connection, out) -> {
+            out.write(ScriptedServer.streamHead(request));
+            out.write(ScriptedServer.chunk(events));
+        };
+    }
+
+    private static Script response(int status, String headers) {
+        return (request, connection, out) ->
+                out.write(ScriptedServer.response(request, status, "Server-Stamp: mark\r\n" + headers, ""));
+    }
+
+    private static Script noContent() {
+        return (request, connection, out) -> out.write(("HTTP/1.1 204 No Content\r\nRequest-Id: "
+                        + request.header("request-id") + "\r\nServer-Stamp: mark\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static Script endOfConnection() {
+        return (request, connection, out) -> {
+            out.write(ScriptedServer.streamHeadWithoutLength(request));
+            out.flush();
+            connection.close();
+        };
+    }
+
+    /**
+     * A request for a generation that an engine has received.
+     *
+     * @param engine the number of the engine
+     * @param lastEventId the id after which the stream is to go on; empty for the whole stream
+     */
+    private record Arrival(int engine, String lastEventId) {}
+}
--- a/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
+++ b/src/test/java/org/verbenatray/platform/ForwardedRequestTest.java
@@ -84,6 +84,51 @@
         Assert.assertEquals(fleet.arrivals("spoilt").size(), 2);
     }
 
+    /** Callers lost streams of which all events had come: the empty rest was taken for broken (review/10). */
+    @Test
+    public void aStreamOfWhichNothingWasLeftIsComplete() throws Exception {
+        CallerReply reply = callForRest("id: 2\ndata: second\n\n");
+        Assert.assertTrue(reply.whole(), reply.toString());
+        Assert.assertEquals(reply.body(), "id: 1\ndata: first\n\nid: 2\ndata: second\n\n");
+    }
+
+    /** A stream ended as complete before its last event where an engine sent nothing of the rest (ORDER). */
+    @Test
+    public void aStreamWhoseRestWasLostIsNotComplete() throws Exception {
+        CallerReply reply = callForRest("");
+        Assert.assertFalse(reply.whole(), reply.toString());
+    }
+
+    /**
+     * Calls engines that break off behind the second event and send nothing behind it.
+     *
+     * @param afterFirst what they send behind the first event
+     */
+    private CallerReply callForRest(String afterFirst) throws Exception {
+        fleet.setGeneration((request, connection, out) -> {
+            out.write(ScriptedServer.streamHead(request));
+            boolean isRest = request.header("last-event-id").equals("2");
+            boolean brokenOff = request.header("request-id").equals("lost")
+                    && request.header("last-event-id").isEmpty();
+            if (brokenOff) {
+                out.write(ScriptedServer.eventChunk(1, "first"));
+                out.write(ScriptedServer.eventChunk(2, "second"));
+                out.flush();
+                connection.close();
+                return;
+            }
+            if (!isRest && !afterFirst.isEmpty()) {
+                out.write(ScriptedServer.chunk(afterFirst));
+            }
+            out.write(ScriptedServer.lastChunk());
+        });
+        keepAnswering();
+        try (Socket caller = RelayFixture.connect(fleet.instance(0))) {
+            RelayFixture.send(caller, PartitionableFleet.request("/resume/x", "lost"));
+            return CallerReply.read(new BufferedInputStream(caller.getInputStream()));
+        }
+    }
+
     @Test
     public void aRequestThatMayNotBeRepeatedArrivesOnceWithItsBodyAndLessTime() throws Exception {
         keepAnswering();
