The stream on its way to the caller has a class of its own

RelayedStream holds what the caller has, which event may come next and which ones are kept back; EmptyRest holds an answer that is to be checked.

--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -49,13 +49,7 @@
     /** When the request was last sent to an engine, in nanoseconds of the ticker. */
     private long sentNanos;
 
-    private final EventGaps eventGaps = new EventGaps();
-
-    /** The order of the events relayed to the caller, after those that it has received before. */
-    private final EventOrder eventOrder;
-
-    /** The events at the beginning of the running attempt that are kept back. */
-    private LeadingEvents leadingEvents = LeadingEvents.passingOn();
+    private final RelayedStream stream;
 
     private GenerationRelay(RelayContext context, RelayCall call) {
         this.context = context;
@@ -63,7 +57,7 @@
         this.decodeEngines = DecodeEngines.forCall(context, call);
         this.prefillStep = PrefillStep.of(context, call, decodeEngines, this);
         this.prefilledPrompt = HeldPrompt.none(context);
-        this.eventOrder = new EventOrder(call.request().lastEventId());
+        this.stream = RelayedStream.of(call, context.ticker(), this::generationStarted);
         this.engineLimits = context.catalog()
                 .get()
                 .flatMap(catalog -> catalog.service(call.service()))
@@ -89,37 +83,24 @@
 
     @Override
     public boolean accepts(StreamEvent event) {
-        return eventOrder.accepts(event);
+        return stream.accepts(event);
     }
 
     @Override
     public int keptBytes() {
-        return leadingEvents.keptBytes();
+        return stream.keptBytes();
     }
 
     @Override
     public void onEvent(ServerResponseHead head, StreamEvent event) {
         if (!call.finished()) {
-            long now = context.ticker().nanos();
-            eventGaps.record(now);
-            call.recordBegun(now);
-            relayEvents(head, attempt.backend(), leadingEvents.add(event, now));
-        }
-    }
-
-    private void relayEvents(ServerResponseHead head, Backend backend, List<StreamEvent> events) {
-        for (StreamEvent event : events) {
-            eventOrder.record(event);
-            if (!call.response().started()) {
-                generationStarted(backend);
-            }
-            call.relayEvent(head, event);
+            stream.add(head, attempt.backend(), event);
         }
     }
 
     @Override
     public boolean reserveMoveFromSilentServer() {
-        return eventOrder.canGoOnElsewhere()
+        return stream.canGoOnElsewhere()
                 && call.attempts().attemptsLeftAfterCurrent()
                 && decodeEngines.otherAccepts(attempt.backend())
                 && call.attempts().tryHoldRetry();
@@ -134,20 +115,20 @@
     public void onOutcome(ForwardOutcome outcome) {
         ForwardAttempt ended = attempt;
         attempt = null;
-        eventGaps.takeLongestMillis().ifPresent(millis -> recordGap(ended.backend(), millis));
+        stream.takeLongestGapMillis().ifPresent(millis -> recordGap(ended.backend(), millis));
         call.recordOutcome(ended, outcome, true);
         if (call.finished()) {
             return;
         }
-        List<StreamEvent> keptBack = leadingEvents.takeAll();
+        List<StreamEvent> keptBack = stream.takeKept();
         switch (outcome.kind()) {
             case STREAM_ENDED -> {
                 deadlineTimer.remove();
                 ServerResponseHead head = outcome.head().orElseThrow();
-                relayEvents(head, ended.backend(), keptBack);
+                stream.relay(head, ended.backend(), keptBack);
                 call.endStream(head);
             }
-            case EMPTY_REST -> handleEmptyRest(ended, outcome, keptBack);
+            case EMPTY_REST -> handleEmptyRest(ended, new EmptyRest(ended.backend(), outcome, keptBack));
             case ANSWERED -> handleResponse(ended, outcome);
             default -> {
                 logDropped(keptBack);
@@ -160,55 +141,47 @@
      * Ends the stream if nothing can follow the last event; otherwise its server must show that nothing does. An answer
      * to a caller whose own id tells no position is passed on, as it cannot be checked.
      */
-    private void handleEmptyRest(ForwardAttempt ended, ForwardOutcome outcome, List<StreamEvent> comments) {
+    private void handleEmptyRest(ForwardAttempt ended, EmptyRest rest) {
         releasePrefilledPrompt();
-        boolean checkable = eventOrder.lastPosition().isPresent();
-        if (allTokensRelayed() || !checkable && !call.response().started()) {
-            endAtLastEvent(ended.backend(), outcome, comments);
-        } else if (checkable && call.tryReserveRepeat(ended.backend())) {
-            checkEnd(ended.backend(), outcome, comments);
+        boolean checkable = stream.lastPosition().isPresent();
+        if (stream.holdsAllTokens() || !checkable && !call.response().started()) {
+            endWith(rest);
+        } else if (checkable && call.tryReserveRepeat(rest.engine())) {
+            checkEnd(rest);
         } else {
-            retry(ended, outcome);
+            retry(ended, rest.outcome());
         }
     }
 
-    /** Returns whether as many events were relayed as the request allows tokens: each holds one at least. */
-    private boolean allTokensRelayed() {
-        int count = eventOrder.count();
-        return call.request()
-                .prompt()
-                .filter(prompt -> count >= prompt.maxOutputTokens())
-                .isPresent();
+    /** Asks an engine that has sent nothing behind the last event for the stream from that event on. */
+    private void checkEnd(EmptyRest rest) {
+        StreamEndCheck check = StreamEndCheck.of(stream.lastPosition(), this, outcome -> handleChecked(rest, outcome));
+        send(options(rest.engine(), stream.beforeLast(), ConnectionUse.CONFIRMED), PrefillWork.NONE, check);
     }
 
-    /** Asks a server that has sent nothing behind the last event for the stream from that event on. */
-    private void checkEnd(Backend backend, ForwardOutcome emptyRest, List<StreamEvent> comments) {
-        StreamEndCheck check = StreamEndCheck.of(eventOrder.lastPosition(), this, outcome -> {
-            ForwardAttempt ended = attempt;
-            attempt = null;
-            call.recordOutcome(ended, outcome, false);
-            if (call.finished()) {
-                return;
-            }
-            switch (outcome.kind()) {
-                case STREAM_ENDED -> endAtLastEvent(backend, emptyRest, comments);
-                case ANSWERED -> handleResponse(ended, outcome);
-                default -> retry(ended, outcome);
-            }
-        });
-        send(options(backend, eventOrder.beforeLast(), ConnectionUse.CONFIRMED), PrefillWork.NONE, check);
+    private void handleChecked(EmptyRest rest, ForwardOutcome outcome) {
+        ForwardAttempt ended = attempt;
+        attempt = null;
+        call.recordOutcome(ended, outcome, false);
+        if (call.finished()) {
+            return;
+        }
+        switch (outcome.kind()) {
+            case STREAM_ENDED -> endWith(rest);
+            case ANSWERED -> handleResponse(ended, outcome);
+            default -> retry(ended, outcome);
+        }
     }
 
     /** Ends the response with the answer that holds nothing behind the last event. */
-    private void endAtLastEvent(Backend backend, ForwardOutcome emptyRest, List<StreamEvent> comments) {
+    private void endWith(EmptyRest rest) {
         deadlineTimer.remove();
-        ServerResponseHead head = emptyRest.head().orElseThrow();
-        if (!call.response().started() && !head.eventStream()) {
-            call.relayResponse(emptyRest);
+        if (!call.response().started() && !rest.head().eventStream()) {
+            call.relayResponse(rest.outcome());
             return;
         }
-        relayEvents(head, backend, comments);
-        call.endStream(head);
+        stream.relay(rest.head(), rest.engine(), rest.comments());
+        call.endStream(rest.head());
     }
 
     private void logDropped(List<StreamEvent> events) {
@@ -294,10 +267,10 @@
             return;
         }
         boolean repeatable = call.route().repeatable();
-        leadingEvents = repeatable ? LeadingEvents.keepingBack() : LeadingEvents.passingOn();
+        stream.beginAttempt();
         PrefillWork work = prefilledPrompt.current().isEmpty() ? prefillStep.work() : PrefillWork.NONE;
         ConnectionUse connectionUse = repeatable ? ConnectionUse.POOLED : ConnectionUse.CONFIRMED;
-        send(options(backend, eventOrder.last(), connectionUse), work, this);
+        send(options(backend, stream.last(), connectionUse), work, this);
     }
 
     private ForwardOptions options(Backend backend, Optional<String> lastEventId, ConnectionUse connectionUse) {
@@ -398,7 +371,7 @@
             releasePrefilledPrompt();
         }
         String kind = outcome.kind().name().toLowerCase(Locale.ROOT);
-        if (eventOrder.canGoOnElsewhere()) {
+        if (stream.canGoOnElsewhere()) {
             continueOrGiveUp(kind);
         } else {
             giveUp(kind);
