One router passes datagrams to the receivers of their kinds

WorkSharing held two ways to the same end: a chain of seven conditions for the older kinds and a list of receivers for the newer ones. All kinds are registered with DatagramRouter now, which logs unknown ones as before.

--- a/src/main/java/org/verbenatray/instance/CrashKnowledge.java
+++ b/src/main/java/org/verbenatray/instance/CrashKnowledge.java
@@ -27,7 +27,7 @@
         this.ledger = CrashLedger.create(loop.ticker(), this::onCleared);
         this.runs = ServerRuns.create(loop.ticker(), this::onFound);
         this.evidence = EvidenceExchange.create(settings.name(), ledger, sharing::peers, sharing::send, loop.ticker());
-        sharing.register(new WorkSharing.DatagramReceiver(EvidenceExchange::recognizes, evidence::receive));
+        sharing.register(EvidenceExchange::recognizes, evidence::receive);
     }
 
     /** Returns what an instance without any crash knows, which it shares once it is started. */
--- a/src/main/java/org/verbenatray/instance/Duties.java
+++ b/src/main/java/org/verbenatray/instance/Duties.java
@@ -134,7 +134,7 @@
                 totals,
                 clock,
                 loop.ticker());
-        sharing.register(new WorkSharing.DatagramReceiver(UsageExchange::recognizes, exchange::receive));
+        sharing.register(UsageExchange::recognizes, exchange::receive);
         loop.runRepeatedly("usage", () -> {
             exchange.tell();
             return UsageExchange.INTERVAL_MILLIS;
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -278,7 +278,7 @@
                         (engine, prompt, processed) -> {}),
                 loop.ticker(),
                 loop.silenceScheduler());
-        sharing.register(new WorkSharing.DatagramReceiver(SharedPlacement::recognizes, created::receive));
+        sharing.register(SharedPlacement::recognizes, created::receive);
         return created;
     }
 
--- a/src/main/java/org/verbenatray/instance/ServerPaces.java
+++ b/src/main/java/org/verbenatray/instance/ServerPaces.java
@@ -14,12 +14,11 @@
         PaceExchange exchange = PaceExchange.create(sharing::groupAddresses, sharing::send);
         ServerPace pace = ServerPace.create(
                 settings.name(), () -> sharing.groupAddresses().size() + 1, exchange::send, loop.ticker());
-        sharing.register(new WorkSharing.DatagramReceiver(
+        sharing.register(
                 PaceExchange::recognizes,
                 datagram -> PaceExchange.receive(
                         datagram,
-                        notice ->
-                                directory.findBoot(notice.boot()).ifPresent(server -> pace.receive(server, notice)))));
+                        notice -> directory.findBoot(notice.boot()).ifPresent(server -> pace.receive(server, notice))));
         return pace;
     }
 }
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -5,16 +5,12 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.verbenatray.backends.Backend;
@@ -23,6 +19,7 @@
 import org.verbenatray.backends.EngineReport;
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.continuation.StreamHomes;
+import org.verbenatray.datagrams.DatagramRouter;
 import org.verbenatray.limits.LimitSharers;
 import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.log.KeyedLog;
@@ -105,23 +102,13 @@
     /** Null before the start and when it could not be opened. */
     private DatagramPort port;
 
-    /** The versions at which streams may be continued, null before the start. */
-    private StreamContinuations continuations;
-
     /** The followers of the logs whose reads are shared, by name. */
     private final Map<String, KeyedFollower> sharedLogs = new HashMap<>();
 
     private final ReadExchange.Receiver sharedReads =
             ReadExchange.Receiver.create(name -> Optional.ofNullable(sharedLogs.get(name)));
 
-    /** The limits that servers state, null before the start. */
-    private ServerLimits limits;
-
-    /** The receivers of further kinds of datagrams. */
-    private final List<DatagramReceiver> receivers = new ArrayList<>();
-
-    /** The first bytes of datagrams of unknown kinds. */
-    private final Set<Byte> unknownKinds = new HashSet<>();
+    private final DatagramRouter router = DatagramRouter.create();
 
     /** The registration in the list of instances, null before the start and when no port could be opened. */
     private InstanceRegistration registration;
@@ -161,6 +148,10 @@
         this.leavingServers = LeavingExchange.create(
                 directory::markLeaving, exchangePeers::selectedAddresses, this::send, loop.ticker(), loop.scheduler());
         this.remoteWork = RemoteWork.create(loop.ticker(), exchangePeers::sampleWeight);
+        router.register(ReadExchange::recognizes, sharedReads::receive);
+        router.register(ReportExchange::recognizes, reports::receive);
+        router.register(LeavingExchange::recognizes, leavingServers::receive);
+        router.register(WorkExchange::recognizes, this::receiveWork);
     }
 
     /**
@@ -174,8 +165,8 @@
             StreamContinuations streamContinuations,
             ServerLimits serverLimits) {
         crashExchange = crashes;
-        limits = serverLimits;
-        continuations = streamContinuations;
+        router.register(StreamContinuations::recognizes, streamContinuations::receive);
+        router.register(ServerLimits::recognizes, serverLimits::receive);
         try {
             port = openPorts();
         } catch (IOException | UncheckedIOException e) {
@@ -188,7 +179,7 @@
         }
         InetSocketAddress address =
                 new InetSocketAddress(settings.workExchangeAddress().getHostString(), port.portNumber());
-        continuations.setOwnAddress(address);
+        streamContinuations.setOwnAddress(address);
         exchange = WorkExchange.start(
                 new WorkExchange.LocalInstance(
                         settings.name(),
@@ -221,7 +212,7 @@
         InetSocketAddress configured = settings.workExchangeAddress();
         int attempts = configured.getPort() == 0 ? MAX_CHOSEN_PORTS : 1;
         while (true) {
-            DatagramPort datagrams = DatagramPort.open(loop.worker(), configured, this::onDatagram);
+            DatagramPort datagrams = DatagramPort.open(loop.worker(), configured, router::route);
             try {
                 forwardingListener.accept(new InetSocketAddress(configured.getHostString(), datagrams.portNumber()));
                 return datagrams;
@@ -269,9 +260,14 @@
         return new PlacementFleet(settings, exchangePeers, this);
     }
 
-    /** Passes datagrams of a further kind to a receiver. */
-    void register(DatagramReceiver receiver) {
-        receivers.add(receiver);
+    /**
+     * Passes datagrams of a further kind to a receiver.
+     *
+     * @param recognizes returns whether a datagram is of this kind
+     * @param receive processes a datagram of this kind
+     */
+    void register(Predicate<byte[]> recognizes, Consumer<byte[]> receive) {
+        router.register(recognizes, receive);
     }
 
     /** Returns the addresses of the other instances of the group. */
@@ -370,47 +366,6 @@
         }
     }
 
-    /** Processes a datagram of another instance. */
-    private void onDatagram(byte[] datagram) {
-        if (StreamContinuations.recognizes(datagram)) {
-            continuations.receive(datagram);
-            return;
-        }
-        if (ServerLimits.recognizes(datagram)) {
-            limits.receive(datagram);
-            return;
-        }
-        if (ReadExchange.recognizes(datagram)) {
-            sharedReads.receive(datagram);
-            return;
-        }
-        if (ReportExchange.recognizes(datagram)) {
-            reports.receive(datagram);
-            return;
-        }
-        if (LeavingExchange.recognizes(datagram)) {
-            leavingServers.receive(datagram);
-            return;
-        }
-        if (WorkExchange.recognizes(datagram)) {
-            receiveWork(datagram);
-            return;
-        }
-        receivers.stream()
-                .filter(receiver -> receiver.recognizes().test(datagram))
-                .findFirst()
-                .ifPresentOrElse(receiver -> receiver.receive().accept(datagram), () -> logUnknown(datagram));
-    }
-
-    /** Logs a kind of datagram once that a later version sends. */
-    private void logUnknown(byte[] datagram) {
-        if (datagram.length > 0 && unknownKinds.add(datagram[0])) {
-            Event.named("datagram_kind_unknown")
-                    .with("kind", datagram[0] & 0xff)
-                    .log(log, Level.INFO);
-        }
-    }
-
     private void receiveWork(byte[] datagram) {
         exchange.receive(datagram).ifPresent(notice -> {
             notice.placements()
@@ -442,14 +397,6 @@
         return work;
     }
 
-    /**
-     * Receives one kind of datagram.
-     *
-     * @param recognizes returns whether a datagram is of this kind
-     * @param receive processes a datagram of this kind
-     */
-    record DatagramReceiver(Predicate<byte[]> recognizes, Consumer<byte[]> receive) {}
-
     /** Receives answers of engines to other instances. */
     @FunctionalInterface
     interface AnswerListener {
