The watch for silent servers has a class of its own

No change of behaviour: a removed timer does not run, so that the check of a closed attempt went. Tests of silence, endless answers and streams passed (159).

--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -9,23 +9,12 @@
 import org.verbenatray.servers.ResponseHead;
 import org.verbenatray.servers.ResponseListener;
 import org.verbenatray.servers.ServerFailure;
-import org.verbenatray.time.Deadline;
-import org.xnio.XnioIoThread;
 
 /**
- * One attempt to forward a request to one backend server. Enforces the timeouts, validates the response and keeps the
+ * One attempt to forward a request to one backend server. Validates the response and keeps the
  * open-work counts of the server. Used on one thread.
  */
-final class ForwardAttempt implements ResponseListener, RunningAttempt {
-    /** Number of queued requests from which on an engine counts as busy. */
-    private static final int BUSY_QUEUE_LENGTH = 2;
-
-    /** Time after which a silent server that is awaited further is looked at again. */
-    private static final long SILENCE_RECHECK_MILLIS = 100;
-
-    /** Age beyond which a load report is ignored. */
-    private static final long MAX_LOAD_AGE_MILLIS = 2_500;
-
+final class ForwardAttempt implements ResponseListener, RunningAttempt, SilenceWatch.WatchedAttempt {
     private final RelayContext context;
     private final RelayCall call;
     private final ForwardOptions options;
@@ -33,7 +22,6 @@
     /** The prefill work that this attempt adds to the server. */
     private final PrefillWork work;
 
-    private final ResponseTimeouts timeouts;
     private final ForwardListener listener;
 
     /** Body of a response that is not a stream, and the bytes of an event that is not complete. */
@@ -45,11 +33,8 @@
 
     private Cancellation cancellation = () -> {};
 
-    /** Timer of the next progress check. */
-    private XnioIoThread.Key timer;
-
-    /** When the next bytes of the response are due. */
-    private Deadline progressDeadline;
+    /** Null before the request is sent. */
+    private SilenceWatch silenceWatch;
 
     /** Head of the response; null before it arrives. */
     private ServerResponseHead head;
@@ -73,17 +58,11 @@
     private boolean closed;
 
     private ForwardAttempt(
-            RelayContext context,
-            RelayCall call,
-            ForwardOptions options,
-            PrefillWork work,
-            ResponseTimeouts timeouts,
-            ForwardListener listener) {
+            RelayContext context, RelayCall call, ForwardOptions options, PrefillWork work, ForwardListener listener) {
         this.context = context;
         this.call = call;
         this.options = options;
         this.work = work;
-        this.timeouts = timeouts;
         this.listener = listener;
         this.sendsRest = call.response().started();
         this.evidence = RunEvidence.start(context, call, options);
@@ -105,10 +84,9 @@
             PrefillWork work,
             ResponseTimeouts timeouts,
             ForwardListener listener) {
-        ForwardAttempt attempt = new ForwardAttempt(context, call, options, work, timeouts, listener);
+        ForwardAttempt attempt = new ForwardAttempt(context, call, options, work, listener);
         HttpCall forward = context.dialect().forward(call.request(), options);
-        attempt.progressDeadline = timeouts.firstByteDeadline();
-        attempt.scheduleProgressCheck();
+        attempt.silenceWatch = SilenceWatch.start(context, call, options.backend(), timeouts, attempt);
         options.backend().addRequest(work);
         context.onWorkChanged().accept(options.backend());
         attempt.cancellation = context.transport()
@@ -334,9 +312,7 @@
         recordPromptProcessed();
         options.backend().removeRequest();
         context.onWorkChanged().accept(options.backend());
-        if (timer != null) {
-            timer.remove();
-        }
+        silenceWatch.stop();
         evidence.close();
     }
 
@@ -351,62 +327,23 @@
 
     /** Extends the progress deadline. */
     private void recordProgress() {
-        progressDeadline = timeouts.nextByteDeadline(context.ticker().nanos());
+        silenceWatch.recordProgress();
         evidence.recordProgress();
     }
 
-    /** Schedules a check shortly after the progress deadline. */
-    private void scheduleProgressCheck() {
-        long wait = progressDeadline.remainingMillis(context.ticker().nanos()) + 1;
-        timer = context.transport()
-                .silenceTimers()
-                .schedule(context.thread(), call.guard().wrap(this::checkProgress), wait);
-    }
-
-    /** Returns whether the server reports queued requests: its silence is then no sign of a failure. */
-    private boolean isBusy() {
-        return options.backend()
-                .load(context.ticker().nanos(), MAX_LOAD_AGE_MILLIS)
-                .map(load -> load.waitingRequests() >= BUSY_QUEUE_LENGTH)
-                .orElse(false);
-    }
-
-    /**
-     * Returns whether the call is about to end at its deadline, which cancels the attempt: that the response is
-     * incomplete then is no sign of a silent server.
-     */
-    private boolean endsAtDeadline() {
-        return call.times().deadlinePassed() && !call.finished();
+    @Override
+    public boolean awaitsMemory() {
+        return buffer.isWaiting();
     }
 
-    /**
-     * Returns whether a silent server is awaited further: its response is not read for want of memory, it is still
-     * being connected to, for which there is a timeout of its own, it is busy, or the request cannot be moved.
-     */
-    private boolean awaitsSilentServer() {
-        if (buffer.isWaiting()) {
-            return true;
-        }
-        if (timeouts.expired(context.ticker().nanos())) {
-            return false;
-        }
-        return !sendingStarted || isBusy() || !listener.reserveMoveFromSilentServer();
+    @Override
+    public boolean reserveMove() {
+        return listener.reserveMoveFromSilentServer();
     }
 
-    /** Ends the attempt if the server has made no progress in time. */
-    private void checkProgress() {
-        if (closed) {
-            return;
-        }
-        if (!progressDeadline.hasPassed(context.ticker().nanos())) {
-            scheduleProgressCheck();
-            return;
-        }
-        if (endsAtDeadline() || awaitsSilentServer()) {
-            progressDeadline = Deadline.afterMillis(context.ticker().nanos(), SILENCE_RECHECK_MILLIS);
-            scheduleProgressCheck();
-            return;
-        }
+    /** Ends the attempt, as its server has made no progress in time. */
+    @Override
+    public void onSilent() {
         cancellation.cancel();
         context.transport().closeIdleConnections(options.backend().entry().bootId());
         finish(sendingStarted ? ForwardOutcome.Kind.SILENT : ForwardOutcome.Kind.NOT_SENT, "no progress in time");
