The check of a stream's end waits for an engine that is full

What callers saw (read, then shown by the test): a stream of which all events had come was cut if the engine that had nothing to add was full, at its limit, or the retry budget was spent, at the moment when it was to show the end.

Cause: the outcome of the check went the way of a broken attempt, for which the attempts of the route were used up. A request that has not run leaves no doubt about the engine, so it is asked again every 100 ms until the deadline, as other begun responses wait.

--- a/src/main/java/org/verbenatray/relay/CallServers.java
+++ b/src/main/java/org/verbenatray/relay/CallServers.java
@@ -31,6 +31,11 @@
         return paced.isEmpty() ? accepting : paced;
     }
 
+    /** Returns whether a server is listed and not leaving, whether or not it accepts requests now. */
+    boolean lists(Backend server) {
+        return context.directory().usable(service).contains(server);
+    }
+
     /** Returns whether there are servers that are not leaving, but none of them could be reached lately. */
     boolean noneReachable() {
         List<Backend> servers = context.directory().usable(service);
--- a/src/main/java/org/verbenatray/relay/ForwardAttempt.java
+++ b/src/main/java/org/verbenatray/relay/ForwardAttempt.java
@@ -11,8 +11,8 @@
 import org.verbenatray.servers.ServerFailure;
 
 /**
- * One attempt to forward a request to one backend server. Validates the response and keeps the
- * open-work counts of the server. Used on one thread.
+ * One attempt to forward a request to one backend server. Validates the response and keeps the open-work counts of the
+ * server. Used on one thread.
  */
 final class ForwardAttempt implements ResponseListener, RunningAttempt, SilenceWatch.WatchedAttempt {
     private final RelayContext context;
--- a/src/main/java/org/verbenatray/relay/GenerationRelay.java
+++ b/src/main/java/org/verbenatray/relay/GenerationRelay.java
@@ -146,13 +146,21 @@
         boolean checkable = stream.lastPosition().isPresent();
         if (stream.holdsAllTokens() || !checkable && !call.response().started()) {
             endWith(rest);
-        } else if (checkable && call.tryReserveRepeat(rest.engine())) {
+        } else if (checkable && call.retries().tryReserveRepeat(rest.engine())) {
             checkEnd(rest);
-        } else {
+        } else if (!checkable || !checkLater(ended, rest)) {
             retry(ended, rest.outcome());
         }
     }
 
+    private boolean checkLater(ForwardAttempt ended, EmptyRest rest) {
+        return call.retries().repeatLater(rest.engine(), () -> {
+            if (!call.finished()) {
+                handleEmptyRest(ended, rest);
+            }
+        });
+    }
+
     /** Asks an engine that has sent nothing behind the last event for the stream from that event on. */
     private void checkEnd(EmptyRest rest) {
         StreamEndCheck check = StreamEndCheck.of(stream.lastPosition(), this, outcome -> handleChecked(rest, outcome));
@@ -169,7 +177,11 @@
         switch (outcome.kind()) {
             case STREAM_ENDED -> endWith(rest);
             case ANSWERED -> handleResponse(ended, outcome);
-            default -> retry(ended, outcome);
+            default -> {
+                if (outcome.mayHaveRun() || !checkLater(ended, rest)) {
+                    retry(ended, outcome);
+                }
+            }
         }
     }
 
@@ -314,7 +326,7 @@
                             }),
                             LIMIT_RECHECK_MILLIS,
                             TimeUnit.MILLISECONDS);
-        } else if (!call.continueLater(() -> continueOrGiveUp(RelayCall.LIMITS_REACHED))) {
+        } else if (!call.retries().continueLater(() -> continueOrGiveUp(RelayCall.LIMITS_REACHED))) {
             deadlineTimer.remove();
             releasePrefilledPrompt();
             call.giveUpAtLimits();
@@ -383,7 +395,7 @@
         if (call.finished()) {
             return;
         }
-        if (call.tryReserveRetry()) {
+        if (call.retries().tryReserve()) {
             generate(Optional.empty());
             return;
         }
@@ -392,7 +404,7 @@
 
     /** Looks again shortly if the request can still end well; otherwise gives up. */
     private void continueLaterOrGiveUp(String outcome) {
-        if (!call.continueLater(() -> continueOrGiveUp(outcome))) {
+        if (!call.retries().continueLater(() -> continueOrGiveUp(outcome))) {
             giveUp(outcome);
         }
     }
--- a/src/main/java/org/verbenatray/relay/PlainRelay.java
+++ b/src/main/java/org/verbenatray/relay/PlainRelay.java
@@ -84,7 +84,7 @@
     /** Relays a response, or retries after a server error on a repeatable route. */
     private void handleResponse(ForwardOutcome outcome) {
         boolean retryable = outcome.status() >= 500 && call.route().repeatable();
-        if (retryable && call.tryReserveRetry()) {
+        if (retryable && call.retries().tryReserve()) {
             errorResponse = outcome;
             send();
             return;
@@ -106,7 +106,7 @@
         if (call.finished()) {
             return;
         }
-        if (call.tryReserveRetry()) {
+        if (call.retries().tryReserve()) {
             send();
             return;
         }
@@ -128,7 +128,7 @@
         }
         Optional<Backend> chosen = triedServers.choose(call.owed() && errorResponse == null);
         if (chosen.isEmpty()) {
-            boolean later = errorResponse == null && call.continueLater(() -> retryOrGiveUp("no_server"));
+            boolean later = errorResponse == null && call.retries().continueLater(() -> retryOrGiveUp("no_server"));
             if (!later) {
                 giveUpWithoutServer();
             }
--- a/src/main/java/org/verbenatray/relay/RelayCall.java
+++ b/src/main/java/org/verbenatray/relay/RelayCall.java
@@ -2,9 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.PrefillWork;
 import org.verbenatray.catalog.Customer;
 import org.verbenatray.catalog.Route;
@@ -42,12 +40,6 @@
     /** Retry-after time of a request that has not run when its handling fails or its caller has left. */
     private static final long RETRY_AFTER_MILLIS = 500;
 
-    /** Time after which a request looks again for a server or a retry. */
-    private static final long CONTINUE_INTERVAL_MILLIS = 100;
-
-    /** Time for which a request that may have run and has no response waits for a server. */
-    private static final long MAX_UNSTARTED_WAIT_MILLIS = 600;
-
     private final RelayContext context;
     private final MatchedRequest matched;
     private final RelayRequest request;
@@ -71,8 +63,7 @@
 
     private final CallAttempts attempts;
 
-    /** Until when a request without a response waits for a server, null before it waits. */
-    private Deadline continueUntil;
+    private final CallRetries retries;
 
     /** How the last attempt ended, null before that. */
     private ForwardOutcome.Kind lastOutcome;
@@ -100,6 +91,7 @@
         this.times = CallTimes.of(context, matched);
         this.record = new CallRecord(context, matched);
         this.attempts = CallAttempts.create(route, () -> context.retryBudgets().apply(service));
+        this.retries = CallRetries.of(context, this, attempts);
         this.response = response;
         this.answer = CallAnswer.of(request.id(), response, OwnResponseHeaders.of(context), record);
         this.guard = guard;
@@ -149,6 +141,11 @@
         return attempts;
     }
 
+    /** Returns what decides whether the request is sent again. */
+    CallRetries retries() {
+        return retries;
+    }
+
     /** Returns the response to the caller. */
     CallerResponse response() {
         return response;
@@ -228,22 +225,6 @@
         return attempts.mayHaveRun() || running != null && running.sendingStarted() && !running.prefillOnly();
     }
 
-    /**
-     * Returns whether the request may be sent to another server; not if its caller may have left. Spends a retry from
-     * the budget if an earlier attempt may have reached a server.
-     */
-    boolean tryReserveRetry() {
-        return !response.inputEnded() && attempts.tryReserveAttempt();
-    }
-
-    /**
-     * Returns whether the request may be sent once more to a server that has answered it, which adds no server to those
-     * that the route allows. Spends a retry from the budget.
-     */
-    boolean tryReserveRepeat(Backend server) {
-        return !response.inputEnded() && servers.usable().contains(server) && attempts.tryHoldRetry();
-    }
-
     /**
      * Returns whether the caller can no longer be told that the request has not run, so that a further attempt is its
      * only good end.
@@ -252,25 +233,6 @@
         return response.started() || attempts.mayHaveRun();
     }
 
-    /**
-     * Schedules a task that looks again for a server, and returns true; returns false if the request should be given up
-     * at once. A begun response waits until its deadline, since it can only be cut. Another request that may have run
-     * waits briefly: its caller may soon ask again.
-     */
-    boolean continueLater(Runnable task) {
-        long now = context.ticker().nanos();
-        if (continueUntil == null) {
-            continueUntil = Deadline.afterMillis(now, MAX_UNSTARTED_WAIT_MILLIS);
-        }
-        boolean waits = response.started() || attempts.mayHaveRun() && !continueUntil.hasPassed(now);
-        if (!waits || !attempts.attemptsLeft() || times.deadlinePassed()) {
-            return false;
-        }
-        attempts.releaseRetry();
-        context.thread().executeAfter(guard.wrap(task), CONTINUE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        return true;
-    }
-
     /** Runs a step once the deadline has passed and what had arrived by then is read. */
     XnioIoThread.Key scheduleAtDeadline(Runnable step) {
         return context.transport()
--- a/src/test/java/org/verbenatray/platform/EmptyRestTest.java
+++ b/src/test/java/org/verbenatray/platform/EmptyRestTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -120,6 +121,22 @@
         Assert.assertEquals(resumedAfter(), List.of("2", "1"));
     }
 
+    /** A stream was cut whose engine was full for a moment when it was asked whether the stream had ended. */
+    @Test
+    public void anEngineThatIsFullIsAskedAgainWhetherTheStreamHasEnded() throws Exception {
+        beginning = brokenOff(EVENTS);
+        Script sound = soundEngine(stream(""));
+        AtomicBoolean refused = new AtomicBoolean();
+        rest = (request, connection, out) -> {
+            boolean refuses = request.header(LAST_EVENT_ID).equals("1") && refused.compareAndSet(false, true);
+            (refuses ? response(503, "Not-Run: 1\r\n") : sound).serve(request, connection, out);
+        };
+        CallerReply reply = call("id1", FIVE_TOKENS);
+        Assert.assertTrue(reply.whole(), reply.toString());
+        Assert.assertEquals(reply.body(), EVENTS);
+        Assert.assertEquals(resumedAfter(), List.of("2", "1", "1"));
+    }
+
     @Test
     public void nothingIsAskedAgainOnceAllTokensOfTheRequestHaveCome() throws Exception {
         beginning = brokenOff(EVENTS);
