--- a/src/test/java/org/verbenatray/platform/BrokenStreamTest.java
+++ b/src/test/java/org/verbenatray/platform/BrokenStreamTest.java
@@ -1,7 +1,5 @@
 package org.verbenatray.platform;
 
-import java.io.IOException;
-import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.Stream;
@@ -9,7 +7,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.verbenatray.platform.RelayFixture.ServerListing;
-import org.verbenatray.platform.ScriptedServer.Request;
 import org.verbenatray.platform.ScriptedServer.Script;
 
 /**
@@ -46,13 +43,18 @@
             {"busy, but not said not to have run", response(503, "", ERROR), REST_ASKED_FOR},
             {"success with a text", response(200, STAMP + "Content-Type: text/plain\r\n", ERROR), REST_ASKED_FOR},
             {"success of another request", otherRequest(), REST_ASKED_FOR},
-            {"an error as an event without id", stream("event: error\ndata: " + ERROR + "\n\n"), REST_ASKED_FOR},
-            {"a head as an event", stream("HTTP/1.1 500 Error\r\nX: " + ERROR + "\r\n\r\n"), REST_ASKED_FOR},
-            {"a text in place of an event", stream(ERROR + "\n\n"), REST_ASKED_FOR},
-            {"the last event once more", stream("id: 2\ndata: " + ERROR + "\n\n"), REST_ASKED_FOR},
-            {"the stream from its beginning", stream("id: 1\ndata: " + ERROR + "\n\n"), REST_ASKED_FOR},
-            {"an end without events", stream(""), END_CHECKED},
-            {"a head and the end of the connection", headThenClose(), END_CHECKED},
+            {
+                "an error as an event without id",
+                StreamScripts.whole("event: error\ndata: " + ERROR + "\n\n"),
+                REST_ASKED_FOR
+            },
+            {"a head as an event", StreamScripts.whole("HTTP/1.1 500 Error\r\nX: " + ERROR + "\r\n\r\n"), REST_ASKED_FOR
+            },
+            {"a text in place of an event", StreamScripts.whole(ERROR + "\n\n"), REST_ASKED_FOR},
+            {"the last event once more", StreamScripts.whole("id: 2\ndata: " + ERROR + "\n\n"), REST_ASKED_FOR},
+            {"the stream from its beginning", StreamScripts.whole("id: 1\ndata: " + ERROR + "\n\n"), REST_ASKED_FOR},
+            {"an end without events", StreamScripts.whole(""), END_CHECKED},
+            {"a head and the end of the connection", StreamScripts.headAndEndOfConnection(), END_CHECKED},
         };
     }
 
@@ -60,12 +62,9 @@
     public void theCallerGetsWhatCameBeforeAndABrokenConnection(String name, Script answer, List<String> askedAfter)
             throws Exception {
         Script script = (request, connection, out) -> {
-            if (request.header("last-event-id").isEmpty()) {
-                begin(request, out);
-                connection.close();
-            } else {
-                answer.serve(request, connection, out);
-            }
+            boolean begins = request.header("last-event-id").isEmpty();
+            (begins ? StreamScripts.brokenOff("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") : answer)
+                    .serve(request, connection, out);
         };
         try (ScriptedServer first = ScriptedServer.start(script);
                 ScriptedServer second = ScriptedServer.start(script);
@@ -86,13 +85,6 @@
         }
     }
 
-    /** Writes a stream up to its second event. */
-    private static void begin(Request request, OutputStream out) throws IOException {
-        out.write(ScriptedServer.streamHead(request));
-        out.write(ScriptedServer.chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
-        out.flush();
-    }
-
     private static Script response(int status, String headers, String body) {
         return (request, connection, out) -> out.write(ScriptedServer.response(request, status, headers, body));
     }
@@ -102,24 +94,4 @@
                         + EVENT_STREAM + "Content-Length: 23\r\n\r\nid: 3\ndata: " + ERROR + "\n\n")
                 .getBytes(StandardCharsets.ISO_8859_1));
     }
-
-    private static Script stream(String events) {
-        return (request, connection, out) -> {
-            out.write(ScriptedServer.streamHead(request));
-            if (!events.isEmpty()) {
-                out.write(ScriptedServer.chunk(events));
-            }
-            out.write(ScriptedServer.lastChunk());
-        };
-    }
-
-    private static Script headThenClose() {
-        return (request, connection, out) -> {
-            out.write(("HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("request-id") + "\r\n" + STAMP + EVENT_STREAM
-                            + "\r\n")
-                    .getBytes(StandardCharsets.ISO_8859_1));
-            out.flush();
-            connection.close();
-        };
-    }
 }
--- a/src/test/java/org/verbenatray/platform/EmptyRestTest.java
+++ b/src/test/java/org/verbenatray/platform/EmptyRestTest.java
@@ -74,19 +74,19 @@
     @DataProvider
     public Object[][] emptyAnswers() {
         return new Object[][] {
-            {"a last chunk", stream("")},
+            {"a last chunk", StreamScripts.whole("")},
             {"a length of zero", response(200, EVENT_STREAM)},
             {"a length of zero of no type", response(200, "")},
             {"no content", noContent()},
-            {"a comment", stream(COMMENT)},
-            {"the end of the connection", endOfConnection()},
+            {"a comment", StreamScripts.whole(COMMENT)},
+            {"the end of the connection", StreamScripts.headAndEndOfConnection()},
         };
     }
 
     /** Callers lost streams of which all events had come: the empty rest was taken for broken (review/10). */
     @Test(dataProvider = "emptyAnswers")
     public void aStreamOfWhichNothingWasLeftIsComplete(String name, Script nothing) throws Exception {
-        beginning = brokenOff(EVENTS);
+        beginning = StreamScripts.brokenOff(EVENTS);
         rest = soundEngine(nothing);
         CallerReply reply = call("id1", FIVE_TOKENS);
         Assert.assertTrue(reply.whole(), reply.toString());
@@ -98,7 +98,7 @@
     /** A stream ended as complete before its last event where an engine sent nothing of the rest (ORDER). */
     @Test(dataProvider = "emptyAnswers")
     public void aStreamWhoseRestWasLostIsNotComplete(String name, Script nothing) throws Exception {
-        beginning = brokenOff(EVENTS);
+        beginning = StreamScripts.brokenOff(EVENTS);
         rest = nothing;
         CallerReply reply = call("id1", FIVE_TOKENS);
         Assert.assertFalse(reply.whole(), reply.toString());
@@ -124,8 +124,8 @@
     /** A stream was cut whose engine was full for a moment when it was asked whether the stream had ended. */
     @Test
     public void anEngineThatIsFullIsAskedAgainWhetherTheStreamHasEnded() throws Exception {
-        beginning = brokenOff(EVENTS);
-        Script sound = soundEngine(stream(""));
+        beginning = StreamScripts.brokenOff(EVENTS);
+        Script sound = soundEngine(StreamScripts.whole(""));
         AtomicBoolean refused = new AtomicBoolean();
         rest = (request, connection, out) -> {
             boolean refuses = request.header(LAST_EVENT_ID).equals("1") && refused.compareAndSet(false, true);
@@ -139,8 +139,8 @@
 
     @Test
     public void nothingIsAskedAgainOnceAllTokensOfTheRequestHaveCome() throws Exception {
-        beginning = brokenOff(EVENTS);
-        rest = soundEngine(stream(""));
+        beginning = StreamScripts.brokenOff(EVENTS);
+        rest = soundEngine(StreamScripts.whole(""));
         CallerReply reply = call("id1", TWO_TOKENS);
         Assert.assertTrue(reply.whole(), reply.toString());
         Assert.assertEquals(reply.body(), EVENTS);
@@ -149,10 +149,10 @@
 
     @Test
     public void aStreamOfOneEventIsAskedForFromItsBeginning() throws Exception {
-        beginning = brokenOff(FIRST_EVENT);
+        beginning = StreamScripts.brokenOff(FIRST_EVENT);
         rest = (request, connection, out) -> {
             boolean again = request.header(LAST_EVENT_ID).isEmpty();
-            stream(again ? FIRST_EVENT : "").serve(request, connection, out);
+            StreamScripts.whole(again ? FIRST_EVENT : "").serve(request, connection, out);
         };
         CallerReply reply = call("id1", FIVE_TOKENS);
         Assert.assertTrue(reply.whole(), reply.toString());
@@ -164,8 +164,8 @@
     @DataProvider
     public Object[][] lostEnds() {
         return new Object[][] {
-            {"cut inside the last chunk", brokenOff(EVENTS, "0\r")},
-            {"cut inside a chunk", brokenOff(EVENTS, "5\r\n")},
+            {"cut inside the last chunk", StreamScripts.brokenOff(EVENTS, "0\r")},
+            {"cut inside a chunk", StreamScripts.brokenOff(EVENTS, "5\r\n")},
             {"silent", silentBehind(EVENTS)},
         };
     }
@@ -173,7 +173,7 @@
     @Test(dataProvider = "lostEnds")
     public void howTheEndWasLostMakesNoDifference(String name, Script lostEnd) throws Exception {
         beginning = lostEnd;
-        rest = soundEngine(stream(""));
+        rest = soundEngine(StreamScripts.whole(""));
         CallerReply reply = call("id1", FIVE_TOKENS);
         Assert.assertTrue(reply.whole(), reply.toString());
         Assert.assertEquals(reply.body(), EVENTS);
@@ -183,22 +183,22 @@
     @DataProvider
     public Object[][] contradictions() {
         return new Object[][] {
-            {"the stream goes on", stream("id: 2\ndata: b\n\nid: 3\ndata: c\n\n")},
-            {"another event", stream("id: 3\ndata: c\n\n")},
-            {"the stream from its beginning", stream(EVENTS)},
-            {"a text", stream("internal error\n\n")},
-            {"an event without an id", stream("data: b\n\n")},
-            {"half of the event", stream("id: 2\ndata")},
-            {"the event, and the end of the connection", brokenOff("id: 2\ndata: b\n\n")},
+            {"the stream goes on", StreamScripts.whole("id: 2\ndata: b\n\nid: 3\ndata: c\n\n")},
+            {"another event", StreamScripts.whole("id: 3\ndata: c\n\n")},
+            {"the stream from its beginning", StreamScripts.whole(EVENTS)},
+            {"a text", StreamScripts.whole("internal error\n\n")},
+            {"an event without an id", StreamScripts.whole("data: b\n\n")},
+            {"half of the event", StreamScripts.whole("id: 2\ndata")},
+            {"the event, and the end of the connection", StreamScripts.brokenOff("id: 2\ndata: b\n\n")},
             {"a failure", response(500, "")},
         };
     }
 
     @Test(dataProvider = "contradictions")
     public void anEngineThatDoesNotShowTheEndIsNotBelieved(String name, Script contradiction) throws Exception {
-        beginning = brokenOff(EVENTS);
+        beginning = StreamScripts.brokenOff(EVENTS);
         rest = (request, connection, out) -> {
-            Script answer = request.header(LAST_EVENT_ID).equals("2") ? stream("") : contradiction;
+            Script answer = request.header(LAST_EVENT_ID).equals("2") ? StreamScripts.whole("") : contradiction;
             answer.serve(request, connection, out);
         };
         CallerReply reply = call("id1", FIVE_TOKENS);
@@ -208,18 +208,18 @@
 
     @Test
     public void anEngineThatEndedAStreamTruthfullyIsNotAvoided() throws Exception {
-        beginning = brokenOff(EVENTS);
-        rest = soundEngine(stream(""));
+        beginning = StreamScripts.brokenOff(EVENTS);
+        rest = soundEngine(StreamScripts.whole(""));
         call("id1", FIVE_TOKENS);
         int sound = arrivals.get(2).engine();
-        rest = stream(EVENTS);
+        rest = StreamScripts.whole(EVENTS);
         call("id2", FIVE_TOKENS);
         Assert.assertEquals(arrivals.get(arrivals.size() - 1).engine(), sound);
     }
 
     /** Lets a caller get a stream whole and ask for what follows its last event in a request of its own. */
     private CallerReply callerAsksForRest(Script engine) throws IOException {
-        beginning = stream(EVENTS);
+        beginning = StreamScripts.whole(EVENTS);
         rest = engine;
         call("id0", FIVE_TOKENS);
         return call("id1", FIVE_TOKENS + "Last-Event-Id: 2\r\nResumes: id0\r\n");
@@ -257,36 +257,12 @@
     /** Returns the script of a sound engine, which answers as given where nothing is left behind the last event. */
     private static Script soundEngine(Script nothing) {
         return (request, connection, out) -> {
-            Script answer = request.header(LAST_EVENT_ID).equals("2") ? nothing : stream("id: 2\ndata: b\n\n");
+            Script answer =
+                    request.header(LAST_EVENT_ID).equals("2") ? nothing : StreamScripts.whole("id: 2\ndata: b\n\n");
             answer.serve(request, connection, out);
         };
     }
 
-    private static Script stream(String events) {
-        return (request, connection, out) -> {
-            out.write(ScriptedServer.streamHead(request));
-            if (!events.isEmpty()) {
-                out.write(ScriptedServer.chunk(events));
-            }
-            out.write(ScriptedServer.lastChunk());
-        };
-    }
-
-    private static Script brokenOff(String events) {
-        return brokenOff(events, "");
-    }
-
-    /** Returns the script of an engine that breaks off behind the given events and further bytes. */
-    private static Script brokenOff(String events, String bytes) {
-        return (request, connection, out) -> {
-            out.write(ScriptedServer.streamHead(request));
-            out.write(ScriptedServer.chunk(events));
-            out.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-            out.flush();
-            connection.close();
-        };
-    }
-
     private static Script silentBehind(String events) {
         return (request, connection, out) -> {
             out.write(ScriptedServer.streamHead(request));
@@ -305,14 +281,6 @@
                 .getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    private static Script endOfConnection() {
-        return (request, connection, out) -> {
-            out.write(ScriptedServer.streamHeadWithoutLength(request));
-            out.flush();
-            connection.close();
-        };
-    }
-
     /**
      * A request for a generation that an engine has received.
      *
--- a/src/test/java/org/verbenatray/platform/TextBeforeEventsTest.java
+++ b/src/test/java/org/verbenatray/platform/TextBeforeEventsTest.java
@@ -79,8 +79,8 @@
     /** Callers got the text of one run and the whole stream of another as one complete answer (review/8). */
     @Test(dataProvider = "texts")
     public void aTextAfterWhichTheEngineBreaksOffIsNotJoinedWithTheStreamOfAnother(String text) throws Exception {
-        first = brokenOff(text);
-        later = whole(EVENTS);
+        first = StreamScripts.brokenOff(text);
+        later = StreamScripts.whole(EVENTS);
         CallerReply reply = call();
         Assert.assertTrue(reply.whole(), reply.toString());
         Assert.assertEquals(reply.body(), EVENTS);
@@ -95,7 +95,7 @@
             out.flush();
             connection.close();
         };
-        later = whole(EVENTS);
+        later = StreamScripts.whole(EVENTS);
         CallerReply reply = call();
         Assert.assertTrue(reply.whole(), reply.toString());
         Assert.assertEquals(reply.body(), EVENTS);
@@ -104,8 +104,8 @@
     /** The rest of a stream behind a text was joined with the events of another engine. */
     @Test
     public void aStreamThatBeganWithATextIsNotTakenUpElsewhere() throws Exception {
-        first = brokenOff(TEXT + "id: 1\ndata: a\n\n");
-        later = whole("id: 2\ndata: b\n\n");
+        first = StreamScripts.brokenOff(TEXT + "id: 1\ndata: a\n\n");
+        later = StreamScripts.whole("id: 2\ndata: b\n\n");
         CallerReply reply = call();
         Assert.assertFalse(reply.whole(), reply.toString());
         Assert.assertEquals(generations.get(), 1);
@@ -120,7 +120,7 @@
             writeTextsUntil(passedOn, out);
             connection.close();
         };
-        later = whole(EVENTS);
+        later = StreamScripts.whole(EVENTS);
         try (Socket caller = openStream()) {
             BufferedInputStream in = new BufferedInputStream(caller.getInputStream());
             in.mark(1);
@@ -136,8 +136,8 @@
     /** A comment alone counted as the rest of a stream, which then ended as complete before its last event. */
     @Test
     public void aCommentIsNoRestOfAStream() throws Exception {
-        first = brokenOff("id: 1\ndata: a\n\n");
-        later = whole(": out of memory\n\n");
+        first = StreamScripts.brokenOff("id: 1\ndata: a\n\n");
+        later = StreamScripts.whole(": out of memory\n\n");
         CallerReply reply = call();
         Assert.assertFalse(reply.whole(), reply.toString());
         Assert.assertEquals(reply.body(), "id: 1\ndata: a\n\n");
@@ -145,8 +145,8 @@
 
     @Test
     public void theRestOfAStreamMayBeginWithAComment() throws Exception {
-        first = brokenOff("id: 1\ndata: a\n\n");
-        later = whole(": going on\n\nid: 2\ndata: b\n\n");
+        first = StreamScripts.brokenOff("id: 1\ndata: a\n\n");
+        later = StreamScripts.whole(": going on\n\nid: 2\ndata: b\n\n");
         CallerReply reply = call();
         Assert.assertTrue(reply.whole(), reply.toString());
         Assert.assertEquals(reply.body(), "id: 1\ndata: a\n\n: going on\n\nid: 2\ndata: b\n\n");
@@ -167,8 +167,8 @@
 
     @Test(dataProvider = "soundStreams")
     public void theWholeStreamOfOneEnginePassesAsItIs(String stream) throws Exception {
-        first = whole(stream);
-        later = whole(EVENTS);
+        first = StreamScripts.whole(stream);
+        later = StreamScripts.whole(EVENTS);
         CallerReply reply = call();
         Assert.assertTrue(reply.whole(), reply.toString());
         Assert.assertEquals(reply.body(), stream);
@@ -216,24 +216,6 @@
         }
     }
 
-    /** Returns the script of an engine that breaks off behind the given part of a stream. */
-    private static Script brokenOff(String part) {
-        return (request, connection, out) -> {
-            out.write(ScriptedServer.streamHead(request));
-            out.write(ScriptedServer.chunk(part));
-            out.flush();
-            connection.close();
-        };
-    }
-
-    private static Script whole(String stream) {
-        return (request, connection, out) -> {
-            out.write(ScriptedServer.streamHead(request));
-            out.write(ScriptedServer.chunk(stream));
-            out.write(ScriptedServer.lastChunk());
-        };
-    }
-
     /** Writes one text after another until the latch opens. */
     private static void writeTextsUntil(CountDownLatch latch, OutputStream out) throws IOException {
         try {
