--- a/src/test/java/org/verbenatray/platform/EmptyRestTest.java
+++ b/src/test/java/org/verbenatray/platform/EmptyRestTest.java
@@ -13,7 +13,6 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Request;
 import org.verbenatray.platform.ScriptedServer.Script;
 
@@ -36,8 +35,6 @@
 
     private static final String EVENT_STREAM = "Content-Type: text/event-stream\r\n";
 
-    private final List<ScriptedServer> engines = new ArrayList<>();
-
     /** The requests for a generation that engines have received, in order. */
     private final List<Arrival> arrivals = new ArrayList<>();
 
@@ -47,27 +44,17 @@
     /** Serves the others. */
     private volatile Script rest;
 
-    private RelayFixture relay;
+    private EnginePair engines;
 
     @BeforeMethod
     public void start() throws Exception {
         arrivals.clear();
-        for (int number = 0; number < 2; number++) {
-            int engine = number;
-            engines.add(ScriptedServer.start((request, connection, out) -> serve(engine, request, connection, out)));
-        }
-        relay = RelayFixture.startReady(
-                ServerListing.engine("e0", "decode", engines.get(0)),
-                ServerListing.engine("e1", "decode", engines.get(1)));
+        engines = EnginePair.start(engine -> (request, connection, out) -> serve(engine, request, connection, out));
     }
 
     @AfterMethod(alwaysRun = true)
     public void stop() throws Exception {
-        relay.close();
-        for (ScriptedServer engine : engines) {
-            engine.close();
-        }
-        engines.clear();
+        engines.close();
     }
 
     /** The ways in which an engine says that it has nothing to send, by name. */
@@ -226,8 +213,7 @@
     }
 
     private CallerReply call(String id, String headers) throws IOException {
-        try (Socket caller = relay.connect()) {
-            RelayFixture.send(caller, RelayFixture.postRequest("/resume/x", id, headers, "p"));
+        try (Socket caller = engines.open(id, headers)) {
             return CallerReply.read(new BufferedInputStream(caller.getInputStream()));
         }
     }
@@ -242,10 +228,6 @@
     }
 
     private void serve(int engine, Request request, Socket connection, OutputStream out) throws IOException {
-        if (request.line().startsWith("GET")) {
-            out.write(ScriptedServer.response(request, 200, "", "{\"stage\":\"decode\",\"seq\":0}"));
-            return;
-        }
         boolean first;
         synchronized (arrivals) {
             first = arrivals.isEmpty();
--- a/src/test/java/org/verbenatray/platform/TextBeforeEventsTest.java
+++ b/src/test/java/org/verbenatray/platform/TextBeforeEventsTest.java
@@ -5,8 +5,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -15,7 +13,6 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Request;
 import org.verbenatray.platform.ScriptedServer.Script;
 
@@ -33,32 +30,21 @@
     /** The number of requests for a generation that engines have received. */
     private final AtomicInteger generations = new AtomicInteger();
 
-    private final List<ScriptedServer> engines = new ArrayList<>();
-
     private volatile Script first;
 
     private volatile Script later;
 
-    private RelayFixture relay;
+    private EnginePair engines;
 
     @BeforeMethod
     public void start() throws Exception {
         generations.set(0);
-        for (int number = 0; number < 2; number++) {
-            engines.add(ScriptedServer.start(this::serve));
-        }
-        relay = RelayFixture.startReady(
-                ServerListing.engine("e0", "decode", engines.get(0)),
-                ServerListing.engine("e1", "decode", engines.get(1)));
+        engines = EnginePair.start(engine -> this::serve);
     }
 
     @AfterMethod(alwaysRun = true)
     public void stop() throws Exception {
-        relay.close();
-        for (ScriptedServer engine : engines) {
-            engine.close();
-        }
-        engines.clear();
+        engines.close();
     }
 
     /** What an engine sends in place of the first event. */
@@ -121,7 +107,7 @@
             connection.close();
         };
         later = StreamScripts.whole(EVENTS);
-        try (Socket caller = openStream()) {
+        try (Socket caller = engines.open("id1", SHORT)) {
             BufferedInputStream in = new BufferedInputStream(caller.getInputStream());
             in.mark(1);
             Assert.assertTrue(in.read() >= 0);
@@ -184,7 +170,7 @@
             writeTextsUntil(read, out);
             out.write(ScriptedServer.lastChunk());
         };
-        try (Socket caller = openStream()) {
+        try (Socket caller = engines.open("id1", SHORT)) {
             BufferedInputStream in = new BufferedInputStream(caller.getInputStream());
             in.mark(1);
             Assert.assertTrue(in.read() >= 0);
@@ -195,21 +181,13 @@
     }
 
     private CallerReply call() throws IOException {
-        try (Socket caller = openStream()) {
+        try (Socket caller = engines.open("id1", SHORT)) {
             return CallerReply.read(new BufferedInputStream(caller.getInputStream()));
         }
     }
 
-    private Socket openStream() throws IOException {
-        Socket caller = relay.connect();
-        RelayFixture.send(caller, RelayFixture.postRequest("/resume/x", "id1", SHORT, "p"));
-        return caller;
-    }
-
     private void serve(Request request, Socket connection, OutputStream out) throws IOException {
-        if (request.line().startsWith("GET")) {
-            out.write(ScriptedServer.response(request, 200, "", "{\"stage\":\"decode\",\"seq\":0}"));
-        } else if (generations.incrementAndGet() == 1) {
+        if (generations.incrementAndGet() == 1) {
             first.serve(request, connection, out);
         } else {
             later.serve(request, connection, out);
