Metrics and a log line tell why engines are polled and what opens connections

Three hypotheses could not be told apart: polls that cause further polls, requests that wait on new connections alone, and links that are full.

- verbenatray_engine_polls_total{cause}, verbenatray_engine_poll_failures_total{kind}
- verbenatray_connections_opened_total{purpose}
- verbenatray_server_head_seconds{purpose,connection}
- event=server_traffic each 2 s: the same counts, and the heads of requests that took 0.5 s and more, on new and on kept connections

No change of what is sent. PollScheduleTest counts as before.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -35,6 +35,7 @@
 import org.verbenatray.relay.RelayMetrics;
 import org.verbenatray.relay.RelayServer;
 import org.verbenatray.relay.ServerStatements;
+import org.verbenatray.relay.ServerTraffic;
 import org.verbenatray.relay.StageController;
 import org.verbenatray.scheduling.FirstAttemptEstimator;
 import org.verbenatray.scheduling.PromptPlacement;
@@ -51,6 +52,9 @@
     /** The time between two maintenance runs in milliseconds. */
     private static final long MAINTENANCE_INTERVAL_MILLIS = 200;
 
+    /** The time between two log lines of what was sent to servers, in milliseconds. */
+    private static final long TRAFFIC_LOG_INTERVAL_MILLIS = 2_000;
+
     /** The longest time for which an instance waits for the known crashes before it is ready, in milliseconds. */
     private static final long MAX_CRASHES_WAIT_MILLIS = 3_000;
 
@@ -96,6 +100,8 @@
 
     private final SharedPlacement placement;
 
+    private final ServerTraffic traffic;
+
     private final LoadPoller loadPoller;
 
     private final RelayHandler handler;
@@ -149,18 +155,24 @@
         ServerStatements statements = ServerStatements.create(dialect, limits, sharing::recordLeaving, loop.ticker());
         this.planner = createPlanner(chooser, prefixCacheIndex);
         this.placement = createPlacement(chooser, prefixCacheIndex);
-        this.loadPoller = LoadPoller.create(
+        this.traffic = ServerTraffic.create(metrics);
+        this.loadPoller = createLoadPoller(dialect, statements);
+        this.context = createContext(dialect, chooser, statements);
+        this.handler = RelayHandler.create(context);
+        this.server = startServer();
+    }
+
+    private LoadPoller createLoadPoller(RelayDialect dialect, ServerStatements statements) {
+        loop.transport().setTrafficListener(traffic);
+        return LoadPoller.create(
                 loop.transport(),
-                loop.thread(),
                 dialect,
                 directory,
                 planner.prefixCacheIndex(),
                 statements,
                 cutOffDetector,
-                sharing.pollSharing());
-        this.context = createContext(dialect, chooser, statements);
-        this.handler = RelayHandler.create(context);
-        this.server = startServer();
+                sharing.pollSharing(),
+                traffic);
     }
 
     private RelayContext createContext(RelayDialect dialect, LeastLoadedChooser chooser, ServerStatements statements) {
@@ -392,6 +404,7 @@
         loop.runRepeatedly(
                 "maintenance", LoopLateness.measure(this::runMaintenance, loop.ticker(), metrics::recordLoopLateness));
         loop.runRepeatedly("polls", loadPoller::pollNext);
+        loop.runRepeatedly("traffic", this::logTraffic);
         loop.runRepeatedly("placed work", placement::tellWork);
         loop.runRepeatedly("stages", stageController::planStages);
     }
@@ -406,6 +419,11 @@
         return MAINTENANCE_INTERVAL_MILLIS;
     }
 
+    private long logTraffic() {
+        traffic.logCounts();
+        return TRAFFIC_LOG_INTERVAL_MILLIS;
+    }
+
     private void onRoutesChanged(Catalog routes) {
         metrics.setCatalogVersion(routes.version());
         server.applyLimits(routes.limits());
--- a/src/main/java/org/verbenatray/platform/PlatformProtocol.java
+++ b/src/main/java/org/verbenatray/platform/PlatformProtocol.java
@@ -36,6 +36,7 @@
 import org.verbenatray.relay.ServerResponseHead;
 import org.verbenatray.relay.StageController.StageOrder;
 import org.verbenatray.servers.BufferedResponse;
+import org.verbenatray.servers.CallPurpose;
 import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.ResponseHead;
@@ -185,7 +186,8 @@
                 request.body(),
                 options.connectionUse(),
                 options.backend().entry().bootId(),
-                Optional.of(request.id()));
+                Optional.of(request.id()),
+                CallPurpose.REQUEST);
     }
 
     @Override
@@ -249,7 +251,8 @@
     @Override
     public HttpCall load(Backend backend) {
         return HttpCall.create("GET", backend.entry().address(), "/report", Map.of(), new byte[0])
-                .withConnection(ConnectionUse.POOLED, backend.entry().bootId());
+                .withConnection(ConnectionUse.POOLED, backend.entry().bootId())
+                .withPurpose(CallPurpose.POLL);
     }
 
     @Override
@@ -276,7 +279,8 @@
     @Override
     public HttpCall cacheChanges(Backend backend, long since) {
         return HttpCall.create("GET", backend.entry().address(), "/kv-events?since=" + since, Map.of(), new byte[0])
-                .withConnection(ConnectionUse.POOLED, backend.entry().bootId());
+                .withConnection(ConnectionUse.POOLED, backend.entry().bootId())
+                .withPurpose(CallPurpose.POLL);
     }
 
     @Override
--- a/src/main/java/org/verbenatray/relay/CrashProbe.java
+++ b/src/main/java/org/verbenatray/relay/CrashProbe.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.resilience.ServerRuns;
+import org.verbenatray.servers.CallPurpose;
 import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.time.Deadline;
@@ -95,7 +96,7 @@
         pausedUntil.put(boot, Deadline.afterMillis(now, MIN_INTERVAL_MILLIS));
         transport
                 .call(
-                        dialect.load(backend).onNewConnection(),
+                        dialect.load(backend).onNewConnection().withPurpose(CallPurpose.CHECK),
                         thread,
                         Deadline.afterMillis(now, RESPONSE_TIMEOUT_MILLIS),
                         MAX_RESPONSE_BYTES)
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -59,6 +60,8 @@
 
     private final PollSchedule schedule;
 
+    private final ServerTraffic traffic;
+
     /** The new connections that are being tried. */
     private int openTrials;
 
@@ -67,15 +70,15 @@
 
     private LoadPoller(
             HttpTransport transport,
-            XnioIoThread thread,
             RelayDialect dialect,
             BackendDirectory directory,
             PrefixCacheIndex prefixMemory,
             ServerStatements statements,
             ReachListener reach,
-            Sharing sharing) {
+            Sharing sharing,
+            ServerTraffic traffic) {
         this.transport = transport;
-        this.thread = thread;
+        this.thread = transport.anyThread();
         this.ticker = transport.ticker();
         this.dialect = dialect;
         this.directory = directory;
@@ -84,19 +87,20 @@
         this.reach = reach;
         this.schedule = new PollSchedule(sharing.place(), sharing.groupSize());
         this.onReport = sharing.onReport();
+        this.traffic = traffic;
     }
 
-    /** Creates a poller that runs on the given thread. */
+    /** Creates a poller that runs on the one I/O thread of the transport. */
     public static LoadPoller create(
             HttpTransport transport,
-            XnioIoThread thread,
             RelayDialect dialect,
             BackendDirectory directory,
             PrefixCacheIndex prefixMemory,
             ServerStatements statements,
             ReachListener reach,
-            Sharing sharing) {
-        return new LoadPoller(transport, thread, dialect, directory, prefixMemory, statements, reach, sharing);
+            Sharing sharing,
+            ServerTraffic traffic) {
+        return new LoadPoller(transport, dialect, directory, prefixMemory, statements, reach, sharing, traffic);
     }
 
     /** Polls the engines that are due, if any, and returns the delay in milliseconds until the next look. */
@@ -110,7 +114,9 @@
         }
         schedule.retain(engines);
         boolean doubtful = reach.suspectsNewConnections();
-        schedule.due(engines, doubtful, ticker.nanos()).forEach(engine -> {
+        schedule.due(engines, doubtful, ticker.nanos()).forEach(poll -> {
+            Backend engine = poll.engine();
+            traffic.recordPoll(poll.cause());
             schedule.recordPolled(engine.entry().bootId(), ticker.nanos());
             pollLoad(engine);
             pollCacheChanges(engine);
@@ -185,6 +191,9 @@
         Deadline deadline = Deadline.afterMillis(ticker.nanos(), RESPONSE_TIMEOUT_MILLIS);
         transport.call(call, thread, deadline, MAX_RESPONSE_BYTES).whenComplete((response, failure) -> {
             onDone.accept(failure);
+            if (failure instanceof ServerFailure known) {
+                traffic.recordPollFailure(known.kind().name().toLowerCase(Locale.ROOT));
+            }
             if (failure == null) {
                 statements.recordStatusAnswer(backend, response);
             }
--- a/src/main/java/org/verbenatray/relay/PollSchedule.java
+++ b/src/main/java/org/verbenatray/relay/PollSchedule.java
@@ -98,19 +98,19 @@
      * Returns the engines to poll now: the one that is due longest, if one is due, and the known ones that soon would
      * be this instance's turn.
      */
-    List<Backend> due(List<Backend> engines, boolean doubtful, long nowNanos) {
+    List<DuePoll> due(List<Backend> engines, boolean doubtful, long nowNanos) {
         Optional<Backend> longest = dueLongest(engines, doubtful, nowNanos);
         if (longest.isEmpty()) {
             return List.of();
         }
-        List<Backend> due = new ArrayList<>();
-        due.add(longest.get());
+        List<DuePoll> due = new ArrayList<>();
+        due.add(new DuePoll(longest.get(), cause(longest.get(), doubtful)));
         long soonNanos = nowNanos + turns().togetherMillis() * NANOS_PER_MILLI;
         engines.stream()
                 .filter(engine -> engine != longest.get() && isFirstOfKnown(engine))
                 .filter(engine -> dueNanos(engine, doubtful, nowNanos) - soonNanos < 0)
                 .limit(MAX_TOGETHER)
-                .forEach(due::add);
+                .forEach(engine -> due.add(new DuePoll(engine, PollCause.TURN)));
         return due;
     }
 
@@ -127,6 +127,23 @@
         return Optional.ofNullable(most);
     }
 
+    private PollCause cause(Backend engine, boolean doubtful) {
+        String boot = engine.entry().bootId();
+        if (doubted.contains(boot)) {
+            return PollCause.TOLD;
+        }
+        if (!knownNanos.containsKey(boot)) {
+            return PollCause.LISTED;
+        }
+        if (doubtful) {
+            return PollCause.DOUBT;
+        }
+        if (engine.unreachable()) {
+            return PollCause.UNREACHABLE;
+        }
+        return place.applyAsInt(boot) == 0 ? PollCause.TURN : PollCause.LATE_TURN;
+    }
+
     /** Returns whether an engine has been polled before, and this instance is the first to poll it again. */
     private boolean isFirstOfKnown(Backend engine) {
         String boot = engine.entry().bootId();
@@ -183,6 +200,14 @@
                 : Math.min(LAST_TURN_MILLIS, turns.secondMillis() + (position - 1) * turns.stepMillis());
     }
 
+    /**
+     * An engine to poll now.
+     *
+     * @param engine the engine
+     * @param cause why this instance polls it
+     */
+    record DuePoll(Backend engine, PollCause cause) {}
+
     /**
      * The ages of the newest report at which instances poll, in milliseconds.
      *
--- a/src/main/java/org/verbenatray/relay/RelayMetrics.java
+++ b/src/main/java/org/verbenatray/relay/RelayMetrics.java
@@ -51,6 +51,32 @@
             .classicUpperBounds(BUCKET_BOUNDS_SECONDS)
             .register(registry);
 
+    private final Counter polls = Counter.builder()
+            .name("verbenatray_engine_polls_total")
+            .help("Polls of engines by what caused them; each asks for the load and for cache changes.")
+            .labelNames("cause")
+            .register(registry);
+
+    private final Counter pollFailures = Counter.builder()
+            .name("verbenatray_engine_poll_failures_total")
+            .help("Requests of polls without a response, by kind of failure.")
+            .labelNames("kind")
+            .register(registry);
+
+    private final Counter connections = Counter.builder()
+            .name("verbenatray_connections_opened_total")
+            .help("Connections opened to servers and to the platform, by what they were opened for.")
+            .labelNames("purpose")
+            .register(registry);
+
+    private final Histogram serverHead = Histogram.builder()
+            .name("verbenatray_server_head_seconds")
+            .help("Time from the writing of a call to the head of its response, on new and on kept connections.")
+            .labelNames("purpose", "connection")
+            .classicOnly()
+            .classicUpperBounds(BUCKET_BOUNDS_SECONDS)
+            .register(registry);
+
     private final Counter requestsRead = Counter.builder()
             .name("verbenatray_relay_requests_read_total")
             .help("Requests of callers that were read whole.")
@@ -117,6 +143,26 @@
         loopLateness.observe(seconds);
     }
 
+    /** Counts a poll of an engine by its cause. */
+    void recordPoll(String cause) {
+        polls.labelValues(cause).inc();
+    }
+
+    /** Counts a request of a poll that got no response, by the kind of failure. */
+    void recordPollFailure(String kind) {
+        pollFailures.labelValues(kind).inc();
+    }
+
+    /** Counts a connection that is opened, by what it is opened for. */
+    void recordConnection(String purpose) {
+        connections.labelValues(purpose).inc();
+    }
+
+    /** Records the time from the writing of a call to the head of its response, in seconds. */
+    void recordServerHead(String purpose, String connection, double seconds) {
+        serverHead.labelValues(purpose, connection).observe(seconds);
+    }
+
     /** Counts a request that was read whole. */
     void recordRequestRead() {
         requestsRead.inc();
--- a/src/main/java/org/verbenatray/servers/HttpCall.java
+++ b/src/main/java/org/verbenatray/servers/HttpCall.java
@@ -17,6 +17,7 @@
  * @param pool the name of the connection pool; a new server at the same address gets a new pool
  * @param requestId the id that the response must bear; a call does not use a connection that has carried one with the
  *     same id, where an earlier response may arrive once more
+ * @param purpose what the call is for
  */
 public record HttpCall(
         String method,
@@ -26,7 +27,8 @@
         byte[] body,
         ConnectionUse connectionUse,
         String pool,
-        Optional<String> requestId) {
+        Optional<String> requestId,
+        CallPurpose purpose) {
     /** Returns a call with a JSON body, on a pooled connection with retry. */
     public static HttpCall json(String method, String address, String path, String body) {
         return create(
@@ -52,7 +54,8 @@
                 body,
                 ConnectionUse.POOLED_WITH_RETRY,
                 address.getAuthority(),
-                Optional.empty());
+                Optional.empty(),
+                CallPurpose.OTHER);
     }
 
     /** Returns a copy of this call that uses a new connection. */
@@ -62,6 +65,11 @@
 
     /** Returns a copy of this call with the given kind of connection and pool. */
     public HttpCall withConnection(ConnectionUse newUse, String newPool) {
-        return new HttpCall(method, address, path, headers, body, newUse, newPool, requestId);
+        return new HttpCall(method, address, path, headers, body, newUse, newPool, requestId, purpose);
+    }
+
+    /** Returns a copy of this call for the given purpose. */
+    public HttpCall withPurpose(CallPurpose newPurpose) {
+        return new HttpCall(method, address, path, headers, body, connectionUse, pool, requestId, newPurpose);
     }
 }
--- a/src/main/java/org/verbenatray/servers/HttpExchange.java
+++ b/src/main/java/org/verbenatray/servers/HttpExchange.java
@@ -44,6 +44,9 @@
     /** Whether the connection has carried another exchange before. */
     private boolean reused;
 
+    /** When the request was sent. */
+    private long sentNanos;
+
     /** Whether the whole request was written to the socket. */
     private boolean requestFlushed;
 
@@ -74,6 +77,7 @@
         }
         connection = openConnection;
         reused = usedBefore;
+        sentNanos = transport.ticker().nanos();
         unsentBody.clear();
         requestFlushed = false;
         call.requestId().ifPresent(openConnection::recordCarried);
@@ -162,6 +166,9 @@
             return;
         }
         responseStarted = true;
+        transport
+                .trafficListener()
+                .onHead(call.purpose(), !reused, (transport.ticker().nanos() - sentNanos) / 1e9);
         ClientResponse response = exchange.getResponse();
         listener.onHead(new ResponseHead(
                 response.getResponseCode(),
--- a/src/main/java/org/verbenatray/servers/HttpTransport.java
+++ b/src/main/java/org/verbenatray/servers/HttpTransport.java
@@ -63,6 +63,9 @@
 
     private final SilenceTimers silenceTimers;
 
+    /** Set before the first call. */
+    private TrafficListener trafficListener = TrafficListener.NONE;
+
     /** The time beyond a round trip for which the reset of a new connection is awaited, in milliseconds. */
     private final long admissionMillis;
 
@@ -111,6 +114,16 @@
         return silenceTimers;
     }
 
+    /** Sets the listener for the connections of all calls; call before the first one. */
+    public void setTrafficListener(TrafficListener listener) {
+        trafficListener = listener;
+    }
+
+    /** Returns the listener for the connections of all calls. */
+    TrafficListener trafficListener() {
+        return trafficListener;
+    }
+
     /** Returns the account of the bytes that are kept. */
     public MemoryAccount memory() {
         return memory;
@@ -230,6 +243,7 @@
         open(
                 address,
                 thread,
+                CallPurpose.CHECK,
                 connection -> {
                     release(thread, pool, connection);
                     done.complete(null);
@@ -244,6 +258,7 @@
         open(
                 call.address(),
                 thread,
+                call.purpose(),
                 connection -> {
                     if (ADMISSION_AWAITED.contains(call.connectionUse())) {
                         startWhenAdmitted(connection, startNanos, thread, exchange);
@@ -281,7 +296,11 @@
      * later is passed on all the same.
      */
     private void open(
-            URI address, XnioIoThread thread, Consumer<ServerConnection> onOpen, Consumer<ServerFailure> onFailure) {
+            URI address,
+            XnioIoThread thread,
+            CallPurpose purpose,
+            Consumer<ServerConnection> onOpen,
+            Consumer<ServerFailure> onFailure) {
         XnioIoThread.Key timer = silenceTimers.schedule(
                 thread,
                 () -> onFailure.accept(ServerFailure.create(
@@ -294,6 +313,7 @@
                     ServerFailure.create(ServerFailure.Kind.NOT_CONNECTED, "no port to connect to in " + address));
             return;
         }
+        trafficListener.onOpening(purpose);
         openers.computeIfAbsent(thread, key -> new ConnectionOpener(key, buffers))
                 .open(
                         address,
--- a/src/test/java/org/verbenatray/platform/LateInstanceTest.java
+++ b/src/test/java/org/verbenatray/platform/LateInstanceTest.java
@@ -17,6 +17,7 @@
 import org.verbenatray.platform.RelayFixture.ServerListing;
 import org.verbenatray.platform.ScriptedServer.Request;
 import org.verbenatray.servers.BufferedResponse;
+import org.verbenatray.servers.CallPurpose;
 import org.verbenatray.servers.ConnectionUse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.time.Deadline;
@@ -137,7 +138,15 @@
     private static CompletableFuture<BufferedResponse> call(EventLoop loop, ScriptedServer server, long millis) {
         URI address = URI.create("http://" + server.address());
         HttpCall call = new HttpCall(
-                "POST", address, "/safe/x", Map.of(), new byte[0], ConnectionUse.NEW, "pool", Optional.empty());
+                "POST",
+                address,
+                "/safe/x",
+                Map.of(),
+                new byte[0],
+                ConnectionUse.NEW,
+                "pool",
+                Optional.empty(),
+                CallPurpose.REQUEST);
         Deadline deadline = Deadline.afterMillis(loop.ticker().nanos(), millis);
         return loop.transport().call(call, loop.thread(), deadline, MAX_RESPONSE_BYTES);
     }
--- a/src/test/java/org/verbenatray/platform/PartitionableFleet.java
+++ b/src/test/java/org/verbenatray/platform/PartitionableFleet.java
@@ -232,7 +232,8 @@
                 call.body(),
                 call.connectionUse(),
                 call.pool() + pool,
-                call.requestId());
+                call.requestId(),
+                call.purpose());
     }
 
     private void serve(Request request, Socket connection, OutputStream out) throws IOException {
--- a/src/test/java/org/verbenatray/relay/PollScheduleTest.java
+++ b/src/test/java/org/verbenatray/relay/PollScheduleTest.java
@@ -200,7 +200,9 @@
         }
 
         void step() {
-            List<Backend> due = schedule.due(engines, false, nowMillis * NANOS_PER_MILLI);
+            List<Backend> due = schedule.due(engines, false, nowMillis * NANOS_PER_MILLI).stream()
+                    .map(PollSchedule.DuePoll::engine)
+                    .toList();
             if (due.isEmpty()) {
                 return;
             }
