Polls of engines that are slow or in doubt no longer multiply

Cause: what an instance polls grew when engines were slow. - One failed connect or one late poll puts an instance in doubt about all engines; it then polls all of them at an age of 500 ms. The engines of which it is the first are polled together 600 ms before their turn, which in doubt is always: each of them was polled at every look, every 20 ms. - A poll without an answer made every instance of the failure domain poll that engine itself, once a second. - After 500 ms the connection of a poll was closed, and the next poll opened two new ones, each of which takes time of an engine that is slow already.

Change: - polls beyond the turns of an instance (in doubt, told by others, engines that come back) have a fixed rate: 4 a second, 6 at a time. Nothing is polled together in doubt, and instances in doubt look at different engines. - an engine that has not answered one instance is polled by one or two more; if two agree, all take it for unreachable without a poll, until it answers one. - a poll that is late is told as such after 500 ms, and waits on for 2 s: its engine is not polled again meanwhile, its connection is kept. - the load and the cache changes are asked for one after the other on one connection, so a silent engine gets one request and not two.

Why this works: the number of polls no longer depends on the state of the engines. PollScheduleTest also tells what doubt may add. TokenBucket moves to the package time.

--- a/src/main/java/org/verbenatray/admission/CustomerAccount.java
+++ b/src/main/java/org/verbenatray/admission/CustomerAccount.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.verbenatray.configuration.FleetConfiguration.CustomerSpec;
+import org.verbenatray.time.TokenBucket;
 
 /** The limits and open requests of one customer at this instance. Not thread-safe. */
 final class CustomerAccount {
--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -10,13 +10,13 @@
 import org.verbenatray.authority.LogLease;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
-import org.verbenatray.backends.EngineReport;
 import org.verbenatray.catalog.Catalog;
 import org.verbenatray.catalog.CurrentCatalog;
 import org.verbenatray.continuation.RecentVersions;
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.limits.ServerLimits;
 import org.verbenatray.memory.MemoryAccount;
+import org.verbenatray.openwork.ReportExchange;
 import org.verbenatray.pace.ServerPace;
 import org.verbenatray.placement.EnginePlanner;
 import org.verbenatray.placement.EngineSample;
@@ -434,8 +434,8 @@
         reachingPeers.recordAnswer(instance, agoMillis);
     }
 
-    private void onPeerReport(EngineReport report) {
-        loadPoller.onPeerReport(report);
+    private void onPeerReport(ReportExchange.PeerReport told) {
+        loadPoller.onPeerReport(told.instance(), told.report());
     }
 
     private void listenForInstances(InetSocketAddress address) {
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -16,7 +16,6 @@
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
 import org.verbenatray.backends.BackendStage;
-import org.verbenatray.backends.EngineReport;
 import org.verbenatray.continuation.StreamContinuations;
 import org.verbenatray.continuation.StreamHomes;
 import org.verbenatray.datagrams.DatagramRouter;
@@ -119,7 +118,7 @@
             BackendDirectory directory,
             PrefixCacheIndex prefixCacheIndex,
             AnswerListener onAnsweredOther,
-            Consumer<EngineReport> onPeerReport,
+            Consumer<ReportExchange.PeerReport> onPeerReport,
             Consumer<InetSocketAddress> forwardingListener) {
         this.settings = settings;
         this.loop = loop;
@@ -140,7 +139,7 @@
                                 peer.report().boot(),
                                 peer.report().agoMillis());
                     }
-                    onPeerReport.accept(peer.report());
+                    onPeerReport.accept(peer);
                 },
                 new ReportExchange.Speeds(speeds::takeUntold, speeds::record),
                 loop.ticker(),
--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -2,8 +2,8 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -11,14 +11,15 @@
 import java.util.function.ToIntFunction;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
+import org.verbenatray.backends.BackendLoad;
 import org.verbenatray.backends.BackendStage;
 import org.verbenatray.backends.EngineReport;
 import org.verbenatray.placement.PrefixCacheIndex;
+import org.verbenatray.servers.BufferedResponse;
 import org.verbenatray.servers.HttpCall;
 import org.verbenatray.servers.HttpTransport;
 import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.telemetry.Event;
-import org.verbenatray.time.Deadline;
 import org.verbenatray.time.Ticker;
 import org.xnio.XnioIoThread;
 
@@ -32,10 +33,6 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    private static final long RESPONSE_TIMEOUT_MILLIS = 500;
-
-    private static final int MAX_RESPONSE_BYTES = 256 * 1024;
-
     /**
      * The most new connections that are tried at a time in doubt, as many as prove a partition. Each costs its engine
      * time in which it accepts no request.
@@ -62,6 +59,12 @@
 
     private final ServerTraffic traffic;
 
+    /** The boot ids of the engines that are being polled. */
+    private final Set<String> openPolls = new HashSet<>();
+
+    /** The boot ids of the engines that count as unreachable only because other instances did not reach them. */
+    private final Set<String> unreachableForAll = new HashSet<>();
+
     /** The new connections that are being tried. */
     private int openTrials;
 
@@ -113,133 +116,198 @@
             return NO_ENGINES_MILLIS;
         }
         schedule.retain(engines);
+        List<Backend> idle = engines.stream()
+                .filter(engine -> !openPolls.contains(engine.entry().bootId()))
+                .toList();
         boolean doubtful = reach.suspectsNewConnections();
-        schedule.due(engines, doubtful, ticker.nanos()).forEach(poll -> {
-            Backend engine = poll.engine();
-            traffic.recordPoll(poll.cause());
-            schedule.recordPolled(engine.entry().bootId(), ticker.nanos());
-            pollLoad(engine);
-            pollCacheChanges(engine);
-        });
-        return schedule.waitMillis(engines, doubtful, ticker.nanos());
+        schedule.due(idle, doubtful, ticker.nanos()).forEach(due -> poll(due, doubtful));
+        return schedule.waitMillis(idle, doubtful, ticker.nanos());
     }
 
-    /** Applies what an engine has reported to another instance. */
-    public void onPeerReport(EngineReport report) {
+    /** Applies what another instance has told of an engine. */
+    public void onPeerReport(String instance, EngineReport report) {
         Optional<Backend> engine = directory.findBoot(report.boot());
         if (engine.isEmpty()) {
             return;
         }
         if (!report.answered()) {
-            schedule.recordDoubt(report.boot(), ticker.nanos());
+            recordPeerFailure(engine.get(), instance);
             return;
         }
         long reportedNanos = ticker.nanos() - report.agoMillis() * NANOS_PER_MILLI;
-        schedule.recordKnown(report.boot(), reportedNanos);
+        if (unreachableForAll.remove(report.boot())) {
+            engine.get().markReachable();
+        }
+        schedule.recordAnswer(engine.get(), instance, reportedNanos);
         report.load().ifPresent(load -> engine.get().updateLoad(load, reportedNanos));
         report.changes().ifPresent(changes -> prefixCacheIndex.applyPeerChanges(report.boot(), changes));
     }
 
-    private void pollLoad(Backend backend) {
+    private void recordPeerFailure(Backend engine, String instance) {
+        String boot = engine.entry().bootId();
+        schedule.recordFailure(boot, instance, ticker.nanos());
+        if (!engine.unreachable() && schedule.isUnreachableForAll(boot, ticker.nanos())) {
+            unreachableForAll.add(boot);
+            engine.markUnreachable();
+        }
+    }
+
+    /** Requests the load of an engine, and then the changes of its prefix cache on the same connection. */
+    private void poll(PollSchedule.DuePoll due, boolean doubtful) {
+        Backend engine = due.engine();
+        String boot = engine.entry().bootId();
+        traffic.recordPoll(due.cause());
+        schedule.recordPolled(boot, ticker.nanos());
+        openPolls.add(boot);
         send(
-                backend,
-                dialect.load(backend),
-                body -> dialect.load(body).ifPresent(load -> {
-                    backend.updateLoad(load, ticker.nanos());
-                    onReport.accept(EngineReport.ofLoad(backend.entry().bootId(), load));
-                }),
-                failure -> {
-                    recordPoll(backend, failure);
-                    if (isUnreachable(failure)) {
-                        onReport.accept(EngineReport.unanswered(backend.entry().bootId()));
+                engine,
+                dialect.load(engine),
+                response -> {
+                    recordPollAnswer(engine);
+                    requestCacheChanges(engine, doubtful);
+                    if (response.status() == 200) {
+                        dialect.load(response.body()).ifPresent(load -> applyLoad(engine, load));
                     }
+                },
+                () -> recordSilence(engine),
+                (failure, late) -> {
+                    openPolls.remove(boot);
+                    recordPollFailure(engine, failure, late);
                 });
     }
 
+    private void applyLoad(Backend engine, BackendLoad load) {
+        engine.updateLoad(load, ticker.nanos());
+        onReport.accept(EngineReport.ofLoad(engine.entry().bootId(), load));
+    }
+
     /**
      * Requests the changes of the prefix cache since the last known position; a few of these requests use new
      * connections while it is doubtful whether any can be opened.
      */
-    private void pollCacheChanges(Backend backend) {
-        String boot = backend.entry().bootId();
-        HttpCall call = dialect.cacheChanges(backend, prefixCacheIndex.nextChangeNumber(boot));
-        boolean opensConnection = reach.suspectsNewConnections() && openTrials < MAX_TRIALS;
-        openTrials += opensConnection ? 1 : 0;
+    private void requestCacheChanges(Backend engine, boolean doubtful) {
+        String boot = engine.entry().bootId();
+        HttpCall call = dialect.cacheChanges(engine, prefixCacheIndex.nextChangeNumber(boot));
+        if (doubtful && openTrials < MAX_TRIALS) {
+            requestOnNewConnection(engine, call);
+            return;
+        }
         send(
-                backend,
-                opensConnection ? call.onNewConnection() : call,
-                body -> dialect.cacheChanges(body).ifPresent(changes -> {
-                    prefixCacheIndex.applyChanges(boot, changes);
-                    onReport.accept(EngineReport.ofChanges(boot, changes));
-                }),
-                failure -> {
-                    if (opensConnection) {
-                        openTrials--;
-                        recordNewConnection(backend, failure);
-                    } else {
-                        recordPoll(backend, failure);
-                    }
+                engine,
+                call,
+                response -> {
+                    openPolls.remove(boot);
+                    recordPollAnswer(engine);
+                    applyCacheChanges(boot, response);
+                },
+                () -> recordSilence(engine),
+                (failure, late) -> {
+                    openPolls.remove(boot);
+                    recordPollFailure(engine, failure, late);
                 });
     }
 
-    /**
-     * Sends a request and passes the body of a 200 response to the handler.
-     *
-     * @param onDone called before it, with the failure, or with null after a response
-     */
-    private void send(Backend backend, HttpCall call, Consumer<byte[]> handler, Consumer<Throwable> onDone) {
-        Deadline deadline = Deadline.afterMillis(ticker.nanos(), RESPONSE_TIMEOUT_MILLIS);
-        transport.call(call, thread, deadline, MAX_RESPONSE_BYTES).whenComplete((response, failure) -> {
-            onDone.accept(failure);
-            if (failure instanceof ServerFailure known) {
-                traffic.recordPollFailure(known.kind().name().toLowerCase(Locale.ROOT));
-            }
-            if (failure == null) {
-                statements.recordStatusAnswer(backend, response);
-            }
-            if (failure == null && response.status() == 200) {
-                handler.accept(response.body());
-                return;
-            }
-            Event.named("engine_state_unknown")
-                    .with("backend", backend.entry().id())
-                    .with("asked", call.path())
-                    .with("why", failure == null ? response.status() : failure.getMessage())
-                    .log(log, Level.DEBUG);
-        });
+    private void requestOnNewConnection(Backend engine, HttpCall call) {
+        String boot = engine.entry().bootId();
+        openTrials++;
+        send(
+                engine,
+                call.onNewConnection(),
+                response -> {
+                    endTrial(boot);
+                    reach.onConnected();
+                    recordAnswer(engine);
+                    applyCacheChanges(boot, response);
+                },
+                () -> {},
+                (failure, late) -> {
+                    endTrial(boot);
+                    if (failure instanceof ServerFailure known && known.kind() == ServerFailure.Kind.NOT_CONNECTED) {
+                        reach.onNotConnected(engine);
+                    }
+                });
     }
 
-    private void recordPoll(Backend backend, Throwable failure) {
-        recordReachability(backend, failure);
-        recordAnswer(backend, failure == null);
+    private void endTrial(String boot) {
+        openPolls.remove(boot);
+        openTrials--;
     }
 
-    private void recordAnswer(Backend backend, boolean answered) {
-        if (answered) {
-            backend.recordAnswer(ticker.nanos());
+    private void applyCacheChanges(String boot, BufferedResponse response) {
+        if (response.status() == 200) {
+            dialect.cacheChanges(response.body()).ifPresent(changes -> {
+                prefixCacheIndex.applyChanges(boot, changes);
+                onReport.accept(EngineReport.ofChanges(boot, changes));
+            });
         }
-        reach.onPoll(backend, answered);
     }
 
-    /** Records whether a new connection could be opened. */
-    private void recordNewConnection(Backend backend, Throwable failure) {
-        if (failure == null) {
-            reach.onConnected();
-            recordAnswer(backend, true);
-        } else if (failure instanceof ServerFailure known && known.kind() == ServerFailure.Kind.NOT_CONNECTED) {
-            reach.onNotConnected(backend);
-        }
+    private void send(
+            Backend engine,
+            HttpCall call,
+            Consumer<BufferedResponse> onResponse,
+            Runnable onLate,
+            PollRequest.FailureListener onFailure) {
+        PollRequest.send(
+                transport,
+                thread,
+                call,
+                new PollRequest.Listener(
+                        onLate,
+                        response -> {
+                            onResponse.accept(response);
+                            statements.recordStatusAnswer(engine, response);
+                            if (response.status() != 200) {
+                                logUnknownState(engine, call, response.status());
+                            }
+                        },
+                        (failure, late) -> {
+                            onFailure.onFailure(failure, late);
+                            traffic.recordPollFailure(failure);
+                            logUnknownState(engine, call, failure.getMessage());
+                        }));
+    }
+
+    private static void logUnknownState(Backend engine, HttpCall call, Object why) {
+        Event.named("engine_state_unknown")
+                .with("backend", engine.entry().id())
+                .with("asked", call.path())
+                .with("why", why)
+                .log(log, Level.DEBUG);
+    }
+
+    /** Records a response to a request on a connection of the pool. */
+    private void recordPollAnswer(Backend engine) {
+        unreachableForAll.remove(engine.entry().bootId());
+        engine.markReachable();
+        recordAnswer(engine);
     }
 
-    /** Records whether an engine is reachable. A connection reset leaves the state as it is. */
-    private static void recordReachability(Backend backend, Throwable failure) {
-        if (failure == null) {
-            backend.markReachable();
-        } else if (isUnreachable(failure)) {
-            backend.markUnreachable();
+    private void recordAnswer(Backend engine) {
+        schedule.recordOwnAnswer(engine.entry().bootId(), ticker.nanos());
+        engine.recordAnswer(ticker.nanos());
+        reach.onPoll(engine, true);
+    }
+
+    /** Records a failure. A connection reset leaves it open whether the engine is reachable. */
+    private void recordPollFailure(Backend engine, Throwable failure, boolean late) {
+        if (isUnreachable(failure) && !late) {
+            recordSilence(engine);
+        } else if (!late) {
+            reach.onPoll(engine, false);
         }
     }
 
+    /** Records that an engine is out of reach, and tells the others. */
+    private void recordSilence(Backend engine) {
+        String boot = engine.entry().bootId();
+        unreachableForAll.remove(boot);
+        engine.markUnreachable();
+        schedule.recordOwnFailure(boot, ticker.nanos());
+        reach.onPoll(engine, false);
+        onReport.accept(EngineReport.unanswered(boot));
+    }
+
     /** Returns whether a failure shows that an engine is out of reach; one that resets a connection is not. */
     private static boolean isUnreachable(Throwable failure) {
         return failure instanceof ServerFailure known && UNUSABLE.contains(known.kind());
--- a/src/main/java/org/verbenatray/relay/ServerTraffic.java
+++ b/src/main/java/org/verbenatray/relay/ServerTraffic.java
@@ -2,9 +2,11 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import org.verbenatray.servers.CallPurpose;
+import org.verbenatray.servers.ServerFailure;
 import org.verbenatray.servers.TrafficListener;
 import org.verbenatray.telemetry.Event;
 
@@ -38,8 +40,10 @@
         count("polls_" + cause.label());
     }
 
-    /** Records that a poll of an engine failed, with its kind. */
-    void recordPollFailure(String kind) {
+    /** Records that a request of a poll got no response. */
+    void recordPollFailure(Throwable failure) {
+        String kind =
+                failure instanceof ServerFailure known ? known.kind().name().toLowerCase(Locale.ROOT) : "other";
         metrics.recordPollFailure(kind);
         count("failed_" + kind);
     }
--- a/src/main/java/org/verbenatray/admission/TokenBucket.java
+++ b/src/main/java/org/verbenatray/time/TokenBucket.java
@@ -1,7 +1,7 @@
-package org.verbenatray.admission;
+package org.verbenatray.time;
 
 /** Token bucket whose level may become negative. Not thread-safe. */
-final class TokenBucket {
+public final class TokenBucket {
     private static final double NANOS_PER_SECOND = 1e9;
 
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -22,12 +22,12 @@
     }
 
     /** Returns a full bucket. */
-    static TokenBucket full(double ratePerSecond, double capacity, long nowNanos) {
+    public static TokenBucket full(double ratePerSecond, double capacity, long nowNanos) {
         return new TokenBucket(ratePerSecond, capacity, nowNanos);
     }
 
     /** Sets rate and capacity, and lowers the level to the new capacity if it is above. */
-    void configure(double newRatePerSecond, double newCapacity, long nowNanos) {
+    public void configure(double newRatePerSecond, double newCapacity, long nowNanos) {
         refill(nowNanos);
         ratePerSecond = newRatePerSecond;
         capacity = newCapacity;
@@ -38,7 +38,7 @@
      * Returns the milliseconds until the bucket holds the given number of tokens, zero when it does already; infinite
      * when the rate is zero.
      */
-    double millisUntil(double tokens, long nowNanos) {
+    public double millisUntil(double tokens, long nowNanos) {
         refill(nowNanos);
         if (level >= tokens) {
             return 0;
@@ -47,7 +47,7 @@
     }
 
     /** Removes tokens; the level may become negative. A negative number returns tokens, up to the capacity. */
-    void take(double tokens, long nowNanos) {
+    public void take(double tokens, long nowNanos) {
         refill(nowNanos);
         level = Math.min(capacity, level - tokens);
     }
--- a/src/test/java/org/verbenatray/relay/PollScheduleTest.java
+++ b/src/test/java/org/verbenatray/relay/PollScheduleTest.java
@@ -4,9 +4,12 @@
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -40,6 +43,15 @@
     /** The turns of an engine in five seconds, each at least a second after the one before. */
     private static final int MAX_TURNS_IN_FIVE_SECONDS = 5;
 
+    /** The polls that an instance makes in five seconds beyond its turns: four a second, and six at a time. */
+    private static final int MAX_EXTRA_IN_FIVE_SECONDS = 26;
+
+    /** The time after which an instance takes an engine without an answer for unreachable, in milliseconds. */
+    private static final long LATE_MILLIS = 500;
+
+    /** The time after which an instance ends a poll without an answer, in milliseconds. */
+    private static final long TIMEOUT_MILLIS = 2_000;
+
     /** The share of notices that are lost. */
     private static final double LOSS = 0.01;
 
@@ -49,6 +61,9 @@
     private long nowMillis;
     private int polls;
 
+    /** Whether all instances doubt that they reach any engine. */
+    private boolean doubtful;
+
     /** The engine that does not answer, null for none. */
     private Backend silent;
 
@@ -142,9 +157,26 @@
         Assert.assertTrue(run(5_000) <= MAX_AGE_MILLIS);
     }
 
+    /** Each instance polled the engines of which it is the first fifty times a second, and all others twice. */
+    @Test(dataProvider = "fleets")
+    public void doubtAddsFewPollsToThoseOfEachInstance(int instances, int engineCount, int domains) {
+        start(instances, engineCount, domains);
+        run(5_000);
+        polls = 0;
+        run(5_000);
+        int before = polls;
+        doubtful = true;
+        polls = 0;
+        run(5_000);
+        int more = polls - before;
+        Assert.assertTrue(more <= instances * MAX_EXTRA_IN_FIVE_SECONDS, "further polls in doubt: " + more);
+    }
+
     private void start(int instances, int engineCount, int domains) {
         nodes.clear();
         engines.clear();
+        doubtful = false;
+        silent = null;
         nowMillis = 0;
         for (int number = 0; number < engineCount; number++) {
             engines.add(engine("e" + number));
@@ -193,11 +225,15 @@
         private final ExchangePeers peers;
         private final PollSchedule schedule;
         private final Map<String, Long> reportedMillis = new HashMap<>();
+        private final Set<Backend> open = new HashSet<>();
+        private final List<Action> actions = new ArrayList<>();
+        private final String name;
         private boolean ended;
         private boolean deaf;
 
         Node(int number, int domains, Map<String, ListedInstance> listed) {
-            peers = ExchangePeers.of("i" + number, "d" + number % domains);
+            name = "i" + number;
+            peers = ExchangePeers.of(name, "d" + number % domains);
             peers.replace(listed);
             schedule = new PollSchedule(
                     peers::placeInGroup, () -> peers.groupAddresses().size());
@@ -208,7 +244,14 @@
         }
 
         void step() {
-            List<Backend> due = schedule.due(engines, false, nowMillis * NANOS_PER_MILLI).stream()
+            List<Action> ready = actions.stream()
+                    .filter(action -> action.atMillis() <= nowMillis)
+                    .toList();
+            actions.removeAll(ready);
+            ready.forEach(action -> action.task().run());
+            List<Backend> idle =
+                    engines.stream().filter(engine -> !open.contains(engine)).toList();
+            List<Backend> due = schedule.due(idle, doubtful, nowMillis * NANOS_PER_MILLI).stream()
                     .map(PollSchedule.DuePoll::engine)
                     .toList();
             if (due.isEmpty()) {
@@ -218,23 +261,44 @@
             due.forEach(engine -> schedule.recordPolled(engine.entry().bootId(), nowMillis * NANOS_PER_MILLI));
             pollsOfSilent += due.contains(silent) ? 1 : 0;
             pollsOfWatched += due.contains(watched) ? 1 : 0;
-            due.forEach(this::learn);
-            for (InetSocketAddress address : peers.groupAddresses()) {
-                notices++;
-                Node other = nodes.get(address.getPort() - 1);
-                if (!other.deaf && random.nextDouble() >= LOSS) {
-                    due.forEach(other::learn);
-                }
-            }
+            notices += peers.groupAddresses().size();
+            due.forEach(this::finish);
         }
 
-        private void learn(Backend engine) {
+        private void finish(Backend engine) {
+            String boot = engine.entry().bootId();
             if (engine == silent) {
-                schedule.recordDoubt(engine.entry().bootId(), nowMillis * NANOS_PER_MILLI);
+                open.add(engine);
+                actions.add(new Action(nowMillis + LATE_MILLIS, () -> {
+                    schedule.recordOwnFailure(boot, nowMillis * NANOS_PER_MILLI);
+                    tell(other -> other.schedule.recordFailure(boot, name, nowMillis * NANOS_PER_MILLI));
+                }));
+                actions.add(new Action(nowMillis + TIMEOUT_MILLIS, () -> open.remove(engine)));
                 return;
             }
-            schedule.recordKnown(engine.entry().bootId(), nowMillis * NANOS_PER_MILLI);
-            reportedMillis.put(engine.entry().bootId(), nowMillis);
+            schedule.recordOwnAnswer(boot, nowMillis * NANOS_PER_MILLI);
+            reportedMillis.put(boot, nowMillis);
+            tell(other -> {
+                other.schedule.recordAnswer(engine, name, nowMillis * NANOS_PER_MILLI);
+                other.reportedMillis.put(boot, nowMillis);
+            });
+        }
+
+        private void tell(Consumer<Node> notice) {
+            for (InetSocketAddress address : peers.groupAddresses()) {
+                Node other = nodes.get(address.getPort() - 1);
+                if (!other.deaf && random.nextDouble() >= LOSS) {
+                    notice.accept(other);
+                }
+            }
         }
     }
+
+    /**
+     * Something that an instance does later.
+     *
+     * @param atMillis when
+     * @param task what
+     */
+    private record Action(long atMillis, Runnable task) {}
 }
