--- a/src/test/java/org/verbenatray/relay/PollScheduleTest.java
+++ b/src/test/java/org/verbenatray/relay/PollScheduleTest.java
@@ -261,31 +261,40 @@
             due.forEach(engine -> schedule.recordPolled(engine.entry().bootId(), nowMillis * NANOS_PER_MILLI));
             pollsOfSilent += due.contains(silent) ? 1 : 0;
             pollsOfWatched += due.contains(watched) ? 1 : 0;
-            notices += peers.groupAddresses().size();
-            due.forEach(this::finish);
+            if (due.contains(silent)) {
+                awaitSilent();
+            }
+            List<Backend> answered =
+                    due.stream().filter(engine -> engine != silent).toList();
+            answered.forEach(this::recordOwnAnswer);
+            if (!answered.isEmpty()) {
+                tell(other -> answered.forEach(engine -> other.recordAnswer(engine, name)));
+            }
         }
 
-        private void finish(Backend engine) {
-            String boot = engine.entry().bootId();
-            if (engine == silent) {
-                open.add(engine);
-                actions.add(new Action(nowMillis + LATE_MILLIS, () -> {
-                    schedule.recordOwnFailure(boot, nowMillis * NANOS_PER_MILLI);
-                    tell(other -> other.schedule.recordFailure(boot, name, nowMillis * NANOS_PER_MILLI));
-                }));
-                actions.add(new Action(nowMillis + TIMEOUT_MILLIS, () -> open.remove(engine)));
-                return;
-            }
-            schedule.recordOwnAnswer(boot, nowMillis * NANOS_PER_MILLI);
-            reportedMillis.put(boot, nowMillis);
-            tell(other -> {
-                other.schedule.recordAnswer(engine, name, nowMillis * NANOS_PER_MILLI);
-                other.reportedMillis.put(boot, nowMillis);
-            });
+        private void awaitSilent() {
+            String boot = silent.entry().bootId();
+            open.add(silent);
+            actions.add(new Action(nowMillis + LATE_MILLIS, () -> {
+                schedule.recordOwnFailure(boot, nowMillis * NANOS_PER_MILLI);
+                tell(other -> other.schedule.recordFailure(boot, name, nowMillis * NANOS_PER_MILLI));
+            }));
+            actions.add(new Action(nowMillis + TIMEOUT_MILLIS, () -> open.remove(silent)));
+        }
+
+        private void recordOwnAnswer(Backend engine) {
+            schedule.recordOwnAnswer(engine.entry().bootId(), nowMillis * NANOS_PER_MILLI);
+            reportedMillis.put(engine.entry().bootId(), nowMillis);
+        }
+
+        private void recordAnswer(Backend engine, String instance) {
+            schedule.recordAnswer(engine, instance, nowMillis * NANOS_PER_MILLI);
+            reportedMillis.put(engine.entry().bootId(), nowMillis);
         }
 
         private void tell(Consumer<Node> notice) {
             for (InetSocketAddress address : peers.groupAddresses()) {
+                notices++;
                 Node other = nodes.get(address.getPort() - 1);
                 if (!other.deaf && random.nextDouble() >= LOSS) {
                     notice.accept(other);
