Servers without polls that take no connections are tried less and less often

Each instance that could not connect to a plain server tried again four times a second until it could: attempts grow with the instances (276 a second at 69, 1,480 at 370), at a server that is starting or that accepts too slowly already, and each new connection takes time of it.

The interval now doubles from 250 ms to a second, less a random share of up to 0.3, as with the store (RetryPacer). Callers pay with up to a second in place of 250 ms until a server that is back gets requests from an instance again.

ConnectProbeTest: 40 attempts in 10 s with the former interval (20 allowed), red; now green.

--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -196,7 +196,11 @@
                 FirstAttemptEstimator.create(),
                 placement,
                 CrashProbe.create(loop.transport(), loop.thread(), loop.ticker(), dialect, crashes.runs(), statements),
-                ConnectProbe.create(loop.transport(), loop.thread()),
+                ConnectProbe.create(
+                        loop.transport(),
+                        loop.thread(),
+                        loop.scheduler(),
+                        () -> ThreadLocalRandom.current().nextDouble()),
                 continuations,
                 limits,
                 statements,
