--- a/src/main/java/org/verbenatray/instance/RelayInstance.java
+++ b/src/main/java/org/verbenatray/instance/RelayInstance.java
@@ -52,9 +52,6 @@
     /** The time between two maintenance runs in milliseconds. */
     private static final long MAINTENANCE_INTERVAL_MILLIS = 200;
 
-    /** The time between two log lines of what was sent to servers, in milliseconds. */
-    private static final long TRAFFIC_LOG_INTERVAL_MILLIS = 2_000;
-
     /** The longest time for which an instance waits for the known crashes before it is ready, in milliseconds. */
     private static final long MAX_CRASHES_WAIT_MILLIS = 3_000;
 
@@ -134,6 +131,7 @@
         LeastLoadedChooser chooser = LeastLoadedChooser.create(
                 settings.failureDomain(), () -> ThreadLocalRandom.current().nextDouble());
         PrefixCacheIndex prefixCacheIndex = PrefixCacheIndex.empty();
+        this.traffic = ServerTraffic.create(metrics);
         this.sharing = new WorkSharing(
                 settings,
                 loop,
@@ -141,7 +139,8 @@
                 prefixCacheIndex,
                 this::onAnsweredOther,
                 this::onPeerReport,
-                this::listenForInstances);
+                this::listenForInstances,
+                traffic::recordDatagram);
         this.crashes = CrashKnowledge.create(settings, sharing, loop);
         this.retryBudgets = new RetryBudgets(() -> this.settings, sharing.fleetShare(), loop.ticker());
         this.pace = ServerPaces.create(settings, sharing, directory, loop);
@@ -155,7 +154,6 @@
         ServerStatements statements = ServerStatements.create(dialect, limits, sharing::recordLeaving, loop.ticker());
         this.planner = createPlanner(chooser, prefixCacheIndex);
         this.placement = createPlacement(chooser, prefixCacheIndex);
-        this.traffic = ServerTraffic.create(metrics);
         this.loadPoller = createLoadPoller(dialect, statements);
         this.context = createContext(dialect, chooser, statements);
         this.handler = RelayHandler.create(context);
@@ -408,7 +406,7 @@
         loop.runRepeatedly(
                 "maintenance", LoopLateness.measure(this::runMaintenance, loop.ticker(), metrics::recordLoopLateness));
         loop.runRepeatedly("polls", loadPoller::pollNext);
-        loop.runRepeatedly("traffic", this::logTraffic);
+        loop.runRepeatedly("traffic", traffic::logCounts);
         loop.runRepeatedly("placed work", placement::tellWork);
         loop.runRepeatedly("stages", stageController::planStages);
     }
@@ -423,11 +421,6 @@
         return MAINTENANCE_INTERVAL_MILLIS;
     }
 
-    private long logTraffic() {
-        traffic.logCounts();
-        return TRAFFIC_LOG_INTERVAL_MILLIS;
-    }
-
     private void onRoutesChanged(Catalog routes) {
         metrics.setCatalogVersion(routes.version());
         server.applyLimits(routes.limits());
--- a/src/main/java/org/verbenatray/instance/WorkSharing.java
+++ b/src/main/java/org/verbenatray/instance/WorkSharing.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import java.util.function.Predicate;
 import org.verbenatray.backends.Backend;
 import org.verbenatray.backends.BackendDirectory;
@@ -75,6 +76,9 @@
     /** Accepts requests that other instances forward, at the address where this one receives datagrams. */
     private final Consumer<InetSocketAddress> forwardingListener;
 
+    /** Receives the size of each datagram to another instance, in bytes. */
+    private final IntConsumer onSent;
+
     private final ExchangePeers exchangePeers;
 
     private final FleetShare fleetShare;
@@ -119,13 +123,15 @@
             PrefixCacheIndex prefixCacheIndex,
             AnswerListener onAnsweredOther,
             Consumer<ReportExchange.PeerReport> onPeerReport,
-            Consumer<InetSocketAddress> forwardingListener) {
+            Consumer<InetSocketAddress> forwardingListener,
+            IntConsumer onSent) {
         this.settings = settings;
         this.loop = loop;
         this.directory = directory;
         this.prefixCacheIndex = prefixCacheIndex;
         this.onAnsweredOther = onAnsweredOther;
         this.forwardingListener = forwardingListener;
+        this.onSent = onSent;
         this.exchangePeers = ExchangePeers.of(settings.name(), settings.failureDomain());
         this.fleetShare = FleetShare.create(loop.ticker());
         this.reports = new ReportExchange(
@@ -188,7 +194,7 @@
                         crashes::toTell),
                 exchangePeers,
                 remoteWork,
-                port::send,
+                this::send,
                 loop.ticker(),
                 loop.scheduler());
         registration = InstanceRegistration.start(
@@ -361,6 +367,7 @@
     /** Sends a datagram to another instance, if a port is open. */
     void send(InetSocketAddress to, byte[] datagram) {
         if (port != null) {
+            onSent.accept(datagram.length);
             port.send(to, datagram);
         }
     }
--- a/src/main/java/org/verbenatray/relay/RelayMetrics.java
+++ b/src/main/java/org/verbenatray/relay/RelayMetrics.java
@@ -69,6 +69,11 @@
             .labelNames("purpose")
             .register(registry);
 
+    private final Counter datagramBytes = Counter.builder()
+            .name("verbenatray_datagram_bytes_total")
+            .help("Bytes of datagrams sent to other instances.")
+            .register(registry);
+
     private final Histogram serverHead = Histogram.builder()
             .name("verbenatray_server_head_seconds")
             .help("Time from the writing of a call to the head of its response, on new and on kept connections.")
@@ -158,6 +163,11 @@
         connections.labelValues(purpose).inc();
     }
 
+    /** Counts a datagram to another instance, by its size in bytes. */
+    void recordDatagram(int bytes) {
+        datagramBytes.inc(bytes);
+    }
+
     /** Records the time from the writing of a call to the head of its response, in seconds. */
     void recordServerHead(String purpose, String connection, double seconds) {
         serverHead.labelValues(purpose, connection).observe(seconds);
--- a/src/main/java/org/verbenatray/relay/ServerTraffic.java
+++ b/src/main/java/org/verbenatray/relay/ServerTraffic.java
@@ -11,10 +11,13 @@
 import org.verbenatray.telemetry.Event;
 
 /**
- * Counts what this instance sends to servers: polls by their causes and results, new connections by what opened them,
- * and the time until servers answer on new and on kept connections. Used on one thread.
+ * Counts what this instance sends unasked: polls by their causes and results, new connections by what opened them,
+ * datagrams to other instances; and the time until servers answer on new and on kept connections. Used on one thread.
  */
 public final class ServerTraffic implements TrafficListener {
+    /** The time between two log lines, in milliseconds. */
+    private static final long LOG_INTERVAL_MILLIS = 2_000;
+
     /** The time to a response from which on it counts as late in the log line, in seconds. */
     private static final double LATE_SECONDS = 0.5;
 
@@ -48,6 +51,13 @@
         count("failed_" + kind);
     }
 
+    /** Records a datagram to another instance, by its size in bytes. */
+    public void recordDatagram(int bytes) {
+        metrics.recordDatagram(bytes);
+        count("datagrams");
+        counts.merge("datagram_bytes", (long) bytes, Long::sum);
+    }
+
     @Override
     public void onOpening(CallPurpose purpose) {
         metrics.recordConnection(purpose.label());
@@ -66,15 +76,15 @@
         }
     }
 
-    /** Logs the counts since the last line, if there are any. */
-    public void logCounts() {
-        if (counts.isEmpty()) {
-            return;
+    /** Logs the counts since the last line, if there are any, and returns the time to the next one in milliseconds. */
+    public long logCounts() {
+        if (!counts.isEmpty()) {
+            Event event = Event.named("server_traffic");
+            counts.forEach(event::with);
+            event.log(log, Level.INFO);
+            counts.clear();
         }
-        Event event = Event.named("server_traffic");
-        counts.forEach(event::with);
-        event.log(log, Level.INFO);
-        counts.clear();
+        return LOG_INTERVAL_MILLIS;
     }
 
     private void count(String name) {
