--- a/src/main/java/org/verbenatray/relay/PollSchedule.java
+++ b/src/main/java/org/verbenatray/relay/PollSchedule.java
@@ -67,7 +67,8 @@
 
     /**
      * The turns where many instances share the polls. What a poll has brought is told to all of them, so each instance
-     * polls its engines together and tells it in one notice.
+     * polls its engines together and tells it in one notice. The second instance waits until the first would have told
+     * that it had no answer.
      */
     private static final Turns LARGE_GROUP = new Turns(1_600, 2_250, 50, 600, 50);
 
@@ -109,7 +110,10 @@
         recordObserved(boot, atNanos);
     }
 
-    /** Records that an engine has answered another instance at the given time; this one may fail to reach it. */
+    /**
+     * Records that an engine has answered another instance at the given time. If this one could not reach it, it polls
+     * it, too; instances do so one after the other.
+     */
     void recordAnswer(Backend engine, String instance, long atNanos) {
         String boot = engine.entry().bootId();
         extraPolls.remove(boot);
@@ -331,7 +335,7 @@
      * The ages of the newest poll at which instances poll, in milliseconds.
      *
      * @param firstMillis the age at which the first instance polls
-     * @param secondMillis the age at which the second instance polls; the result of the first is known by then
+     * @param secondMillis the age at which the second instance polls
      * @param stepMillis the age by which each further instance waits longer
      * @param togetherMillis the time before its turn at which an engine is polled together with another one
      * @param firstStepMillis the time by which each further instance waits longer with an engine of which no report is
