An instance that is in reach again takes the word of others for engines

Now the answer of an engine to another instance makes it reachable here, too, unless this instance doubts that it reaches any server; only then it looks for itself. What this costs where a single instance does not reach a single engine is a failed connection for each such answer.

No test of its own: the state shows only over time.

--- a/src/main/java/org/verbenatray/relay/LoadPoller.java
+++ b/src/main/java/org/verbenatray/relay/LoadPoller.java
@@ -132,7 +132,10 @@
         return schedule.waitMillis(idle, doubtful, ticker.nanos());
     }
 
-    /** Applies what another instance has told of an engine. */
+    /**
+     * Applies what another instance has told of an engine. An engine that answers another one counts as reachable, but
+     * for those that failed here while it is doubtful whether this instance reaches any: it polls them itself.
+     */
     public void onPeerReport(String instance, EngineReport report) {
         Optional<Backend> engine = directory.findBoot(report.boot());
         if (engine.isEmpty()) {
@@ -143,7 +146,7 @@
             return;
         }
         long reportedNanos = ticker.nanos() - report.agoMillis() * NANOS_PER_MILLI;
-        if (unreachableForAll.remove(report.boot())) {
+        if (unreachableForAll.remove(report.boot()) || !reach.suspectsNewConnections()) {
             engine.get().markReachable();
         }
         schedule.recordAnswer(engine.get(), instance, reportedNanos);
--- a/src/main/java/org/verbenatray/relay/PollCause.java
+++ b/src/main/java/org/verbenatray/relay/PollCause.java
@@ -10,7 +10,7 @@
     LATE_TURN,
     /** No report of the engine is known yet. */
     LISTED,
-    /** The engine answers others, and did not answer this instance. */
+    /** The engine answers others, and did not answer this instance, which may reach no server. */
     UNREACHABLE,
     /** The engine did not answer another instance. */
     TOLD,
